Skeleton: shared types, authenticated frames, interfaces

Cause: nothing stood yet, and the parts are built side by side; they need one set of names and interfaces first. Change: ids, resources, workload, the typed document, settings, errors with step and peer, exit codes, the state machine trait of the replicated log, the placer interface, messages between entry hosts and control, and connections that prove the cell key by a keyed hash over both sides' nonces and every frame. Conclusion: the parts can start.

--- /dev/null
+++ b/src/bin/entry.rs
@@ -0,0 +1,2 @@
+//! Thin daemon.
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! A cluster scheduler for unlike workloads on one shared cell of mixed hardware.
+//!
+//! The library holds every decision as a pure state machine: an event and the present time go
+//! in, effects come out. The daemons under `src/bin` and the command line only add I/O.
+//! This module lists what is public.
+
+pub mod document;
+pub mod error;
+pub mod exit_codes;
+pub mod ids;
+pub mod placement;
+pub mod replication;
+pub mod resources;
+pub mod settings;
+pub mod wire;
+pub mod workload;
+
+pub use error::{Error, Result, Step};
+pub use exit_codes::ExitCode;
--- /dev/null
+++ b/src/resources.rs
@@ -0,0 +1,68 @@
+//! Amounts of processor, memory and accelerators, and the arithmetic of fitting them.
+
+use serde::{Deserialize, Serialize};
+
+/// Whole units of what a task needs or a worker holds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Resources {
+    /// Thousandths of a processor core.
+    pub millicores: u32,
+    /// Memory in megabytes (10^6 bytes).
+    pub memory_mb: u32,
+    /// Whole accelerators, all of one type.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Nothing of anything.
+    pub const ZERO: Self = Self {
+        millicores: 0,
+        memory_mb: 0,
+        accelerators: 0,
+    };
+
+    /// Makes an amount from whole cores, megabytes and accelerators.
+    pub const fn new(cores: u32, memory_mb: u32, accelerators: u32) -> Self {
+        Self {
+            millicores: cores * 1000,
+            memory_mb,
+            accelerators,
+        }
+    }
+
+    /// Says whether this amount can be taken out of `free` without overfilling it.
+    pub const fn fits_in(&self, free: &Self) -> bool {
+        self.millicores <= free.millicores
+            && self.memory_mb <= free.memory_mb
+            && self.accelerators <= free.accelerators
+    }
+
+    /// Adds each unit, or nothing if one would overflow.
+    pub fn checked_add(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            millicores: self.millicores.checked_add(other.millicores)?,
+            memory_mb: self.memory_mb.checked_add(other.memory_mb)?,
+            accelerators: self.accelerators.checked_add(other.accelerators)?,
+        })
+    }
+
+    /// Subtracts each unit, or nothing if one would go below zero.
+    pub fn checked_sub(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            millicores: self.millicores.checked_sub(other.millicores)?,
+            memory_mb: self.memory_mb.checked_sub(other.memory_mb)?,
+            accelerators: self.accelerators.checked_sub(other.accelerators)?,
+        })
+    }
+
+    /// Multiplies each unit by a number of tasks, or nothing on overflow.
+    pub fn checked_mul(&self, n: u32) -> Option<Self> {
+        Some(Self {
+            millicores: self.millicores.checked_mul(n)?,
+            memory_mb: self.memory_mb.checked_mul(n)?,
+            accelerators: self.accelerators.checked_mul(n)?,
+        })
+    }
+}
--- /dev/null
+++ b/src/wire/connection.rs
@@ -0,0 +1,249 @@
+//! One authenticated connection: the handshake, then length-prefixed frames with a tag each.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, ReadHalf, WriteHalf};
+use tokio::net::TcpStream;
+
+use super::auth::{CellKeys, KeyId, Nonce, SessionKey, TAG_LEN};
+use super::{MAX_FRAME, WIRE_VERSION};
+use crate::error::{Error, Result, Step};
+
+const HELLO_LEN: usize = 2 + 8 + 32;
+const TO_SERVER: u8 = 0;
+const TO_CLIENT: u8 = 1;
+
+/// Receiving half of a connection.
+pub struct FrameReader {
+    stream: BufReader<ReadHalf<TcpStream>>,
+    key: SessionKey,
+    peer: String,
+}
+
+/// Sending half of a connection.
+pub struct FrameWriter {
+    stream: WriteHalf<TcpStream>,
+    key: SessionKey,
+    buf: Vec<u8>,
+    peer: String,
+}
+
+/// Connects to a peer and proves membership of the cell.
+pub async fn connect(
+    addr: std::net::SocketAddr,
+    keys: &CellKeys,
+) -> Result<(FrameReader, FrameWriter)> {
+    let stream = TcpStream::connect(addr)
+        .await
+        .map_err(|e| Error::caused(Step::Connect, "opening a connection", e).with_peer(addr))?;
+    split_client(stream, keys).await
+}
+
+/// Checks a newly accepted connection for membership of the cell.
+pub async fn accept(stream: TcpStream, keys: &CellKeys) -> Result<(FrameReader, FrameWriter)> {
+    split_server(stream, keys).await
+}
+
+/// Runs the connecting side of the handshake.
+pub async fn split_client(
+    mut stream: TcpStream,
+    keys: &CellKeys,
+) -> Result<(FrameReader, FrameWriter)> {
+    let peer = peer_name(&stream);
+    let _ = stream.set_nodelay(true);
+    let key = keys.first().clone();
+    let nonce: Nonce = rand::random();
+    write_hello(&mut stream, key.id(), &nonce, &peer).await?;
+    let (_, theirs) = read_hello(&mut stream, &peer).await?;
+    let mut tx_key = key.session(&nonce, &theirs, TO_SERVER);
+    let mut rx_key = key.session(&nonce, &theirs, TO_CLIENT);
+    prove(&mut stream, &mut tx_key, &peer).await?;
+    check_proof(&mut stream, &mut rx_key, &peer).await?;
+    Ok(halves(stream, rx_key, tx_key, peer))
+}
+
+/// Runs the accepting side of the handshake. Nothing is sent to a peer without a known key.
+pub async fn split_server(
+    mut stream: TcpStream,
+    keys: &CellKeys,
+) -> Result<(FrameReader, FrameWriter)> {
+    let peer = peer_name(&stream);
+    let _ = stream.set_nodelay(true);
+    let (id, theirs) = read_hello(&mut stream, &peer).await?;
+    let Some(key) = keys.find(&id).cloned() else {
+        return Err(
+            Error::new(Step::Handshake, "the peer's key is not one of this cell").with_peer(peer),
+        );
+    };
+    let nonce: Nonce = rand::random();
+    write_hello(&mut stream, id, &nonce, &peer).await?;
+    let mut rx_key = key.session(&theirs, &nonce, TO_SERVER);
+    let mut tx_key = key.session(&theirs, &nonce, TO_CLIENT);
+    check_proof(&mut stream, &mut rx_key, &peer).await?;
+    prove(&mut stream, &mut tx_key, &peer).await?;
+    Ok(halves(stream, rx_key, tx_key, peer))
+}
+
+fn peer_name(stream: &TcpStream) -> String {
+    stream
+        .peer_addr()
+        .map_or_else(|_| "unknown peer".to_owned(), |addr| addr.to_string())
+}
+
+fn halves(
+    stream: TcpStream,
+    rx: SessionKey,
+    tx: SessionKey,
+    peer: String,
+) -> (FrameReader, FrameWriter) {
+    let (read, write) = tokio::io::split(stream);
+    let reader = FrameReader {
+        stream: BufReader::new(read),
+        key: rx,
+        peer: peer.clone(),
+    };
+    (
+        reader,
+        FrameWriter {
+            stream: write,
+            key: tx,
+            buf: Vec::new(),
+            peer,
+        },
+    )
+}
+
+async fn write_hello(stream: &mut TcpStream, id: KeyId, nonce: &Nonce, peer: &str) -> Result<()> {
+    let mut hello = Vec::with_capacity(HELLO_LEN);
+    hello.extend_from_slice(&WIRE_VERSION.to_le_bytes());
+    hello.extend_from_slice(&id);
+    hello.extend_from_slice(nonce);
+    stream
+        .write_all(&hello)
+        .await
+        .map_err(|e| transfer(Step::Handshake, peer, e))
+}
+
+async fn read_hello(stream: &mut TcpStream, peer: &str) -> Result<(KeyId, Nonce)> {
+    let mut hello = [0; HELLO_LEN];
+    stream
+        .read_exact(&mut hello)
+        .await
+        .map_err(|e| transfer(Step::Handshake, peer, e))?;
+    let version = u16::from_le_bytes([hello[0], hello[1]]);
+    if version != WIRE_VERSION {
+        let message =
+            format!("the peer speaks wire version {version}, this process {WIRE_VERSION}");
+        return Err(Error::new(Step::Handshake, message).with_peer(peer));
+    }
+    let mut id = KeyId::default();
+    id.copy_from_slice(&hello[2..10]);
+    let mut nonce = Nonce::default();
+    nonce.copy_from_slice(&hello[10..]);
+    Ok((id, nonce))
+}
+
+async fn prove(stream: &mut TcpStream, key: &mut SessionKey, peer: &str) -> Result<()> {
+    stream
+        .write_all(&key.next_tag(b"proof"))
+        .await
+        .map_err(|e| transfer(Step::Handshake, peer, e))
+}
+
+async fn check_proof(stream: &mut TcpStream, key: &mut SessionKey, peer: &str) -> Result<()> {
+    let mut tag = [0; TAG_LEN];
+    stream
+        .read_exact(&mut tag)
+        .await
+        .map_err(|e| transfer(Step::Handshake, peer, e))?;
+    if key.accepts(b"proof", &tag) {
+        return Ok(());
+    }
+    Err(Error::new(Step::Handshake, "the peer does not hold the cell key").with_peer(peer))
+}
+
+fn transfer(step: Step, peer: &str, e: std::io::Error) -> Error {
+    Error::caused(step, "the connection failed", e).with_peer(peer)
+}
+
+impl FrameReader {
+    /// Address of the other side.
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
+    /// Waits for the next message; `None` when the peer closed between two frames.
+    pub async fn read<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
+        let mut head = [0; 4];
+        match self.stream.read_exact(&mut head).await {
+            Ok(_) => {}
+            Err(e) if e.kind() == std::io::ErrorKind::UnexpectedEof => return Ok(None),
+            Err(e) => return Err(transfer(Step::Transfer, &self.peer, e)),
+        }
+        let len = u32::from_le_bytes(head) as usize;
+        if len > MAX_FRAME {
+            let message = format!("a frame of {len} bytes is over the limit of {MAX_FRAME}");
+            return Err(Error::new(Step::Transfer, message).with_peer(&self.peer));
+        }
+        let mut payload = vec![0; len];
+        let mut tag = [0; TAG_LEN];
+        self.stream
+            .read_exact(&mut payload)
+            .await
+            .map_err(|e| transfer(Step::Transfer, &self.peer, e))?;
+        self.stream
+            .read_exact(&mut tag)
+            .await
+            .map_err(|e| transfer(Step::Transfer, &self.peer, e))?;
+        if !self.key.accepts(&payload, &tag) {
+            metrics::counter!("yuccahold_wire_frames_refused_total").increment(1);
+            return Err(
+                Error::new(Step::Transfer, "a frame was forged, repeated or lost")
+                    .with_peer(&self.peer),
+            );
+        }
+        postcard::from_bytes(&payload)
+            .map(Some)
+            .map_err(|e| Error::caused(Step::Codec, "decoding a message", e).with_peer(&self.peer))
+    }
+}
+
+impl FrameWriter {
+    /// Address of the other side.
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
+    /// Encodes a message into the buffer without sending it.
+    pub fn queue(&mut self, message: &impl Serialize) -> Result<()> {
+        let payload = postcard::to_allocvec(message).map_err(|e| {
+            Error::caused(Step::Codec, "encoding a message", e).with_peer(&self.peer)
+        })?;
+        if payload.len() > MAX_FRAME {
+            let message = format!(
+                "a frame of {} bytes is over the limit of {MAX_FRAME}",
+                payload.len()
+            );
+            return Err(Error::new(Step::Transfer, message).with_peer(&self.peer));
+        }
+        let tag = self.key.next_tag(&payload);
+        self.buf
+            .extend_from_slice(&(payload.len() as u32).to_le_bytes());
+        self.buf.extend_from_slice(&payload);
+        self.buf.extend_from_slice(&tag);
+        Ok(())
+    }
+
+    /// Sends what is queued.
+    pub async fn flush(&mut self) -> Result<()> {
+        let sent = self.stream.write_all(&self.buf).await;
+        self.buf.clear();
+        sent.map_err(|e| transfer(Step::Transfer, &self.peer, e))
+    }
+
+    /// Sends one message.
+    pub async fn write(&mut self, message: &impl Serialize) -> Result<()> {
+        self.queue(message)?;
+        self.flush().await
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,20 @@
+//! Frames between the system's own processes: postcard over TCP, authenticated by the cell key.
+
+mod auth;
+mod calls;
+mod connection;
+
+pub use auth::{CellKey, CellKeys, KeyId};
+pub use calls::{
+    Answer, AssignedRun, Call, CallId, EndedRun, EntryHello, EntryReport, Feed, FromControl,
+    JobPhase, JobSubmission, JobView, KeyClaim, KeySettlement, KeyState, MinionAnnouncement,
+    OwnedMinion, PeerEntry, Refusal, RefusalKind, RunUsage, StopKind, StopRun, StoredAnswer,
+    ToControl, WorkerPoll, WorkerTasks,
+};
+pub use connection::{FrameReader, FrameWriter, accept, connect, split_client, split_server};
+
+/// Version of the frame format and of every message in it; another one is refused by number.
+pub const WIRE_VERSION: u16 = 1;
+
+/// Largest payload of one frame in bytes.
+pub const MAX_FRAME: usize = 16 * 1024 * 1024;
