Wire: release and lapse of owned minions, operators' requests to the leader

Cause: an owner had no word that it must give a minion up, a new owner none that its predecessor was lost, and operators could reach only the leader. Change: `OwnedMinion` carries `release` and `lapsed`; `Call::Http` carries an operator's request from any daemon to the leader.

--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -83,6 +83,8 @@
     ClaimKey(KeyClaim),
     /// Records what became of a claimed key.
     SettleKey(KeySettlement),
+    /// An operator's HTTP request, carried to the leader as it is.
+    Http(HttpCall),
 }
 
 /// Answer to one call.
@@ -98,6 +100,8 @@
     Job(JobView),
     /// State of an idempotency key.
     Key(KeyState),
+    /// The leader's answer to an operator's HTTP request.
+    Http(HttpAnswer),
     /// Refused; nothing was changed.
     Refused(Refusal),
     /// This replica does not lead; ask there. Nothing was changed.
@@ -137,7 +141,8 @@
 pub struct EntryReport {
     /// Document revision in force.
     pub in_force: Revision,
-    /// Ownership epochs the entry host has given up and drained.
+    /// Minions the entry host has given up after its last request there ended; repeated until
+    /// the feed names another owner or none.
     pub released: Vec<MinionId>,
     /// The entry host stops as planned: it wants no minion.
     pub leaving: bool,
@@ -199,6 +204,35 @@
     pub epoch: u64,
     /// The minion leaves: no new request.
     pub leaving: bool,
+    /// The owner must finish what it has in flight there, start nothing new and report the
+    /// minion as released, so that another entry host can take it over.
+    pub release: bool,
+    /// The owner before was lost: its requests may still be in work at the minion.
+    pub lapsed: bool,
+}
+
+/// An operator's HTTP request on its way to the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HttpCall {
+    /// Method, such as `GET`.
+    pub method: CompactString,
+    /// Path with query.
+    pub path: String,
+    /// Headers; values that are no text are left out.
+    pub headers: Vec<(CompactString, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// The leader's answer to an operator's HTTP request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(CompactString, String)>,
+    /// Body.
+    pub body: Vec<u8>,
 }
 
 /// A worker's long poll.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,9 +7,9 @@
 pub use auth::{CellKey, CellKeys, KeyId};
 pub use calls::{
     Answer, AssignedRun, Call, CallId, EndedRun, EntryHello, EntryReport, Feed, FromControl,
-    JobPhase, JobSubmission, JobView, KeyClaim, KeySettlement, KeyState, MinionAnnouncement,
-    OwnedMinion, PeerEntry, Refusal, RefusalKind, RunUsage, StopKind, StopRun, StoredAnswer,
-    ToControl, WorkerPoll, WorkerTasks,
+    HttpAnswer, HttpCall, JobPhase, JobSubmission, JobView, KeyClaim, KeySettlement, KeyState,
+    MinionAnnouncement, OwnedMinion, PeerEntry, Refusal, RefusalKind, RunUsage, StopKind, StopRun,
+    StoredAnswer, ToControl, WorkerPoll, WorkerTasks,
 };
 pub use connection::{FrameReader, FrameWriter, accept, connect, split_client, split_server};
 
