Telemetry, stand-in worker and fault proxy

Cause: the daemons and their tests need logs, metrics, a worker to talk to, and a network that fails on request.

Change: slog set-up (lines on a terminal, JSON otherwise), the Prometheus page without a server of its own, a stand-in worker whose lease and runs are a pure state machine with a shared ledger that finds doubles and overfill, and a TCP and UDP proxy with seeded, scripted faults. A poll carries a sequence number, because a poll that is overtaken lists runs that are out of date.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,11 +7,14 @@
 pub mod document;
 pub mod error;
 pub mod exit_codes;
+pub mod fault;
 pub mod ids;
 pub mod placement;
 pub mod replication;
 pub mod resources;
 pub mod settings;
+pub mod stand_in;
+pub mod telemetry;
 pub mod wire;
 pub mod workload;
 
--- /dev/null
+++ b/src/stand_in/mod.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins for what the platform provides, for demonstrations, tests and load: they
+//! speak the real interfaces and count what happened.
+
+mod ledger;
+mod worker;
+mod worker_state;
+
+pub use ledger::{Double, Ledger, LedgerCounts, Overfill};
+pub use worker::{WorkerHandle, WorkerOptions, start_worker};
+pub use worker_state::{Behaviour, RunEvent, WorkerState};
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,7 @@
+//! Logs by `slog` and metrics by `metrics`, as each daemon sets them up at its start.
+
+mod logs;
+mod metrics_page;
+
+pub use logs::{LogFormat, LogGuard, discard, json_logger, logger};
+pub use metrics_page::{MetricsPage, install_metrics};
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -242,6 +242,9 @@
     pub worker: WorkerSpec,
     /// Its process; another one under the same name runs nothing of the old.
     pub process: ProcessId,
+    /// Grows with each poll of one process. A poll with a number not above the last one seen
+    /// was overtaken on the way: its list of runs is out of date and must not be believed.
+    pub sequence: u64,
     /// Every run the worker holds at this moment.
     pub running: Vec<TaskRun>,
     /// Runs that ended since the last answered poll; repeated until acknowledged.
--- /dev/null
+++ b/tests/fault.rs
@@ -0,0 +1,169 @@
+//! The fault-injecting proxy: what each end sees under each fault.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::timeout;
+use yuccahold::fault::{
+    Direction, Fault, FaultStep, TcpProxy, Trigger, UdpProxy, play, random_script,
+};
+
+/// Far longer than anything here takes.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Long enough to see that nothing comes; a slow machine can only make the check weaker.
+const QUIET: Duration = Duration::from_millis(80);
+
+/// A server that sends back what it gets, behind a proxy.
+async fn echo_behind_proxy() -> TcpProxy {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut rx, mut tx) = stream.split();
+                tokio::io::copy(&mut rx, &mut tx).await
+            });
+        }
+    });
+    TcpProxy::start(addr, 7).await.unwrap()
+}
+
+/// Sends four bytes and gives what came back: bytes, an end, an error, or nothing yet. Waits
+/// long for all but an expected silence.
+async fn ask(stream: &mut TcpStream, expected: &str) -> &'static str {
+    let patience = if expected == "silent" {
+        QUIET
+    } else {
+        DEADLINE
+    };
+    if stream.write_all(b"ping").await.is_err() {
+        return "broken";
+    }
+    let mut buf = [0; 4];
+    match timeout(patience, stream.read_exact(&mut buf)).await {
+        Ok(Ok(_)) if &buf == b"ping" => "answered",
+        Ok(Ok(_)) => "garbled",
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::UnexpectedEof => "closed",
+        Ok(Err(_)) => "broken",
+        Err(_) => "silent",
+    }
+}
+
+async fn connect_and_ask(proxy: &TcpProxy, expected: &str) -> &'static str {
+    match TcpStream::connect(proxy.addr()).await {
+        Ok(mut stream) => ask(&mut stream, expected).await,
+        Err(_) => "refused",
+    }
+}
+
+#[rstest]
+#[case::cut(Fault::Cut, "closed", "broken")]
+#[case::silence(Fault::Silence(Direction::Both), "silent", "silent")]
+#[case::silence_there(Fault::Silence(Direction::ToServer), "silent", "silent")]
+#[case::silence_back(Fault::Silence(Direction::ToClient), "silent", "silent")]
+#[case::silence_open(Fault::SilenceOpen, "silent", "answered")]
+#[case::reset(Fault::Reset, "broken", "answered")]
+#[case::truncate(Fault::Truncate { direction: Direction::ToClient, after: 2 }, "closed", "closed")]
+#[tokio::test]
+async fn a_fault_is_seen_as_stated(
+    #[case] fault: Fault,
+    #[case] on_open: &str,
+    #[case] on_new: &str,
+) {
+    let proxy = echo_behind_proxy().await;
+    let mut open = TcpStream::connect(proxy.addr()).await.unwrap();
+    assert_eq!(ask(&mut open, "answered").await, "answered");
+    proxy.apply(fault);
+    if matches!(fault, Fault::Cut | Fault::Reset) {
+        let seen = timeout(DEADLINE, open.read(&mut [0])).await.unwrap();
+        assert_eq!(seen.is_err(), fault == Fault::Reset);
+    } else {
+        assert_eq!(ask(&mut open, on_open).await, on_open);
+    }
+    let new = connect_and_ask(&proxy, on_new).await;
+    let ended = ["broken", "closed", "refused"];
+    assert!(
+        new == on_new || on_new == "broken" && ended.contains(&new),
+        "{new}"
+    );
+    proxy.apply(Fault::Reopen);
+    assert_eq!(connect_and_ask(&proxy, "answered").await, "answered");
+}
+
+#[tokio::test]
+async fn what_silence_held_is_delivered_whole_when_it_heals() {
+    // A network partition hides packets; TCP sends them again when it heals. Nothing of the
+    // stream may be missing then, or the fault would be the proxy's own.
+    let proxy = echo_behind_proxy().await;
+    let mut stream = TcpStream::connect(proxy.addr()).await.unwrap();
+    proxy.apply(Fault::Silence(Direction::ToServer));
+    assert_eq!(ask(&mut stream, "silent").await, "silent");
+    proxy.apply(Fault::Reopen);
+    let mut buf = [0; 4];
+    let read = timeout(DEADLINE, stream.read_exact(&mut buf)).await;
+    read.unwrap().unwrap();
+    assert_eq!(&buf, b"ping");
+}
+
+#[tokio::test]
+async fn a_script_waits_for_traffic() {
+    let proxy = echo_behind_proxy().await;
+    let script = [
+        FaultStep {
+            when: Trigger::Bytes(Direction::ToClient, 4),
+            fault: Fault::SilenceOpen,
+        },
+        FaultStep {
+            when: Trigger::Connections(2),
+            fault: Fault::Cut,
+        },
+    ];
+    let client = async {
+        let mut stream = TcpStream::connect(proxy.addr()).await.unwrap();
+        assert_eq!(ask(&mut stream, "answered").await, "answered");
+        let _second = TcpStream::connect(proxy.addr()).await.unwrap();
+        timeout(DEADLINE, stream.read(&mut [0])).await.unwrap()
+    };
+    let (ended, ()) = tokio::join!(client, play(&proxy, &script));
+    assert!(matches!(ended, Ok(0) | Err(_)));
+}
+
+#[test]
+fn a_random_script_follows_from_its_seed() {
+    let longest = Duration::from_secs(1);
+    let script = random_script(3, 20, longest);
+    assert_eq!(script, random_script(3, 20, longest));
+    assert_ne!(script, random_script(4, 20, longest));
+    assert_eq!(script.last().unwrap().fault, Fault::Reopen);
+}
+
+#[tokio::test]
+async fn datagrams_pass_both_ways_and_are_lost_under_silence() {
+    let server = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let proxy = UdpProxy::start(server.local_addr().unwrap(), 7)
+        .await
+        .unwrap();
+    let client = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    client.connect(proxy.addr()).await.unwrap();
+    let mut buf = [0; 8];
+
+    proxy.apply(Fault::Silence(Direction::ToServer));
+    client.send(b"lost").await.unwrap();
+    assert!(timeout(QUIET, server.recv_from(&mut buf)).await.is_err());
+
+    proxy.apply(Fault::Reopen);
+    client.send(b"seen").await.unwrap();
+    let (len, from) = timeout(DEADLINE, server.recv_from(&mut buf))
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(&buf[..len], b"seen");
+    server.send_to(b"back", from).await.unwrap();
+    let len = timeout(DEADLINE, client.recv(&mut buf))
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(&buf[..len], b"back");
+}
