Read documents and settings from YAML by one schema

Cause: every daemon and the command line need a document and settings that are checked before anything acts on them. Change: each type lists its fields once (src/schema); reading, writing and describing walk that list.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod replication;
 pub mod resources;
+pub mod schema;
 pub mod settings;
 pub mod stand_in;
 pub mod telemetry;
--- /dev/null
+++ b/src/schema/scalars.rs
@@ -0,0 +1,540 @@
+//! Scalars with their units: how each is read, written and described.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use super::{Scalar, Texts};
+
+/// Longest name in characters.
+const MAX_NAME: usize = 63;
+/// Longest free text in bytes.
+const MAX_TEXT: usize = 4096;
+
+/// A unit's name and its size in the smallest unit of its kind.
+type Unit = (&'static str, u64);
+
+const TIME_UNITS: &[Unit] = &[
+    ("ms", 1),
+    ("s", 1000),
+    ("min", 60_000),
+    ("h", 3_600_000),
+    ("d", 86_400_000),
+];
+const MEMORY_UNITS: &[Unit] = &[("MB", 1), ("GB", 1000), ("TB", 1_000_000)];
+const BYTE_UNITS: &[Unit] = &[
+    ("B", 1),
+    ("kB", 1000),
+    ("MB", 1_000_000),
+    ("GB", 1_000_000_000),
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+];
+const CORE_UNITS: &[Unit] = &[("cores", 1000), ("core", 1000)];
+const PERCENT_UNITS: &[Unit] = &[("%", 1000)];
+
+/// Splits `1.5 GB` into an exact number of the smallest unit.
+fn parse_units(text: &str, units: &[Unit], expected: &str) -> Result<u64, String> {
+    let wrong = || format!("expected {expected}");
+    let text = text.trim();
+    let end = text
+        .find(|c: char| !c.is_ascii_digit() && c != '.')
+        .unwrap_or(text.len());
+    let (number, unit) = text.split_at(end);
+    if number.is_empty() {
+        return Err(wrong());
+    }
+    let unit = unit.trim();
+    let size = match units.iter().find(|(name, _)| *name == unit) {
+        Some((_, size)) => *size,
+        None if unit.is_empty() => return Err(format!("the unit is missing; expected {expected}")),
+        None => {
+            let names: Vec<_> = units.iter().map(|(name, _)| *name).collect();
+            let names = names.join(", ");
+            return Err(format!(
+                "unknown unit; expected {expected}, with a unit of {names}"
+            ));
+        }
+    };
+    let (whole, fraction) = number.split_once('.').unwrap_or((number, ""));
+    if whole.is_empty() || number.ends_with('.') || fraction.len() > 9 {
+        return Err(wrong());
+    }
+    let whole: u64 = whole.parse().map_err(|_| wrong())?;
+    let mut total = whole.checked_mul(size).ok_or("this is too large")?;
+    if !fraction.is_empty() {
+        let digits: u64 = fraction.parse().map_err(|_| wrong())?;
+        let scale = 10_u64.pow(fraction.len() as u32);
+        let part = digits.checked_mul(size).ok_or("this is too large")?;
+        if part % scale != 0 {
+            let (smallest, _) = units[0];
+            return Err(format!(
+                "this is finer than can be counted; expected {expected}, no part of a {smallest}"
+            ));
+        }
+        total = total.checked_add(part / scale).ok_or("this is too large")?;
+    }
+    Ok(total)
+}
+
+/// Writes an amount in the largest unit that needs no fraction.
+fn write_units(amount: u64, units: &[Unit]) -> String {
+    let fits = |u: &&Unit| amount != 0 && amount.is_multiple_of(u.1);
+    let (name, size) = units.iter().rev().find(fits).unwrap_or(&units[0]);
+    format!("{} {name}", amount / size)
+}
+
+fn write_thousandths(amount: u64) -> String {
+    let (whole, part) = (amount / 1000, amount % 1000);
+    let fraction = format!("{part:03}");
+    match fraction.trim_end_matches('0') {
+        "" => whole.to_string(),
+        digits => format!("{whole}.{digits}"),
+    }
+}
+
+fn narrow(amount: u64) -> Result<u32, String> {
+    u32::try_from(amount).map_err(|_| "this is too large".to_owned())
+}
+
+/// Checks a name used as a key.
+pub(crate) fn check_name(text: &str) -> Result<(), String> {
+    check_label(text)?;
+    if text.contains('.') {
+        return Err("a name used as a key has no dot".to_owned());
+    }
+    Ok(())
+}
+
+/// Checks a name.
+fn check_label(text: &str) -> Result<(), String> {
+    let inner = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let starts = text.starts_with(|c: char| c.is_ascii_alphanumeric());
+    if !starts || !text.chars().all(inner) || text.len() > MAX_NAME {
+        return Err(format!("expected {}", label_help()));
+    }
+    Ok(())
+}
+
+fn label_help() -> String {
+    format!("a name of at most {MAX_NAME} letters, digits, `-`, `_` or `.`, such as `bern-a`")
+}
+
+/// A name.
+pub struct Name<'a>(pub &'a mut CompactString);
+
+impl Scalar for Name<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        check_label(text)?;
+        *self.0 = text.into();
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(self.0.to_string()).filter(|t| !t.is_empty())
+    }
+
+    fn expected(&self) -> String {
+        label_help()
+    }
+}
+
+/// A name that may be absent.
+pub struct OptionalName<'a>(pub &'a mut Option<CompactString>);
+
+impl Scalar for OptionalName<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        check_label(text)?;
+        *self.0 = Some(text.into());
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        self.0.as_ref().map(ToString::to_string)
+    }
+
+    fn expected(&self) -> String {
+        label_help()
+    }
+}
+
+/// Free text.
+pub struct Text<'a>(pub &'a mut CompactString);
+
+impl Scalar for Text<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        if text.len() > MAX_TEXT {
+            return Err(format!("expected {}", self.expected()));
+        }
+        *self.0 = text.into();
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(self.0.to_string())
+    }
+
+    fn expected(&self) -> String {
+        format!("a text of at most {MAX_TEXT} bytes")
+    }
+}
+
+/// A span of time in whole milliseconds.
+pub struct Span<'a>(pub &'a mut Duration);
+
+impl Scalar for Span<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        *self.0 = Duration::from_millis(parse_units(text, TIME_UNITS, &self.expected())?);
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(write_units(self.0.as_millis() as u64, TIME_UNITS))
+    }
+
+    fn expected(&self) -> String {
+        "a time such as `250 ms`, `30 s` or `8 h`".to_owned()
+    }
+}
+
+/// Memory in megabytes.
+pub struct Megabytes<'a>(pub &'a mut u32);
+
+impl Scalar for Megabytes<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        *self.0 = narrow(parse_units(text, MEMORY_UNITS, &self.expected())?)?;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(write_units(u64::from(*self.0), MEMORY_UNITS))
+    }
+
+    fn expected(&self) -> String {
+        "an amount of memory such as `64 GB` or `512 MB`".to_owned()
+    }
+}
+
+/// A number of bytes.
+pub struct Bytes<'a>(pub &'a mut u64);
+
+impl Scalar for Bytes<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        *self.0 = parse_units(text, BYTE_UNITS, &self.expected())?;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(write_units(*self.0, BYTE_UNITS))
+    }
+
+    fn expected(&self) -> String {
+        "a size such as `64 kB`, `1 MB` or `8 MiB`".to_owned()
+    }
+}
+
+/// Processor cores in thousandths.
+pub struct Cores<'a>(pub &'a mut u32);
+
+impl Scalar for Cores<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        *self.0 = narrow(parse_units(text, CORE_UNITS, &self.expected())?)?;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        let unit = if *self.0 == 1000 { "core" } else { "cores" };
+        Some(format!("{} {unit}", write_thousandths(u64::from(*self.0))))
+    }
+
+    fn expected(&self) -> String {
+        "a number of cores such as `8 cores` or `0.5 cores`".to_owned()
+    }
+}
+
+/// A whole number of percent, 0 to 100.
+pub struct Percent<'a>(pub &'a mut u32);
+
+impl Scalar for Percent<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        let thousandths = parse_units(text, PERCENT_UNITS, &self.expected())?;
+        if thousandths > 100_000 || thousandths % 1000 != 0 {
+            return Err(format!("expected {}", self.expected()));
+        }
+        *self.0 = (thousandths / 1000) as u32;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(format!("{} %", self.0))
+    }
+
+    fn expected(&self) -> String {
+        "a whole percentage from `0 %` to `100 %`".to_owned()
+    }
+}
+
+/// A percentage in thousandths of a percent.
+pub struct Millipercent<'a>(pub &'a mut u32);
+
+impl Scalar for Millipercent<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        let thousandths = parse_units(text, PERCENT_UNITS, &self.expected())?;
+        if thousandths > 100_000 {
+            return Err(format!("expected {}", self.expected()));
+        }
+        *self.0 = thousandths as u32;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(format!("{} %", write_thousandths(u64::from(*self.0))))
+    }
+
+    fn expected(&self) -> String {
+        "a percentage such as `99.9 %`, with three decimals at most".to_owned()
+    }
+}
+
+/// A whole number within bounds.
+pub struct Count<'a> {
+    slot: &'a mut u32,
+    least: u32,
+    most: u32,
+}
+
+impl<'a> Count<'a> {
+    /// A number from `least` to `most`.
+    pub fn new(slot: &'a mut u32, least: u32, most: u32) -> Self {
+        Self { slot, least, most }
+    }
+}
+
+impl Scalar for Count<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        let plain = text.chars().all(|c| c.is_ascii_digit());
+        let number = if plain { text.parse().ok() } else { None };
+        let in_bounds = |n: &u32| (self.least..=self.most).contains(n);
+        let Some(number) = number.filter(in_bounds) else {
+            return Err(format!("expected {}", self.expected()));
+        };
+        *self.slot = number;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(self.slot.to_string())
+    }
+
+    fn expected(&self) -> String {
+        format!("a whole number from {} to {}", self.least, self.most)
+    }
+}
+
+/// Yes or no.
+pub struct Toggle<'a>(pub &'a mut bool);
+
+impl Scalar for Toggle<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        *self.0 = match text {
+            "true" => true,
+            "false" => false,
+            _ => return Err(format!("expected {}", self.expected())),
+        };
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(self.0.to_string())
+    }
+
+    fn expected(&self) -> String {
+        "`true` or `false`".to_owned()
+    }
+
+    fn choices(&self) -> Vec<&'static str> {
+        vec!["true", "false"]
+    }
+}
+
+/// A type whose values are written as one word each.
+pub trait Choice: Copy + PartialEq + 'static {
+    /// The words and what they mean.
+    const WORDS: &'static [(&'static str, Self)];
+}
+
+/// One of a few words.
+pub struct Chosen<'a, T: Choice>(pub &'a mut T);
+
+impl<T: Choice> Scalar for Chosen<'_, T> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        let found = T::WORDS.iter().find(|(word, _)| *word == text);
+        let Some((_, value)) = found else {
+            return Err(format!("expected {}", self.expected()));
+        };
+        *self.0 = *value;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        let found = T::WORDS.iter().find(|(_, value)| value == self.0);
+        found.map(|(word, _)| (*word).to_owned())
+    }
+
+    fn expected(&self) -> String {
+        format!("one of {}", self.choices().join(", "))
+    }
+
+    fn choices(&self) -> Vec<&'static str> {
+        T::WORDS.iter().map(|(word, _)| *word).collect()
+    }
+}
+
+/// A network address with a port.
+pub struct Address<'a>(pub &'a mut SocketAddr);
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    let addr: Result<SocketAddr, _> = text.parse();
+    addr.map_err(|_| format!("expected {}", address_help()))
+}
+
+fn address_help() -> String {
+    "an IP address and port such as `10.0.0.5:7400` or `[fd00::5]:7400`".to_owned()
+}
+
+impl Scalar for Address<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        *self.0 = parse_address(text)?;
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(self.0.to_string())
+    }
+
+    fn expected(&self) -> String {
+        address_help()
+    }
+}
+
+/// A network address that may be absent.
+pub struct OptionalAddress<'a>(pub &'a mut Option<SocketAddr>);
+
+impl Scalar for OptionalAddress<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        *self.0 = Some(parse_address(text)?);
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        self.0.map(|a| a.to_string())
+    }
+
+    fn expected(&self) -> String {
+        address_help()
+    }
+}
+
+/// Path of a file or folder.
+pub struct FilePath<'a>(pub &'a mut PathBuf);
+
+impl Scalar for FilePath<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        if text.is_empty() || text.contains('\0') {
+            return Err(format!("expected {}", self.expected()));
+        }
+        *self.0 = PathBuf::from(text);
+        Ok(())
+    }
+
+    fn text(&self) -> Option<String> {
+        Some(self.0.display().to_string()).filter(|t| !t.is_empty())
+    }
+
+    fn expected(&self) -> String {
+        "a path; a relative one counts from the folder of this file".to_owned()
+    }
+}
+
+/// Path that may be absent.
+pub struct OptionalPath<'a>(pub &'a mut Option<PathBuf>);
+
+impl Scalar for OptionalPath<'_> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        FilePath(self.0.insert(PathBuf::new())).parse(text)
+    }
+
+    fn text(&self) -> Option<String> {
+        self.0.as_ref().map(|p| p.display().to_string())
+    }
+
+    fn expected(&self) -> String {
+        FilePath(&mut PathBuf::new()).expected()
+    }
+}
+
+/// A list of names, or of records that are no more than a name.
+pub struct Names<'a, T> {
+    slot: &'a mut Vec<T>,
+    make: fn(CompactString) -> T,
+    name: fn(&T) -> &CompactString,
+}
+
+impl<'a, T> Names<'a, T> {
+    /// A list whose elements are made from names and give them back.
+    pub fn new(
+        slot: &'a mut Vec<T>,
+        make: fn(CompactString) -> T,
+        name: fn(&T) -> &CompactString,
+    ) -> Self {
+        Self { slot, make, name }
+    }
+}
+
+impl<T> Texts for Names<'_, T> {
+    fn push(&mut self, text: &str) -> Result<(), String> {
+        check_label(text)?;
+        self.slot.push((self.make)(text.into()));
+        Ok(())
+    }
+
+    fn all(&self) -> Vec<String> {
+        self.slot
+            .iter()
+            .map(|t| (self.name)(t).to_string())
+            .collect()
+    }
+
+    fn expected(&self) -> String {
+        label_help()
+    }
+
+    fn clear(&mut self) {
+        self.slot.clear();
+    }
+}
+
+/// A list of network addresses.
+pub struct Addresses<'a>(pub &'a mut Vec<SocketAddr>);
+
+impl Texts for Addresses<'_> {
+    fn push(&mut self, text: &str) -> Result<(), String> {
+        self.0.push(parse_address(text)?);
+        Ok(())
+    }
+
+    fn all(&self) -> Vec<String> {
+        self.0.iter().map(ToString::to_string).collect()
+    }
+
+    fn expected(&self) -> String {
+        address_help()
+    }
+
+    fn clear(&mut self) {
+        self.0.clear();
+    }
+}
--- /dev/null
+++ b/src/schema/tree.rs
@@ -0,0 +1,68 @@
+//! A record as a tree of canonical texts: what writing and comparing work on.
+
+use super::{Field, Record, Records, Scalar, Texts, Visitor};
+
+/// Canonical texts by key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Tree {
+    /// A single value.
+    Scalar(String),
+    /// A list of single values.
+    Texts(Vec<String>),
+    /// A list of mappings.
+    List(Vec<Tree>),
+    /// A mapping, in schema order or by name.
+    Map(Vec<(String, Tree)>),
+}
+
+impl Tree {
+    /// The value under a key of a mapping.
+    pub fn get(&self, key: &str) -> Option<&Self> {
+        let Self::Map(pairs) = self else { return None };
+        pairs.iter().find(|(k, _)| k == key).map(|(_, v)| v)
+    }
+}
+
+/// Turns a record into its tree, with every default spelled out.
+pub fn to_tree(record: &mut dyn Record) -> Tree {
+    let mut builder = Builder { pairs: Vec::new() };
+    record.visit(&mut builder);
+    Tree::Map(builder.pairs)
+}
+
+struct Builder {
+    pairs: Vec<(String, Tree)>,
+}
+
+impl Builder {
+    fn put(&mut self, field: Field, tree: Tree) {
+        self.pairs.push((field.key.to_owned(), tree));
+    }
+}
+
+impl Visitor for Builder {
+    fn scalar(&mut self, field: Field, slot: &mut dyn Scalar) {
+        if let Some(text) = slot.text() {
+            self.put(field, Tree::Scalar(text));
+        }
+    }
+
+    fn texts(&mut self, field: Field, slot: &mut dyn Texts) {
+        self.put(field, Tree::Texts(slot.all()));
+    }
+
+    fn record(&mut self, field: Field, slot: &mut dyn Record) {
+        self.put(field, to_tree(slot));
+    }
+
+    fn records(&mut self, field: Field, slot: &mut dyn Records) {
+        let mut pairs = Vec::new();
+        slot.each(&mut |name, record| pairs.push((name.to_owned(), to_tree(record))));
+        let tree = if slot.keyed() {
+            Tree::Map(pairs)
+        } else {
+            Tree::List(pairs.into_iter().map(|(_, tree)| tree).collect())
+        };
+        self.put(field, tree);
+    }
+}
