Service-level burn: budgets, burn rates, alerts and what burned them

Cause: an operator cannot see whether the document's objectives are kept.

Change: a pure module of fixed size per objective. Daemons count events in a tally and hand on deltas; control keeps rings of counts at four widths and the names that burned most. Table, JSON and one HTML file with SVG plots, whose lines differ by dashes.

--- /dev/null
+++ b/src/slo/html.rs
@@ -0,0 +1,169 @@
+//! The burn report as one HTML file with plots, readable without colour and without scripts.
+
+use std::time::Duration;
+
+use maud::{DOCTYPE, Markup, PreEscaped, html};
+
+use super::burn::{ObjectiveReport, target_name};
+use super::report::{BurnReport, alert_text, goal, percent, span};
+use super::ring::Counts;
+use crate::error::Result;
+use crate::plot::{LinePlot, Series};
+
+const STYLE: &str = "body{font:16px/1.5 sans-serif;max-width:60rem;margin:1rem auto;padding:0 1rem;\
+color-scheme:light dark}table{border-collapse:collapse;width:100%}th,td{text-align:left;\
+padding:.25rem .75rem .25rem 0;border-bottom:1px solid #8888}svg{max-width:100%;height:auto}\
+.alert{border:2px solid;padding:.5rem}";
+
+/// Writes the report as a whole HTML page.
+pub fn render_html(report: &BurnReport) -> Result<String> {
+    let sections: Vec<Markup> = report
+        .objectives
+        .iter()
+        .map(section)
+        .collect::<Result<_>>()?;
+    let page = html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                meta name="viewport" content="width=device-width, initial-scale=1";
+                title { "Service-level burn" }
+                style { (PreEscaped(STYLE)) }
+            }
+            body {
+                h1 { "Service-level burn" }
+                p { "At Unix time " (report.at.as_secs()) " s." }
+                @if report.objectives.is_empty() {
+                    p { "The document declares no objectives." }
+                }
+                @for section in sections { (section) }
+            }
+        }
+    };
+    Ok(page.into_string())
+}
+
+fn section(report: &ObjectiveReport) -> Result<Markup> {
+    let budget = budget_plot(report).to_svg()?;
+    let events = events_plot(report).to_svg()?;
+    Ok(html! {
+        h2 { (report.objective.name) }
+        p { (target_name(&report.objective.target)) ": " (goal(report)) }
+        @for alert in &report.alerts {
+            p.alert role="alert" { strong { "Alert. " } (alert_text(alert)) }
+        }
+        (figures(report))
+        (PreEscaped(budget))
+        (PreEscaped(events))
+        @if !report.burners.is_empty() { (burners(report)) }
+    })
+}
+
+fn figures(report: &ObjectiveReport) -> Markup {
+    html! {
+        table {
+            tr { th { "events" } td { (report.counts.total()) } }
+            tr { th { "good" } td { (percent(report.good_percent, 3)) } }
+            tr { th { "unknown" } td { (percent(report.unknown_percent, 3)) } }
+            tr { th { "error budget left" } td { (format!("{:.1}%", report.budget_left_percent)) } }
+            @for burn in &report.rates {
+                tr {
+                    th { "burn rate over " (span(burn.span)) }
+                    td { (burn.rate.map_or("-".to_owned(), |rate| format!("{rate:.2}"))) }
+                }
+            }
+        }
+    }
+}
+
+fn burners(report: &ObjectiveReport) -> Markup {
+    html! {
+        h3 { "What burned it" }
+        table {
+            tr { th { "by" } th { "name" } th { "events" } th { "share" } }
+            @for burner in &report.burners {
+                tr {
+                    td { (burner.dimension.name()) }
+                    td { (burner.value) }
+                    td { (burner.events) }
+                    td { (format!("{:.1}%", burner.percent)) }
+                }
+            }
+        }
+    }
+}
+
+/// The unit in which a window's time axis reads well, with its length.
+fn axis(window: Duration) -> (&'static str, f64) {
+    const DAY: f64 = 86_400.0;
+    const HOUR: f64 = 3_600.0;
+    match window.as_secs_f64() {
+        w if w >= 2.0 * DAY => ("days", DAY),
+        w if w >= 2.0 * HOUR => ("hours", HOUR),
+        _ => ("minutes", 60.0),
+    }
+}
+
+/// Points of a value over the window, with x as time before now.
+fn points(report: &ObjectiveReport, y: impl FnMut(&Counts) -> f64) -> (String, Vec<(f64, f64)>) {
+    let (unit, length) = axis(report.objective.window);
+    let end = report
+        .series
+        .last()
+        .map_or(0.0, |last| last.0.as_secs_f64());
+    let xs = report.series.iter();
+    let xs = xs.map(|(at, _)| (at.as_secs_f64() - end) / length);
+    let ys = report.series.iter().map(|(_, counts)| counts).map(y);
+    (format!("{unit} from now"), xs.zip(ys).collect())
+}
+
+/// The budget left as the window's events came in.
+fn budget_plot(report: &ObjectiveReport) -> LinePlot {
+    let total = report.counts.total() as f64;
+    let allowed = total * (1.0 - f64::from(report.objective.millipercent) / 100_000.0);
+    let mut burned = 0;
+    let left = |counts: &Counts| {
+        burned += counts.burned();
+        match allowed > 0.0 {
+            true => 100.0 * (1.0 - burned as f64 / allowed),
+            false => 100.0 * f64::from(u8::from(burned == 0)),
+        }
+    };
+    let (x, left) = points(report, left);
+    let line = |y: f64| left.iter().map(|(x, _)| (*x, y)).collect();
+    LinePlot {
+        title: format!("{}: error budget left", report.objective.name),
+        x,
+        y: "percent".to_owned(),
+        series: vec![
+            Series {
+                name: "nothing left".to_owned(),
+                points: line(0.0),
+            },
+            Series {
+                name: "budget left".to_owned(),
+                points: left.clone(),
+            },
+        ],
+    }
+}
+
+fn events_plot(report: &ObjectiveReport) -> LinePlot {
+    let line = |name: &str, y: fn(&Counts) -> f64| {
+        let (_, points) = points(report, y);
+        Series {
+            name: name.to_owned(),
+            points,
+        }
+    };
+    LinePlot {
+        title: format!("{}: events that burned it", report.objective.name),
+        x: points(report, |_| 0.0).0,
+        y: "events".to_owned(),
+        series: vec![
+            line("failed or late", |counts| counts.bad as f64),
+            line("unknown", |counts| counts.unknown as f64),
+        ],
+    }
+}
--- /dev/null
+++ b/src/slo/mod.rs
@@ -0,0 +1,20 @@
+//! Service-level burn: error budgets of the document's objectives, how fast they burn, and what
+//! burned them.
+//!
+//! A daemon that sees events counts them in a [`Tally`] and hands on a [`BurnDelta`] now and
+//! then. Control adds the deltas to a [`Burn`], which is part of its replicated state: it is
+//! serializable, its size depends only on the number of objectives, and it has no clock.
+
+mod alert;
+mod burn;
+mod html;
+mod report;
+mod ring;
+mod tally;
+
+pub use alert::{Alert, Severity};
+pub use burn::{BURNER_DIMENSIONS, Burn, BurnRate, Burner, ObjectiveReport};
+pub use html::render_html;
+pub use report::{BurnReport, render_json, render_table};
+pub use ring::Counts;
+pub use tally::{BurnDelta, Dimension, Dimensions, Event, ObjectiveDelta, Outcome, Tally};
