Tell differences and effects of documents; reference pages from the schema

Cause: operators must see what a change does before it is in force, and pages written by hand drift from the code.

--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -1,8 +1,5 @@
-//! Console and HTTP interface for operators.
+//! Console and signed-in HTTP interface for operators.
 
 mod state;
 
-pub use state::{
-    AuditRow, ConsoleState, DocumentChange, EntryRow, MinionRow, OperatorName, ReplicaRow, Revised,
-    RevisionRow, StateError, StateResult, TeamRow, WorkerRow,
-};
+pub use state::ConsoleState;
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -1,15 +1,20 @@
 //! The one validated document that describes the whole desired state of a cell.
 
+mod diff;
+mod effects;
 mod model;
+mod reference;
 mod schema;
 mod validate;
 
 use std::path::Path;
 
+pub use diff::{Change, Diff, diff};
 pub use model::{
     Deadline, Document, Drain, DrainTarget, JobKind, Limits, Objective, ObjectiveTarget, Policy,
     QueuePriority, Route, Service, Team, Workload, Zone,
 };
+pub use reference::reference;
 pub use schema::FORMAT;
 pub use validate::validate;
 
--- a/src/document/schema.rs
+++ b/src/document/schema.rs
@@ -11,7 +11,7 @@
 use crate::resources::Resources;
 use crate::schema::{
     Bytes, Choice, Chosen, Cores, Count, Field, Megabytes, Millipercent, Name, Names, OptionalName,
-    Percent, Record, Scalar, Span, Text, Toggle, Visitor,
+    Part, Percent, Record, Span, Text, Toggle, Visitor,
 };
 use crate::workload::{Band, MemberLoss, Spread, WorkClass};
 
@@ -276,9 +276,16 @@
         "service",
         "Service whose requests are to be answered in time.",
     );
-    v.scalar(service, &mut TargetService(&mut o.target));
+    let set = |t: &mut _, name| {
+        *t = ObjectiveTarget::Service(name);
+        Ok(())
+    };
+    v.scalar(service, &mut Part::new(&mut o.target, target_service, set));
     let kind = opt("kind", "Job kind whose tasks are to start in time.");
-    v.scalar(kind, &mut TargetKind(&mut o.target));
+    v.scalar(
+        kind,
+        &mut Part::new(&mut o.target, target_kind, set_target_kind),
+    );
     let within = req(
         "within",
         "Time within which an answer or a start counts as good.",
@@ -300,53 +307,26 @@
     }
 }
 
-/// The service an objective speaks of.
-struct TargetService<'a>(&'a mut ObjectiveTarget);
-
-impl Scalar for TargetService<'_> {
-    fn parse(&mut self, text: &str) -> Result<(), String> {
-        let mut name = CompactString::default();
-        Name(&mut name).parse(text)?;
-        *self.0 = ObjectiveTarget::Service(name);
-        Ok(())
-    }
-
-    fn text(&self) -> Option<String> {
-        match &*self.0 {
-            ObjectiveTarget::Service(name) if !name.is_empty() => Some(name.to_string()),
-            _ => None,
-        }
-    }
-
-    fn expected(&self) -> String {
-        "the name of a service".to_owned()
+fn target_service(target: &ObjectiveTarget) -> Option<&CompactString> {
+    match target {
+        ObjectiveTarget::Service(name) => Some(name).filter(|n| !n.is_empty()),
+        ObjectiveTarget::Kind(_) => None,
     }
 }
 
-/// The job kind an objective speaks of.
-struct TargetKind<'a>(&'a mut ObjectiveTarget);
-
-impl Scalar for TargetKind<'_> {
-    fn parse(&mut self, text: &str) -> Result<(), String> {
-        if TargetService(self.0).text().is_some() {
-            return Err("an objective speaks of a `service` or a `kind`, not of both".to_owned());
-        }
-        let mut name = CompactString::default();
-        Name(&mut name).parse(text)?;
-        *self.0 = ObjectiveTarget::Kind(name);
-        Ok(())
-    }
-
-    fn text(&self) -> Option<String> {
-        match &*self.0 {
-            ObjectiveTarget::Kind(name) => Some(name.to_string()),
-            ObjectiveTarget::Service(_) => None,
-        }
+fn target_kind(target: &ObjectiveTarget) -> Option<&CompactString> {
+    match target {
+        ObjectiveTarget::Kind(name) => Some(name),
+        ObjectiveTarget::Service(_) => None,
     }
+}
 
-    fn expected(&self) -> String {
-        "the name of a job kind".to_owned()
+fn set_target_kind(target: &mut ObjectiveTarget, name: CompactString) -> Result<(), String> {
+    if target_service(target).is_some() {
+        return Err("an objective speaks of a `service` or a `kind`, not of both".to_owned());
     }
+    *target = ObjectiveTarget::Kind(name);
+    Ok(())
 }
 
 record!(Policy, Policy::default(), |p, v| {
@@ -387,14 +367,24 @@
 
 record!(Drain, initial_drain(), |d, v| {
     let worker = opt("worker", "The one worker to empty.");
-    v.scalar(worker, &mut DrainWorker(&mut d.target));
+    let set = |t: &mut _, name| {
+        *t = DrainTarget::Worker(name);
+        Ok(())
+    };
+    v.scalar(worker, &mut Part::new(&mut d.target, drain_worker, set));
     let zone = opt(
         "zone",
         "The availability zone to empty, or the one the rack is in.",
     );
-    v.scalar(zone, &mut DrainZone(&mut d.target));
+    v.scalar(
+        zone,
+        &mut Part::new(&mut d.target, drain_zone, set_drain_zone),
+    );
     let rack = opt("rack", "The rack to empty.");
-    v.scalar(rack, &mut DrainRack(&mut d.target));
+    v.scalar(
+        rack,
+        &mut Part::new(&mut d.target, drain_rack, set_drain_rack),
+    );
     let within = opt(
         "within",
         "Time its tasks have to finish or checkpoint before they are stopped.",
@@ -409,79 +399,41 @@
     }
 }
 
-/// The worker a drain empties.
-struct DrainWorker<'a>(&'a mut DrainTarget);
-
-impl Scalar for DrainWorker<'_> {
-    fn parse(&mut self, text: &str) -> Result<(), String> {
-        let mut name = CompactString::default();
-        Name(&mut name).parse(text)?;
-        *self.0 = DrainTarget::Worker(name);
-        Ok(())
-    }
-
-    fn text(&self) -> Option<String> {
-        match &*self.0 {
-            DrainTarget::Worker(name) if !name.is_empty() => Some(name.to_string()),
-            _ => None,
-        }
-    }
-
-    fn expected(&self) -> String {
-        "the name of a worker".to_owned()
+fn drain_worker(target: &DrainTarget) -> Option<&CompactString> {
+    match target {
+        DrainTarget::Worker(name) => Some(name).filter(|n| !n.is_empty()),
+        DrainTarget::Zone(_) | DrainTarget::Rack(..) => None,
     }
 }
 
-/// The availability zone a drain empties, or the one its rack is in.
-struct DrainZone<'a>(&'a mut DrainTarget);
-
-impl Scalar for DrainZone<'_> {
-    fn parse(&mut self, text: &str) -> Result<(), String> {
-        if DrainWorker(self.0).text().is_some() {
-            return Err("a drain names a `worker` or a `zone`, not both".to_owned());
-        }
-        let mut name = CompactString::default();
-        Name(&mut name).parse(text)?;
-        *self.0 = DrainTarget::Zone(name);
-        Ok(())
-    }
-
-    fn text(&self) -> Option<String> {
-        match &*self.0 {
-            DrainTarget::Zone(zone) | DrainTarget::Rack(zone, _) => Some(zone.to_string()),
-            DrainTarget::Worker(_) => None,
-        }
-    }
-
-    fn expected(&self) -> String {
-        "the name of an availability zone".to_owned()
+fn drain_zone(target: &DrainTarget) -> Option<&CompactString> {
+    match target {
+        DrainTarget::Zone(zone) | DrainTarget::Rack(zone, _) => Some(zone),
+        DrainTarget::Worker(_) => None,
     }
 }
 
-/// The rack a drain empties.
-struct DrainRack<'a>(&'a mut DrainTarget);
-
-impl Scalar for DrainRack<'_> {
-    fn parse(&mut self, text: &str) -> Result<(), String> {
-        let DrainTarget::Zone(zone) = &*self.0 else {
-            return Err("a `rack` needs the `zone` it is in".to_owned());
-        };
-        let mut name = CompactString::default();
-        Name(&mut name).parse(text)?;
-        *self.0 = DrainTarget::Rack(zone.clone(), name);
-        Ok(())
+fn set_drain_zone(target: &mut DrainTarget, zone: CompactString) -> Result<(), String> {
+    if drain_worker(target).is_some() {
+        return Err("a drain names a `worker` or a `zone`, not both".to_owned());
     }
+    *target = DrainTarget::Zone(zone);
+    Ok(())
+}
 
-    fn text(&self) -> Option<String> {
-        match &*self.0 {
-            DrainTarget::Rack(_, rack) => Some(rack.to_string()),
-            _ => None,
-        }
+fn drain_rack(target: &DrainTarget) -> Option<&CompactString> {
+    match target {
+        DrainTarget::Rack(_, rack) => Some(rack),
+        DrainTarget::Worker(_) | DrainTarget::Zone(_) => None,
     }
+}
 
-    fn expected(&self) -> String {
-        "the name of a rack".to_owned()
-    }
+fn set_drain_rack(target: &mut DrainTarget, rack: CompactString) -> Result<(), String> {
+    let DrainTarget::Zone(zone) = target else {
+        return Err("a `rack` needs the `zone` it is in".to_owned());
+    };
+    *target = DrainTarget::Rack(std::mem::take(zone), rack);
+    Ok(())
 }
 
 impl Choice for QueuePriority {
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -19,7 +19,7 @@
 pub use read::{read, read_with};
 pub use scalars::{
     Address, Addresses, Bytes, Choice, Chosen, Cores, Count, FilePath, Megabytes, Millipercent,
-    Name, Names, OptionalAddress, OptionalName, OptionalPath, Percent, Span, Text, Toggle,
+    Name, Names, OptionalAddress, OptionalName, OptionalPath, Part, Percent, Span, Text, Toggle,
 };
 pub use tree::{Tree, to_tree};
 pub use write::{prune, to_yaml};
--- a/src/schema/scalars.rs
+++ b/src/schema/scalars.rs
@@ -70,9 +70,8 @@
         let scale = 10_u64.pow(fraction.len() as u32);
         let part = digits.checked_mul(size).ok_or("this is too large")?;
         if part % scale != 0 {
-            let (smallest, _) = units[0];
             return Err(format!(
-                "this is finer than can be counted; expected {expected}, no part of a {smallest}"
+                "this is finer than can be counted; expected {expected}"
             ));
         }
         total = total.checked_add(part / scale).ok_or("this is too large")?;
@@ -161,6 +160,39 @@
     }
 }
 
+/// A name that is one part of a value which several fields make together.
+pub struct Part<'a, T> {
+    whole: &'a mut T,
+    get: fn(&T) -> Option<&CompactString>,
+    set: fn(&mut T, CompactString) -> Result<(), String>,
+}
+
+impl<'a, T> Part<'a, T> {
+    /// Takes how the part is got from the whole and put into it.
+    pub fn new(
+        whole: &'a mut T,
+        get: fn(&T) -> Option<&CompactString>,
+        set: fn(&mut T, CompactString) -> Result<(), String>,
+    ) -> Self {
+        Self { whole, get, set }
+    }
+}
+
+impl<T> Scalar for Part<'_, T> {
+    fn parse(&mut self, text: &str) -> Result<(), String> {
+        check_label(text)?;
+        (self.set)(self.whole, text.into())
+    }
+
+    fn text(&self) -> Option<String> {
+        (self.get)(self.whole).map(ToString::to_string)
+    }
+
+    fn expected(&self) -> String {
+        label_help()
+    }
+}
+
 /// Free text.
 pub struct Text<'a>(pub &'a mut CompactString);
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,11 +1,13 @@
 //! Settings of the daemons: addresses, availability zone, files and limits of one process.
 
 mod model;
+mod reference;
 mod schema;
 
 use std::path::{Path, PathBuf};
 
 pub use model::{ControlSettings, EntrySettings};
+pub use reference::reference;
 
 use crate::schema::{Problems, read_file, read_with};
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -35,3 +35,35 @@
     let short = settings::parse_control("control.yaml", &without_defaults("control.yaml")).unwrap();
     assert_eq!(full, short);
 }
+
+#[test]
+fn the_reference_page_is_true() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/SETTINGS.md");
+    if std::env::var_os("UPDATE_DOCS").is_some() {
+        std::fs::write(&path, settings::reference()).unwrap();
+    }
+    let page = std::fs::read_to_string(&path).unwrap();
+    assert_eq!(
+        page,
+        settings::reference(),
+        "see the page on how to update it"
+    );
+}
+
+#[test]
+fn an_entry_host_with_bad_settings_is_told_everything() {
+    let text = "id: e 1\nzon: bern-a\nlisten: 0.0.0.0:80\npeer_listen: 0.0.0.0:80\n\
+                control: [10.0.0.1, \"10.0.0.1:0\"]\nstop_delay: 5\n";
+    let problems = settings::parse_entry("entry.yaml", text).unwrap_err();
+    insta::assert_snapshot!(problems.to_text());
+}
+
+#[test]
+fn a_replica_with_bad_settings_is_told_everything() {
+    let text = "zone: a\ncell_key: k\ndata: d\nlisten: 10.0.0.1:7400\n\
+                call_listen: 10.0.0.1:7400\nreplica_listen: 10.0.0.1:7402\n\
+                replicas: [\"10.0.0.1:7402\"]\nheartbeat: 900 ms\nsnapshot_bytes: 1 B\n\
+                replica_advertise: 0.0.0.0:1\n";
+    let problems = settings::parse_control("control.yaml", text).unwrap_err();
+    insta::assert_snapshot!(problems.to_text());
+}
