Place work by bands, quotas and classes of workers

The cell had the interface of a placer and none behind it.

placement::Scheduler keeps granted capacity per worker, groups workers into classes by shape, zone and level of free room, and waiting jobs into queues by team and class of work. It starts gangs whole or not at all with one reservation in the cell, keeps services and watchers at their count, takes room for later bands and for teams within their quota, drains workers, quarantines those on which different jobs fail, and learns sizes and run times per kind. FirstFit and RandomOfK are the baselines behind the same trait.

--- /dev/null
+++ b/src/placement/events.rs
@@ -0,0 +1,361 @@
+//! Taking in events.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::cell::{JobIx, Outcome, Place, Run, RunRef};
+use super::interface::{Decision, Event, StopReason};
+use super::scheduler::Scheduler;
+use super::{never, rules};
+use crate::ids::Timestamp;
+use crate::resources::Resources;
+use crate::wire::StopKind;
+use crate::workload::{JobSpec, MemberLoss, RunEnd, TaskRun, WorkClass};
+
+/// Wait before a refused start is tried again.
+const REFUSED_WAIT: Duration = Duration::from_millis(200);
+/// Longest time that a long job is put behind shorter ones at full waiting weight.
+const LONGEST_DELAY: Duration = Duration::from_secs(900);
+
+impl Scheduler {
+    pub(crate) fn take_in(&mut self, now: Timestamp, event: Event) {
+        match event {
+            Event::Policy(policy) => self.policy = policy,
+            Event::Teams(teams) => self.teams.set(&teams),
+            Event::WorkerUp(spec) => self.worker_up(spec),
+            Event::WorkerDown(id) => {
+                if let Some(ix) = self.cell.find_worker(&id) {
+                    self.drop_hold(ix);
+                }
+                self.cell.worker_down(&id);
+            }
+            Event::DrainStarted { worker, deadline } => self.start_drain(now, worker, deadline),
+            Event::DrainEnded(worker) => self.end_drain(&worker),
+            Event::JobArrived { spec, at } => self.job_arrived(spec, at),
+            Event::JobRestored { spec, at, tasks } => {
+                if let Some(ix) = self.cell.restore_job(spec, at, &tasks) {
+                    self.charge_restored(ix);
+                    self.admit(ix);
+                }
+            }
+            Event::JobResized { job, tasks } => self.resize(&job, tasks),
+            Event::JobCancelled(job) => self.cancel(&job),
+            Event::RunEnded { run, end, .. } => self.run_ended(now, &run, end),
+            Event::RunLost { run, restart, .. } => self.run_lost(&run, restart),
+            Event::StartRefused { run, .. } => self.start_refused(now, &run),
+            Event::Usage { run, used } => self.usage(now, &run, &used),
+        }
+    }
+
+    fn worker_up(&mut self, spec: crate::workload::WorkerSpec) {
+        let id = spec.id.clone();
+        let ix = self.cell.worker_up(spec);
+        if let Some(&deadline) = self.drains.get(&id) {
+            self.cell.worker_mut(ix).drain = Some(deadline);
+            self.cell.reindex(ix);
+        }
+        self.review_never();
+        self.wake_for(ix);
+    }
+
+    /// Looks again at the jobs that could never run.
+    fn review_never(&mut self) {
+        for (ix, seq) in std::mem::take(&mut self.never) {
+            let known = self.cell.jobs[ix as usize].as_ref();
+            if known.is_some_and(|job| job.seq == seq && !job.closed) {
+                self.cell.job_mut(ix).never = None;
+                self.admit(ix);
+            }
+        }
+    }
+
+    fn job_arrived(&mut self, spec: Arc<JobSpec>, at: Timestamp) {
+        if let Some(ix) = self.cell.find_job(&spec.name) {
+            self.update(ix, spec);
+            return;
+        }
+        if let Some(ix) = self.cell.add_job(spec, at) {
+            self.admit(ix);
+        }
+    }
+
+    /// Queues a job, or says that it can never run.
+    fn admit(&mut self, ix: JobIx) {
+        let order = self.order_of(ix);
+        let job = self.cell.job_mut(ix);
+        job.order = order;
+        let (spec, seq) = (job.spec.clone(), job.seq);
+        if let Some(reason) = never::reason(&self.cell, &spec) {
+            self.pending.push(Decision::NeverRuns {
+                job: spec.name.clone(),
+                reason: reason.clone(),
+            });
+            self.cell.job_mut(ix).never = Some(reason);
+            self.never.push((ix, seq));
+            return;
+        }
+        self.enqueue(ix);
+        self.finish_if_over(ix);
+    }
+
+    /// A job's place in time: its arrival, put off by part of its run time, so that short work
+    /// goes first but no job waits for more than a bounded span behind later ones.
+    fn order_of(&self, ix: JobIx) -> Timestamp {
+        let job = self.cell.job(ix);
+        if job.long_running() {
+            return job.at;
+        }
+        let run_time = self.estimates.run_time(&job.spec).min(LONGEST_DELAY);
+        let weight = self.policy.waiting_weight.min(100);
+        job.at + run_time * weight / 100
+    }
+
+    fn charge_restored(&mut self, ix: JobIx) {
+        let spec = self.cell.job(ix).spec.clone();
+        let team = self.teams.ix(&spec.team);
+        let running = self.cell.job(ix).tasks.iter().filter_map(|t| t.run());
+        let granted: Vec<Resources> = running.map(|r| r.granted).collect();
+        for granted in granted {
+            self.teams.charge(team, &granted);
+            self.quick.started(&spec, &granted);
+        }
+    }
+
+    /// Takes in another specification of a long-running job: its runs are replaced in steps.
+    fn update(&mut self, ix: JobIx, spec: Arc<JobSpec>) {
+        let job = self.cell.job(ix);
+        if !job.long_running() || *job.spec == *spec || !rules::long_running(&spec) {
+            return;
+        }
+        let tasks = spec.tasks;
+        self.dequeue(ix);
+        let mut spec = (*spec).clone();
+        // Charges and spread counts of the runs in progress stay where they were made.
+        spec.team.clone_from(&self.cell.job(ix).spec.team);
+        spec.spread = self.cell.job(ix).spec.spread;
+        spec.band = self.cell.job(ix).spec.band;
+        spec.tasks = self.cell.job(ix).spec.tasks;
+        let name = spec.name.clone();
+        let job = self.cell.job_mut(ix);
+        job.spec = Arc::new(spec);
+        job.version += 1;
+        let entry = (ix, job.seq);
+        if !self.updating.contains(&entry) {
+            self.updating.push(entry);
+        }
+        self.resize(&name, tasks);
+        self.enqueue(ix);
+    }
+
+    fn resize(&mut self, name: &crate::ids::JobName, tasks: u32) {
+        let Some(ix) = self.cell.find_job(name) else {
+            return;
+        };
+        self.dequeue(ix);
+        for r in self.cell.resize(ix, tasks) {
+            self.stop_run(r, StopKind::Checkpoint, StopReason::Resized);
+        }
+        self.enqueue(ix);
+        self.finish_if_over(ix);
+    }
+
+    fn cancel(&mut self, name: &crate::ids::JobName) {
+        let Some(ix) = self.cell.find_job(name) else {
+            return;
+        };
+        self.dequeue(ix);
+        self.drop_holds_of(ix);
+        let job = self.cell.job_mut(ix);
+        job.closed = true;
+        if job.running > 0 {
+            let seq = job.seq;
+            self.cancelled.push_back((ix, seq));
+        }
+        self.finish_if_over(ix);
+    }
+
+    /// Stops the runs of cancelled jobs; the event itself only closed the job.
+    pub(crate) fn stop_cancelled(&mut self, out: &mut Vec<Decision>) {
+        while let Some((ix, seq)) = self.cancelled.pop_front() {
+            let known = self.cell.jobs[ix as usize].as_ref();
+            if known.is_some_and(|job| job.seq == seq) {
+                self.stop_all(ix, StopReason::Cancelled);
+            }
+        }
+        out.append(&mut self.pending);
+    }
+
+    /// Asks every run of a job to end.
+    pub(crate) fn stop_all(&mut self, ix: JobIx, reason: StopReason) {
+        let tasks = self.cell.job(ix).tasks.iter().enumerate();
+        let running: Vec<RunRef> = tasks
+            .filter(|(_, t)| t.run().is_some())
+            .map(|(i, _)| RunRef {
+                job: ix,
+                index: i as u32,
+            })
+            .collect();
+        for r in running {
+            self.stop_run(r, StopKind::Checkpoint, reason);
+        }
+    }
+
+    /// Frees what a run held and lets others have it.
+    fn release(&mut self, r: RunRef) -> Option<Run> {
+        let run = self.cell.release(r)?;
+        let spec = self.cell.job(r.job).spec.clone();
+        let team = self.teams.ix(&spec.team);
+        self.teams.refund(team, &run.granted);
+        self.quick.ended(&spec, &run.granted);
+        self.wake_for(run.worker);
+        for queue in self.queues.ready_of(team) {
+            self.wake(queue);
+        }
+        Some(run)
+    }
+
+    fn run_ended(&mut self, now: Timestamp, run: &TaskRun, end: RunEnd) {
+        let Some((r, _)) = self.cell.find_run(run) else {
+            return;
+        };
+        let Some(held) = self.release(r) else {
+            return;
+        };
+        match end {
+            RunEnd::Done => self.run_done(now, r, &held),
+            RunEnd::Failed => self.run_failed(now, r, &held),
+            RunEnd::Checkpointed | RunEnd::Stopped | RunEnd::NeverStarted => {
+                self.trial_void(r, held.worker);
+            }
+        }
+        let broken = end == RunEnd::Failed && !self.cell.job(r.job).closed;
+        if self.wanted(r) && self.cell.outcome(r.job, end) == Outcome::Again {
+            match end {
+                RunEnd::Failed | RunEnd::Done => self.back_off(now, r),
+                _ => self.cell.wait_again(r),
+            }
+        }
+        if broken {
+            self.member_lost(r);
+        }
+        self.enqueue(r.job);
+        self.finish_if_over(r.job);
+    }
+
+    /// Says whether the job still wants this task.
+    fn wanted(&self, r: RunRef) -> bool {
+        r.index < self.cell.job(r.job).spec.tasks
+    }
+
+    fn run_lost(&mut self, run: &TaskRun, restart: bool) {
+        let Some((r, _)) = self.cell.find_run(run) else {
+            return;
+        };
+        let Some(held) = self.release(r) else {
+            return;
+        };
+        self.trial_void(r, held.worker);
+        if restart && self.wanted(r) && !self.cell.job(r.job).closed {
+            self.cell.wait_again(r);
+        }
+        if !self.cell.job(r.job).closed {
+            self.member_lost(r);
+        }
+        self.enqueue(r.job);
+        self.finish_if_over(r.job);
+    }
+
+    /// A refused start never happened: its attempt number is used again.
+    fn start_refused(&mut self, now: Timestamp, run: &TaskRun) {
+        let Some((r, _)) = self.cell.find_run(run) else {
+            return;
+        };
+        let Some(held) = self.release(r) else {
+            return;
+        };
+        self.trial_void(r, held.worker);
+        let job = self.cell.job_mut(r.job);
+        job.tasks[r.index as usize].attempt -= 1;
+        if !job.closed && r.index < job.spec.tasks {
+            self.wait_until(now + REFUSED_WAIT, r);
+            let rule = self.cell.job(r.job).spec.on_member_loss;
+            let gang = self.cell.job(r.job).spec.class == WorkClass::Gang;
+            if gang && rule != MemberLoss::Replace {
+                self.stop_all(r.job, StopReason::GangBroken);
+            }
+        }
+        self.finish_if_over(r.job);
+    }
+
+    /// Applies a gang's rule after one of its runs failed or was lost.
+    fn member_lost(&mut self, r: RunRef) {
+        let job = self.cell.job(r.job);
+        if job.spec.class != WorkClass::Gang {
+            return;
+        }
+        let name = job.spec.name.clone();
+        let can_restart = rules::preemptible(&job.spec);
+        match job.spec.on_member_loss {
+            MemberLoss::Replace => {}
+            MemberLoss::RestartAll if can_restart => {
+                self.stop_all(r.job, StopReason::GangBroken);
+            }
+            MemberLoss::RestartAll => {
+                let reason = format!(
+                    "task {} of the gang was lost and its tasks may not start twice",
+                    r.index
+                );
+                self.give_up(r.job, name, reason);
+            }
+            MemberLoss::Fail => {
+                let reason = format!("task {} of the gang was lost", r.index);
+                self.give_up(r.job, name, reason);
+            }
+        }
+    }
+
+    /// Closes a job for good and stops what a gang still runs.
+    pub(crate) fn give_up(&mut self, ix: JobIx, job: crate::ids::JobName, reason: String) {
+        self.dequeue(ix);
+        self.drop_holds_of(ix);
+        self.pending.push(Decision::GiveUp { job, reason });
+        self.cell.job_mut(ix).closed = true;
+        if self.cell.job(ix).spec.class == WorkClass::Gang {
+            self.stop_all(ix, StopReason::GangBroken);
+        }
+    }
+
+    /// Keeps a task from starting until a time.
+    pub(crate) fn wait_until(&mut self, at: Timestamp, r: RunRef) {
+        let job = self.cell.job_mut(r.job);
+        job.tasks[r.index as usize].place = Place::Backoff;
+        job.backing_off += 1;
+        let seq = job.seq;
+        self.backoff.push(Reverse((at, r.job, seq, r.index)));
+    }
+
+    /// Lets the tasks wait whose backoff is over.
+    pub(crate) fn end_backoffs(&mut self, now: Timestamp) {
+        while let Some(&Reverse((at, job, seq, index))) = self.backoff.peek() {
+            if at > now {
+                return;
+            }
+            self.backoff.pop();
+            let known = self.cell.jobs[job as usize].as_mut();
+            let Some(known) = known.filter(|j| j.seq == seq) else {
+                continue;
+            };
+            if !matches!(known.tasks[index as usize].place, Place::Backoff) {
+                continue;
+            }
+            known.backing_off -= 1;
+            known.tasks[index as usize].place = Place::Ended;
+            if !known.closed && index < known.spec.tasks {
+                self.cell.wait_again(RunRef { job, index });
+                self.enqueue(job);
+            }
+            self.finish_if_over(job);
+        }
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,6 +3,26 @@
 //! A placer is a pure state machine. It is fed every change of the cell's state and asked for
 //! decisions; what it grants counts as used from that moment.
 
+mod baseline;
+mod cell;
+mod classes;
+mod drains;
+mod estimates;
+mod events;
+mod explain;
+mod faults;
+mod headroom;
 mod interface;
+mod never;
+mod preemption;
+mod queues;
+mod reservations;
+mod rules;
+mod scheduler;
+mod search;
+mod teams;
 
+pub use baseline::{FirstFit, RandomOfK};
 pub use interface::{Decision, Event, Placer, RestoredTask, StopReason, TaskState};
+pub use rules::{long_running, may_start_again, preemptible};
+pub use scheduler::Scheduler;
