--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod slo;
 pub mod stand_in;
 pub mod telemetry;
+pub mod storage;
 pub mod wire;
 pub mod workload;
 
