--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,8 +18,8 @@
 pub mod settings;
 pub mod slo;
 pub mod stand_in;
-pub mod telemetry;
 pub mod storage;
+pub mod telemetry;
 pub mod wire;
 pub mod workload;
 
