--- a/src/plot/mod.rs
+++ b/src/plot/mod.rs
@@ -1,6 +1,8 @@
-//! Line plots as SVG. Lines differ by dashes and markers, so that they are told apart in print
+//! Plots of reports: lines as SVG, in one HTML file. Lines differ by dashes and markers, so that they are told apart in print
 //! and without colour.
 
 mod lines;
+mod page;
 
 pub use lines::{LinePlot, Series};
+pub use page::page;
--- a/src/slo/html.rs
+++ b/src/slo/html.rs
@@ -2,18 +2,13 @@
 
 use std::time::Duration;
 
-use maud::{DOCTYPE, Markup, PreEscaped, html};
+use maud::{Markup, PreEscaped, html};
 
 use super::burn::{ObjectiveReport, target_name};
 use super::report::{BurnReport, alert_text, goal, percent, span};
 use super::ring::Counts;
 use crate::error::Result;
-use crate::plot::{LinePlot, Series};
-
-const STYLE: &str = "body{font:16px/1.5 sans-serif;max-width:60rem;margin:1rem auto;padding:0 1rem;\
-color-scheme:light dark}table{border-collapse:collapse;width:100%}th,td{text-align:left;\
-padding:.25rem .75rem .25rem 0;border-bottom:1px solid #8888}svg{max-width:100%;height:auto}\
-.alert{border:2px solid;padding:.5rem}";
+use crate::plot::{LinePlot, Series, page};
 
 /// Writes the report as a whole HTML page.
 pub fn render_html(report: &BurnReport) -> Result<String> {
@@ -22,26 +17,14 @@
         .iter()
         .map(section)
         .collect::<Result<_>>()?;
-    let page = html! {
-        (DOCTYPE)
-        html lang="en" {
-            head {
-                meta charset="utf-8";
-                meta name="viewport" content="width=device-width, initial-scale=1";
-                title { "Service-level burn" }
-                style { (PreEscaped(STYLE)) }
-            }
-            body {
-                h1 { "Service-level burn" }
-                p { "At Unix time " (report.at.as_secs()) " s." }
-                @if report.objectives.is_empty() {
-                    p { "The document declares no objectives." }
-                }
-                @for section in sections { (section) }
-            }
+    let body = html! {
+        p { "At Unix time " (report.at.as_secs()) " s." }
+        @if report.objectives.is_empty() {
+            p { "The document declares no objectives." }
         }
+        @for section in sections { (section) }
     };
-    Ok(page.into_string())
+    Ok(page("Service-level burn", &body))
 }
 
 fn section(report: &ObjectiveReport) -> Result<Markup> {
--- a/src/wire/connection.rs
+++ b/src/wire/connection.rs
@@ -18,6 +18,7 @@
     stream: BufReader<ReadHalf<TcpStream>>,
     key: SessionKey,
     peer: String,
+    received: metrics::Counter,
 }
 
 /// Sending half of a connection.
@@ -26,6 +27,7 @@
     key: SessionKey,
     buf: Vec<u8>,
     peer: String,
+    sent: metrics::Counter,
 }
 
 /// Connects to a peer and proves membership of the cell.
@@ -101,6 +103,7 @@
         stream: BufReader::new(read),
         key: rx,
         peer: peer.clone(),
+        received: metrics::counter!("yuccahold_wire_received_bytes_total"),
     };
     (
         reader,
@@ -109,6 +112,7 @@
             key: tx,
             buf: Vec::new(),
             peer,
+            sent: metrics::counter!("yuccahold_wire_sent_bytes_total"),
         },
     )
 }
@@ -195,6 +199,7 @@
             .read_exact(&mut tag)
             .await
             .map_err(|e| transfer(Step::Transfer, &self.peer, e))?;
+        self.received.increment((head.len() + len + TAG_LEN) as u64);
         if !self.key.accepts(&payload, &tag) {
             metrics::counter!("yuccahold_wire_frames_refused_total").increment(1);
             return Err(
@@ -237,6 +242,7 @@
     /// Sends what is queued.
     pub async fn flush(&mut self) -> Result<()> {
         let sent = self.stream.write_all(&self.buf).await;
+        self.sent.increment(self.buf.len() as u64);
         self.buf.clear();
         sent.map_err(|e| transfer(Step::Transfer, &self.peer, e))
     }
