--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod settings;
 pub mod slo;
 pub mod stand_in;
+pub mod storage;
 pub mod telemetry;
 pub mod wire;
 pub mod workload;
--- /dev/null
+++ b/src/replication/core/mod.rs
@@ -0,0 +1,532 @@
+//! The consensus core: one replica as a pure state machine. Events and the present time go in,
+//! effects come out in the order in which they must be carried out.
+
+mod election;
+mod follower;
+mod leader;
+mod log;
+mod membership;
+mod message;
+mod progress;
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::machine::{ReplicaStatus, Role};
+use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
+
+pub use log::{Entry, HardState, Payload, Snapshot};
+pub use membership::{Member, Membership};
+pub use message::{Beat, Body, Message};
+
+use follower::Incoming;
+use leader::Leading;
+pub(crate) use log::Log;
+
+/// Number of a read that waits for confirmed leadership.
+pub(crate) type ReadId = u64;
+/// Number of a save, in the order in which saves must reach the disk.
+pub(crate) type SaveSeq = u64;
+
+/// Protections that the explorer breaks one at a time to prove that it can fail. All are on
+/// everywhere else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Safeguards {
+    /// Answers and votes leave only after the sync of what they promise.
+    pub(crate) sync_before_answer: bool,
+    /// One vote a term.
+    pub(crate) single_vote: bool,
+    /// No vote for a candidate whose log is behind.
+    pub(crate) log_up_to_date: bool,
+    /// No vote within an election timeout after word from a leader, or after a start.
+    pub(crate) leader_stickiness: bool,
+    /// A leader counts only entries of its own term when it commits.
+    pub(crate) commit_own_term: bool,
+    /// A commit needs a majority of all voters.
+    pub(crate) commit_majority: bool,
+    /// A follower checks the entry before the ones it takes.
+    pub(crate) check_previous: bool,
+    /// A read waits for a heartbeat round that began after it.
+    pub(crate) read_after_round: bool,
+    /// Leadership ends with the time since the quorum's last answers, also over a pause.
+    pub(crate) check_quorum: bool,
+    /// A change of membership waits for the one before it.
+    pub(crate) one_change: bool,
+    /// A wiped disk is a new replica.
+    pub(crate) fresh_identity: bool,
+}
+
+impl Default for Safeguards {
+    fn default() -> Self {
+        Self {
+            sync_before_answer: true,
+            single_vote: true,
+            log_up_to_date: true,
+            leader_stickiness: true,
+            commit_own_term: true,
+            commit_majority: true,
+            check_previous: true,
+            read_after_round: true,
+            check_quorum: true,
+            one_change: true,
+            fresh_identity: true,
+        }
+    }
+}
+
+/// Fixed values of one replica.
+#[derive(Clone, Debug)]
+pub(crate) struct CoreConfig {
+    pub(crate) id: ReplicaId,
+    pub(crate) member: Member,
+    /// Shortest silence of a leader before an election; a random share of it is added.
+    pub(crate) election_timeout: Duration,
+    pub(crate) heartbeat: Duration,
+    /// Bytes of log that cause a snapshot.
+    pub(crate) snapshot_bytes: u64,
+    /// Silence after which a member is replaced.
+    pub(crate) replace_after: Duration,
+    /// Voters wanted.
+    pub(crate) target_voters: usize,
+    /// Most bytes of entries in one message.
+    pub(crate) append_bytes: u64,
+    /// Bytes of a snapshot in one message.
+    pub(crate) chunk_bytes: usize,
+    pub(crate) safeguards: Safeguards,
+}
+
+/// What is found on disk at a start.
+#[derive(Clone, Debug, Default)]
+pub struct Recovered {
+    /// Term and vote.
+    pub hard: HardState,
+    /// Newest snapshot; of index 0 when there is none.
+    pub snapshot: Snapshot,
+    /// Index and term of the entry before the first one held.
+    pub base: (LogIndex, Term),
+    /// Entries in order, from the one after `base`.
+    pub entries: Vec<Entry>,
+}
+
+/// What must reach the disk together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Save {
+    /// Number to report back once it is synced.
+    pub seq: u64,
+    /// Term and vote, if they changed.
+    pub hard: Option<HardState>,
+    /// Entries; the first one replaces whatever stood at or after its index.
+    pub entries: Vec<Entry>,
+    /// A snapshot that replaces the log up to its index.
+    pub snapshot: Option<SaveSnapshot>,
+}
+
+/// A snapshot to be written and how much of the log stays.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SaveSnapshot {
+    /// The snapshot.
+    pub snapshot: Arc<Snapshot>,
+    /// Hard state, for the head of the new log file.
+    pub hard: HardState,
+    /// Index and term of the entry before the first one kept.
+    pub base: (LogIndex, Term),
+    /// Log that stays: the whole of it.
+    pub kept: Vec<Entry>,
+}
+
+/// What the core wants done, in order.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    /// Write and sync, then report `saved`.
+    Save(Save),
+    /// Send to a member.
+    Send(Message),
+    /// Send to every configured address.
+    Announce(Message),
+    /// Apply agreed entries.
+    Apply(Vec<Entry>),
+    /// Replace the machine's state.
+    Restore(Arc<Snapshot>),
+    /// Leadership began (with all earlier entries applied) or ended.
+    Leadership(bool),
+    /// Reads up to this number may run now.
+    ReadsReady(ReadId),
+    /// Make a snapshot of the state as applied and hand it to `snapshot_taken`.
+    TakeSnapshot,
+}
+
+/// Why the core takes no proposal or read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refused {
+    NotLeader,
+    DiskFull,
+}
+
+/// One replica.
+pub(crate) struct Core {
+    cfg: CoreConfig,
+    rng: ChaCha8Rng,
+    hard: HardState,
+    log: Log,
+    members: Membership,
+    members_index: LogIndex,
+    commit: LogIndex,
+    applied: LogIndex,
+    role: Role,
+    leader: Option<ReplicaId>,
+    /// Last word from a leader, or the start of this process.
+    heard_at: Timestamp,
+    election_at: Timestamp,
+    votes: BTreeSet<ReplicaId>,
+    leading: Option<Leading>,
+    incoming: Option<Incoming>,
+    disk_full: bool,
+    announced_at: Option<Timestamp>,
+    taking_snapshot: bool,
+    // Saves under way.
+    save: Save,
+    last_seq: SaveSeq,
+    synced_seq: SaveSeq,
+    saving: VecDeque<(SaveSeq, LogIndex)>,
+    stable: LogIndex,
+    held: VecDeque<(SaveSeq, Message)>,
+    effects: Vec<Effect>,
+}
+
+impl Core {
+    pub(crate) fn new(cfg: CoreConfig, seed: u64, now: Timestamp, found: Recovered) -> Self {
+        let snapshot = Arc::new(found.snapshot);
+        let log = Log::new(snapshot.clone(), found.base, found.entries);
+        let (members_index, members) = log.members(LogIndex::MAX);
+        let mut core = Self {
+            cfg,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            hard: found.hard,
+            members,
+            members_index,
+            commit: snapshot.index,
+            applied: snapshot.index,
+            role: Role::Learner,
+            leader: None,
+            heard_at: now,
+            election_at: now,
+            votes: BTreeSet::new(),
+            leading: None,
+            incoming: None,
+            disk_full: false,
+            announced_at: None,
+            taking_snapshot: false,
+            save: Save::default(),
+            last_seq: 0,
+            synced_seq: 0,
+            saving: VecDeque::new(),
+            stable: log.last_index(),
+            held: VecDeque::new(),
+            effects: Vec::new(),
+            log,
+        };
+        if snapshot.index > 0 {
+            core.effects.push(Effect::Restore(snapshot));
+        }
+        core.role = core.resting_role();
+        core.postpone_election(now);
+        if core.members.voters.len() == 1 && core.is_voter() {
+            core.election_at = now;
+        }
+        core
+    }
+
+    /// Advances time.
+    pub(crate) fn tick(&mut self, now: Timestamp) {
+        self.check_leadership(now);
+        if self.leading.is_some() {
+            self.tick_leader(now);
+            return;
+        }
+        self.announce_if_lost(now);
+        if now >= self.election_at && self.is_voter() && !self.disk_full {
+            self.start_pre_vote(now);
+        }
+    }
+
+    /// Takes a message from another replica.
+    pub(crate) fn receive(&mut self, now: Timestamp, message: Message) {
+        self.check_leadership(now);
+        if let Body::Announce(member) = message.body {
+            self.on_announce(now, message.from, member);
+            return;
+        }
+        if message.to != self.cfg.id {
+            return;
+        }
+        if message.term > self.hard.term && !self.adopts_term(now, &message) {
+            return;
+        }
+        let Message {
+            from, term, body, ..
+        } = message;
+        match body {
+            Body::PreVote {
+                last_index,
+                last_term,
+            } => self.on_pre_vote(now, from, term, (last_term, last_index)),
+            Body::PreVoteReply { granted } => self.on_pre_vote_reply(now, from, term, granted),
+            Body::Vote {
+                last_index,
+                last_term,
+                handed_over,
+            } => self.on_vote(now, from, term, (last_term, last_index), handed_over),
+            Body::VoteReply { granted } => self.on_vote_reply(now, from, term, granted),
+            Body::TimeoutNow => self.on_timeout_now(now, term),
+            Body::Append { .. } | Body::Chunk { .. } => {
+                self.on_leader_message(now, from, term, body);
+            }
+            Body::Accepted { .. } | Body::Rejected { .. } | Body::ChunkWanted { .. } => {
+                self.on_follower_reply(now, from, term, body);
+            }
+            Body::Announce(_) => {}
+        }
+    }
+
+    /// Tells that all saves up to `seq` are synced.
+    pub(crate) fn saved(&mut self, now: Timestamp, seq: SaveSeq) {
+        self.check_leadership(now);
+        self.synced_seq = self.synced_seq.max(seq);
+        while let Some((s, last)) = self.saving.front().copied()
+            && s <= self.synced_seq
+        {
+            self.saving.pop_front();
+            self.stable = self.stable.max(last);
+        }
+        while self
+            .held
+            .front()
+            .is_some_and(|(s, _)| *s <= self.synced_seq)
+        {
+            let (_, message) = self.held.pop_front().expect("checked above");
+            self.deliver(now, message);
+        }
+        self.advance_commit(now);
+    }
+
+    /// Tells that the disk became full or has room again.
+    pub(crate) fn disk_full(&mut self, now: Timestamp, full: bool) {
+        self.disk_full = full;
+        if full {
+            // Others can still sync: leadership here would only refuse everything.
+            self.rest(now, None);
+        }
+    }
+
+    /// Takes the machine's snapshot of the state as applied.
+    pub(crate) fn snapshot_taken(&mut self, data: impl Into<bytes::Bytes>) {
+        self.taking_snapshot = false;
+        let index = self.applied;
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let at = self.log.get(index).map_or(self.log.snapshot().at, |e| e.at);
+        let (_, members) = self.log.members(index);
+        let snapshot = Arc::new(Snapshot {
+            index,
+            term,
+            at,
+            members,
+            data: data.into(),
+        });
+        let keep_after = self.log.index_keeping(self.cfg.snapshot_bytes / 4, index);
+        self.log.cut(snapshot, keep_after);
+        self.save_whole_log();
+    }
+
+    /// Hands out what must be done, in order.
+    pub(crate) fn take_effects(&mut self) -> Vec<Effect> {
+        self.flush_save();
+        std::mem::take(&mut self.effects)
+    }
+
+    pub(crate) fn status(&self) -> ReplicaStatus {
+        let leader = self.leader;
+        ReplicaStatus {
+            id: self.cfg.id,
+            role: self.role,
+            term: self.hard.term,
+            leader,
+            leader_addr: leader.and_then(|id| self.members.get(id).map(|m| m.call_addr)),
+            committed: self.commit,
+            applied: self.applied,
+            voters: self.members.voters.keys().copied().collect(),
+            learners: self.members.learners.keys().copied().collect(),
+        }
+    }
+
+    pub(crate) fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    pub(crate) fn id(&self) -> ReplicaId {
+        self.cfg.id
+    }
+
+    pub(crate) fn own_addr(&self) -> std::net::SocketAddr {
+        self.cfg.member.addr
+    }
+
+    pub(crate) fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    pub(crate) fn is_leader(&self) -> bool {
+        self.leading.is_some()
+    }
+
+    fn is_voter(&self) -> bool {
+        self.members.voters.contains_key(&self.cfg.id)
+    }
+
+    fn resting_role(&self) -> Role {
+        if self.is_voter() {
+            Role::Follower
+        } else {
+            Role::Learner
+        }
+    }
+
+    fn postpone_election(&mut self, now: Timestamp) {
+        let span = self.cfg.election_timeout;
+        let random = span.mul_f64(self.rng.random_range(0.0..1.0));
+        self.election_at = now + span + random;
+    }
+
+    fn set_hard(&mut self, hard: HardState) {
+        if self.hard != hard {
+            self.hard = hard;
+            self.save.hard = Some(hard);
+        }
+    }
+
+    fn append_entry(&mut self, entry: Entry) {
+        if let Payload::Members(members) = &entry.payload {
+            self.members = members.clone();
+            self.members_index = entry.index;
+        }
+        self.log.append(entry.clone());
+        self.save.entries.push(entry);
+    }
+
+    fn truncate_log(&mut self, from: LogIndex) {
+        self.log.truncate(from);
+        self.save.entries.retain(|e| e.index < from);
+        self.stable = self.stable.min(from - 1);
+        for (_, last) in &mut self.saving {
+            *last = (*last).min(from - 1);
+        }
+        (self.members_index, self.members) = self.log.members(LogIndex::MAX);
+    }
+
+    fn save_whole_log(&mut self) {
+        let last = self.log.last_index();
+        let base = self.log.base();
+        let kept = self.log.range(base.0 + 1, last);
+        // The kept log holds every entry that waited to be saved.
+        self.save.entries.clear();
+        self.save.hard = None;
+        self.save.snapshot = Some(SaveSnapshot {
+            snapshot: self.log.snapshot().clone(),
+            hard: self.hard,
+            base,
+            kept,
+        });
+    }
+
+    fn dirty(&self) -> bool {
+        self.save.hard.is_some() || !self.save.entries.is_empty() || self.save.snapshot.is_some()
+    }
+
+    fn flush_save(&mut self) {
+        if !self.dirty() {
+            return;
+        }
+        self.last_seq += 1;
+        let mut save = std::mem::take(&mut self.save);
+        save.seq = self.last_seq;
+        self.saving.push_back((save.seq, self.log.last_index()));
+        self.effects.push(Effect::Save(save));
+    }
+
+    fn message(&self, to: ReplicaId, body: Body) -> Message {
+        Message {
+            from: self.cfg.id,
+            to,
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    fn send(&mut self, to: ReplicaId, body: Body) {
+        let message = self.message(to, body);
+        self.effects.push(Effect::Send(message));
+    }
+
+    /// Sends once everything decided so far is synced.
+    ///
+    /// A vote or an answer that left earlier would be forgotten by a crash: the replica could
+    /// vote twice, or a committed entry would be missing from its majority.
+    fn send_after_sync(&mut self, to: ReplicaId, body: Body) {
+        let message = self.message(to, body);
+        let needed = if self.dirty() {
+            self.last_seq + 1
+        } else {
+            self.last_seq
+        };
+        if needed <= self.synced_seq || !self.cfg.safeguards.sync_before_answer {
+            self.effects.push(Effect::Send(message));
+        } else {
+            self.held.push_back((needed, message));
+        }
+    }
+
+    /// Lets a held message go; the replica's vote for itself arrives here as well.
+    fn deliver(&mut self, now: Timestamp, message: Message) {
+        if message.to != self.cfg.id {
+            self.effects.push(Effect::Send(message));
+        } else if let Body::VoteReply { granted } = message.body {
+            self.on_vote_reply(now, message.from, message.term, granted);
+        }
+    }
+
+    /// Applies what is agreed and asks for a snapshot when the log has grown long.
+    fn apply_committed(&mut self) {
+        if self.commit > self.applied {
+            let entries = self.log.range(self.applied + 1, self.commit);
+            self.applied = self.commit;
+            self.effects.push(Effect::Apply(entries));
+        }
+        let new = self.applied - self.log.snapshot().index;
+        if self.log.bytes() > self.cfg.snapshot_bytes && new > 0 && !self.taking_snapshot {
+            self.taking_snapshot = true;
+            self.effects.push(Effect::TakeSnapshot);
+        }
+    }
+
+    fn announce_if_lost(&mut self, now: Timestamp) {
+        let known = self.members.get(self.cfg.id) == Some(&self.cfg.member);
+        let heard = self.leader.is_some() && now < self.heard_at + self.cfg.election_timeout;
+        let due = self
+            .announced_at
+            .is_none_or(|at| now >= at + self.cfg.election_timeout);
+        if (known && heard) || !due {
+            return;
+        }
+        self.announced_at = Some(now);
+        let message = self.message(0, Body::Announce(self.cfg.member.clone()));
+        self.effects.push(Effect::Announce(message));
+        if !self.is_voter() {
+            self.postpone_election(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/replication/runtime/messages.rs
@@ -0,0 +1,45 @@
+//! What the control thread is told.
+
+use tokio::sync::oneshot;
+
+use crate::error::Error;
+use crate::ids::Timestamp;
+use crate::replication::core::Message;
+use crate::replication::machine::{ProposeError, ReadError, StateMachine};
+
+/// A command for the log.
+pub(super) struct Propose<M: StateMachine> {
+    pub(super) command: Vec<u8>,
+    pub(super) reply: oneshot::Sender<Result<M::Reply, ProposeError>>,
+}
+
+/// Work on the state, run once leadership is confirmed, or told why not.
+pub(super) type ReadJob<M> = Box<dyn FnOnce(Result<(&mut M, Timestamp), ReadError>) + Send>;
+
+/// A read under confirmed leadership.
+pub(super) struct Read<M>(pub(super) ReadJob<M>);
+
+/// A look at this replica's own state.
+pub(super) struct Local<M>(pub(super) Box<dyn FnOnce(&M) + Send>);
+
+/// A message of another replica.
+pub(super) struct FromPeer(pub(super) Message);
+
+/// Time has passed.
+pub(super) struct Tick;
+
+/// Leadership should move to another replica.
+pub(super) struct HandOver;
+
+/// The replica should end.
+pub(super) struct Stop;
+
+/// News of the disk.
+pub(super) enum DiskNews {
+    /// Saves up to this number are synced.
+    Synced(u64),
+    /// There is no room; the saves are tried again.
+    Full,
+    /// The disk cannot be trusted any more.
+    Failed(Error),
+}
--- /dev/null
+++ b/tests/replication_runtime.rs
@@ -0,0 +1,184 @@
+//! Replicas with real files and sockets in one process.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use yuccahold::error::Result;
+use yuccahold::ids::{LogIndex, Timestamp};
+use yuccahold::replication::{
+    Formation, ProposeError, ReadError, Replica, ReplicaConfig, ReplicaHandle, StateMachine,
+};
+use yuccahold::wire::{CellKey, CellKeys};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Keeps every command; the reply is their number.
+#[derive(Default)]
+struct Journal(Vec<Vec<u8>>);
+
+impl StateMachine for Journal {
+    type Reply = usize;
+
+    fn apply(&mut self, _: LogIndex, _: Timestamp, command: &[u8]) -> usize {
+        self.0.push(command.to_vec());
+        self.0.len()
+    }
+
+    fn leadership_changed(&mut self, _: bool, _: Timestamp) {}
+
+    fn lead(&mut self, _: Timestamp) -> Vec<Vec<u8>> {
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_allocvec(&self.0).unwrap()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
+        self.0 = postcard::from_bytes(snapshot).unwrap();
+        Ok(())
+    }
+}
+
+/// A folder that goes away with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let name = format!("yuccahold-{name}-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        let _ = std::fs::remove_dir_all(&path);
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn free_addrs(n: usize) -> Vec<SocketAddr> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+    let listeners: Vec<_> = (0..n).map(bind).collect();
+    listeners.iter().map(|l| l.local_addr().unwrap()).collect()
+}
+
+fn config(data: &Path, addrs: &[SocketAddr], own: usize, form: Formation) -> ReplicaConfig {
+    let others = addrs.iter().enumerate().filter(|(i, _)| *i != own);
+    ReplicaConfig {
+        data: data.join(own.to_string()),
+        keys: CellKeys::new([CellKey::from_text("a test key")]).unwrap(),
+        zone: format!("zone-{own}").into(),
+        replica_listen: addrs[own],
+        replica_advertise: None,
+        call_addr: addrs[own],
+        peers: others.map(|(_, addr)| *addr).collect(),
+        election_timeout: Duration::from_millis(300),
+        heartbeat: Duration::from_millis(50),
+        snapshot_bytes: 64 * 1024,
+        replace_after: Duration::from_secs(3600),
+        form,
+        on_disk_failure: |e| eprintln!("{e}"),
+    }
+}
+
+fn start(data: &Path, addrs: &[SocketAddr], own: usize, form: Formation) -> ReplicaHandle<Journal> {
+    Replica::start(config(data, addrs, own, form), Journal::default()).unwrap()
+}
+
+async fn count(replica: &ReplicaHandle<Journal>) -> Result<usize, ReadError> {
+    replica.read(|journal, _| journal.0.len()).await
+}
+
+/// Proposes at whichever replica leads until one confirms. For commands whose repetition is
+/// harmless.
+async fn propose_somewhere(replicas: &[&ReplicaHandle<Journal>], command: &[u8]) -> usize {
+    let attempts = async {
+        loop {
+            for replica in replicas {
+                if let Ok(reply) = replica.propose(command.to_vec()).await {
+                    return reply;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, attempts)
+        .await
+        .expect("some replica leads")
+}
+
+async fn until_voters(replica: &ReplicaHandle<Journal>, n: usize) {
+    let mut status = replica.status();
+    let reached = status.wait_for(|s| s.voters.len() == n && s.learners.is_empty());
+    tokio::time::timeout(PATIENCE, reached)
+        .await
+        .expect("members join")
+        .unwrap();
+}
+
+#[tokio::test]
+async fn a_group_of_one_keeps_what_it_confirmed() {
+    // A caller gets its reply only after a sync, so a restart finds every confirmed command,
+    // also those that a snapshot has replaced. Forming again on the same folder is refused.
+    let folder = Folder::new("one");
+    let addrs = free_addrs(1);
+    let replica = start(&folder.0, &addrs, 0, Formation::FormGroup);
+    propose_somewhere(&[&replica], b"first").await;
+    for n in 2..=600 {
+        let reply = replica.propose(vec![b'x'; 512]).await;
+        assert_eq!(reply, Ok(n));
+    }
+    assert_eq!(count(&replica).await, Ok(600));
+    replica.stop().await;
+    assert_eq!(
+        replica.propose(Vec::new()).await,
+        Err(ProposeError::Stopping)
+    );
+
+    let again = config(&folder.0, &addrs, 0, Formation::FormGroup);
+    assert!(Replica::start(again, Journal::default()).is_err());
+
+    let replica = start(&folder.0, &addrs, 0, Formation::Join);
+    let mut status = replica.status();
+    let led = status.wait_for(|s| s.committed > 600);
+    tokio::time::timeout(PATIENCE, led).await.unwrap().unwrap();
+    assert_eq!(count(&replica).await, Ok(600));
+    replica.stop().await;
+}
+
+#[tokio::test]
+async fn a_group_of_three_survives_its_leader_and_takes_a_wiped_one_back() {
+    // Two replicas join the one that formed the group. The leader stops and the others go on
+    // with all that was confirmed; then it returns on an empty disk as a new replica, catches up
+    // from a snapshot, and replaces its old self as a voter.
+    let folder = Folder::new("three");
+    let addrs = free_addrs(3);
+    let first = start(&folder.0, &addrs, 0, Formation::FormGroup);
+    let second = start(&folder.0, &addrs, 1, Formation::Join);
+    let third = start(&folder.0, &addrs, 2, Formation::Join);
+    until_voters(&first, 3).await;
+    for _ in 0..300 {
+        propose_somewhere(&[&first], &[b'y'; 512]).await;
+    }
+    first.stop().await;
+    assert_eq!(propose_somewhere(&[&second, &third], b"after").await, 301);
+
+    std::fs::remove_dir_all(folder.0.join("0")).unwrap();
+    let first = start(&folder.0, &addrs, 0, Formation::Join);
+    let id = first.status().borrow().id;
+    let mut status = first.status();
+    let back = status.wait_for(|s| s.voters.contains(&id) && s.voters.len() == 3);
+    tokio::time::timeout(PATIENCE, back)
+        .await
+        .expect("rejoins")
+        .unwrap();
+    assert_eq!(first.local(|j| j.0.len()).await, Some(301));
+
+    second.stop().await;
+    assert_eq!(propose_somewhere(&[&first, &third], b"last").await, 302);
+    first.stop().await;
+    third.stop().await;
+}
