Cell state machine, leases and the control daemon

Cause: the log, the placer and the documents had nothing between them. Change: `state` holds the cell as a deterministic machine (documents by compare-and-set, jobs, runs, workers, entry hosts, minions and their owners, idempotency keys with fingerprints after their answers, an audit log); `lease` counts leases as their grantor must; `control` drives both from the replicated log, answers entry hosts' calls, feeds them, and serves operators over HTTP, passing requests on to the leader. Every replica checks each start again for overfilling and doubles. Runs that a leader granted but never put into an answer are proved not to have started. No performance was measured.

--- /dev/null
+++ b/src/control/daemon.rs
@@ -0,0 +1,164 @@
+//! Starting and stopping the control daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use slog::{Logger, info, o};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::calls::Calls;
+use super::group::Group;
+use super::http::routes;
+use super::link::Link;
+use super::machine::Machine;
+use crate::error::{Error, Result, Step};
+use crate::ids::Timestamp;
+use crate::placement::Scheduler;
+use crate::replication::{
+    Formation, ProposeError, ReadError, Replica, ReplicaConfig, ReplicaHandle, ReplicaStatus,
+};
+use crate::settings::ControlSettings;
+use crate::telemetry::install_metrics;
+use crate::wire::CellKeys;
+
+/// The machine that the daemon replicates.
+pub type CellMachine = Machine<Scheduler>;
+
+/// A running control daemon.
+pub struct ControlHandle {
+    /// Where operators are answered.
+    pub http: SocketAddr,
+    /// Where entry hosts send calls.
+    pub calls: SocketAddr,
+    replica: ReplicaHandle<CellMachine>,
+    stopping: watch::Sender<bool>,
+    server: JoinHandle<()>,
+    link: JoinHandle<()>,
+}
+
+impl Group<CellMachine> for ReplicaHandle<CellMachine> {
+    async fn propose(
+        &self,
+        command: Vec<u8>,
+    ) -> Result<<CellMachine as crate::replication::StateMachine>::Reply, ProposeError> {
+        Self::propose(self, command).await
+    }
+
+    async fn read<R: Send + 'static>(
+        &self,
+        read: impl FnOnce(&mut CellMachine, Timestamp) -> R + Send + 'static,
+    ) -> Result<R, ReadError> {
+        Self::read(self, read).await
+    }
+
+    fn status(&self) -> ReplicaStatus {
+        Self::status(self).borrow().clone()
+    }
+}
+
+/// Opens the data folder, joins or forms the group and serves entry hosts and operators.
+pub async fn start(
+    cfg: ControlSettings,
+    keys: CellKeys,
+    form: Formation,
+    log: &Logger,
+) -> Result<ControlHandle> {
+    let page = install_metrics()?;
+    let (http_listener, http) = bind(cfg.listen).await?;
+    let (call_listener, calls_addr) = bind(cfg.call_listen).await?;
+    let machine = CellMachine::new(|| Scheduler::new(PLACER_SEED));
+    let feed = machine.feed_changes();
+    let replica = Replica::start(replica_config(&cfg, &keys, form, calls_addr), machine)?;
+    let link = Arc::new(Link {
+        calls: Calls::new(replica.clone()),
+        keys,
+        feed,
+        http,
+        client: reqwest::Client::new(),
+        log: log.new(o!("part" => "link")),
+    });
+    let (stopping, stopped) = watch::channel(false);
+    let server = serve_http(http_listener, routes(Arc::clone(&link), page), stopped);
+    let link = tokio::spawn(link.serve(call_listener));
+    info!(log, "control daemon started"; "http" => %http, "calls" => %calls_addr);
+    Ok(ControlHandle {
+        http,
+        calls: calls_addr,
+        replica,
+        stopping,
+        server,
+        link,
+    })
+}
+
+/// Seed of the placer's tie breaks; the decisions are agreed through the log, so replicas need
+/// not share it.
+const PLACER_SEED: u64 = 1;
+
+fn replica_config(
+    cfg: &ControlSettings,
+    keys: &CellKeys,
+    form: Formation,
+    call_addr: SocketAddr,
+) -> ReplicaConfig {
+    ReplicaConfig {
+        data: cfg.data.clone(),
+        keys: keys.clone(),
+        zone: cfg.zone.clone(),
+        replica_listen: cfg.replica_listen,
+        replica_advertise: cfg.replica_advertise,
+        call_addr,
+        peers: cfg.replicas.clone(),
+        election_timeout: cfg.election_timeout,
+        heartbeat: cfg.heartbeat,
+        snapshot_bytes: cfg.snapshot_bytes,
+        replace_after: cfg.replace_after,
+        form,
+        on_disk_failure: ReplicaConfig::end_process,
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let failed = |e| Error::caused(Step::Listen, "listening", e).with_peer(addr);
+    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+fn serve_http<F, R>(
+    listener: TcpListener,
+    routes: F,
+    stopped: watch::Receiver<bool>,
+) -> JoinHandle<()>
+where
+    F: warp::Filter<Extract = (R,), Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    R: warp::Reply + Send + 'static,
+{
+    let wait = async move {
+        let mut stopped = stopped;
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    };
+    let server = warp::serve(routes).incoming(listener).graceful(wait).run();
+    tokio::spawn(server)
+}
+
+impl ControlHandle {
+    /// This replica's state and its changes.
+    pub fn status(&self) -> watch::Receiver<ReplicaStatus> {
+        self.replica.status()
+    }
+
+    /// The planned stop: hands leadership over, finishes requests in flight, closes the files.
+    pub async fn stop(self) {
+        self.replica.hand_over().await;
+        let _ = self.stopping.send(true);
+        let _ = tokio::time::timeout(HTTP_GRACE, self.server).await;
+        self.replica.stop().await;
+        self.link.abort();
+    }
+}
+
+/// Longest time for operators' requests in flight to end at a planned stop.
+const HTTP_GRACE: std::time::Duration = std::time::Duration::from_secs(5);
--- /dev/null
+++ b/src/control/lead.rs
@@ -0,0 +1,202 @@
+//! The leader's upkeep: leases that ran out, placement decisions, an even share of minions.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use super::machine::{Command, Machine};
+use crate::ids::{EntryId, MinionId, TaskIndex, Timestamp};
+use crate::placement::{Decision, Placer};
+use crate::resources::Resources;
+use crate::state::{Cell, JobNumber, Place, PlaceJob, RunOrder, Start, WorkerNumber};
+use crate::workload::TaskRun;
+
+/// Most starts in one entry of the log.
+const STARTS_PER_BATCH: usize = 2_000;
+
+/// Time between two looks at the entry hosts' shares of minions.
+const BALANCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Minions asked to move at one look; each is idle while it moves.
+const MOVES_PER_LOOK: usize = 4;
+
+impl<P: Placer + Send + 'static> Machine<P> {
+    pub(super) fn upkeep(&mut self, now: Timestamp) -> Vec<Command> {
+        let Some(lead) = &mut self.lead else {
+            return Vec::new();
+        };
+        lead.offset = lead.offset.max(self.cell.clock.saturating_sub(now));
+        let mut commands = self.expire_leases(now);
+        commands.extend(self.balance(now));
+        commands.extend(self.decide(now));
+        commands
+    }
+
+    fn expire_leases(&mut self, now: Timestamp) -> Vec<Command> {
+        let Some(lead) = &mut self.lead else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        for (worker, process) in lead.workers.expire(now) {
+            let never_sent = lead.never_sent(worker);
+            commands.push(Command::WorkerDown {
+                worker,
+                process,
+                never_sent,
+            });
+        }
+        for (entry, process) in lead.entries.expire(now) {
+            commands.push(Command::EntryDown { entry, process });
+        }
+        for (minion, process) in lead.minions.expire(now) {
+            commands.push(Command::MinionDown { minion, process });
+        }
+        commands
+    }
+
+    fn decide(&mut self, now: Timestamp) -> Vec<Command> {
+        let time = self.cell_time(now);
+        let Some(lead) = &mut self.lead else {
+            return Vec::new();
+        };
+        let mut decisions = Vec::new();
+        lead.placer.decide(time, STARTS_PER_BATCH, &mut decisions);
+        commands_from(&self.cell, decisions)
+    }
+
+    /// Moves minions from the entry host with the most to the one with the fewest.
+    fn balance(&mut self, now: Timestamp) -> Option<Command> {
+        let lead = self.lead.as_mut()?;
+        if now < lead.balanced + BALANCE_INTERVAL {
+            return None;
+        }
+        lead.balanced = now;
+        let moves = moves(&self.cell);
+        (!moves.is_empty()).then_some(Command::MoveMinions(moves))
+    }
+}
+
+/// Minions to move for an even share; none while earlier moves are under way.
+fn moves(cell: &Cell) -> Vec<MinionId> {
+    let moving = cell
+        .minions
+        .values()
+        .any(|minion| minion.release || minion.owner.is_none());
+    let open = cell.entries.iter().filter(|(_, entry)| !entry.leaving);
+    let shares: BTreeMap<&EntryId, usize> = open.map(|(id, _)| (id, cell.owned_by(id))).collect();
+    let most = shares.iter().max_by_key(|(_, owned)| **owned);
+    let fewest = shares.values().min();
+    let (Some((from, most)), Some(fewest)) = (most, fewest) else {
+        return Vec::new();
+    };
+    let surplus = (most - fewest) / 2;
+    if moving || surplus == 0 {
+        return Vec::new();
+    }
+    let owned = cell
+        .minions
+        .iter()
+        .filter(|(_, minion)| minion.owner.as_ref() == Some(*from));
+    owned
+        .take(surplus.min(MOVES_PER_LOOK))
+        .map(|(id, _)| id.clone())
+        .collect()
+}
+
+fn commands_from(cell: &Cell, decisions: Vec<Decision>) -> Vec<Command> {
+    let mut batch = Batch::default();
+    let mut commands = Vec::new();
+    for decision in decisions {
+        match decision {
+            Decision::Start {
+                run,
+                worker,
+                granted,
+            } => batch.start(cell, &run, &worker, granted),
+            Decision::Stop {
+                run, how, reason, ..
+            } => {
+                let job = cell.job_numbers.get(&run.task.job);
+                batch.orders.extend(job.map(|job| RunOrder {
+                    job: *job,
+                    index: run.task.index,
+                    attempt: run.attempt,
+                    how,
+                    reason,
+                }));
+            }
+            Decision::NeverRuns { job, reason } => {
+                let reason = CompactString::from(reason);
+                commands.push(Command::NeverRuns { job, reason });
+            }
+            Decision::GiveUp { job, reason } => {
+                let reason = CompactString::from(reason);
+                commands.push(Command::GiveUp { job, reason });
+            }
+            Decision::Quarantine(id) => commands.extend(quarantine(cell, &id, true)),
+            Decision::Release(id) => commands.extend(quarantine(cell, &id, false)),
+        }
+    }
+    commands.extend(batch.into_commands());
+    commands
+}
+
+fn quarantine(cell: &Cell, id: &crate::ids::WorkerId, on: bool) -> Option<Command> {
+    let (worker, _) = cell.worker(id)?;
+    Some(Command::Quarantine { worker, on })
+}
+
+/// Starts that share a job and what they are granted.
+type Group = (JobNumber, Option<Resources>);
+
+/// Starts and orders on their way into as few entries as they need.
+#[derive(Default)]
+struct Batch {
+    starts: BTreeMap<Group, Vec<(TaskIndex, WorkerNumber)>>,
+    orders: Vec<RunOrder>,
+}
+
+impl Batch {
+    fn start(
+        &mut self,
+        cell: &Cell,
+        run: &TaskRun,
+        worker: &crate::ids::WorkerId,
+        granted: Resources,
+    ) {
+        let job = cell.job(&run.task.job);
+        let worker = cell.worker_numbers.get(worker);
+        let (Some((number, job)), Some(worker)) = (job, worker) else {
+            return;
+        };
+        let granted = (granted != job.spec.need).then_some(granted);
+        let group = self.starts.entry((number, granted)).or_default();
+        group.push((run.task.index, *worker));
+    }
+
+    fn into_commands(self) -> Vec<Command> {
+        let mut jobs = Vec::new();
+        for ((job, granted), mut tasks) in self.starts {
+            tasks.sort_unstable();
+            let mut last = 0;
+            let starts = tasks.into_iter().map(|(index, worker)| {
+                let step = index - std::mem::replace(&mut last, index);
+                Start { step, worker }
+            });
+            jobs.push(PlaceJob {
+                job,
+                granted,
+                starts: starts.collect(),
+            });
+        }
+        let mut commands = Vec::new();
+        if !jobs.is_empty() {
+            commands.push(Command::Place(Place { jobs }));
+        }
+        if !self.orders.is_empty() {
+            commands.push(Command::Stop(self.orders));
+        }
+        commands
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,14 @@
 //! This module lists what is public.
 
 pub mod console;
+pub mod control;
+pub mod daemon;
 pub mod document;
 pub mod error;
 pub mod exit_codes;
 pub mod fault;
 pub mod ids;
+pub mod lease;
 pub mod load;
 pub mod placement;
 pub mod plot;
@@ -19,6 +22,7 @@
 pub mod settings;
 pub mod slo;
 pub mod stand_in;
+pub mod state;
 pub mod storage;
 pub mod telemetry;
 pub mod wire;
--- a/src/placement/interface.rs
+++ b/src/placement/interface.rs
@@ -10,7 +10,7 @@
 use crate::workload::{JobSpec, RunEnd, TaskId, TaskRun, WorkerSpec};
 
 /// A change of the cell's state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// The document's policy changed.
     Policy(Policy),
--- /dev/null
+++ b/src/state/commands/entries.rs
@@ -0,0 +1,186 @@
+//! Entry hosts, minions, and which entry host owns which minion.
+
+use super::{Reply, refuse};
+use crate::ids::{EntryId, MinionId, ProcessId, ZoneName};
+use crate::state::Cell;
+use crate::state::records::{EntryRecord, MinionRecord};
+use crate::wire::{EntryHello, MinionAnnouncement, RefusalKind};
+
+impl Cell {
+    pub(super) fn entry_up(&mut self, hello: EntryHello) -> Reply {
+        let known = self.entries.get(&hello.entry);
+        if known.is_some_and(|entry| entry.process == hello.process && !entry.leaving) {
+            return Reply::Ok;
+        }
+        // The leader proposes another process only once the lease of the earlier one ran out.
+        let earlier = known
+            .map(|entry| entry.process)
+            .filter(|p| *p != hello.process);
+        if let Some(process) = earlier {
+            self.lose_entry(&hello.entry, process);
+        }
+        let record = EntryRecord {
+            process: hello.process,
+            zone: hello.zone,
+            peer_addr: hello.peer_addr,
+            leaving: false,
+        };
+        self.entries.insert(hello.entry, record);
+        self.assign_owners();
+        self.feed_changed();
+        Reply::Ok
+    }
+
+    pub(super) fn entry_leaving(&mut self, entry: &EntryId) -> Reply {
+        let Some(record) = self.entries.get_mut(entry) else {
+            return Reply::Ok;
+        };
+        if record.leaving {
+            return Reply::Ok;
+        }
+        record.leaving = true;
+        let owned = self
+            .minions
+            .values_mut()
+            .filter(|m| m.owner.as_ref() == Some(entry));
+        for minion in owned {
+            minion.release = true;
+        }
+        self.feed_changed();
+        Reply::Ok
+    }
+
+    pub(super) fn entry_down(&mut self, entry: &EntryId, process: ProcessId) -> Reply {
+        let current = self
+            .entries
+            .get(entry)
+            .is_some_and(|record| record.process == process);
+        if current {
+            self.lose_entry(entry, process);
+            self.entries.remove(entry);
+            self.assign_owners();
+            self.feed_changed();
+        }
+        Reply::Ok
+    }
+
+    fn lose_entry(&mut self, entry: &EntryId, process: ProcessId) {
+        self.keys.lose_process(entry, process);
+        let owned = self
+            .minions
+            .values_mut()
+            .filter(|m| m.owner.as_ref() == Some(entry));
+        for minion in owned {
+            minion.owner = None;
+            minion.release = false;
+            minion.lapsed = true;
+        }
+    }
+
+    pub(super) fn announce_minion(&mut self, announced: MinionAnnouncement) -> Reply {
+        let id = announced.id.clone();
+        match self.minions.get_mut(&id) {
+            // The owner carries on: it sees the new process or size in its feed.
+            Some(minion) => {
+                minion.leaving = minion.leaving && minion.announced.process == announced.process;
+                minion.announced = announced;
+            }
+            None => {
+                let record = MinionRecord {
+                    announced,
+                    owner: None,
+                    epoch: 0,
+                    leaving: false,
+                    release: false,
+                    lapsed: false,
+                };
+                self.minions.insert(id, record);
+            }
+        }
+        self.assign_owners();
+        self.feed_changed();
+        Reply::Ok
+    }
+
+    pub(super) fn leave_minion(&mut self, id: &MinionId) -> Reply {
+        let Some(minion) = self.minions.get_mut(id) else {
+            return refuse(RefusalKind::NotFound, format!("there is no minion {id}"));
+        };
+        minion.leaving = true;
+        self.feed_changed();
+        Reply::Ok
+    }
+
+    pub(super) fn minion_down(&mut self, id: &MinionId, process: ProcessId) -> Reply {
+        let current = self
+            .minions
+            .get(id)
+            .is_some_and(|m| m.announced.process == process);
+        if current {
+            self.minions.remove(id);
+            self.feed_changed();
+        }
+        Reply::Ok
+    }
+
+    pub(super) fn release_minions(&mut self, entry: &EntryId, minions: &[MinionId]) -> Reply {
+        for id in minions {
+            let Some(minion) = self.minions.get_mut(id) else {
+                continue;
+            };
+            if minion.owner.as_ref() == Some(entry) && minion.release {
+                minion.owner = None;
+                minion.release = false;
+                minion.lapsed = false;
+            }
+        }
+        self.assign_owners();
+        self.feed_changed();
+        Reply::Ok
+    }
+
+    pub(super) fn move_minions(&mut self, minions: &[MinionId]) -> Reply {
+        for id in minions {
+            if let Some(minion) = self.minions.get_mut(id).filter(|m| m.owner.is_some()) {
+                minion.release = true;
+            }
+        }
+        self.feed_changed();
+        Reply::Ok
+    }
+
+    /// Gives every minion without an owner to the entry host that owns the fewest, one of the
+    /// minion's own availability zone where their numbers are equal or nearly so.
+    fn assign_owners(&mut self) {
+        let orphans = self
+            .minions
+            .iter()
+            .filter(|(_, minion)| minion.owner.is_none());
+        let orphans: Vec<MinionId> = orphans.map(|(id, _)| id.clone()).collect();
+        for id in orphans {
+            let Some(zone) = self.minions.get(&id).map(|m| m.announced.zone.clone()) else {
+                continue;
+            };
+            let owner = self.best_owner(&zone);
+            if let Some(minion) = self.minions.get_mut(&id).filter(|_| owner.is_some()) {
+                minion.owner = owner;
+                minion.epoch += 1;
+            }
+        }
+    }
+
+    fn best_owner(&self, zone: &ZoneName) -> Option<EntryId> {
+        let open = self.entries.iter().filter(|(_, entry)| !entry.leaving);
+        let load = |entry: &EntryId| self.owned_by(entry);
+        open.min_by_key(|(id, entry)| (load(id) + usize::from(entry.zone != *zone), *id))
+            .map(|(id, _)| id.clone())
+    }
+
+    /// Number of minions that an entry host owns.
+    pub fn owned_by(&self, entry: &EntryId) -> usize {
+        self.minions
+            .values()
+            .filter(|m| m.owner.as_ref() == Some(entry))
+            .count()
+    }
+}
--- /dev/null
+++ b/src/state/queries/jobs.rs
@@ -0,0 +1,96 @@
+//! A job as a caller sees it, and the tasks a worker must hold.
+
+use std::time::Duration;
+
+use crate::ids::JobName;
+use crate::resources::Resources;
+use crate::state::Cell;
+use crate::state::records::{JobRecord, TaskPhase, WorkerNumber};
+use crate::wire::{AssignedRun, JobView, StopRun, WorkerTasks};
+use crate::workload::TaskRun;
+
+/// Workers named in a job's view at most.
+const WORKERS_SHOWN: usize = 20;
+
+impl Cell {
+    /// A job's state, without the reason it waits, which only the leader's placer knows.
+    pub fn view_job(&self, name: &JobName) -> Option<JobView> {
+        let (_, job) = self.job(name)?;
+        Some(JobView {
+            name: name.clone(),
+            kind: job.spec.kind.clone(),
+            team: job.spec.team.clone(),
+            phase: job.phase(),
+            tasks: job.spec.tasks,
+            waiting: job.count(|p| *p == TaskPhase::Waiting),
+            running: job.count(|p| matches!(p, TaskPhase::Running(_))),
+            done: job.count(|p| *p == TaskPhase::Done),
+            failed: job.count(|p| *p == TaskPhase::Failed),
+            unknown: job.count(|p| *p == TaskPhase::Unknown),
+            starts: job.starts,
+            waited: job.first_start.map(|start| start.saturating_sub(job.at)),
+            reason: job.reason.to_string(),
+            workers: self.workers_of(job),
+        })
+    }
+
+    fn workers_of(&self, job: &JobRecord) -> Vec<crate::ids::WorkerId> {
+        let running = job.tasks.iter().filter_map(|task| task.running());
+        let workers = running.filter_map(|running| self.workers.get(&running.worker));
+        workers
+            .take(WORKERS_SHOWN)
+            .map(|worker| worker.spec.id.clone())
+            .collect()
+    }
+
+    /// What a worker must hold and what it must stop, given the runs it says it holds.
+    pub fn tasks_for(&self, worker: WorkerNumber, holds: &[TaskRun]) -> WorkerTasks {
+        let mut tasks = WorkerTasks {
+            lease: Duration::ZERO,
+            ..WorkerTasks::default()
+        };
+        let Some(record) = self.workers.get(&worker) else {
+            return tasks;
+        };
+        for (number, index) in &record.runs {
+            let Some(job) = self.jobs.get(number) else {
+                continue;
+            };
+            let Some(run) = self.run_of(*number, *index) else {
+                continue;
+            };
+            let task = job.tasks.get(*index as usize);
+            let Some(running) = task.and_then(|task| task.running()) else {
+                continue;
+            };
+            if let Some(how) = running.order {
+                tasks.stop.push(StopRun {
+                    run: run.clone(),
+                    how,
+                });
+            }
+            tasks.assigned.push(assigned(job, run, running.granted));
+        }
+        // A run the cell does not know of there is an orphan of an earlier lease.
+        let orphans = holds
+            .iter()
+            .filter(|run| !tasks.assigned.iter().any(|a| a.run == **run));
+        let orphans = orphans.map(|run| StopRun {
+            run: run.clone(),
+            how: crate::wire::StopKind::Stop,
+        });
+        tasks.stop.extend(orphans.collect::<Vec<_>>());
+        tasks
+    }
+}
+
+fn assigned(job: &JobRecord, run: TaskRun, granted: Resources) -> AssignedRun {
+    AssignedRun {
+        run,
+        kind: job.spec.kind.clone(),
+        payload: job.spec.payload.clone(),
+        need: granted,
+        keep_without_lease: false,
+        run_time: job.spec.run_time,
+    }
+}
--- /dev/null
+++ b/src/state/snapshot.rs
@@ -0,0 +1,27 @@
+//! The whole state as bytes, with a format version in front.
+
+use super::Cell;
+use crate::error::{Error, Result, Step};
+
+/// Version of the encoded state and of the commands; another one is refused by number.
+pub const STATE_VERSION: u16 = 1;
+
+impl Cell {
+    /// Encodes the whole state.
+    pub fn to_bytes(&self) -> Result<Vec<u8>> {
+        postcard::to_allocvec(&(STATE_VERSION, self))
+            .map_err(|e| Error::caused(Step::Codec, "encoding the state", e))
+    }
+
+    /// Decodes the whole state.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        let (version, rest) = postcard::take_from_bytes::<u16>(bytes)
+            .map_err(|e| Error::caused(Step::Codec, "decoding the state's version", e))?;
+        if version != STATE_VERSION {
+            let message =
+                format!("state version {version} is unknown, this process has {STATE_VERSION}");
+            return Err(Error::new(Step::Codec, message));
+        }
+        postcard::from_bytes(rest).map_err(|e| Error::caused(Step::Codec, "decoding the state", e))
+    }
+}
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -299,7 +299,7 @@
     pub kind: KindName,
     /// Opaque text of the job.
     pub payload: CompactString,
-    /// Declared need.
+    /// What is granted: the declared need, or more where more was learnt.
     pub need: crate::resources::Resources,
     /// Whether the run may continue when the worker's lease lapses.
     pub keep_without_lease: bool,
