Fault proxy that tells the opener of a connection

Cause: replicas reach a peer at one advertised address, so a fault on it hit every peer at once; a partition between two replicas could not be made.

Change: connections of a proxy are kept in lanes, and a proxy may name the source of each connection, with faults per source. Carrying a connection is a module of its own.

Conclusion: a test silences one of two clients of the same address.

--- a/src/fault/mod.rs
+++ b/src/fault/mod.rs
@@ -3,6 +3,7 @@
 //! It stands for the network: what it holds back is delivered when it heals, as TCP itself
 //! would, unless the connection was made silent for good.
 
+mod connection;
 mod rules;
 mod script;
 mod tcp;
@@ -10,5 +11,5 @@
 
 pub use rules::{Direction, Fault};
 pub use script::{FaultStep, Trigger, play, random_script};
-pub use tcp::{ProxyCounts, TcpProxy};
+pub use tcp::{Lane, ProxyCounts, SourceProxy, TcpProxy};
 pub use udp::UdpProxy;
--- a/src/fault/script.rs
+++ b/src/fault/script.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::rules::{Direction, Fault};
-use super::tcp::TcpProxy;
+use super::tcp::Lane;
 
 /// What a step waits for before its fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,17 +28,17 @@
     pub fault: Fault,
 }
 
-/// Plays a script on a proxy to its end.
-pub async fn play(proxy: &TcpProxy, script: &[FaultStep]) {
+/// Plays a script on the connections of a lane to its end.
+pub async fn play(lane: &Lane, script: &[FaultStep]) {
     for step in script {
         match step.when {
             Trigger::After(time) => tokio::time::sleep(time).await,
-            Trigger::Connections(n) => proxy.reached(|counts| counts.connections >= n).await,
+            Trigger::Connections(n) => lane.reached(|counts| counts.connections >= n).await,
             Trigger::Bytes(direction, n) => {
-                proxy.reached(|counts| counts.bytes(direction) >= n).await;
+                lane.reached(|counts| counts.bytes(direction) >= n).await;
             }
         }
-        proxy.apply(step.fault);
+        lane.apply(step.fault);
     }
 }
 
--- a/src/fault/tcp.rs
+++ b/src/fault/tcp.rs
@@ -1,27 +1,19 @@
-//! The proxy for TCP connections.
+//! The proxies for TCP connections.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use bytes::{Bytes, BytesMut};
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{ReadHalf, WriteHalf};
+use compact_str::CompactString;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 
-use super::rules::{Direction, Fault, Rules, Truncation};
+use super::connection::carry;
+use super::rules::{Direction, Fault, Rules};
 use crate::error::{Error, Result, Step};
 
-const PIECE: usize = 16 * 1024;
-/// Pieces of one direction that wait for their delay to pass.
-const PIECES_DELAYED: usize = 64;
-
 /// What a proxy has carried.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ProxyCounts {
@@ -44,310 +36,196 @@
     }
 }
 
-struct Shared {
-    rules: watch::Sender<Rules>,
-    counts: watch::Sender<ProxyCounts>,
-    faults: AtomicU64,
-    seed: u64,
-    upstream: watch::Sender<Option<SocketAddr>>,
-}
+/// The connections of a proxy that share their faults.
+#[derive(Clone)]
+pub struct Lane(Arc<Shared>);
 
-/// A proxy in front of one listening address. Dropping it closes the listener and every
-/// connection.
-pub struct TcpProxy {
-    addr: SocketAddr,
-    shared: Arc<Shared>,
-    accepting: JoinHandle<()>,
+pub(super) struct Shared {
+    pub(super) rules: watch::Sender<Rules>,
+    pub(super) counts: watch::Sender<ProxyCounts>,
+    faults: AtomicU64,
+    pub(super) seed: u64,
+    pub(super) upstream: watch::Receiver<Option<SocketAddr>>,
 }
 
-impl TcpProxy {
-    /// Listens on a free loopback port and forwards to `upstream`, once that is known.
-    /// `seed` decides jitter.
-    pub async fn start(upstream: impl Into<Option<SocketAddr>>, seed: u64) -> Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .map_err(|e| Error::caused(Step::Listen, "starting a fault proxy", e))?;
-        let addr = listener
-            .local_addr()
-            .map_err(|e| Error::caused(Step::Listen, "starting a fault proxy", e))?;
-        let shared = Arc::new(Shared {
+impl Lane {
+    fn new(upstream: watch::Receiver<Option<SocketAddr>>, seed: u64) -> Self {
+        Self(Arc::new(Shared {
             rules: watch::Sender::new(Rules::default()),
             counts: watch::Sender::new(ProxyCounts::default()),
             faults: AtomicU64::new(0),
             seed,
-            upstream: watch::Sender::new(upstream.into()),
-        });
-        let accepting = tokio::spawn(accept_all(listener, shared.clone()));
-        Ok(Self {
-            addr,
-            shared,
-            accepting,
-        })
-    }
-
-    /// Address to connect to instead of the upstream's.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    /// Changes where new connections lead.
-    pub fn set_upstream(&self, addr: SocketAddr) {
-        self.shared.upstream.send_replace(Some(addr));
+            upstream,
+        }))
     }
 
     /// Injects a fault from now on.
     pub fn apply(&self, fault: Fault) {
-        let number = self.shared.faults.fetch_add(1, Ordering::Relaxed);
-        let next = self.shared.counts.borrow().connections;
-        self.shared
+        let number = self.0.faults.fetch_add(1, Ordering::Relaxed);
+        let next = self.0.counts.borrow().connections;
+        self.0
             .rules
             .send_modify(|rules| rules.apply(fault, next, number));
     }
 
     /// What was carried so far.
     pub fn counts(&self) -> ProxyCounts {
-        *self.shared.counts.borrow()
+        *self.0.counts.borrow()
     }
 
     /// Waits until the counts fulfil a condition.
     pub async fn reached(&self, condition: impl Fn(&ProxyCounts) -> bool) {
-        let mut counts = self.shared.counts.subscribe();
+        let mut counts = self.0.counts.subscribe();
         let _ = counts.wait_for(|counts| condition(counts)).await;
     }
-}
-
-impl Drop for TcpProxy {
-    fn drop(&mut self) {
-        self.accepting.abort();
-        self.apply(Fault::Cut);
-    }
-}
 
-async fn accept_all(listener: TcpListener, shared: Arc<Shared>) {
-    loop {
-        let Ok((client, _)) = listener.accept().await else {
-            continue;
-        };
-        if shared.rules.borrow().cut {
+    /// Takes a new connection, unless this lane is cut.
+    fn take(&self, client: TcpStream) {
+        if self.0.rules.borrow().cut {
             let _ = client.set_zero_linger();
-            continue;
+            return;
         }
         let mut id = 0;
-        shared.counts.send_modify(|counts| {
+        self.0.counts.send_modify(|counts| {
             id = counts.connections;
             counts.connections += 1;
         });
-        tokio::spawn(carry(id, client, shared.clone()));
+        tokio::spawn(carry(id, client, self.0.clone()));
     }
 }
 
-/// Why a connection through the proxy ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ending {
-    Closed,
-    Reset,
+/// A proxy in front of one listening address. Dropping it closes the listener and every
+/// connection.
+pub struct TcpProxy {
+    addr: SocketAddr,
+    upstream: watch::Sender<Option<SocketAddr>>,
+    lane: Lane,
+    accepting: JoinHandle<()>,
 }
 
-async fn carry(id: u64, mut client: TcpStream, shared: Arc<Shared>) {
-    let mut rules = shared.rules.subscribe();
-    let opened = tokio::select! {
-        opened = open_upstream(id, &shared) => opened,
-        _ = ended_by_rule(id, &mut rules) => None,
-    };
-    let Some(mut server) = opened else {
-        let _ = client.set_zero_linger();
-        return;
-    };
-    let ending = {
-        let (client_rx, client_tx) = client.split();
-        let (server_rx, server_tx) = server.split();
-        let up = Pump::new(id, Direction::ToServer, &shared).run(client_rx, server_tx);
-        let down = Pump::new(id, Direction::ToClient, &shared).run(server_rx, client_tx);
-        tokio::select! {
-            ending = ended_by_rule(id, &mut rules) => ending,
-            ending = both(up, down) => ending,
-        }
-    };
-    if ending == Ending::Reset {
-        let _ = client.set_zero_linger();
-        let _ = server.set_zero_linger();
+impl TcpProxy {
+    /// Listens on a free loopback port and forwards to `upstream`, once that is known.
+    /// `seed` decides jitter.
+    pub async fn start(upstream: impl Into<Option<SocketAddr>>, seed: u64) -> Result<Self> {
+        let (listener, addr) = listen().await?;
+        let upstream = watch::Sender::new(upstream.into());
+        let lane = Lane::new(upstream.subscribe(), seed);
+        let taking = lane.clone();
+        let accepting = tokio::spawn(accept_all(listener, move |client, _| taking.take(client)));
+        Ok(Self {
+            addr,
+            upstream,
+            lane,
+            accepting,
+        })
     }
-}
 
-async fn open_upstream(id: u64, shared: &Shared) -> Option<TcpStream> {
-    let mut rules = shared.rules.subscribe();
-    let open = |rules: &Rules| !rules.silent(id, Direction::ToServer);
-    rules.wait_for(open).await.ok()?;
-    let mut upstream = shared.upstream.subscribe();
-    let addr = (*upstream.wait_for(Option::is_some).await.ok()?)?;
-    let stream = TcpStream::connect(addr).await.ok()?;
-    let _ = stream.set_nodelay(true);
-    Some(stream)
-}
-
-async fn ended_by_rule(id: u64, rules: &mut watch::Receiver<Rules>) -> Ending {
-    let ends = |rules: &Rules| id < rules.reset_below || id < rules.closed_below;
-    match rules.wait_for(ends).await {
-        Ok(rules) if id < rules.reset_below => Ending::Reset,
-        _ => Ending::Closed,
+    /// Address to connect to instead of the upstream's.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
     }
-}
 
-/// Runs both directions until each has closed in its turn, or one broke.
-async fn both(
-    up: impl Future<Output = Result<(), Ending>>,
-    down: impl Future<Output = Result<(), Ending>>,
-) -> Ending {
-    match tokio::try_join!(up, down) {
-        Ok(_) => Ending::Closed,
-        Err(ending) => ending,
+    /// Changes where new connections lead.
+    pub fn set_upstream(&self, addr: SocketAddr) {
+        self.upstream.send_replace(Some(addr));
     }
 }
 
-/// What a direction carries, in order.
-enum Piece {
-    Data(Instant, Bytes),
-    End,
-    Broken,
-}
+impl std::ops::Deref for TcpProxy {
+    type Target = Lane;
 
-/// One direction of one connection.
-struct Pump<'a> {
-    id: u64,
-    direction: Direction,
-    shared: &'a Shared,
-    rng: ChaCha8Rng,
-}
-
-impl<'a> Pump<'a> {
-    fn new(id: u64, direction: Direction, shared: &'a Shared) -> Self {
-        let stream = id * 2 + u64::from(direction == Direction::ToClient);
-        let mut rng = ChaCha8Rng::seed_from_u64(shared.seed);
-        rng.set_stream(stream);
-        Self {
-            id,
-            direction,
-            shared,
-            rng,
-        }
-    }
-
-    async fn run(self, rx: ReadHalf<'_>, tx: WriteHalf<'_>) -> Result<(), Ending> {
-        let (pieces_tx, pieces_rx) = mpsc::channel(PIECES_DELAYED);
-        let writer = Writer {
-            id: self.id,
-            direction: self.direction,
-            shared: self.shared,
-            rules: self.shared.rules.subscribe(),
-            truncation: None,
-        };
-        let (written, ()) = tokio::join!(writer.run(tx, pieces_rx), self.read_all(rx, pieces_tx));
-        written
-    }
-
-    async fn read_all(mut self, mut rx: ReadHalf<'_>, pieces: mpsc::Sender<Piece>) {
-        let mut last = Instant::now();
-        loop {
-            let mut buf = BytesMut::with_capacity(PIECE);
-            let piece = match rx.read_buf(&mut buf).await {
-                Ok(0) => Piece::End,
-                Ok(_) => {
-                    last = last.max(Instant::now() + self.delay());
-                    Piece::Data(last, buf.freeze())
-                }
-                Err(_) => Piece::Broken,
-            };
-            let more = matches!(piece, Piece::Data(..));
-            if pieces.send(piece).await.is_err() || !more {
-                return;
-            }
-        }
+    fn deref(&self) -> &Lane {
+        &self.lane
     }
+}
 
-    fn delay(&mut self) -> Duration {
-        let delay = self.shared.rules.borrow().delay_of(self.direction);
-        delay.map_or(Duration::ZERO, |(fixed, jitter)| {
-            fixed + jitter.mul_f64(self.rng.random())
-        })
+impl Drop for TcpProxy {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.lane.apply(Fault::Cut);
     }
 }
 
-struct Writer<'a> {
-    id: u64,
-    direction: Direction,
-    shared: &'a Shared,
-    rules: watch::Receiver<Rules>,
-    truncation: Option<(Truncation, u64)>,
+/// A proxy that tells connections apart by who opens them, so that one link can fail alone.
+/// Dropping it closes the listener and every connection.
+pub struct SourceProxy {
+    addr: SocketAddr,
+    lanes: Arc<Lanes>,
+    accepting: JoinHandle<()>,
 }
 
-impl Writer<'_> {
-    async fn run(
-        mut self,
-        mut tx: WriteHalf<'_>,
-        mut pieces: mpsc::Receiver<Piece>,
-    ) -> Result<(), Ending> {
-        while let Some(piece) = pieces.recv().await {
-            match piece {
-                Piece::Data(at, data) => {
-                    tokio::time::sleep_until(at).await;
-                    self.unless_silent().await;
-                    self.deliver(&mut tx, data).await?;
-                }
-                Piece::End => {
-                    self.unless_silent().await;
-                    return tx.shutdown().await.map_err(|_| Ending::Reset);
-                }
-                Piece::Broken => {
-                    self.unless_silent().await;
-                    return Err(Ending::Reset);
-                }
-            }
-        }
-        Ok(())
+struct Lanes {
+    upstream: watch::Sender<Option<SocketAddr>>,
+    seed: u64,
+    by_source: Mutex<BTreeMap<CompactString, Lane>>,
+}
+
+impl Lanes {
+    fn of(&self, source: &str) -> Lane {
+        let mut lanes = self
+            .by_source
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let new = || Lane::new(self.upstream.subscribe(), self.seed);
+        lanes.entry(source.into()).or_insert_with(new).clone()
+    }
+}
+
+impl SourceProxy {
+    /// Listens on a free loopback port and forwards to `upstream`. `source` names the process
+    /// behind the address of a new connection.
+    pub async fn start(
+        upstream: SocketAddr,
+        seed: u64,
+        source: impl Fn(SocketAddr) -> CompactString + Send + 'static,
+    ) -> Result<Self> {
+        let (listener, addr) = listen().await?;
+        let lanes = Arc::new(Lanes {
+            upstream: watch::Sender::new(Some(upstream)),
+            seed,
+            by_source: Mutex::default(),
+        });
+        let taking = lanes.clone();
+        let take = move |client, peer| taking.of(&source(peer)).take(client);
+        Ok(Self {
+            addr,
+            lanes,
+            accepting: tokio::spawn(accept_all(listener, take)),
+        })
     }
 
-    async fn unless_silent(&mut self) {
-        let (id, direction) = (self.id, self.direction);
-        let _ = self
-            .rules
-            .wait_for(|rules| !rules.silent(id, direction))
-            .await;
+    /// Address to connect to instead of the upstream's.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
     }
 
-    async fn deliver(&mut self, tx: &mut WriteHalf<'_>, mut data: Bytes) -> Result<(), Ending> {
-        let limit = self.limit();
-        let cut = limit.is_some_and(|left| data.len() as u64 > left);
-        if let Some(left) = limit.filter(|_| cut) {
-            data.truncate(left as usize);
-        }
-        tx.write_all(&data).await.map_err(|_| Ending::Reset)?;
-        self.count(data.len() as u64);
-        if cut {
-            let _ = tx.shutdown().await;
-            return Err(Ending::Closed);
-        }
-        Ok(())
+    /// The connections that a source has opened or will open.
+    pub fn from(&self, source: &str) -> Lane {
+        self.lanes.of(source)
     }
+}
 
-    /// Bytes that may still be carried, when a truncation is in force.
-    fn limit(&mut self) -> Option<u64> {
-        let rule = self.rules.borrow().truncate;
-        let rule = rule.filter(|rule| rule.direction.covers(self.direction));
-        if self.truncation.map(|(rule, _)| rule) != rule {
-            self.truncation = rule.map(|rule| (rule, rule.after));
+impl Drop for SourceProxy {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        let lanes = self.lanes.by_source.lock();
+        for lane in lanes.unwrap_or_else(PoisonError::into_inner).values() {
+            lane.apply(Fault::Cut);
         }
-        self.truncation.map(|(_, left)| left)
     }
+}
 
-    fn count(&mut self, n: u64) {
-        if let Some((_, left)) = &mut self.truncation {
-            *left -= n;
+async fn listen() -> Result<(TcpListener, SocketAddr)> {
+    let failed = |e| Error::caused(Step::Listen, "starting a fault proxy", e);
+    let listener = TcpListener::bind("127.0.0.1:0").await.map_err(failed)?;
+    let addr = listener.local_addr().map_err(failed)?;
+    Ok((listener, addr))
+}
+
+async fn accept_all(listener: TcpListener, take: impl Fn(TcpStream, SocketAddr)) {
+    loop {
+        if let Ok((client, peer)) = listener.accept().await {
+            take(client, peer);
         }
-        self.shared
-            .counts
-            .send_modify(|counts| match self.direction {
-                Direction::ToServer => counts.bytes_to_server += n,
-                _ => counts.bytes_to_client += n,
-            });
     }
 }
--- a/tests/fault.rs
+++ b/tests/fault.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::timeout;
 use yuccahold::fault::{
-    Direction, Fault, FaultStep, TcpProxy, Trigger, UdpProxy, play, random_script,
+    Direction, Fault, FaultStep, SourceProxy, TcpProxy, Trigger, UdpProxy, play, random_script,
 };
 
 /// Far longer than anything here takes.
@@ -107,6 +107,41 @@
     assert_eq!(&buf, b"ping");
 }
 
+#[tokio::test]
+async fn one_source_fails_alone() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let ports = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let known = ports.clone();
+    let source = move |peer: std::net::SocketAddr| {
+        let place = known
+            .lock()
+            .unwrap()
+            .iter()
+            .position(|port| *port == peer.port());
+        compact_str::format_compact!("client-{}", place.unwrap())
+    };
+    let proxy = SourceProxy::start(addr, 7, source).await.unwrap();
+    proxy
+        .from("client-1")
+        .apply(Fault::Silence(Direction::Both));
+    let mut received = Vec::new();
+    for _ in 0..2 {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        ports
+            .lock()
+            .unwrap()
+            .push(socket.local_addr().unwrap().port());
+        let mut client = socket.connect(proxy.addr()).await.unwrap();
+        client.write_all(b"ping").await.unwrap();
+        let patience = if received.is_empty() { DEADLINE } else { QUIET };
+        received.push(timeout(patience, listener.accept()).await.is_ok());
+    }
+    assert_eq!(received, [true, false]);
+    assert_eq!(proxy.from("client-0").counts().connections, 1);
+}
+
 #[tokio::test]
 async fn a_script_waits_for_traffic() {
     let proxy = echo_behind_proxy().await;
