Command line: check, apply, show, history, rollback, submit, status, cancel, drain

Cause: operators need the document and jobs from a shell and from scripts. A folder is one document in several files.

--- /dev/null
+++ b/src/cli/specs.rs
@@ -0,0 +1,246 @@
+//! The commands and their options as data: parsing, help and completions read this one table.
+
+/// An option.
+pub(crate) struct Opt {
+    /// With its dashes.
+    pub(crate) flag: &'static str,
+    /// Name of its value; none for a switch.
+    pub(crate) value: Option<&'static str>,
+    pub(crate) doc: &'static str,
+    /// Shown as the default; empty for none.
+    pub(crate) default: &'static str,
+}
+
+/// A command.
+pub(crate) struct Spec {
+    pub(crate) name: &'static str,
+    /// Positional arguments as the usage line shows them.
+    pub(crate) arguments: &'static str,
+    /// Fewest and most positional arguments.
+    pub(crate) count: (usize, usize),
+    pub(crate) summary: &'static str,
+    /// What a reader should know besides; may be empty.
+    pub(crate) detail: &'static str,
+    pub(crate) options: &'static [Opt],
+    /// Command lines with what they do.
+    pub(crate) examples: &'static [(&'static str, &'static str)],
+}
+
+const fn switch(flag: &'static str, doc: &'static str) -> Opt {
+    Opt {
+        flag,
+        value: None,
+        doc,
+        default: "",
+    }
+}
+
+const fn valued(
+    flag: &'static str,
+    value: &'static str,
+    doc: &'static str,
+    default: &'static str,
+) -> Opt {
+    Opt {
+        flag,
+        value: Some(value),
+        doc,
+        default,
+    }
+}
+
+const YES: Opt = switch(
+    "--yes",
+    "go on without asking; needed where no one can be asked",
+);
+
+/// Options that every command takes.
+pub(crate) const COMMON: &[Opt] = &[
+    valued(
+        "--server",
+        "URL",
+        "operators' interface: a control replica or an entry host; also YUCCAHOLD_SERVER",
+        "http://127.0.0.1:7400",
+    ),
+    valued(
+        "--token-file",
+        "FILE",
+        "file with the token to sign in with; also YUCCAHOLD_TOKEN_FILE",
+        "",
+    ),
+    valued("--format", "text|json", "how results are printed", "text"),
+    switch("--help", "print help"),
+    switch("--version", "print the version"),
+];
+
+const MANY: usize = 1000;
+
+/// All commands, in the order of the help page.
+pub(crate) const SPECS: &[Spec] = &[
+    Spec {
+        name: "check",
+        arguments: "FILE...",
+        count: (1, MANY),
+        summary: "Check documents and settings without a server",
+        detail: "A folder stands for one document in several files. All problems are told together, \
+                 with file, line and column.",
+        options: &[valued(
+            "--as",
+            "document|entry|control",
+            "what the files hold",
+            "guessed from their keys",
+        )],
+        examples: &[
+            (
+                "yuccahold check examples/massfenster.yaml",
+                "check a document",
+            ),
+            ("yuccahold check /etc/yuccahold/*.yaml", "check settings"),
+        ],
+    },
+    Spec {
+        name: "apply",
+        arguments: "FILE|FOLDER",
+        count: (1, 1),
+        summary: "Put a document in force",
+        detail: "Shows the difference and what the cell will do, then asks. Fails with code 5, and \
+                 shows the other operator's change, if the document was changed meanwhile.",
+        options: &[
+            valued(
+                "--revision",
+                "N",
+                "revision the file was made from; refused if another is in force",
+                "the one in force",
+            ),
+            YES,
+        ],
+        examples: &[
+            ("yuccahold apply cell.yaml", "show the difference and ask"),
+            ("yuccahold apply --yes cell/", "apply from a script"),
+        ],
+    },
+    Spec {
+        name: "show",
+        arguments: "",
+        count: (0, 0),
+        summary: "Print the document in force",
+        detail: "",
+        options: &[valued(
+            "--revision",
+            "N",
+            "an earlier one",
+            "the one in force",
+        )],
+        examples: &[(
+            "yuccahold show > cell.yaml",
+            "take the document into version control",
+        )],
+    },
+    Spec {
+        name: "history",
+        arguments: "",
+        count: (0, 0),
+        summary: "List accepted documents with who and when",
+        detail: "",
+        options: &[],
+        examples: &[("yuccahold history", "list them, the latest first")],
+    },
+    Spec {
+        name: "rollback",
+        arguments: "N",
+        count: (1, 1),
+        summary: "Put an earlier document in force again, as a new revision",
+        detail: "",
+        options: &[YES],
+        examples: &[(
+            "yuccahold rollback 41",
+            "show the difference to revision 41 and ask",
+        )],
+    },
+    Spec {
+        name: "submit",
+        arguments: "KIND",
+        count: (1, 1),
+        summary: "Submit a job of a declared kind",
+        detail: "Sent again under the same key, it is accepted once.",
+        options: &[
+            valued("--name", "NAME", "name of the job", "made from the key"),
+            valued("--team", "TEAM", "team that is charged", "the kind's"),
+            valued("--tasks", "N", "number of tasks", "the kind's"),
+            valued("--payload", "TEXT", "opaque text handed to the worker", ""),
+            valued("--key", "KEY", "idempotency key", "drawn anew"),
+        ],
+        examples: &[(
+            "yuccahold submit cut-plan --name plan-0412 --key order-0412",
+            "submit tonight's plan; safe to repeat",
+        )],
+    },
+    Spec {
+        name: "status",
+        arguments: "[JOB]",
+        count: (0, 1),
+        summary: "Show the cell, or one job and why it waits",
+        detail: "With --watch and a job, ends when the job has ended: with code 0 if it is done, \
+                 with code 4 otherwise.",
+        options: &[switch("--watch", "go on and show changes")],
+        examples: &[
+            ("yuccahold status", "workers, jobs, entry hosts, replicas"),
+            (
+                "yuccahold status plan-0412 --watch",
+                "follow a job to its end",
+            ),
+        ],
+    },
+    Spec {
+        name: "cancel",
+        arguments: "JOB",
+        count: (1, 1),
+        summary: "Cancel a job; tasks that have not started never will",
+        detail: "",
+        options: &[],
+        examples: &[("yuccahold cancel plan-0412", "cancel it")],
+    },
+    Spec {
+        name: "drain",
+        arguments: "[WORKER]",
+        count: (0, 1),
+        summary: "Empty a worker, a rack or an availability zone",
+        detail: "Changes the document, as `apply` does.",
+        options: &[
+            valued(
+                "--zone",
+                "ZONE",
+                "availability zone to empty, or the rack's",
+                "",
+            ),
+            valued("--rack", "RACK", "rack to empty", ""),
+            valued(
+                "--within",
+                "TIME",
+                "time its tasks have to end or checkpoint",
+                "10 min",
+            ),
+            switch("--undo", "take the drain back"),
+            YES,
+        ],
+        examples: &[
+            ("yuccahold drain worker-17", "empty one worker"),
+            (
+                "yuccahold drain --zone olten --rack r3 --within '30 min'",
+                "empty a rack",
+            ),
+        ],
+    },
+    Spec {
+        name: "completions",
+        arguments: "bash|zsh|fish",
+        count: (1, 1),
+        summary: "Print a completion script for a shell",
+        detail: "",
+        options: &[],
+        examples: &[(
+            "yuccahold completions bash > ~/.local/share/bash-completion/completions/yuccahold",
+            "install it",
+        )],
+    },
+];
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -3,6 +3,7 @@
 mod diff;
 mod effects;
 mod model;
+mod parts;
 mod reference;
 mod schema;
 mod validate;
@@ -14,6 +15,7 @@
     Deadline, Document, Drain, DrainTarget, JobKind, Limits, Objective, ObjectiveTarget, Policy,
     QueuePriority, Route, Service, Team, Workload, Zone,
 };
+pub use parts::load_parts;
 pub use reference::reference;
 pub use schema::FORMAT;
 pub use validate::validate;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! in, effects come out. The daemons under `src/bin` and the command line only add I/O.
 //! This module lists what is public.
 
+pub mod cli;
 pub mod console;
 pub mod control;
 pub mod daemon;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,5 @@
-//! Thin daemon.
-fn main() {}
+//! The command line of yuccahold.
+
+fn main() -> std::process::ExitCode {
+    yuccahold::cli::main(std::env::args_os().skip(1)).into()
+}
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -15,8 +15,8 @@
 
 pub use describe::describe;
 pub use problems::{Finding, Problem, Problems};
-pub(crate) use read::{nearest, read_file};
-pub use read::{read, read_with};
+pub(crate) use read::{nearest, read_file, read_part};
+pub use read::{read, read_with, top_keys};
 pub use scalars::{
     Address, Addresses, Bytes, Choice, Chosen, Cores, Count, FilePath, Megabytes, Millipercent,
     Name, Names, OptionalAddress, OptionalName, OptionalPath, Part, Percent, Span, Text, Toggle,
--- a/src/schema/read.rs
+++ b/src/schema/read.rs
@@ -52,20 +52,54 @@
     text: &str,
     check: impl FnOnce(&T) -> Vec<Finding>,
 ) -> Result<T, Problems> {
+    read_from(name, text, Reader::default(), check)
+}
+
+/// Reads a part of a record, in which any top-level key may be missing.
+pub(crate) fn read_part<T: Record>(name: &str, text: &str) -> Result<T, Problems> {
+    let reader = Reader {
+        partial: true,
+        ..Reader::default()
+    };
+    read_from(name, text, reader, |_| Vec::new())
+}
+
+/// The keys of the mapping that a text holds; none if it holds no mapping.
+pub fn top_keys(text: &str) -> Vec<String> {
+    let root = load_bounded("", text).ok();
+    let Some(Value::Map(pairs)) = root.as_ref().map(|root| &root.value) else {
+        return Vec::new();
+    };
+    let keys = pairs.iter().filter_map(|(key, _)| match &key.value {
+        Value::Scalar(name) => Some(name.clone()),
+        _ => None,
+    });
+    keys.collect()
+}
+
+fn load_bounded(name: &str, text: &str) -> Result<Rc<Node>, Problems> {
     if text.len() > MAX_BYTES {
         let message = format!("{} bytes are over the limit of {MAX_BYTES}", text.len());
         return Err(Problems::whole(name, message, None));
     }
-    let root = match yaml::load(text) {
-        Ok(Some(root)) => root,
-        Ok(None) => return Err(Problems::whole(name, "the text is empty", None)),
+    match yaml::load(text) {
+        Ok(Some(root)) => Ok(root),
+        Ok(None) => Err(Problems::whole(name, "the text is empty", None)),
         Err(e) => {
             let found = Found::at(e.at, e.at, e.message);
-            return Err(problems(name, text, vec![found]));
+            Err(problems(name, text, vec![found]))
         }
-    };
+    }
+}
+
+fn read_from<T: Record>(
+    name: &str,
+    text: &str,
+    mut reader: Reader,
+    check: impl FnOnce(&T) -> Vec<Finding>,
+) -> Result<T, Problems> {
+    let root = load_bounded(name, text)?;
     let mut record = T::initial();
-    let mut reader = Reader::default();
     reader.fill(&root, &mut record);
     let well_formed = reader.found.is_empty();
     let findings = check(&record);
@@ -169,6 +203,8 @@
     doubtful: Vec<String>,
     path: Vec<String>,
     stack: Vec<Frame>,
+    /// Whether keys at the root may be missing.
+    partial: bool,
 }
 
 /// The mapping being read.
@@ -243,7 +279,7 @@
                 None
             }
             Some((_, value)) => Some(Rc::clone(value)),
-            None if field.required => {
+            None if field.required && !(self.partial && self.path.is_empty()) => {
                 let message = format!("`{}` is missing: {}", field.key, field.doc);
                 self.found.push(Found::at(node.at, node.at, message));
                 self.doubt(field.key);
