Leases of workers and entry hosts under failure

Cause: the leader's lease rules had no test, and a poll that was overtaken by a later one was believed although its list of runs was out of date. Change: a leader notes the number of each worker's latest poll and gives an earlier one neither lease nor tasks.

--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -41,6 +41,8 @@
     pub(super) wakers: BTreeMap<WorkerNumber, watch::Sender<()>>,
     /// Orders to stop in the latest answer to each worker.
     pub(super) told: BTreeMap<WorkerNumber, Vec<StopRun>>,
+    /// Number of the latest poll seen of each worker's process.
+    pub(super) sequences: BTreeMap<WorkerNumber, u64>,
     /// Document revision that each entry host reports, and when it did.
     pub(super) in_force: BTreeMap<EntryId, (Revision, Timestamp)>,
     /// When the entry hosts' shares of minions were last compared.
@@ -126,6 +128,7 @@
                 lead.workers.forget(worker);
                 lead.unsent.remove(worker);
                 lead.told.remove(worker);
+                lead.sequences.remove(worker);
             }
             Command::EntryDown { entry, .. } => {
                 lead.entries.forget(entry);
@@ -205,6 +208,7 @@
             unsent: BTreeMap::new(),
             wakers: BTreeMap::new(),
             told: BTreeMap::new(),
+            sequences: BTreeMap::new(),
             in_force: BTreeMap::new(),
             balanced: now,
         }
--- a/src/control/polls.rs
+++ b/src/control/polls.rs
@@ -48,6 +48,10 @@
         let Some(lead) = &mut self.lead else {
             return refuse_lease();
         };
+        if record.process == poll.process && !lead.is_latest(number, poll.sequence) {
+            // A later poll of this process came first: this one's list of runs is out of date.
+            return refuse_lease();
+        }
         if record.process != poll.process || !lead.workers.renew(&number, poll.process, now, lease)
         {
             // An earlier process may still run tasks under its lease, or this one's lease is
@@ -168,6 +172,13 @@
 }
 
 impl<P: Placer> Lead<P> {
+    /// Whether no later poll was seen, and notes this one.
+    fn is_latest(&mut self, number: WorkerNumber, sequence: u64) -> bool {
+        let latest = self.sequences.entry(number).or_default();
+        *latest = sequence.max(*latest);
+        *latest == sequence
+    }
+
     fn take_usage(&mut self, clock: Timestamp, poll: &WorkerPoll) {
         for usage in &poll.usage {
             let used = Resources {
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,357 @@
+//! A leader's leases over workers and entry hosts: who may run what, and from when.
+
+use std::time::Duration;
+
+use yuccahold::control::{Command, ENTRY_LEASE, Machine, Patience, PollStep, RenewStep};
+use yuccahold::document::{Document, JobKind};
+use yuccahold::lease::grantor_span;
+use yuccahold::placement::FirstFit;
+use yuccahold::replication::StateMachine;
+use yuccahold::resources::Resources;
+use yuccahold::state::Reply;
+use yuccahold::wire::{
+    EndedRun, EntryHello, EntryReport, JobPhase, JobSubmission, StopKind, WorkerPoll, WorkerTasks,
+};
+use yuccahold::workload::{RunEnd, TaskId, TaskRun, WorkerSpec};
+
+const LEASE: Duration = Duration::from_secs(10);
+const UNIX: Duration = Duration::from_secs(1_700_000_000);
+
+/// One leader with its log; every command is agreed at once.
+struct Leader {
+    machine: Machine<FirstFit>,
+    now: Duration,
+    index: u64,
+}
+
+impl Leader {
+    fn new() -> Self {
+        let mut leader = Self {
+            machine: Machine::new(FirstFit::new),
+            now: Duration::from_secs(100),
+            index: 0,
+        };
+        leader.machine.leadership_changed(true, leader.now);
+        let mut document = Document::default();
+        document.policy.lease = LEASE;
+        for (name, idempotent) in [("plan", false), ("sum", true)] {
+            let kind = JobKind {
+                tasks: 1,
+                need: Resources::new(4, 1_000, 0),
+                idempotent,
+                max_attempts: 5,
+                ..JobKind::default()
+            };
+            document.kinds.insert(name.into(), kind);
+        }
+        leader.apply(Command::PutDocument {
+            base: 0,
+            document: document.into(),
+            who: "ana".into(),
+            key: None,
+        });
+        leader
+    }
+
+    fn apply(&mut self, command: Command) -> Reply {
+        self.index += 1;
+        let bytes = command.to_bytes().unwrap();
+        self.machine.apply(self.index, UNIX + self.now, &bytes)
+    }
+
+    /// Lets time pass and agrees on what the leader wants until it wants nothing more.
+    fn pass(&mut self, span: Duration) {
+        self.now += span;
+        loop {
+            let commands = self.machine.lead(self.now);
+            if commands.is_empty() {
+                return;
+            }
+            for command in commands {
+                self.index += 1;
+                self.machine.apply(self.index, UNIX + self.now, &command);
+            }
+        }
+    }
+
+    fn submit(&mut self, name: &str, kind: &str) {
+        self.apply(Command::SubmitJob {
+            submission: JobSubmission {
+                name: Some(name.into()),
+                kind: kind.into(),
+                ..JobSubmission::default()
+            },
+            who: "caller".into(),
+        });
+        self.pass(Duration::ZERO);
+    }
+
+    /// Answers a poll as the calls do, agreeing on what it needs.
+    fn poll(&mut self, poll: &WorkerPoll) -> WorkerTasks {
+        loop {
+            match self
+                .machine
+                .poll_worker(self.now, poll, Patience::AnswerNow)
+            {
+                PollStep::Answer(tasks) => return tasks,
+                PollStep::Propose(commands) => {
+                    for command in commands {
+                        self.apply(command);
+                    }
+                    self.pass(Duration::ZERO);
+                }
+                PollStep::Hold(_) => panic!("held back though it must answer now"),
+            }
+        }
+    }
+
+    fn phase(&self, job: &str) -> JobPhase {
+        self.machine.cell().view_job(&job.into()).unwrap().phase
+    }
+}
+
+fn worker(id: &str, process: u64) -> WorkerPoll {
+    WorkerPoll {
+        worker: WorkerSpec {
+            id: id.into(),
+            zone: "olten".into(),
+            rack: "r1".into(),
+            capacity: Resources::new(4, 4_000, 0),
+            accelerator: None,
+        },
+        process,
+        sequence: 1,
+        running: Vec::new(),
+        ended: Vec::new(),
+        usage: Vec::new(),
+        wait: Duration::ZERO,
+        leaving: false,
+    }
+}
+
+fn run(job: &str, attempt: u32) -> TaskRun {
+    let task = TaskId {
+        job: job.into(),
+        index: 0,
+    };
+    TaskRun { task, attempt }
+}
+
+fn starts(tasks: &WorkerTasks) -> Vec<TaskRun> {
+    tasks
+        .assigned
+        .iter()
+        .map(|assigned| assigned.run.clone())
+        .collect()
+}
+
+fn over() -> Duration {
+    grantor_span(LEASE) + Duration::from_millis(1)
+}
+
+#[test]
+fn a_start_whose_answer_is_lost_is_told_again() {
+    // The worker asks, control answers with a start, the answer is lost. The worker asks again
+    // and is told of the same start, under the same attempt.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "plan");
+    let first = starts(&leader.poll(&worker("w", 1)));
+    assert_eq!(first, [run("a", 1)]);
+    assert_eq!(starts(&leader.poll(&worker("w", 1))), first);
+}
+
+#[test]
+fn a_lease_that_ends_races_a_finish() {
+    // A worker finishes a plan while its lease runs out. Its report comes too late: the plan's
+    // outcome is unknown by then. The worker joins again, and its word settles the outcome.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "plan");
+    leader.poll(&worker("w", 1));
+    leader.pass(over());
+    assert_eq!(leader.phase("a"), JobPhase::Unknown);
+    let mut late = worker("w", 1);
+    late.ended = vec![EndedRun {
+        run: run("a", 1),
+        end: RunEnd::Done,
+    }];
+    let answer = leader.poll(&late);
+    assert_eq!(answer.acknowledged, [run("a", 1)]);
+    assert_eq!(leader.phase("a"), JobPhase::Done);
+}
+
+#[test]
+fn a_plan_that_was_never_told_of_waits_again() {
+    // A start is agreed, but the worker never asks again before its lease ends. No answer named
+    // the start, so it is proved not to have run and may go to another worker.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "plan");
+    leader.pass(over());
+    assert_eq!(leader.phase("a"), JobPhase::Running);
+    let tasks = leader.poll(&worker("v", 1));
+    assert_eq!(starts(&tasks), [run("a", 2)]);
+}
+
+#[test]
+fn a_worker_back_after_its_lease_stops_what_others_run_now() {
+    // A worker is cut off for longer than its lease; its task starts elsewhere. When it comes
+    // back it still lists the run: it is told to stop it and starts nothing of the old.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "sum");
+    assert_eq!(starts(&leader.poll(&worker("w", 1))), [run("a", 1)]);
+    leader.pass(over());
+    assert_eq!(starts(&leader.poll(&worker("v", 1))), [run("a", 2)]);
+    let mut back = worker("w", 1);
+    back.running = vec![run("a", 1)];
+    let answer = leader.poll(&back);
+    assert_eq!(starts(&answer), []);
+    let stops: Vec<_> = answer.stop.iter().map(|s| (s.run.clone(), s.how)).collect();
+    assert_eq!(stops, [(run("a", 1), StopKind::Stop)]);
+}
+
+#[test]
+fn a_new_leader_honours_the_grants_of_the_old() {
+    // Control changes its leader just after a grant. The new leader has never heard the worker;
+    // it must wait one full lease from its own beginning before it gives the task to another.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "sum");
+    leader.poll(&worker("w", 1));
+    leader.machine.leadership_changed(false, leader.now);
+    leader.now += LEASE / 2;
+    leader.machine.leadership_changed(true, leader.now);
+    leader.poll(&worker("v", 1));
+    leader.pass(LEASE - Duration::from_millis(1));
+    assert_eq!(starts(&leader.poll(&worker("v", 1))), []);
+    leader.pass(over() - LEASE);
+    leader.poll(&worker("v", 1));
+    leader.pass(Duration::from_millis(2));
+    assert_eq!(starts(&leader.poll(&worker("v", 1))), [run("a", 2)]);
+}
+
+#[test]
+fn a_pause_of_control_over_a_lease_grants_nothing_late() {
+    // Control is paused past the end of a worker's lease. When it wakes, the worker's poll waits
+    // in its queue. The lease is declared over first; the poll then joins anew without the run.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "plan");
+    leader.poll(&worker("w", 1));
+    leader.pass(over());
+    let mut poll = worker("w", 1);
+    poll.running = vec![run("a", 1)];
+    let answer = leader.poll(&poll);
+    assert_eq!((starts(&answer), answer.stop.len()), (vec![], 1));
+}
+
+#[test]
+fn a_restarted_worker_waits_for_its_predecessors_lease() {
+    // A second process announces itself under the name of a worker that may only be paused. It
+    // gets no lease and no task until the first one's lease has ended.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "sum");
+    leader.poll(&worker("w", 1));
+    let refused = leader.poll(&worker("w", 2));
+    assert_eq!(refused, WorkerTasks::default());
+    leader.pass(over());
+    let tasks = leader.poll(&worker("w", 2));
+    assert_eq!((starts(&tasks), tasks.lease), (vec![run("a", 2)], LEASE));
+}
+
+#[test]
+fn a_cancelled_start_is_told_with_its_stop() {
+    // A job is cancelled between its start in the log and the worker's poll. The worker is told
+    // both at once, and its word that nothing began ends the run.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "plan");
+    leader.apply(Command::CancelJob {
+        job: "a".into(),
+        who: "ana".into(),
+    });
+    let answer = leader.poll(&worker("w", 1));
+    assert_eq!(answer.stop.len(), 1);
+    let mut told = worker("w", 1);
+    told.ended = vec![EndedRun {
+        run: run("a", 1),
+        end: RunEnd::NeverStarted,
+    }];
+    leader.poll(&told);
+    assert_eq!(leader.phase("a"), JobPhase::Cancelled);
+}
+
+#[test]
+fn a_worker_that_leaves_goes_only_when_it_is_empty() {
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "sum");
+    leader.poll(&worker("w", 1));
+    let mut leaving = worker("w", 1);
+    leaving.leaving = true;
+    leaving.running = vec![run("a", 1)];
+    leader.poll(&leaving);
+    assert_eq!(leader.machine.cell().workers.len(), 1);
+    leaving.running.clear();
+    leaving.ended = vec![EndedRun {
+        run: run("a", 1),
+        end: RunEnd::Done,
+    }];
+    leader.poll(&leaving);
+    assert_eq!(leader.machine.cell().workers.len(), 0);
+    assert_eq!(leader.phase("a"), JobPhase::Done);
+}
+
+#[test]
+fn an_overtaken_poll_is_not_believed() {
+    // A worker's first poll is delayed on its way. Its second one reports a run; then the first
+    // arrives with a list from before. It gets neither lease nor tasks.
+    let mut leader = Leader::new();
+    let mut later = worker("w", 1);
+    later.sequence = 2;
+    leader.poll(&later);
+    assert_eq!(leader.poll(&worker("w", 1)), WorkerTasks::default());
+}
+
+fn hello(process: u64) -> EntryHello {
+    EntryHello {
+        entry: "e".into(),
+        process,
+        zone: "olten".into(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        in_force: 0,
+    }
+}
+
+fn renew(leader: &mut Leader, process: u64) -> Option<Duration> {
+    loop {
+        let report = EntryReport::default();
+        match leader
+            .machine
+            .renew_entry(leader.now, &hello(process), &report)
+        {
+            RenewStep::Granted(ttl) => return Some(ttl),
+            RenewStep::Held => return None,
+            RenewStep::Propose(commands) => {
+                for command in commands {
+                    leader.apply(command);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_restarted_entry_host_waits_for_its_predecessors_lease() {
+    // The old process may be paused with requests in flight at its minions. The new one gets no
+    // lease, and so sends nothing to them, until the old one's has ended.
+    let mut leader = Leader::new();
+    assert_eq!(renew(&mut leader, 1), Some(ENTRY_LEASE));
+    assert_eq!(renew(&mut leader, 2), None);
+    leader.pass(grantor_span(ENTRY_LEASE) + Duration::from_millis(1));
+    assert_eq!(renew(&mut leader, 1), Some(ENTRY_LEASE));
+    assert_eq!(renew(&mut leader, 2), None);
+}
