Entry host: routing as a pure machine, the daemon around it, a stand-in minion

Cause: nothing took callers' requests, announcements or polls. Change: `routing` decides (own slots under a lease, peers with room, bounded queues by priority and team, early refusal, retries under a budget, hedging, held slots for requests given up, ejection with trial). `entry` carries it out: HTTP by warp and reqwest, peers over one multiplexed connection with credit, the link to control with resend rules, keys claimed and settled in the replicated state. `stand_in::minion` counts what ran and its highest concurrency and connections. Conclusion: requests go through two entry hosts in one process with the same key run once, a dead owner replaced and a planned stop that loses nothing.

--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,24 @@
+//! The traffic daemon: takes callers' HTTP, owns some minions, forwards to peers, and passes
+//! announcements, worker polls and jobs to control.
+
+mod access;
+mod announce;
+mod callers;
+mod control;
+mod core;
+mod daemon;
+mod http;
+mod jobs;
+mod keys;
+mod link;
+mod link_connection;
+mod minion_client;
+mod peer_dialer;
+mod peer_message;
+mod peer_server;
+mod reply;
+mod work;
+
+pub use daemon::{Entry, EntryHandle};
+pub use link::{ControlLink, RemoteLink};
+pub use reply::Outcome;
--- /dev/null
+++ b/src/routing/limits.rs
@@ -0,0 +1,70 @@
+//! Limits on a team's quick requests: this entry host's share of the cell's limit.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::document::Limits;
+use crate::ids::{TeamName, Timestamp};
+
+/// Span over which unused requests a second add up.
+const BURST_SECONDS: f64 = 0.5;
+
+#[derive(Clone, Debug)]
+struct Usage {
+    tokens: f64,
+    at: Timestamp,
+    in_work: u32,
+}
+
+/// Usage of each team here, against an equal share of the cell's limit for each live entry host.
+#[derive(Clone, Debug, Default)]
+pub struct TeamLimits {
+    teams: HashMap<TeamName, Usage>,
+}
+
+impl TeamLimits {
+    /// Takes one request in, or says when to come back.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        team: &TeamName,
+        limits: &Limits,
+        entries: u32,
+    ) -> Result<(), Duration> {
+        let entries = entries.max(1);
+        let rate = f64::from(limits.requests_per_second) / f64::from(entries);
+        let burst = (rate * BURST_SECONDS).max(1.0);
+        let usage = self.teams.entry(team.clone()).or_insert(Usage {
+            tokens: burst,
+            at: now,
+            in_work: 0,
+        });
+        if limits.concurrent > 0 && usage.in_work >= limits.concurrent.div_ceil(entries) {
+            return Err(Duration::from_secs(1));
+        }
+        if limits.requests_per_second > 0 {
+            let passed = now.saturating_sub(usage.at).as_secs_f64();
+            usage.tokens = (usage.tokens + passed * rate).min(burst);
+            usage.at = now;
+            if usage.tokens < 1.0 {
+                return Err(Duration::from_secs_f64((1.0 - usage.tokens) / rate));
+            }
+            usage.tokens -= 1.0;
+        }
+        usage.in_work += 1;
+        Ok(())
+    }
+
+    /// Ends one request that was taken in.
+    pub fn finish(&mut self, team: &TeamName) {
+        if let Some(usage) = self.teams.get_mut(team) {
+            usage.in_work = usage.in_work.saturating_sub(1);
+        }
+    }
+
+    /// Forgets teams that are gone from the document and idle.
+    pub fn retain(&mut self, known: impl Fn(&TeamName) -> bool) {
+        self.teams
+            .retain(|team, usage| usage.in_work > 0 || known(team));
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,31 @@
+//! Routing of quick requests: which minion works on which request, and when to queue, refuse,
+//! retry, hedge or give up. Pure state machines; the daemon under `entry` carries out effects.
+
+mod budget;
+mod choice;
+mod latency;
+mod lease;
+mod limits;
+mod minion;
+mod minions;
+mod model;
+mod peers;
+mod queue;
+mod router;
+mod status;
+mod verdicts;
+
+pub use budget::RetryBudget;
+pub use choice::{Candidate, Choose, LeastBusy, RandomChoice, TwoChoice};
+pub use latency::Latency;
+pub use lease::Lease;
+pub use limits::TeamLimits;
+pub use minion::{Health, Minion};
+pub use model::{
+    AttemptEnd, AttemptId, Effect, Event, Origin, Request, RequestId, RouteError, ServiceLoad,
+    SlotReport, Target,
+};
+pub use peers::Peers;
+pub use queue::Queue;
+pub use router::{Router, RouterConfig};
+pub use status::{MinionStatus, RoutingStatus, ServiceStatus};
--- /dev/null
+++ b/src/stand_in/minion_state.rs
@@ -0,0 +1,206 @@
+//! What a stand-in minion has in work and what it has run.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::StatusCode;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+/// How a stand-in minion works.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MinionBehaviour {
+    /// Least service time.
+    pub service_time: Duration,
+    /// Greatest random addition.
+    pub jitter: Duration,
+    /// Share of requests answered with status 500, in percent.
+    pub fail_percent: u8,
+    /// Share of requests that take `hang` instead of the service time, in percent.
+    pub hang_percent: u8,
+    /// Service time of a request that hangs.
+    pub hang: Duration,
+    /// Bytes added to each answer.
+    pub answer_bytes: usize,
+    /// Whether `GET /slots` tells what is in work.
+    pub reports_slots: bool,
+    /// Whether requests of an older owner than one seen are refused.
+    pub fences: bool,
+}
+
+impl Default for MinionBehaviour {
+    fn default() -> Self {
+        Self {
+            service_time: Duration::from_millis(5),
+            jitter: Duration::ZERO,
+            fail_percent: 0,
+            hang_percent: 0,
+            hang: Duration::from_secs(3600),
+            answer_bytes: 0,
+            reports_slots: true,
+            fences: false,
+        }
+    }
+}
+
+/// What a stand-in minion counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MinionCounts {
+    /// Requests begun, by key.
+    pub by_key: BTreeMap<String, u32>,
+    /// Requests begun.
+    pub begun: u64,
+    /// Requests in work now.
+    pub in_work: u32,
+    /// Most requests in work at once.
+    pub highest_in_work: u32,
+    /// Connections open now.
+    pub connections: u32,
+    /// Most connections open at once.
+    pub highest_connections: u32,
+    /// Requests of an older owner refused.
+    pub fenced: u64,
+}
+
+impl MinionCounts {
+    /// Keys that ran more than once.
+    pub fn doubled(&self) -> Vec<&str> {
+        let doubled = self.by_key.iter().filter(|(_, n)| **n > 1);
+        doubled.map(|(key, _)| key.as_str()).collect()
+    }
+}
+
+struct Inner {
+    behaviour: MinionBehaviour,
+    counts: MinionCounts,
+    highest_epoch: u64,
+    rng: ChaCha8Rng,
+}
+
+/// State shared by the connections of one stand-in minion.
+pub(super) struct MinionState {
+    inner: Arc<Mutex<Inner>>,
+}
+
+/// How one request is worked on.
+pub(super) struct Plan {
+    pub(super) work: Counted,
+    pub(super) time: Duration,
+    pub(super) status: StatusCode,
+    pub(super) answer_bytes: usize,
+}
+
+/// One request in work or one open connection, until it is dropped.
+pub(super) struct Counted {
+    inner: Arc<Mutex<Inner>>,
+    count: fn(&mut MinionCounts) -> &mut u32,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let mut inner = lock(&self.inner);
+        *(self.count)(&mut inner.counts) -= 1;
+    }
+}
+
+impl MinionState {
+    pub(super) fn new(behaviour: MinionBehaviour, seed: u64) -> Self {
+        let inner = Inner {
+            behaviour,
+            counts: MinionCounts::default(),
+            highest_epoch: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    pub(super) fn set_behaviour(&self, behaviour: MinionBehaviour) {
+        lock(&self.inner).behaviour = behaviour;
+    }
+
+    pub(super) fn counts(&self) -> MinionCounts {
+        lock(&self.inner).counts.clone()
+    }
+
+    pub(super) fn in_work(&self) -> u32 {
+        lock(&self.inner).counts.in_work
+    }
+
+    pub(super) fn reports_slots(&self) -> bool {
+        lock(&self.inner).behaviour.reports_slots
+    }
+
+    /// Takes in the ownership a request came under; false when a newer one was seen.
+    pub(super) fn accepts_epoch(&self, epoch: Option<u64>) -> bool {
+        let mut inner = lock(&self.inner);
+        let Some(epoch) = epoch else {
+            return true;
+        };
+        if inner.behaviour.fences && epoch < inner.highest_epoch {
+            inner.counts.fenced += 1;
+            return false;
+        }
+        inner.highest_epoch = inner.highest_epoch.max(epoch);
+        true
+    }
+
+    pub(super) fn connected(&self) -> Counted {
+        let mut inner = lock(&self.inner);
+        let counts = &mut inner.counts;
+        counts.connections += 1;
+        counts.highest_connections = counts.highest_connections.max(counts.connections);
+        self.counted(|counts| &mut counts.connections)
+    }
+
+    /// Begins one request.
+    pub(super) fn begin(&self, key: &str) -> Plan {
+        let mut inner = lock(&self.inner);
+        let counts = &mut inner.counts;
+        *counts.by_key.entry(key.to_owned()).or_default() += 1;
+        counts.begun += 1;
+        counts.in_work += 1;
+        counts.highest_in_work = counts.highest_in_work.max(counts.in_work);
+        let (time, status) = inner.draw();
+        Plan {
+            work: self.counted(|counts| &mut counts.in_work),
+            time,
+            status,
+            answer_bytes: inner.behaviour.answer_bytes,
+        }
+    }
+
+    fn counted(&self, count: fn(&mut MinionCounts) -> &mut u32) -> Counted {
+        Counted {
+            inner: self.inner.clone(),
+            count,
+        }
+    }
+}
+
+impl Inner {
+    fn draw(&mut self) -> (Duration, StatusCode) {
+        let behaviour = &self.behaviour;
+        let hangs = self.rng.random_range(0..100) < behaviour.hang_percent;
+        let fails = self.rng.random_range(0..100) < behaviour.fail_percent;
+        let extra = behaviour.jitter.mul_f64(self.rng.random());
+        let time = if hangs {
+            behaviour.hang
+        } else {
+            behaviour.service_time + extra
+        };
+        let status = if fails {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
+        (time, status)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -329,6 +329,7 @@
 
 /// A job as a caller submits it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct JobSubmission {
     /// Name; made from the key when absent.
     pub name: Option<JobName>,
