yuccahold dev: a whole cell in one process, with a demonstration

Cause: nothing showed the whole path to someone who has only a checkout. Change: `yuccahold dev` starts one replica, one entry host and stand-ins for 50 workers and 50 minions over the real interfaces; `--demo` drives requests and every batch kind of both examples for ten seconds and ends with a summary and an exit code. Both daemons share one command line, logger and signals.

--- a/src/bin/control.rs
+++ b/src/bin/control.rs
@@ -46,7 +46,7 @@
     let cfg = match settings::load_control(&args.settings) {
         Ok(cfg) => cfg,
         Err(problems) => {
-            eprint!("{problems:?}");
+            eprintln!("{:?}", miette::Report::new(problems));
             return ExitCode::Invalid;
         }
     };
--- a/src/bin/entry.rs
+++ b/src/bin/entry.rs
@@ -1,85 +1,65 @@
-//! The traffic daemon of an entry host: `yuccahold-entry SETTINGS`.
+//! The traffic daemon of an entry host.
 
-use std::path::PathBuf;
+use std::process::ExitCode as ProcessExitCode;
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use slog::{Logger, error};
+use yuccahold::daemon::{self, DaemonArgs, Program, fail, stop_signals};
 use yuccahold::entry::Entry;
-use yuccahold::telemetry::{LogFormat, logger};
 use yuccahold::wire::CellKeys;
-use yuccahold::{Error, ExitCode, Step, settings};
+use yuccahold::{ExitCode, settings};
 
-const USAGE: &str = "Usage: yuccahold-entry SETTINGS\n\nRuns the traffic daemon with the settings file SETTINGS (YAML).\n";
+const HELP: &str = "\
+The traffic daemon of a yuccahold entry host: callers' requests, minions and workers.
 
-fn main() -> std::process::ExitCode {
-    let path = match parse_args() {
-        Ok(Some(path)) => path,
-        Ok(None) => {
-            print!("{USAGE}");
-            return ExitCode::Success.into();
-        }
-        Err(e) => {
-            eprintln!("{e}\n\n{USAGE}");
-            return ExitCode::Usage.into();
-        }
-    };
-    let settings = match settings::load_entry(&path) {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("{:?}", miette::Report::new(e));
-            return ExitCode::Invalid.into();
-        }
-    };
-    match run(settings) {
-        Ok(()) => ExitCode::Success.into(),
-        Err(e) => {
-            eprintln!("{:?}", miette::Report::new(e));
-            ExitCode::GeneralError.into()
-        }
-    }
-}
+Usage: yuccahold-entry [OPTIONS] SETTINGS
 
-fn parse_args() -> Result<Option<PathBuf>, lexopt::Error> {
-    use lexopt::prelude::*;
-    let mut parser = lexopt::Parser::from_env();
-    let mut path = None;
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Short('h') | Long("help") => return Ok(None),
-            Value(value) if path.is_none() => path = Some(PathBuf::from(value)),
-            _ => return Err(arg.unexpected()),
-        }
-    }
-    path.map(Some)
-        .ok_or_else(|| "the settings file is missing".into())
-}
+Arguments:
+  SETTINGS              YAML file; examples/entry.yaml shows every key
 
-fn run(settings: settings::EntrySettings) -> yuccahold::Result<()> {
-    let keys = CellKeys::load(&settings.cell_key)?;
-    let (log, _guard) = logger("yuccahold-entry", LogFormat::Auto, slog::Level::Info);
-    let runtime = tokio::runtime::Runtime::new()
-        .map_err(|e| Error::caused(Step::Listen, "starting the runtime", e))?;
-    runtime.block_on(async move {
-        let mut term = listen(SignalKind::terminate())?;
-        let mut interrupt = listen(SignalKind::interrupt())?;
-        let entry = Entry::start(settings, keys, log.clone()).await?;
-        slog::info!(log, "ready to take connections"; "listen" => %entry.http_addr());
-        next(&mut term, &mut interrupt).await;
-        // A second signal ends the process at once, for operators who can't wait.
-        tokio::select! {
-            () = entry.stop() => {}
-            () = next(&mut term, &mut interrupt) => slog::warn!(log, "ended at once"),
-        }
-        Ok(())
-    })
-}
+Options:
+      --log-format FORMAT  auto, human or json [default: auto]
+      --log-level LEVEL    error, warning, info, debug or trace [default: info]
+  -h, --help               print this
+  -V, --version            print the version
 
-async fn next(term: &mut Signal, interrupt: &mut Signal) {
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+TERM or INT stops as planned: not ready first, then requests in flight end and the minions are
+handed over. A second one ends at once.
+Exit codes: 0 stopped as planned, 1 failed, 2 command line, 3 settings refused.
+
+Example:
+  yuccahold-entry /etc/yuccahold/entry.yaml
+";
+
+static PROGRAM: Program = Program {
+    name: "yuccahold-entry",
+    help: HELP,
+    forms_groups: false,
+};
+
+fn main() -> ProcessExitCode {
+    daemon::run(&PROGRAM, serve)
 }
 
-fn listen(kind: SignalKind) -> yuccahold::Result<Signal> {
-    signal(kind).map_err(|e| Error::caused(Step::Listen, "listening for signals", e))
+async fn serve(args: DaemonArgs, log: Logger) -> ExitCode {
+    let cfg = match settings::load_entry(&args.settings) {
+        Ok(cfg) => cfg,
+        Err(problems) => {
+            eprintln!("{:?}", miette::Report::new(problems));
+            return ExitCode::Invalid;
+        }
+    };
+    let keys = match CellKeys::load(&cfg.cell_key) {
+        Ok(keys) => keys,
+        Err(e) => return fail(&log, &e, ExitCode::Invalid),
+    };
+    let handle = match Entry::start(cfg, keys, log.clone()).await {
+        Ok(handle) => handle,
+        Err(e) => return fail(&log, &e, ExitCode::GeneralError),
+    };
+    if let Err(e) = stop_signals(&log).await {
+        error!(log, "signals cannot be received"; "error" => %e);
+        return ExitCode::GeneralError;
+    }
+    handle.stop().await;
+    ExitCode::Success
 }
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -54,6 +54,15 @@
 /// A command with its arguments.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
+    /// Runs a whole cell in one process.
+    Dev {
+        /// Document of the cell; an example when absent.
+        document: Option<PathBuf>,
+        /// Folder of the cell's files.
+        data: Option<PathBuf>,
+        /// Whether to drive a short load and end.
+        demo: bool,
+    },
     /// Checks files without a server.
     Check {
         /// Files, or folders with the parts of one document.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod completions;
 mod config;
+mod dev;
 mod documents;
 mod drains;
 mod files;
@@ -41,6 +42,10 @@
 }
 
 fn run(config: &Config) -> ExitCode {
+    // A cell needs all processors and ends by its own planned stop.
+    if matches!(config.command, Command::Dev { .. }) {
+        return dev::dev(config);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -61,6 +66,7 @@
 
 async fn command(config: &Config) -> Result<ExitCode, Failure> {
     match &config.command {
+        Command::Dev { .. } => Ok(dev::dev(config)),
         Command::Check { paths, kind } => check::check(config, paths, *kind),
         Command::Apply { path, base, yes } => documents::apply(config, path, *base, *yes).await,
         Command::Show { revision } => documents::show(config, *revision).await,
--- a/src/cli/parse.rs
+++ b/src/cli/parse.rs
@@ -185,6 +185,11 @@
         let first = || self.values.first().cloned().unwrap_or_default();
         let yes = self.switch("--yes");
         Ok(match self.spec.name {
+            "dev" => Command::Dev {
+                document: self.option("--document").map(PathBuf::from),
+                data: self.option("--data").map(PathBuf::from),
+                demo: self.switch("--demo"),
+            },
             "check" => Command::Check {
                 paths: self.values.iter().map(PathBuf::from).collect(),
                 kind: self.choice("--as", FILE_KINDS)?,
--- a/src/cli/specs.rs
+++ b/src/cli/specs.rs
@@ -77,6 +77,38 @@
 
 /// All commands, in the order of the help page.
 pub(crate) const SPECS: &[Spec] = &[
+    Spec {
+        name: "dev",
+        arguments: "",
+        count: (0, 0),
+        summary: "Run a whole cell in one process",
+        detail: "One control replica, one entry host, and stand-ins for 50 workers and 50 minions. \
+                 Prints where the console and the callers' address are, then a live line. With \
+                 --demo it drives a short mixed load on the cells of both examples, prints a \
+                 summary and ends, with code 4 if anything was lost, doubled or overfilled.",
+        options: &[
+            valued(
+                "--document",
+                "FILE",
+                "document of the cell",
+                "the example massfenster",
+            ),
+            valued(
+                "--data",
+                "FOLDER",
+                "folder of the cell's files",
+                "yuccahold-data",
+            ),
+            switch("--demo", "drive a short load, print a summary and end"),
+        ],
+        examples: &[
+            ("yuccahold dev --demo", "see both kinds of work go through"),
+            (
+                "yuccahold dev --document examples/torres.yaml",
+                "a cell to try things on",
+            ),
+        ],
+    },
     Spec {
         name: "check",
         arguments: "FILE...",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod console;
 pub mod control;
 pub mod daemon;
+pub mod dev;
 pub mod document;
 pub mod entry;
 pub mod error;
