Console: forms for every part of the document, jobs, tables, sign-in

Cause: operators need to see and change the cell without a shell, safely. Change: server-rendered pages whose forms come from the document's schema; the difference is shown before a change is accepted; a refused form keeps what was typed, and the slower of two operators sees the faster one's change. The control daemon serves it over its own operators' interface.

--- a/src/cli/documents.rs
+++ b/src/cli/documents.rs
@@ -1,16 +1,17 @@
 //! `apply`, `show`, `history`, `rollback`: the document in force and before.
 
 use std::path::Path;
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
-use serde_json::{Value, json};
+use serde_json::json;
 
 use super::client::{Client, Fetched, Put, fresh_key};
 use super::config::{Config, Format};
 use super::{Failure, files, output};
 use crate::ExitCode;
 use crate::document::{self, Document};
-use crate::ids::Revision;
+use crate::ids::{Revision, Timestamp};
+use crate::state::RevisionRow;
 
 pub(super) async fn apply(
     config: &Config,
@@ -44,16 +45,11 @@
 }
 
 pub(super) async fn history(config: &Config) -> Result<ExitCode, Failure> {
-    let rows = Client::new(config)?.get("/v1/history").await?;
-    output::result(config, &rows, || {
-        let row = |r: &Value| {
-            vec![
-                r["revision"].to_string(),
-                when(r["at_unix_ms"].as_u64().unwrap_or(0)),
-                r["who"].as_str().unwrap_or("?").to_owned(),
-            ]
-        };
-        let rows: Vec<_> = rows.as_array().into_iter().flatten().map(row).collect();
+    let answer = Client::new(config)?.get("/v1/history").await?;
+    let rows: Vec<RevisionRow> = serde_json::from_value(answer.clone()).unwrap_or_default();
+    output::result(config, &answer, || {
+        let cells = |r: &RevisionRow| vec![r.revision.to_string(), when(r.at), r.who.to_string()];
+        let rows: Vec<_> = rows.iter().map(cells).collect();
         output::table(&["revision", "when", "who"], &rows)
     });
     Ok(ExitCode::Success)
@@ -160,8 +156,7 @@
     Failure::new(ExitCode::GeneralError, message)
 }
 
-/// A point in time as people write it, in UTC.
-fn when(unix_ms: u64) -> String {
-    let at = SystemTime::UNIX_EPOCH + Duration::from_millis(unix_ms);
-    humantime::format_rfc3339_seconds(at).to_string()
+/// A point in time since the Unix epoch as people write it, in UTC.
+fn when(at: Timestamp) -> String {
+    humantime::format_rfc3339_seconds(SystemTime::UNIX_EPOCH + at).to_string()
 }
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -13,6 +13,7 @@
 use super::http::routes;
 use super::link::Link;
 use super::machine::Machine;
+use crate::console::Console;
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
 use crate::placement::Scheduler;
@@ -80,7 +81,10 @@
         log: log.new(o!("part" => "link")),
     });
     let (stopping, stopped) = watch::channel(false);
-    let server = serve_http(http_listener, routes(Arc::clone(&link), page), stopped);
+    let console = Console::load(Arc::clone(&link), cfg.operators.as_deref())
+        .map_err(|problems| Error::new(Step::Settings, problems.to_text()))?;
+    let routes = routes(Arc::clone(&link), console, page);
+    let server = serve_http(http_listener, routes, stopped);
     let link = tokio::spawn(link.serve(call_listener));
     info!(log, "control daemon started"; "http" => %http, "calls" => %calls_addr);
     Ok(ControlHandle {
--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -15,6 +15,7 @@
 use super::group::Group;
 use super::link::{Link, forward};
 use super::machine::Machine;
+use crate::console::{Console, ConsoleState};
 use crate::error::Error;
 use crate::placement::Placer;
 use crate::replication::Role;
@@ -43,6 +44,7 @@
 /// All routes of the daemon.
 pub(super) fn routes<G, P>(
     link: Arc<Link<G, P>>,
+    console: Console<Arc<Link<G, P>>>,
     page: MetricsPage,
 ) -> impl Filter<Extract = (Response<Bytes>,), Error = Rejection> + Clone + Send + Sync + 'static
 where
@@ -67,16 +69,22 @@
                   headers: HeaderMap,
                   body: Bytes| {
                 let link = Arc::clone(&link);
+                let console = console.clone();
                 let page = page.clone();
                 async move {
                     let call = call_from(&method, &path, &query, &headers, body);
-                    response(answer(&link, &page, call).await)
+                    response(answer(&link, &console, &page, call).await)
                 }
             },
         )
 }
 
-async fn answer<G, P>(link: &Link<G, P>, page: &MetricsPage, call: HttpCall) -> HttpAnswer
+async fn answer<G, P>(
+    link: &Link<G, P>,
+    console: &Console<Arc<Link<G, P>>>,
+    page: &MetricsPage,
+    call: HttpCall,
+) -> HttpAnswer
 where
     P: Placer + Send + 'static,
     G: Group<Machine<P>>,
@@ -85,7 +93,23 @@
         "/healthz/live" => text(200, "live\n"),
         "/healthz/ready" => readiness(link).await,
         "/metrics" => text(200, &page.render()),
-        _ => operate(link, call).await,
+        _ => console.answer(unix_now(), call).await,
+    }
+}
+
+/// Time for sessions of the console.
+fn unix_now() -> Duration {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default()
+}
+
+impl<G, P> ConsoleState for Arc<Link<G, P>>
+where
+    P: Placer + Send + 'static,
+    G: Group<Machine<P>>,
+{
+    async fn operate(&self, call: HttpCall) -> HttpAnswer {
+        operate(self, call).await
     }
 }
 
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -17,6 +17,7 @@
 pub use problems::{Finding, Problem, Problems};
 pub(crate) use read::{nearest, read_file, read_part};
 pub use read::{read, read_with, top_keys};
+pub(crate) use scalars::check_name;
 pub use scalars::{
     Address, Addresses, Bytes, Choice, Chosen, Cores, Count, FilePath, Megabytes, Millipercent,
     Name, Names, OptionalAddress, OptionalName, OptionalPath, Part, Percent, Span, Text, Toggle,
@@ -98,14 +99,15 @@
 pub trait Records {
     /// Whether the records have names.
     fn keyed(&self) -> bool;
-    /// Adds a record with its defaults and fills it in. The name is unused in a list.
+    /// Adds a record with its defaults and fills it in: under a name, or at a position of a
+    /// list, else at its end.
     fn add(&mut self, name: &str, fill: &mut dyn FnMut(&mut dyn Record));
     /// Shows each record with its name, or its position in a list.
     fn each(&mut self, show: &mut dyn FnMut(&str, &mut dyn Record));
     /// A record with its defaults.
     fn sample(&self) -> Box<dyn Record>;
-    /// Removes all records.
-    fn clear(&mut self);
+    /// Removes the record with a name, or at a position in a list. Tells whether there was one.
+    fn remove(&mut self, name: &str) -> bool;
 }
 
 /// Walks the fields of a record.
@@ -139,8 +141,8 @@
         Box::new(T::initial())
     }
 
-    fn clear(&mut self) {
-        BTreeMap::clear(self);
+    fn remove(&mut self, name: &str) -> bool {
+        BTreeMap::remove(self, name).is_some()
     }
 }
 
@@ -149,10 +151,11 @@
         false
     }
 
-    fn add(&mut self, _name: &str, fill: &mut dyn FnMut(&mut dyn Record)) {
+    fn add(&mut self, name: &str, fill: &mut dyn FnMut(&mut dyn Record)) {
         let mut record = T::initial();
         fill(&mut record);
-        self.push(record);
+        let at = name.parse().unwrap_or(self.len());
+        self.insert(at.min(self.len()), record);
     }
 
     fn each(&mut self, show: &mut dyn FnMut(&str, &mut dyn Record)) {
@@ -165,7 +168,8 @@
         Box::new(T::initial())
     }
 
-    fn clear(&mut self) {
-        Vec::clear(self);
+    fn remove(&mut self, name: &str) -> bool {
+        let found = name.parse().ok().filter(|i| *i < self.len());
+        found.map(|i: usize| Vec::remove(self, i)).is_some()
     }
 }
