--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -2,12 +2,15 @@
 
 use std::path::PathBuf;
 
+use crate::console::Role;
 use crate::document::Drain;
-use crate::ids::Revision;
+use crate::ids::{Revision, TeamName};
+use crate::load::LoadOptions;
+use crate::stand_in::{MinionOptions, WorkerOptions};
 use crate::wire::JobSubmission;
 
 /// Everything one run of the program needs to know.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// What to do.
     pub command: Command,
@@ -51,8 +54,19 @@
     Fish,
 }
 
-/// A command with its arguments.
+/// An operator who is to get a token.
 #[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewOperator {
+    /// Name to sign in under.
+    pub name: crate::console::OperatorName,
+    /// What the operator may do.
+    pub role: Role,
+    /// Teams that `operate` extends to.
+    pub teams: Vec<TeamName>,
+}
+
+/// A command with its arguments.
+#[derive(Clone, Debug)]
 pub enum Command {
     /// Runs a whole cell in one process.
     Dev {
@@ -119,6 +133,30 @@
         /// Whether to go on without asking.
         yes: bool,
     },
+    /// Makes a token for an operator.
+    Token {
+        /// The operator.
+        operator: NewOperator,
+    },
+    /// Puts load on entry hosts and measures.
+    Load {
+        /// What load.
+        options: Box<LoadOptions>,
+        /// File for the report as a page with plots.
+        html: Option<PathBuf>,
+        /// Earlier report as JSON to compare with.
+        against: Option<PathBuf>,
+    },
+    /// Runs a stand-in minion until it is interrupted.
+    StandInMinion {
+        /// What it is.
+        options: Box<MinionOptions>,
+    },
+    /// Runs a stand-in worker until it is interrupted.
+    StandInWorker {
+        /// What it is.
+        options: Box<WorkerOptions>,
+    },
     /// Prints a completion script.
     Completions {
         /// For which shell.
--- a/src/cli/jobs.rs
+++ b/src/cli/jobs.rs
@@ -128,7 +128,7 @@
                 v.name.to_string(),
                 v.kind.to_string(),
                 v.team.to_string(),
-                phase(v.phase).to_owned(),
+                v.phase.word().to_owned(),
                 format!("{}/{}", v.done, v.tasks),
                 v.reason,
             ]
@@ -148,7 +148,7 @@
     let mut out = format!(
         "{}: {} ({}, team {})\n  {}: {} waiting, {} running, {} done, {} failed, {} unknown; {} starts\n",
         v.name,
-        phase(v.phase),
+        v.phase.word(),
         v.kind,
         v.team,
         tasks(v.tasks),
@@ -171,17 +171,6 @@
     out
 }
 
-fn phase(phase: JobPhase) -> &'static str {
-    match phase {
-        JobPhase::Waiting => "waiting",
-        JobPhase::Running => "running",
-        JobPhase::Done => "done",
-        JobPhase::Failed => "failed",
-        JobPhase::Cancelled => "cancelled",
-        JobPhase::Unknown => "unknown",
-    }
-}
-
 fn tasks(n: u32) -> String {
     let plural = if n == 1 { "" } else { "s" };
     format!("{n} task{plural}")
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,7 +12,9 @@
 mod jobs;
 mod output;
 mod parse;
+mod parse_tools;
 mod specs;
+mod tools;
 
 use std::ffi::OsString;
 
@@ -46,7 +48,12 @@
     if matches!(config.command, Command::Dev { .. }) {
         return dev::dev(config);
     }
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    let mut builder = match config.command {
+        // The load tool needs threads beside the one that waits.
+        Command::Load { .. } => tokio::runtime::Builder::new_multi_thread(),
+        _ => tokio::runtime::Builder::new_current_thread(),
+    };
+    let runtime = builder
         .enable_all()
         .build()
         .map_err(|e| Error::caused(Step::Listen, "starting the runtime", e));
@@ -76,6 +83,14 @@
         Command::Status { job, watch } => jobs::status(config, job.as_deref(), *watch).await,
         Command::Cancel { job } => jobs::cancel(config, job).await,
         Command::Drain { drain, undo, yes } => drains::drain(config, drain, *undo, *yes).await,
+        Command::Token { operator } => tools::token(config, operator),
+        Command::Load {
+            options,
+            html,
+            against,
+        } => tools::load(config, options, html.as_deref(), against.as_deref()).await,
+        Command::StandInMinion { options } => tools::minion(options).await,
+        Command::StandInWorker { options } => tools::worker(options).await,
         Command::Completions { shell } => {
             output::print(&completions::script(*shell));
             Ok(ExitCode::Success)
--- a/src/cli/parse.rs
+++ b/src/cli/parse.rs
@@ -14,7 +14,7 @@
 use super::help;
 use super::specs::{COMMON, Opt, SPECS, Spec};
 use crate::document::{Drain, DrainTarget};
-use crate::schema::{Name, Scalar, Span, nearest};
+use crate::schema::{Name, Scalar, nearest};
 use crate::wire::JobSubmission;
 
 /// Where the operators' interface is looked for.
@@ -23,7 +23,7 @@
 const DEFAULT_WITHIN: Duration = Duration::from_secs(600);
 
 /// What the arguments come to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub enum Parsed {
     /// Print this page.
     Help(String),
@@ -66,9 +66,9 @@
 }
 
 /// Arguments of one command, sorted but not yet typed.
-struct Raw {
+pub(super) struct Raw {
     spec: &'static Spec,
-    values: Vec<String>,
+    pub(super) values: Vec<String>,
     options: BTreeMap<&'static str, String>,
 }
 
@@ -220,6 +220,9 @@
                 undo: self.switch("--undo"),
                 yes,
             },
+            "token" => self.token()?,
+            "load" => self.load()?,
+            "stand-in" => self.stand_in()?,
             _ => Command::Completions {
                 shell: self.one_of("SHELL", &first(), SHELLS)?,
             },
@@ -249,47 +252,43 @@
                 return Err(self.wrong(message));
             }
         };
-        let mut within = DEFAULT_WITHIN;
-        if let Some(text) = self.option("--within") {
-            let parsed = Span(&mut within).parse(text);
-            parsed.map_err(|why| self.wrong(format!("--within `{text}`: {why}")))?;
-        }
+        let within = self.span("--within", DEFAULT_WITHIN)?;
         Ok(Drain { target, within })
     }
 
-    fn wrong(&self, message: impl Into<String>) -> UsageError {
+    pub(super) fn wrong(&self, message: impl Into<String>) -> UsageError {
         UsageError::new(Some(self.spec), message)
     }
 
-    fn option(&self, flag: &str) -> Option<&str> {
+    pub(super) fn option(&self, flag: &str) -> Option<&str> {
         self.options.get(flag).map(String::as_str)
     }
 
-    fn switch(&self, flag: &str) -> bool {
+    pub(super) fn switch(&self, flag: &str) -> bool {
         self.options.contains_key(flag)
     }
 
-    fn parsed<T: FromStr>(&self, what: &str, text: &str) -> Result<T, UsageError> {
+    pub(super) fn parsed<T: FromStr>(&self, what: &str, text: &str) -> Result<T, UsageError> {
         let parsed = text.parse();
-        parsed.map_err(|_| self.wrong(format!("{what} `{text}` is no whole number in range")))
+        parsed.map_err(|_| self.wrong(format!("{what} `{text}` is no number in range")))
     }
 
-    fn number<T: FromStr>(&self, flag: &str) -> Result<Option<T>, UsageError> {
+    pub(super) fn number<T: FromStr>(&self, flag: &str) -> Result<Option<T>, UsageError> {
         self.option(flag).map(|t| self.parsed(flag, t)).transpose()
     }
 
-    fn named(&self, what: &str, text: &str) -> Result<CompactString, UsageError> {
+    pub(super) fn named(&self, what: &str, text: &str) -> Result<CompactString, UsageError> {
         let mut name = CompactString::default();
         let parsed = Name(&mut name).parse(text);
         parsed.map_err(|why| self.wrong(format!("{what} `{text}`: {why}")))?;
         Ok(name)
     }
 
-    fn name(&self, flag: &str) -> Result<Option<CompactString>, UsageError> {
+    pub(super) fn name(&self, flag: &str) -> Result<Option<CompactString>, UsageError> {
         self.option(flag).map(|t| self.named(flag, t)).transpose()
     }
 
-    fn one_of<T: Copy>(
+    pub(super) fn one_of<T: Copy>(
         &self,
         what: &str,
         text: &str,
@@ -302,7 +301,11 @@
         })
     }
 
-    fn choice<T: Copy>(&self, flag: &str, words: &[(&str, T)]) -> Result<Option<T>, UsageError> {
+    pub(super) fn choice<T: Copy>(
+        &self,
+        flag: &str,
+        words: &[(&str, T)],
+    ) -> Result<Option<T>, UsageError> {
         let text = self.option(flag);
         text.map(|t| self.one_of(flag, t, words)).transpose()
     }
--- a/src/console/job_pages.rs
+++ b/src/console/job_pages.rs
@@ -10,12 +10,8 @@
 
 fn phase(phase: JobPhase) -> &'static str {
     match phase {
-        JobPhase::Waiting => "waiting",
-        JobPhase::Running => "running",
-        JobPhase::Done => "done",
-        JobPhase::Failed => "failed",
-        JobPhase::Cancelled => "cancelled",
         JobPhase::Unknown => "unknown: may have run, is not started again",
+        phase => phase.word(),
     }
 }
 
@@ -52,7 +48,6 @@
 
 pub(super) async fn one<S: ConsoleState>(visit: &Visit<'_, S>, name: &str) -> Paged {
     let j: JobView = visit.api.get(&format!("/v1/jobs/{name}")).await?;
-    let over = !matches!(j.phase, JobPhase::Waiting | JobPhase::Running);
     let waited = j.waited.map(|w| format!("{} ms", w.as_millis()));
     let facts = [
         ("state", phase(j.phase).to_owned()),
@@ -79,7 +74,7 @@
             }
         }
         (watch_link(&visit.viewer))
-        @if !over {
+        @if !j.phase.is_over() {
             details {
                 summary { "Cancel this job" }
                 form method="post" action=(format!("/console/jobs/of/{name}")) {
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -363,6 +363,25 @@
     Unknown,
 }
 
+impl JobPhase {
+    /// The state in a word.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Running => "running",
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Whether nothing of the job runs or will run.
+    pub const fn is_over(self) -> bool {
+        !matches!(self, Self::Waiting | Self::Running)
+    }
+}
+
 /// A job as a caller sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobView {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -135,12 +135,16 @@
 #[case(&["apply", "a", "b"], "unexpected argument `b`")]
 #[case(&["apply", "a", "--yess"], "did you mean `--yes`?")]
 #[case(&["rollback", "-1"], "unknown option `-1`")]
-#[case(&["rollback", "x"], "N `x` is no whole number")]
+#[case(&["rollback", "x"], "N `x` is no number")]
 #[case(&["show", "--revision"], "missing argument")]
 #[case(&["show", "--format", "xml"], "none of text, json")]
 #[case(&["drain"], "name a WORKER")]
 #[case(&["drain", "w", "--within", "5"], "the unit is missing")]
 #[case(&["status", "--watch", "--watch"], "given twice")]
+#[case(&["stand-in", "miner"], "none of minion, worker")]
+#[case(&["stand-in", "worker"], "--entries is missing")]
+#[case(&["load", "--entries", "here", "--service", "s"], "is no address")]
+#[case(&["token", "anna", "--role", "root"], "none of view, operate, admin")]
 fn bad_arguments_are_told_with_the_next_step(#[case] args: &[&str], #[case] said: &str) {
     let output = run(args);
     assert_eq!(code(&output), 2, "{}", stderr(&output));
@@ -330,3 +334,22 @@
     assert_eq!(jobs[0]["kind"], "cut-plan");
     assert_eq!(jobs[0]["tasks"], 3);
 }
+
+#[test]
+fn a_token_comes_with_the_lines_that_accept_it() {
+    let output = run(&["token", "beat", "--role", "operate", "--teams", "fitting"]);
+    let said = stdout(&output);
+    let (_, file) = said.split_once("for the file of operators:\n").unwrap();
+    let operators = yuccahold::console::Operators::parse("operators.yaml", file).unwrap();
+    let beat = &operators.operators["beat"];
+    assert_eq!(beat.teams, ["fitting"]);
+    let token = said
+        .split_once("only now: ")
+        .unwrap()
+        .1
+        .lines()
+        .next()
+        .unwrap();
+    assert!(token.starts_with("beat."), "{said}");
+    assert!(!file.contains(token), "the file holds no token");
+}
