--- a/src/console/pages.rs
+++ b/src/console/pages.rs
@@ -16,7 +16,7 @@
 use crate::wire::{HttpAnswer, HttpCall};
 
 /// Cookie that holds the session.
-const SESSION_COOKIE: &str = "yuccahold_session";
+const SESSION_COOKIE: &str = "yuccahold-session";
 /// Header that repeats the form's key where a cookie signs a call of the interface in.
 const FORM_KEY_HEADER: &str = "yuccahold-form-key";
 /// Headers that show who asks.
