Operators reach the console through entry hosts, but only signed in

Cause: entry hosts passed on changes of the document from anyone, also to a cell whose control replicas serve without sign-in on loopback only. Change: a replica without a file of operators refuses what entry hosts carry to it; with one, entry hosts also carry the console and the tables. Conclusion: no unsigned request from an entry host reaches the document.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -76,6 +76,7 @@
         calls: Calls::new(replica.clone()),
         keys,
         feed,
+        signed_in: cfg.operators.is_some(),
         http,
         client: reqwest::Client::new(),
         log: log.new(o!("part" => "link")),
--- a/src/control/link.rs
+++ b/src/control/link.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use super::api::problem;
 use super::calls::Calls;
 use super::group::Group;
 use super::http::own_answer;
@@ -45,6 +46,8 @@
     pub(super) calls: Calls<G, P>,
     pub(super) keys: CellKeys,
     pub(super) feed: watch::Receiver<u64>,
+    /// Whether operators sign in.
+    pub(super) signed_in: bool,
     /// Where this daemon answers HTTP itself.
     pub(super) http: SocketAddr,
     pub(super) client: reqwest::Client,
@@ -128,6 +131,7 @@
         sender: mpsc::Sender<FromControl>,
     ) {
         let answer = match call {
+            Call::Http(_) if hello.is_some() && !self.signed_in => not_served(),
             Call::Http(call) => self.operate(call).await,
             call => self.calls.answer(hello.as_deref(), call).await,
         };
@@ -165,6 +169,13 @@
     }
 }
 
+/// While sign-in is off, only loopback may change the cell. An entry host takes requests from
+/// anywhere, so what it carries would let every caller in.
+fn not_served() -> Answer {
+    let message = "sign-in is off; ask a control replica on its loopback address";
+    Answer::Http(problem(403, message))
+}
+
 async fn write_all(mut tx: FrameWriter, mut queue: mpsc::Receiver<FromControl>) {
     while let Some(message) = queue.recv().await {
         if tx.queue(&message).is_err() {
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -102,13 +102,17 @@
         }
         (&Method::GET, ["v1", "jobs", name]) => jobs::query(context, name).await,
         (&Method::DELETE, ["v1", "jobs", name]) => jobs::cancel(context, name).await,
-        (_, ["v1", "document"]) => match read_body(incoming.body, SMALL_BODY).await {
-            Ok(body) => {
-                let path = with_query(&path, &incoming.query);
-                jobs::pass_on(context, &method, path, &incoming.headers, &body).await
+        (_, ["v1", "document"] | ["console", ..])
+        | (&Method::GET, ["v1", "jobs" | "history" | "workers" | "minions" | "entries"])
+        | (&Method::GET, ["v1", "replicas" | "teams" | "audit"]) => {
+            match read_body(incoming.body, SMALL_BODY).await {
+                Ok(body) => {
+                    let path = with_query(&path, &incoming.query);
+                    jobs::pass_on(context, &method, path, &incoming.headers, &body).await
+                }
+                Err(e) => body_refused(&e),
             }
-            Err(e) => body_refused(&e),
-        },
+        }
         _ => match context.route(&path) {
             Some((service, prefix)) => callers::request(context, &service, prefix, incoming).await,
             None => invalid(StatusCode::NOT_FOUND, "there is nothing at this path"),
