--- a/src/routing/minions.rs
+++ b/src/routing/minions.rs
@@ -144,6 +144,10 @@
         let Some(minion) = self.minions.get_mut(id) else {
             return;
         };
+        let service = &minion.owned.minion.service;
+        if !self.touched.contains(service) {
+            self.touched.push(service.clone());
+        }
         if minion.gone && minion.in_flight == 0 {
             self.minions.remove(id);
             return;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -107,6 +107,8 @@
     pub(super) hedges: BTreeSet<(Timestamp, RequestId)>,
     pub(super) load_due: Timestamp,
     pub(super) leaving: bool,
+    /// Services whose free slots may have changed in this step.
+    pub(super) touched: Vec<ServiceName>,
     next_attempt: AttemptId,
 }
 
@@ -132,6 +134,7 @@
             hedges: BTreeSet::new(),
             load_due: Duration::ZERO,
             leaving: false,
+            touched: Vec::new(),
             next_attempt: 1,
         }
     }
@@ -402,7 +405,7 @@
         live.tries += 1;
         live.attempts.push(attempt);
         let service = live.request.service.clone();
-        let mut until = live.request.deadline;
+        let mut until = patience(now, live, self.document.services.get(&service));
         let target = match &place {
             Place::Minion { id: minion, .. } => {
                 live.tried.push(minion.clone());
@@ -421,7 +424,9 @@
             }
             Place::Peer(peer) => {
                 live.tried.push(peer.clone());
-                until = until.saturating_sub(FORWARD_MARGIN).max(now);
+                until = until
+                    .min(live.request.deadline.saturating_sub(FORWARD_MARGIN))
+                    .max(now);
                 self.peers.sent(peer, &service);
                 Target::Peer(peer.clone())
             }
@@ -433,6 +438,7 @@
             started: now,
             until,
         };
+        self.touched.push(started.service.clone());
         self.attempts.insert(attempt, started);
         self.plan_hedge(now, id);
         out.push(Effect::Start {
@@ -503,8 +509,7 @@
     /// otherwise now and then.
     fn watch_load(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
         let mut due = now >= self.load_due;
-        let names: Vec<_> = self.document.services.keys().cloned().collect();
-        for name in names {
+        for name in std::mem::take(&mut self.touched) {
             let free = self.free_here(now, &name) > 0;
             let state = self.services.entry(name).or_default();
             due |= state.had_free != free;
@@ -523,6 +528,18 @@
     }
 }
 
+/// When to stop waiting for a try. An idempotent request keeps half of its time for another one:
+/// its connection may be one that has gone silent.
+fn patience(now: Timestamp, live: &Live, service: Option<&Service>) -> Timestamp {
+    let deadline = live.request.deadline;
+    let again = live.request.idempotent && service.is_some_and(|s| s.retry_percent > 0);
+    let ours = live.request.origin == Origin::Caller;
+    if !again || !ours || live.tries > 1 {
+        return deadline;
+    }
+    now + deadline.saturating_sub(now) / 2
+}
+
 fn refuse(request: RequestId, reason: CompactString, retry_after: Duration) -> Effect {
     let error = RouteError::NotRun {
         reason,
