Entry host: read what is over the body limit before refusing

Cause: a refusal of a body over the limit closed the connection while the caller still wrote; now and then the caller saw a broken pipe instead of 413 (seen once in landing, test bad_input_is_refused case 9). Change: up to 16 MB over the limit are read and dropped first; a caller that sent `Expect` or a longer body is refused unread. Conclusion: the caller reads a clear status.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -6,7 +6,7 @@
 use bytes::Buf;
 use compact_str::CompactString;
 use futures::Stream;
-use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use http::header::{CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue};
 use http::{HeaderMap, StatusCode};
 use tokio_util::sync::CancellationToken;
 
@@ -14,7 +14,7 @@
 use crate::entry::access::Access;
 use crate::entry::core::Core;
 use crate::entry::daemon::Context;
-use crate::entry::http::{BodyError, Incoming, body_refused, read_body, with_query};
+use crate::entry::http::{BodyError, DRAIN, Incoming, body_refused, read_body, with_query};
 use crate::entry::keys::{OpenKey, state_after};
 use crate::entry::link::ControlLink;
 use crate::entry::minion_client::for_minion;
@@ -68,7 +68,7 @@
         Ok(wanted) => wanted,
         Err(reason) => return invalid(StatusCode::BAD_REQUEST, reason),
     };
-    if stated_length(&incoming.headers).is_some_and(|len| len > declared.body_limit) {
+    if is_refused_unread(&incoming.headers, declared.body_limit) {
         return body_refused(&BodyError::TooLarge);
     }
     let deadline = arrived + wanted.deadline_for(declared);
@@ -142,8 +142,12 @@
     value.map_err(|_| format!("{name} holds bytes that are no text"))
 }
 
-fn stated_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+/// Whether a body is refused before any of it is read: its caller asked first, or it is huge.
+fn is_refused_unread(headers: &HeaderMap, limit: u64) -> bool {
+    let stated = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
+    let len: u64 = stated.and_then(|len| len.parse().ok()).unwrap_or(0);
+    let asked = headers.contains_key(EXPECT);
+    len > limit && (asked || len > limit + DRAIN as u64)
 }
 
 async fn route<L: ControlLink>(
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -18,6 +18,8 @@
 
 /// Largest body of a request that is not for a minion.
 const SMALL_BODY: usize = 1024 * 1024;
+/// Bytes over the limit that are read and dropped before a request is refused.
+pub(super) const DRAIN: usize = 16 * 1024 * 1024;
 /// Longest time for a body that is not for a minion.
 const SMALL_BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -150,24 +152,32 @@
 }
 
 /// Reads a whole body of at most `limit` bytes.
+///
+/// What is over the limit is read and dropped, up to a bound: a caller that still writes when
+/// the connection closes sees a broken pipe instead of the refusal.
 pub(super) async fn read_body<B: Buf, E>(
     body: impl Stream<Item = Result<B, E>> + Send,
     limit: usize,
 ) -> Result<Bytes, BodyError> {
     let mut body = std::pin::pin!(body);
     let mut whole = BytesMut::new();
+    let mut len = 0;
     while let Some(piece) = body.next().await {
         let mut piece = piece.map_err(|_| BodyError::Cut)?;
-        if whole.len() + piece.remaining() > limit {
+        len += piece.remaining();
+        if len > limit + DRAIN {
             return Err(BodyError::TooLarge);
         }
-        while piece.has_remaining() {
+        while len <= limit && piece.has_remaining() {
             let chunk = piece.chunk();
             whole.extend_from_slice(chunk);
-            let len = chunk.len();
-            piece.advance(len);
+            let read = chunk.len();
+            piece.advance(read);
         }
     }
+    if len > limit {
+        return Err(BodyError::TooLarge);
+    }
     Ok(whole.freeze())
 }
 
