--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -53,6 +53,7 @@
             ("GET", ["v1", "minions"]) => self.table(|m, _| m.minion_rows()).await,
             ("GET", ["v1", "entries"]) => self.table(|m, now| m.entry_rows(now)).await,
             ("GET", ["v1", "replicas"]) => Ok(json_answer(200, &self.replicas())),
+            ("GET", ["v1", "burn"]) => self.table(|m, now| m.burn_report(now)).await,
             ("GET", ["v1", "audit"]) => self.table(|m, _| m.cell().audit_rows()).await,
             _ => Ok(problem(404, "there is nothing under this path")),
         };
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -79,6 +79,7 @@
             }
             Call::ClaimKey(claim) => self.claim(claim).await,
             Call::SettleKey(settlement) => self.settle(settlement).await,
+            Call::Burn(delta) => self.agree(Command::Burn(delta)).await,
             Call::Http(_) => Ok(refusal(
                 RefusalKind::Invalid,
                 "operators' requests are answered by the daemon itself",
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -29,6 +29,7 @@
         lead.offset = lead.offset.max(self.cell.clock.saturating_sub(now));
         let mut commands = self.expire_leases(now);
         commands.extend(self.balance(now));
+        commands.extend(self.hand_over_tally(now));
         commands.extend(self.decide(now));
         commands
     }
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -5,11 +5,13 @@
 
 use tokio::sync::watch;
 
+use super::burn::start_event;
 use crate::error::Result;
 use crate::ids::{Attempt, EntryId, LogIndex, MinionId, ProcessId, Revision, TaskIndex, Timestamp};
 use crate::lease::LeaseTable;
 use crate::placement::Placer;
 use crate::replication::StateMachine;
+use crate::slo::Tally;
 use crate::state::{Cell, JobNumber, Reply, WorkerNumber};
 use crate::wire::{RefusalKind, StopRun};
 
@@ -45,6 +47,10 @@
     pub(super) sequences: BTreeMap<WorkerNumber, u64>,
     /// Document revision that each entry host reports, and when it did.
     pub(super) in_force: BTreeMap<EntryId, (Revision, Timestamp)>,
+    /// Starts counted against the objectives since the last command.
+    pub(super) tally: Tally,
+    /// When starts were last handed to the log.
+    pub(super) tallied: Timestamp,
     /// When the entry hosts' shares of minions were last compared.
     pub(super) balanced: Timestamp,
 }
@@ -114,6 +120,11 @@
                         .is_some_and(|running| running.worker == start.worker)
                 });
                 if let Some(task) = granted {
+                    if let Some(event) = start_event(&self.cell, group.job, start.worker)
+                        && task.attempt == 1
+                    {
+                        lead.tally.record(event);
+                    }
                     let run = (group.job, index, task.attempt);
                     lead.unsent.entry(start.worker).or_default().insert(run);
                 }
@@ -124,6 +135,9 @@
     fn note_losses(&mut self, command: &Command) {
         let Some(lead) = &mut self.lead else { return };
         match command {
+            Command::PutDocument { .. } => {
+                lead.tally.set_objectives(&self.cell.document().objectives);
+            }
             Command::WorkerDown { worker, .. } => {
                 lead.workers.forget(worker);
                 lead.unsent.remove(worker);
@@ -174,6 +188,7 @@
             lead.placer.handle(self.cell.clock, event);
         }
         lead.assume_leases(&self.cell, now);
+        lead.tally.set_objectives(&self.cell.document().objectives);
         self.lead = Some(lead);
     }
 
@@ -210,6 +225,8 @@
             told: BTreeMap::new(),
             sequences: BTreeMap::new(),
             in_force: BTreeMap::new(),
+            tally: Tally::default(),
+            tallied: now,
             balanced: now,
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! hosts and the operators' HTTP interface.
 
 mod api;
+mod burn;
 mod calls;
 mod daemon;
 mod entries;
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -182,6 +182,7 @@
     context
         .access
         .record(&context.log, context.core.now(), &access);
+    context.burn.record(&access, work.team.clone());
     reply
 }
 
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::entry::access::AccessLog;
+use crate::entry::burn::{BurnTally, hand_over};
 use crate::entry::control::{Control, Standing};
 use crate::entry::core::Core;
 use crate::entry::http::filter;
@@ -44,6 +45,7 @@
     pub(super) link: Arc<L>,
     pub(super) keys: KeyTable,
     pub(super) access: AccessLog,
+    pub(super) burn: Arc<BurnTally>,
     pub(super) log: slog::Logger,
     standing: Arc<Standing>,
     stopping: AtomicBool,
@@ -140,6 +142,7 @@
             link,
             keys: KeyTable::default(),
             access: AccessLog::default(),
+            burn: Arc::default(),
             log,
             standing,
             stopping: AtomicBool::new(false),
@@ -258,6 +261,7 @@
         let peers = tokio::spawn(peer_server::serve(self.peer, core.clone(), self.keys, load));
         let ticks = tokio::spawn(tick(core.clone()));
         let upkeep = tokio::spawn(keep_up(context.metrics.clone()));
+        let burn = tokio::spawn(hand_over(context.burn.clone(), context.link.clone()));
         let close = CancellationToken::new();
         let server = warp::serve(filter(context.clone()))
             .incoming(self.http)
@@ -270,6 +274,7 @@
         peers.abort();
         ticks.abort();
         upkeep.abort();
+        burn.abort();
     }
 }
 
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -44,6 +44,8 @@
             Call::SubmitJob(job) => job.name.is_some() || job.key.is_some(),
             // A second claim would find the first one in progress.
             Call::ClaimKey(_) | Call::Http(_) => false,
+            // Counted twice, it would raise a false alert.
+            Call::Burn(_) => false,
             _ => true,
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod access;
 mod announce;
+mod burn;
 mod callers;
 mod control;
 mod core;
--- a/src/state/cell.rs
+++ b/src/state/cell.rs
@@ -16,6 +16,7 @@
 use crate::ids::{EntryId, JobName, MinionId, Revision, TaskIndex, Timestamp, WorkerId};
 use crate::placement::Event;
 use crate::resources::Resources;
+use crate::slo::Burn;
 use crate::workload::{TaskId, TaskRun};
 
 /// Documents kept for `show --revision` and `rollback`.
@@ -54,6 +55,8 @@
     pub minions: BTreeMap<MinionId, MinionRecord>,
     /// Idempotency keys.
     pub keys: Keys,
+    /// Error budgets of the document's objectives.
+    pub burn: Burn,
     /// The latest changes by operators and callers, the earliest first.
     pub audit: VecDeque<AuditRecord>,
     /// Changes since the leader last took them; not part of the state.
--- a/src/state/commands/documents.rs
+++ b/src/state/commands/documents.rs
@@ -59,6 +59,7 @@
         let new = self.document();
         self.events.push(Event::Policy(new.policy.clone()));
         self.events.push(Event::Teams(new.teams.clone()));
+        self.burn.set_objectives(&new.objectives);
         self.follow_drains(&new.drains);
         for name in old
             .workloads
--- a/src/state/commands/mod.rs
+++ b/src/state/commands/mod.rs
@@ -22,6 +22,7 @@
 };
 use crate::placement::StopReason;
 use crate::resources::Resources;
+use crate::slo::BurnDelta;
 use crate::wire::{
     EntryHello, JobSubmission, JobView, KeyClaim, KeySettlement, KeyState, MinionAnnouncement,
     Refusal, RefusalKind, StopKind,
@@ -136,6 +137,8 @@
     ClaimKey(KeyClaim),
     /// Records what became of a claimed key.
     SettleKey(KeySettlement),
+    /// Adds counts against the objectives.
+    Burn(BurnDelta),
 }
 
 /// Starts of one batch. Jobs and workers are numbers and indexes are differences, so that one
@@ -260,6 +263,7 @@
             Self::MoveMinions(minions) => cell.move_minions(&minions),
             Self::ClaimKey(claim) => cell.claim_key(claim),
             Self::SettleKey(settlement) => cell.settle_key(settlement),
+            Self::Burn(delta) => cell.add_burn(&delta),
         }
     }
 }
@@ -284,6 +288,11 @@
         }
     }
 
+    fn add_burn(&mut self, delta: &BurnDelta) -> Reply {
+        self.burn.add(self.clock, delta);
+        Reply::Ok
+    }
+
     fn settle_key(&mut self, settlement: KeySettlement) -> Reply {
         self.keys
             .settle(&settlement.service, &settlement.key, settlement.state);
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -14,6 +14,7 @@
     EntryId, IdempotencyKey, JobName, KindName, MinionId, ProcessId, Revision, ServiceName,
     TeamName, WorkerId, ZoneName,
 };
+use crate::slo::BurnDelta;
 use crate::workload::{RunEnd, TaskRun, WorkerSpec};
 
 /// Number that matches an answer to its call on one connection.
@@ -83,6 +84,8 @@
     ClaimKey(KeyClaim),
     /// Records what became of a claimed key.
     SettleKey(KeySettlement),
+    /// Counts against the objectives since the last such call that was answered.
+    Burn(BurnDelta),
     /// An operator's HTTP request, carried to the leader as it is.
     Http(HttpCall),
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use yuccahold::control::{Command, ENTRY_LEASE, Machine, Patience, PollStep, RenewStep};
-use yuccahold::document::{Document, JobKind};
+use yuccahold::document::{Document, JobKind, Objective, ObjectiveTarget};
 use yuccahold::lease::grantor_span;
 use yuccahold::placement::FirstFit;
 use yuccahold::replication::StateMachine;
@@ -355,3 +355,35 @@
     assert_eq!(renew(&mut leader, 1), Some(ENTRY_LEASE));
     assert_eq!(renew(&mut leader, 2), None);
 }
+
+#[test]
+fn late_starts_burn_the_budget_through_a_change_of_leaders() {
+    // Two jobs start, one of them late. The leader hands its counts to the log, another takes
+    // over, and the report still shows both.
+    let mut leader = Leader::new();
+    let mut document = (*leader.machine.cell().document()).clone();
+    document.objectives.push(Objective {
+        name: "sums-started".into(),
+        target: ObjectiveTarget::Kind("sum".into()),
+        within: Duration::from_secs(1),
+        millipercent: 99_000,
+        window: Duration::from_secs(30 * 24 * 3600),
+    });
+    leader.apply(Command::PutDocument {
+        base: 1,
+        document: document.into(),
+        who: "ana".into(),
+        key: None,
+    });
+    leader.submit("late", "sum");
+    leader.pass(Duration::from_secs(5));
+    leader.poll(&worker("w", 1));
+    leader.poll(&worker("v", 1));
+    leader.submit("prompt", "sum");
+    leader.pass(Duration::from_secs(5));
+    leader.machine.leadership_changed(false, leader.now);
+    leader.machine.leadership_changed(true, leader.now);
+    let report = leader.machine.burn_report(leader.now);
+    let counts = report.objectives[0].counts;
+    assert_eq!((counts.good, counts.bad, counts.unknown), (1, 1, 0));
+}
--- a/tests/support/fake_control.rs
+++ b/tests/support/fake_control.rs
@@ -183,6 +183,7 @@
                 }
                 Answer::Ok
             }
+            Call::Burn(_) => Answer::Ok,
             Call::Http(_) => not_found(),
         }
     }
