Ask every replica in the runtime test of three

Cause: the test a_group_of_three_survives_its_leader_and_takes_a_wiped_one_back failed once in 13 runs, on a machine with three runnable threads a core: it proposed at the first replica only, and leadership had moved to another while that one was kept from running. Ruled out: a hang of a proposal (twelve runs of the test alone passed in 1.3 to 2.2 s). Change: it proposes at whichever replica leads and compares counts with the last reply, since a command of unknown outcome may have been counted twice. Conclusion: the test still fails when a confirmed command is lost; it no longer takes a change of leaders for a fault.

--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -160,11 +160,16 @@
     let second = start(&folder.0, &addrs, 1, Formation::Join);
     let third = start(&folder.0, &addrs, 2, Formation::Join);
     until_voters(&first, 3).await;
+    // A busy machine may move leadership on the way, so every replica is asked; a command whose
+    // outcome was unknown may then count twice, but the last reply still tells how many there are.
+    let mut confirmed = 0;
     for _ in 0..300 {
-        propose_somewhere(&[&first], &[b'y'; 512]).await;
+        confirmed = propose_somewhere(&[&first, &second, &third], &[b'y'; 512]).await;
     }
+    assert!(confirmed >= 300);
     first.stop().await;
-    assert_eq!(propose_somewhere(&[&second, &third], b"after").await, 301);
+    let after = propose_somewhere(&[&second, &third], b"after").await;
+    assert_eq!(after, confirmed + 1);
 
     std::fs::remove_dir_all(folder.0.join("0")).unwrap();
     let first = start(&folder.0, &addrs, 0, Formation::Join);
@@ -175,10 +180,11 @@
         .await
         .expect("rejoins")
         .unwrap();
-    assert_eq!(first.local(|j| j.0.len()).await, Some(301));
+    assert_eq!(first.local(|j| j.0.len()).await, Some(after));
 
     second.stop().await;
-    assert_eq!(propose_somewhere(&[&first, &third], b"last").await, 302);
+    let last = propose_somewhere(&[&first, &third], b"last").await;
+    assert_eq!(last, after + 1);
     first.stop().await;
     third.stop().await;
 }
