Prove placement by replay, and mend what the proof found

Found by 500 random histories with a fixed seed, and mended: - the serving loop never ended when a queue's team had used more since the queue became ready and its class of work was blocked; - a claim without a run to stop was renewed for ever and kept its gang from a reservation; - a quarantined worker without a task to try stayed out for ever; - one worker that reports too much taught a size that fits nowhere: a size is learnt now only when two workers report it, and a job that waits two minutes for what was learnt is granted what it declared; - a gang restored in part by a new leader ran on in part.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod placement;
 pub mod plot;
+pub mod replay;
 pub mod replication;
 pub mod resources;
 pub mod routing;
--- a/src/placement/baseline.rs
+++ b/src/placement/baseline.rs
@@ -77,6 +77,10 @@
             }
             Event::JobRestored { spec, at, tasks } => {
                 if let Some(ix) = self.cell.restore_job(spec, at, &tasks) {
+                    let job = self.cell.job(ix);
+                    if job.running > 0 && !job.waiting.is_empty() {
+                        self.member_lost(ix);
+                    }
                     self.admit(ix);
                 }
             }
@@ -175,14 +179,14 @@
             self.pending.push(Decision::GiveUp { job: name, reason });
             return;
         }
-        self.member_lost(r);
+        self.member_lost(r.job);
     }
 
-    fn member_lost(&mut self, r: RunRef) {
-        let job = self.cell.job(r.job);
+    fn member_lost(&mut self, ix: JobIx) {
+        let job = self.cell.job(ix);
         let whole = job.spec.on_member_loss != MemberLoss::Replace;
         if job.spec.class == WorkClass::Gang && whole {
-            self.stop_others(r.job, super::StopReason::GangBroken);
+            self.stop_others(ix, super::StopReason::GangBroken);
         }
     }
 
@@ -195,7 +199,7 @@
             self.cell.wait_again(r);
         }
         if !self.cell.job(r.job).closed {
-            self.member_lost(r);
+            self.member_lost(r.job);
         }
         self.queue(r.job);
         self.remove_if_over(r.job);
@@ -209,7 +213,7 @@
         self.cell.job_mut(r.job).tasks[r.index as usize].attempt -= 1;
         if !self.cell.job(r.job).closed {
             self.cell.wait_again(r);
-            self.member_lost(r);
+            self.member_lost(r.job);
         }
         self.queue(r.job);
         self.remove_if_over(r.job);
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -5,7 +5,7 @@
 
 use super::classes::{ClassIndex, Slot};
 use super::interface::{RestoredTask, TaskState};
-use super::rules;
+use super::{rules, search};
 use crate::ids::{Attempt, JobName, RackName, TaskIndex, Timestamp, WorkerId, ZoneName};
 use crate::resources::Resources;
 use crate::workload::{Band, JobSpec, RunEnd, Spread, TaskId, TaskRun, WorkerSpec};
@@ -76,6 +76,8 @@
     pub(crate) zone: u32,
     pub(crate) rack: u32,
     pub(crate) slot: Slot,
+    /// Quick tasks that would fit into its room.
+    quick_slots: u32,
 }
 
 impl Worker {
@@ -262,6 +264,10 @@
     pub(crate) total: Resources,
     /// Granted on all workers.
     pub(crate) used: Resources,
+    /// The ordinary size of a quick task; nothing while there is none.
+    quick_shape: Resources,
+    /// Quick tasks that would fit into the room of all open workers.
+    pub(crate) quick_slots: u64,
 }
 
 impl Cell {
@@ -322,6 +328,7 @@
             zone,
             rack,
             slot: Slot::default(),
+            quick_slots: 0,
         };
         let ix = match self.spare_workers.pop() {
             Some(ix) => {
@@ -381,6 +388,7 @@
             return;
         }
         let id = worker.spec.id.clone();
+        debug_assert_eq!(worker.quick_slots, 0, "a worker that is down has no slots");
         if let Some(group) = worker.slot.group {
             self.index.groups[group as usize].known -= 1;
         }
@@ -393,6 +401,14 @@
     pub(crate) fn reindex(&mut self, ix: WorkerIx) {
         let worker = self.workers[ix as usize].as_mut().expect("live worker");
         let room = (worker.open() && worker.hold.is_none()).then(|| worker.room());
+        // Quick work may use room that is held for ordinary work.
+        let slots = if worker.open() && self.quick_shape != Resources::ZERO {
+            search::times(&self.quick_shape, &worker.room())
+        } else {
+            0
+        };
+        let before = std::mem::replace(&mut worker.quick_slots, slots);
+        self.quick_slots = self.quick_slots + u64::from(slots) - u64::from(before);
         let slot = self.index.place(ix, worker.slot, &worker.spec, room);
         worker.slot = slot.slot;
         if let Some((moved, pos)) = slot.moved {
@@ -400,6 +416,16 @@
         }
     }
 
+    /// Changes the size of a quick task, and counts anew how many would fit.
+    pub(crate) fn set_quick_shape(&mut self, shape: Resources) {
+        self.quick_shape = shape;
+        for ix in 0..self.workers.len() {
+            if self.workers[ix].is_some() {
+                self.reindex(ix as WorkerIx);
+            }
+        }
+    }
+
     /// Adds a job; one already known by this name is left as it is.
     pub(crate) fn add_job(&mut self, spec: Arc<JobSpec>, at: Timestamp) -> Option<JobIx> {
         if self.job_ix.contains_key(&spec.name) {
--- a/src/placement/drains.rs
+++ b/src/placement/drains.rs
@@ -33,9 +33,11 @@
         self.drain_workers(now);
         self.replace_old_versions();
         self.stop_slow_savers(now);
-        self.quick.fade(now);
+        self.review_headroom(now);
         self.review_holds(now);
+        self.wake_impatient(now);
         self.try_quarantined(now, out);
+        self.retry_making_room(now, out);
         out.append(&mut self.pending);
     }
 
--- a/src/placement/estimates.rs
+++ b/src/placement/estimates.rs
@@ -17,6 +17,8 @@
 const MEMORY_STEP: u32 = 64;
 /// Kinds remembered; the one heard of least recently is forgotten first.
 const KIND_LIMIT: usize = 4096;
+/// Workers whose reports are kept for one kind.
+const REPORTERS: usize = 4;
 /// Different workers on which a kind must fail, with no success between, to be at fault.
 const FAULTY_KIND_WORKERS: usize = 3;
 
@@ -24,6 +26,9 @@
 #[derive(Debug, Default)]
 struct Kind {
     run_time: Option<f64>,
+    /// The largest reports, one for each of a few workers.
+    reports: Vec<(WorkerIx, Resources)>,
+    /// What at least two workers have reported. One alone may have a faulty meter.
     peak: Resources,
     heard: Timestamp,
     failed_on: Vec<WorkerIx>,
@@ -73,9 +78,14 @@
     }
 
     /// Takes in what a run was seen to use.
-    pub(crate) fn used(&mut self, name: &KindName, used: &Resources, now: Timestamp) {
-        let kind = self.kind(name, now);
-        kind.peak = larger(&kind.peak, used);
+    pub(crate) fn used(
+        &mut self,
+        name: &KindName,
+        worker: WorkerIx,
+        used: &Resources,
+        now: Timestamp,
+    ) {
+        self.kind(name, now).report(worker, used);
     }
 
     /// What one task is granted: the declared need is the floor.
@@ -108,18 +118,52 @@
 }
 
 impl Kind {
+    fn report(&mut self, worker: WorkerIx, used: &Resources) {
+        if let Some((_, known)) = self.reports.iter_mut().find(|(ix, _)| *ix == worker) {
+            *known = larger(known, used);
+        } else if self.reports.len() < REPORTERS {
+            self.reports.push((worker, *used));
+        } else {
+            let least = self.reports.iter_mut().min_by_key(|(_, r)| r.memory_mb);
+            if let Some(least) = least.filter(|(_, r)| r.memory_mb < used.memory_mb) {
+                *least = (worker, *used);
+            }
+        }
+        self.peak = Resources {
+            millicores: second(self.reports.iter().map(|(_, r)| r.millicores)),
+            memory_mb: second(self.reports.iter().map(|(_, r)| r.memory_mb)),
+            accelerators: 0,
+        };
+    }
+
     fn decay(&mut self, now: Timestamp) {
         let passed = now.saturating_sub(self.heard);
         self.heard = self.heard.max(now);
-        if passed.is_zero() || self.peak == Resources::ZERO {
+        if passed.is_zero() {
             return;
         }
         let left = 0.5_f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        self.peak.millicores = (f64::from(self.peak.millicores) * left).ceil() as u32;
-        self.peak.memory_mb = (f64::from(self.peak.memory_mb) * left).ceil() as u32;
+        let sunk = |n: u32| (f64::from(n) * left).ceil() as u32;
+        let reports = self.reports.iter_mut().map(|(_, r)| r);
+        for r in reports.chain([&mut self.peak]) {
+            r.millicores = sunk(r.millicores);
+            r.memory_mb = sunk(r.memory_mb);
+        }
     }
 }
 
+/// The second largest, or zero.
+fn second(amounts: impl Iterator<Item = u32>) -> u32 {
+    let both = amounts.fold((0, 0), |(first, second), n| {
+        if n > first {
+            (n, first)
+        } else {
+            (first, n.max(second))
+        }
+    });
+    both.1
+}
+
 const fn pick(above: u32, learnt: u32, declared: u32) -> u32 {
     if above > 0 { learnt } else { declared }
 }
--- a/src/placement/events.rs
+++ b/src/placement/events.rs
@@ -36,6 +36,10 @@
             Event::JobRestored { spec, at, tasks } => {
                 if let Some(ix) = self.cell.restore_job(spec, at, &tasks) {
                     self.charge_restored(ix);
+                    let job = self.cell.job(ix);
+                    if job.running > 0 && !job.waiting.is_empty() {
+                        self.stop_parted(ix);
+                    }
                     self.admit(ix);
                 }
             }
@@ -229,7 +233,9 @@
                 self.trial_void(r, held.worker);
             }
         }
-        let broken = end == RunEnd::Failed && !self.cell.job(r.job).closed;
+        let open = !self.cell.job(r.job).closed;
+        let broken = end == RunEnd::Failed && open;
+        let parted = end != RunEnd::Failed && end != RunEnd::Done && open;
         if self.wanted(r) && self.cell.outcome(r.job, end) == Outcome::Again {
             match end {
                 RunEnd::Failed | RunEnd::Done => self.back_off(now, r),
@@ -239,10 +245,22 @@
         if broken {
             self.member_lost(r);
         }
+        if parted {
+            self.stop_parted(r.job);
+        }
         self.enqueue(r.job);
         self.finish_if_over(r.job);
     }
 
+    /// A gang of which one run was stopped, for a drain or for later work, starts whole again;
+    /// that is no loss by which a job would fail.
+    fn stop_parted(&mut self, ix: JobIx) {
+        let spec = &self.cell.job(ix).spec;
+        if spec.class == WorkClass::Gang && spec.on_member_loss != MemberLoss::Replace {
+            self.stop_all(ix, StopReason::GangBroken);
+        }
+    }
+
     /// Says whether the job still wants this task.
     fn wanted(&self, r: RunRef) -> bool {
         r.index < self.cell.job(r.job).spec.tasks
@@ -279,11 +297,7 @@
         job.tasks[r.index as usize].attempt -= 1;
         if !job.closed && r.index < job.spec.tasks {
             self.wait_until(now + REFUSED_WAIT, r);
-            let rule = self.cell.job(r.job).spec.on_member_loss;
-            let gang = self.cell.job(r.job).spec.class == WorkClass::Gang;
-            if gang && rule != MemberLoss::Replace {
-                self.stop_all(r.job, StopReason::GangBroken);
-            }
+            self.stop_parted(r.job);
         }
         self.finish_if_over(r.job);
     }
--- a/src/placement/explain.rs
+++ b/src/placement/explain.rs
@@ -58,7 +58,7 @@
     }
 
     fn explain_waiting(&self, now: Timestamp, ix: JobIx, job: &Job) -> String {
-        let need = self.grant_for(&job.spec);
+        let need = self.grant_for(now, ix);
         let waits = now.saturating_sub(job.at).as_secs_f64();
         let start = format!(
             "{} of its tasks have waited {waits:.1} s",
@@ -68,14 +68,11 @@
         if job.spec.class == WorkClass::Gang && job.running > 0 {
             return format!("{start}: {} others of its gang end first.", job.running);
         }
-        if self.is_held_back(&job.spec, &need, 1) {
-            let kept = self
-                .quick
-                .headroom(&self.cell.total, self.policy.waiting_weight);
+        if self.is_held_back(ix, &need, 1) {
             return format!(
-                "{start}: {} cores and {} MB are kept free for quick work, and no more is left.",
-                cores(kept.millicores),
-                kept.memory_mb
+                "{start}: room for {} quick tasks is kept free and room for {} is left.",
+                self.kept_slots(),
+                self.cell.quick_slots,
             );
         }
         let ahead = self.ahead(job);
--- a/src/placement/faults.rs
+++ b/src/placement/faults.rs
@@ -190,6 +190,18 @@
         }
     }
 
+    /// Without a task to try, a worker would stay out for ever while gangs wait for its room.
+    /// It is let back after one more span; the next failure quarantines it again.
+    fn let_back_untried(&mut self, now: Timestamp, ix: WorkerIx) {
+        let wait = self.policy.quarantine_trial;
+        let worker = self.cell.worker_mut(ix);
+        let over = worker.quarantine.is_some_and(|q| now >= q.trial_at + wait);
+        if over && !self.queues.blocked.is_empty() {
+            worker.failed_here.pop();
+            self.let_back(ix);
+        }
+    }
+
     fn start_trial(&mut self, now: Timestamp, ix: WorkerIx, out: &mut Vec<Decision>) {
         let worker = self.cell.worker(ix);
         let room = worker.room();
@@ -205,6 +217,7 @@
             (plain && fits && !job.waiting.is_empty()).then_some((head, grant))
         });
         let Some((job, grant)) = suitable else {
+            self.let_back_untried(now, ix);
             return;
         };
         let r = self.start_one(now, job, ix, grant, out);
@@ -232,7 +245,7 @@
             memory_mb: used.memory_mb.min(capacity.memory_mb),
             accelerators: 0,
         };
-        self.estimates.used(&spec.kind, &used, now);
+        self.estimates.used(&spec.kind, held.worker, &used, now);
         let over = saturating_sub(&used, &held.granted);
         self.cell.set_over(r, over);
         if over == Resources::ZERO || held.ending != Ending::No {
@@ -240,12 +253,20 @@
         }
         if !held.throttled {
             self.throttle(r);
-        } else if over.memory_mb > 0 && rules::preemptible(&spec) {
+        } else if over.memory_mb > 0 && rules::preemptible(&spec) && self.may_move(r) {
             // Throttling does not give memory back: the task moves to a larger room.
+            let job = self.cell.job_mut(r.job);
+            job.tasks[r.index as usize].preemptions += 1;
             self.stop_run(r, StopKind::Checkpoint, StopReason::OverDeclared);
         }
     }
 
+    /// A task that was moved often enough stays where it is, throttled.
+    fn may_move(&self, r: RunRef) -> bool {
+        let task = &self.cell.job(r.job).tasks[r.index as usize];
+        task.preemptions < self.policy.preemption_limit
+    }
+
     fn throttle(&mut self, r: RunRef) {
         self.cell.set_throttled(r);
         let worker = self.cell.job(r.job).tasks[r.index as usize].run();
--- a/src/placement/reservations.rs
+++ b/src/placement/reservations.rs
@@ -20,6 +20,8 @@
 const TASK_PATIENCE: Duration = Duration::from_secs(10);
 /// Time past its expected start after which a reservation is planned anew.
 const OVERDUE: Duration = Duration::from_secs(30);
+/// A run that is late is expected to take this part of its time so far again.
+const LATE_PART: u32 = 4;
 
 /// Room held for the job that has waited longest.
 #[derive(Clone, Copy, Debug)]
@@ -142,15 +144,22 @@
         let head = job
             .queue
             .is_some_and(|q| self.queues.get(q).head() == Some(r.job));
-        if !head || job.holds == 0 || now > r.starts + OVERDUE {
+        if !head || job.holds == 0 || now > r.starts.saturating_add(OVERDUE) {
             self.drop_holds_of(r.job);
         }
     }
 
     /// The blocked head of a queue that has waited longest in the latest band.
     fn most_patient(&self, now: Timestamp) -> Option<(JobIx, Band)> {
+        // A single task that is only kept from the room for quick work gets its turn when
+        // there is more room; a reservation would take that room after all. A gang may need so
+        // much room at once that its turn would never come.
         let heads = self.queues.blocked.iter();
-        let waiting = heads.filter_map(|&q: &QueueIx| self.queues.get(q).head());
+        let waiting = heads.filter_map(|&q: &QueueIx| {
+            let head = self.queues.get(q).head()?;
+            let gang = self.cell.job(head).spec.class == WorkClass::Gang;
+            (gang || !self.held_back.contains(&q)).then_some(head)
+        });
         waiting
             .filter(|&ix| {
                 let job = self.cell.job(ix);
@@ -178,7 +187,7 @@
             _ => 1,
         };
         let (seq, band) = (job.seq, spec.band);
-        let need = self.grant_for(&spec);
+        let need = self.grant_for(now, ix);
         let mut places = Vec::new();
         for (w, worker) in self.cell.iter_workers() {
             let group = worker
@@ -212,6 +221,9 @@
             };
             self.hold(w, hold);
         }
+        if let Some(queue) = self.cell.job(ix).queue {
+            self.wake(queue);
+        }
     }
 
     /// Adds the times at which one more task of the need fits on a worker.
@@ -244,8 +256,14 @@
     fn ends_with(&self, now: Timestamp, r: RunRef) -> Option<(Timestamp, Resources)> {
         let job = self.cell.job(r.job);
         let run = job.tasks[r.index as usize].run()?;
+        if job.long_running() {
+            return None;
+        }
         let takes = self.expected_run_time(r.job);
-        let end = run.since.checked_add(takes)?;
-        Some((end.max(now), run.granted))
+        let end = run.since.saturating_add(takes);
+        // A run that took longer than expected is expected to go on for a part of what it took.
+        let ran = now.saturating_sub(run.since);
+        let late = now + ran / LATE_PART;
+        Some((if end > now { end } else { late }, run.granted))
     }
 }
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -13,7 +13,7 @@
 use super::queues::{QueueIx, Queues, ReadyKey};
 use super::reservations::Reservation;
 use super::search::{self, Ask};
-use super::teams::Teams;
+use super::teams::{Standing, Teams};
 use crate::document::Policy;
 use crate::ids::{JobName, Timestamp, WorkerId};
 use crate::resources::Resources;
@@ -24,6 +24,9 @@
 /// How often what depends on time alone is looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 
+/// Time after which a job is granted what it declared, if more was learnt and never free.
+const LEARNT_PATIENCE: Duration = Duration::from_secs(120);
+
 /// Places work by bands, quotas and classes of workers and of work.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -169,8 +172,8 @@
                 if left < limit && self.gang_size(key.queue) > left {
                     return;
                 }
-                if self.fell_behind(&key) {
-                    self.wake(key.queue);
+                if let Some(standing) = self.later_standing(&key) {
+                    self.queues.make_ready(key.queue, standing);
                     continue;
                 }
                 match self.serve_queue(now, key.queue, left, out) {
@@ -197,14 +200,13 @@
             .map_or(1, |job| job.waiting.len())
     }
 
-    /// Says whether a queue's team uses more than when the queue became ready.
-    fn fell_behind(&self, key: &ReadyKey) -> bool {
+    /// A queue's place now, if its team uses more than when the queue became ready.
+    fn later_standing(&self, key: &ReadyKey) -> Option<Standing> {
         let q = self.queues.get(key.queue);
-        let Some(head) = q.head() else {
-            return false;
-        };
+        let head = q.head()?;
         let grant = self.estimates.grant(&self.cell.job(head).spec);
-        self.teams.standing(q.team, &grant, &self.cell.total) > key.standing
+        let now = self.teams.standing(q.team, &grant, &self.cell.total);
+        (now > key.standing).then_some(now)
     }
 
     fn serve_queue(
@@ -229,13 +231,13 @@
             return Served::Skipped;
         }
         let spec = job.spec.clone();
-        let grant = self.grant_for(&spec);
+        let grant = self.grant_for(now, ix);
         let n = if spec.class == WorkClass::Gang {
             job.waiting.len() as u32
         } else {
             1
         };
-        if self.is_held_back(&spec, &grant, n) {
+        if self.is_held_back(ix, &grant, n) {
             return Served::HeldBack;
         }
         let served = if spec.class == WorkClass::Gang {
@@ -250,14 +252,37 @@
         served
     }
 
-    /// What a task is granted: what was learnt, or the declared need where no worker could
-    /// ever hold what was learnt.
-    pub(crate) fn grant_for(&self, spec: &crate::workload::JobSpec) -> Resources {
+    /// What a task of the job is granted: what was learnt, or the declared need where no worker
+    /// could hold what was learnt, or where the job has waited for it in vain.
+    pub(crate) fn grant_for(&self, now: Timestamp, ix: JobIx) -> Resources {
+        let job = self.cell.job(ix);
+        let spec = &job.spec;
         let learnt = self.estimates.grant(spec);
-        if learnt == spec.need || search::any_group(&self.cell, spec, &learnt).is_some() {
-            learnt
-        } else {
-            spec.need
+        if learnt == spec.need {
+            return learnt;
+        }
+        let patient = now.saturating_sub(job.at) < LEARNT_PATIENCE;
+        let fits = patient && search::any_group(&self.cell, spec, &learnt).is_some();
+        if fits { learnt } else { spec.need }
+    }
+
+    /// Tries the jobs again that have waited in vain for what was learnt.
+    pub(crate) fn wake_impatient(&mut self, now: Timestamp) {
+        let blocked = self.queues.blocked.iter().copied();
+        let impatient: Vec<QueueIx> = blocked
+            .filter(|&q| {
+                let head = self.queues.get(q).head();
+                let job = head.map(|ix| self.cell.job(ix));
+                job.is_some_and(|job| {
+                    now.saturating_sub(job.at) >= LEARNT_PATIENCE
+                        && self.estimates.grant(&job.spec) != job.spec.need
+                })
+            })
+            .collect();
+        for queue in impatient {
+            let work = self.queues.get(queue).work;
+            self.queues.work_mut(work).blocked = false;
+            self.wake(queue);
         }
     }
 
@@ -305,8 +330,7 @@
             if !more || w.hold.is_some() || !grant.fits_in(&w.room()) {
                 return;
             }
-            let spec = self.cell.job(ix).spec.clone();
-            if self.is_held_back(&spec, &grant, 1) {
+            if self.is_held_back(ix, &grant, 1) {
                 return;
             }
             self.start_one(now, ix, worker, grant, out);
@@ -398,7 +422,7 @@
         out.append(&mut self.pending);
         self.stop_cancelled(out);
         self.end_backoffs(now);
-        self.wake_held_back();
+        self.wake_held_back(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
             self.sweep(now, out);
--- a/src/placement/search.rs
+++ b/src/placement/search.rs
@@ -219,6 +219,12 @@
     None
 }
 
+/// Tasks that fit now on all workers together.
+pub(crate) fn room_for(cell: &Cell, ask: &Ask<'_>, held: &[WorkerIx]) -> u32 {
+    let open = candidates(cell, ask, held).into_iter();
+    open.fold(0, |sum, (_, n)| sum.saturating_add(n))
+}
+
 /// Workers with room for at least one task, with the number they have room for.
 fn candidates(cell: &Cell, ask: &Ask<'_>, held: &[WorkerIx]) -> Vec<(WorkerIx, u32)> {
     let mut open = Vec::new();
--- a/src/placement/teams.rs
+++ b/src/placement/teams.rs
@@ -4,7 +4,7 @@
 
 use super::cell::{saturating_add, saturating_sub};
 use crate::document::Team;
-use crate::ids::TeamName;
+use crate::ids::{TeamName, Timestamp};
 use crate::resources::Resources;
 
 /// Position of a team in the table.
@@ -20,6 +20,8 @@
     pub(crate) quota: Resources,
     pub(crate) weight: u32,
     pub(crate) used: Resources,
+    /// Since when its work is blocked within its quota and nothing of it started.
+    pub(crate) short_since: Option<Timestamp>,
 }
 
 /// A team's place: those within their quota go first, then the smallest dominant share.
@@ -49,6 +51,7 @@
             quota: Resources::ZERO,
             weight: 1,
             used: Resources::ZERO,
+            short_since: None,
         });
         ix
     }
@@ -79,6 +82,7 @@
     pub(crate) fn charge(&mut self, ix: TeamIx, granted: &Resources) {
         let team = &mut self.all[ix as usize];
         team.used = saturating_add(&team.used, granted);
+        team.short_since = None;
     }
 
     pub(crate) fn refund(&mut self, ix: TeamIx, granted: &Resources) {
--- /dev/null
+++ b/src/replay/command.rs
@@ -0,0 +1,144 @@
+//! The replay command, without its argument parsing.
+
+use std::fs::File;
+use std::io::{BufReader, BufWriter, Write};
+use std::path::{Path, PathBuf};
+
+use super::outcome::Outcome;
+use super::report::{self, Row};
+use super::trace::{self, Trace};
+use super::{engine, scenarios};
+use crate::error::{Error, Result, Step};
+use crate::exit_codes::ExitCode;
+use crate::placement::{FirstFit, RandomOfK, Scheduler};
+
+/// Workers that the random baseline draws for one task.
+const DRAWN: usize = 2;
+/// Times it draws again.
+const REDRAWN: usize = 8;
+
+/// What to replay.
+#[derive(Clone, Debug, Default)]
+pub struct ReplayArgs {
+    /// Trace files; the outcome is read from the same name with `.yaml`, where there is one.
+    pub traces: Vec<PathBuf>,
+    /// Names of traces to generate; `all` for every one.
+    pub generate: Vec<String>,
+    /// Seed of generated traces and of the scheduler.
+    pub seed: u64,
+    /// Write generated traces into this folder instead of replaying them.
+    pub write: Option<PathBuf>,
+    /// Also replay with the baselines.
+    pub baselines: bool,
+    /// Replay with this weight of short waiting instead of the trace's own.
+    pub waiting_weight: Option<u32>,
+    /// Write an HTML page with plots here.
+    pub html: Option<PathBuf>,
+}
+
+/// Replays traces, prints a table, and says by the exit code whether every stated outcome was
+/// met by the scheduler. Baselines are shown beside it and fail nothing.
+pub fn command(args: &ReplayArgs, mut output: impl Write) -> Result<ExitCode> {
+    let mut rows = Vec::new();
+    for name in names(&args.generate) {
+        let trace = scenarios::generate(name, args.seed)?;
+        match &args.write {
+            Some(folder) => write_trace(folder, name, &trace)?,
+            None => replay(args, trace, None, &mut rows)?,
+        }
+    }
+    for path in &args.traces {
+        let trace = read_trace(path)?;
+        let outcome = read_outcome(path)?;
+        replay(args, trace, outcome, &mut rows)?;
+    }
+    let print = |e| Error::caused(Step::Replay, "printing the table", e);
+    if !rows.is_empty() {
+        output
+            .write_all(report::to_text(&rows).as_bytes())
+            .map_err(print)?;
+    }
+    if let Some(path) = &args.html {
+        let page = report::to_html(&rows)?;
+        std::fs::write(path, page).map_err(|e| at(path, "writing the report", e))?;
+    }
+    let missed = rows
+        .iter()
+        .any(|row| row.placer == SCHEDULER && row.missed.as_ref().is_some_and(|m| !m.is_empty()));
+    Ok(if missed {
+        ExitCode::OutcomeMissed
+    } else {
+        ExitCode::Success
+    })
+}
+
+const SCHEDULER: &str = "scheduler";
+
+fn names(wanted: &[String]) -> impl Iterator<Item = &str> {
+    wanted.iter().flat_map(|name| {
+        let all = scenarios::NAMES.iter().map(|(known, _)| *known);
+        let one = (name != "all").then_some(name.as_str());
+        one.into_iter().chain(all.filter(move |_| name == "all"))
+    })
+}
+
+fn replay(
+    args: &ReplayArgs,
+    mut trace: Trace,
+    outcome: Option<Outcome>,
+    rows: &mut Vec<Row>,
+) -> Result<()> {
+    if let Some(weight) = args.waiting_weight {
+        trace.header.waiting_weight = weight;
+    }
+    // A generated trace has no stated outcome; what must always hold is checked all the same.
+    let outcome = outcome.unwrap_or_else(Outcome::unbounded);
+    let mut add = |placer, measured| {
+        let missed = Some(outcome.missed(&measured));
+        rows.push(Row {
+            placer,
+            measured,
+            missed,
+        });
+    };
+    add(
+        SCHEDULER,
+        engine::run(&trace, || Scheduler::new(args.seed))?,
+    );
+    if args.baselines {
+        add("first-fit", engine::run(&trace, FirstFit::new)?);
+        let random = || RandomOfK::new(args.seed, DRAWN, REDRAWN);
+        add("random-of-2", engine::run(&trace, random)?);
+    }
+    Ok(())
+}
+
+fn at(path: &Path, what: &str, e: impl std::error::Error + Send + Sync + 'static) -> Error {
+    Error::caused(Step::Replay, what, e).with_peer(path.display())
+}
+
+fn read_trace(path: &Path) -> Result<Trace> {
+    let file = File::open(path).map_err(|e| at(path, "opening the trace", e))?;
+    trace::read(&path.display().to_string(), BufReader::new(file))
+}
+
+fn write_trace(folder: &Path, name: &str, trace: &Trace) -> Result<()> {
+    let path = folder.join(format!("{name}.jsonl"));
+    let file = File::create(&path).map_err(|e| at(&path, "creating the trace", e))?;
+    trace::write(trace, BufWriter::new(file))
+}
+
+fn read_outcome(path: &Path) -> Result<Option<Outcome>> {
+    let path = path.with_extension("yaml");
+    let text = match std::fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(at(&path, "reading the outcome", e)),
+    };
+    let name = path.display().to_string();
+    let outcome = Outcome::read(&name, &text);
+    let refuse = |problems: crate::schema::Problems| {
+        Error::new(Step::Replay, problems.to_text()).with_peer(&name)
+    };
+    outcome.map(Some).map_err(refuse)
+}
--- /dev/null
+++ b/src/replay/mod.rs
@@ -0,0 +1,35 @@
+//! Proof of placement by replay: traces with stated outcomes, run against the decision code
+//! under a virtual clock.
+//!
+//! A trace holds at most `MAX_LINES` lines, `MAX_BYTES` bytes and `MAX_TASKS` tasks; with all
+//! of them a replay stays under 512 MB.
+
+mod builder;
+mod command;
+mod engine;
+mod ledger;
+mod measures;
+mod outcome;
+mod profiles;
+mod report;
+mod scenarios;
+mod trace;
+
+pub use command::{ReplayArgs, command};
+pub use engine::run;
+pub use ledger::Violation;
+pub use measures::{Measured, Sample, Times};
+pub use outcome::Outcome;
+pub use report::{Row, to_html, to_text};
+pub use scenarios::{NAMES, generate};
+pub use trace::{
+    Change, FORMAT, Header, JobLine, KindLine, Line, MAX_BYTES, MAX_LINES, MAX_TASKS, TeamLine,
+    Trace, WorkerLine, read, write,
+};
+
+use crate::workload::Band;
+
+/// Bands in the order in which they are shown.
+pub(crate) const fn bands() -> [Band; 4] {
+    [Band::Urgent, Band::High, Band::Normal, Band::Spare]
+}
