Feed entry hosts what changed instead of the whole

Cause: each change of one minion sent the whole feed to every entry host; at 6,800 minions that is some hundred bytes a minion, seven times, for each. Change: the first message of a connection is whole, later ones are differences of the maps of entry hosts, minions and the document's sections. The leader builds a feed once a change and shares it among connections.

--- a/src/control/link.rs
+++ b/src/control/link.rs
@@ -19,8 +19,8 @@
 use crate::ids::Revision;
 use crate::placement::Placer;
 use crate::wire::{
-    Answer, Call, CallId, CellKeys, EntryHello, FrameReader, FrameWriter, FromControl, HttpCall,
-    ToControl, accept, connect,
+    Answer, Call, CallId, CellKeys, EntryHello, Feed, FeedDelta, FrameReader, FrameWriter,
+    FromControl, HttpCall, ToControl, accept, connect,
 };
 
 /// Longest time a stranger may take to prove the cell key.
@@ -146,21 +146,23 @@
         }
     }
 
-    /// Sends the whole feed at first and after each change, from confirmed reads only: a
-    /// replica that was cut off must not hand out an older document.
-    async fn feed(self: Arc<Self>, mut held: Revision, sender: mpsc::Sender<FromControl>) {
+    /// Sends the whole feed first, then what changes, from confirmed reads only: a replica that
+    /// was cut off must not hand out an older document.
+    async fn feed(self: Arc<Self>, held: Revision, sender: mpsc::Sender<FromControl>) {
         let mut changes = self.feed.clone();
+        let mut sent: Option<Arc<Feed>> = None;
         loop {
             changes.mark_unchanged();
-            let read = self.calls.read(move |m, _| m.cell().feed(held)).await;
-            let Ok(feed) = read else {
+            let Ok(latest) = self.calls.read(|m, _| m.latest_feed()).await else {
                 tokio::time::sleep(FEED_RETRY).await;
                 continue;
             };
-            held = feed.revision;
-            if sender.send(FromControl::Feed(feed)).await.is_err() {
+            if let Some(message) = feed_message(sent.as_deref(), &latest, held)
+                && sender.send(message).await.is_err()
+            {
                 return;
             }
+            sent = Some(latest);
             if changes.changed().await.is_err() {
                 return;
             }
@@ -169,6 +171,18 @@
     }
 }
 
+/// What to send to a connection that was sent one feed and must hold another; `held` is the
+/// revision of the document it held before the connection.
+fn feed_message(sent: Option<&Feed>, latest: &Feed, held: Revision) -> Option<FromControl> {
+    let Some(sent) = sent else {
+        let mut whole = latest.clone();
+        whole.document = whole.document.filter(|_| latest.revision != held);
+        return Some(FromControl::Feed(whole));
+    };
+    let delta = FeedDelta::between(sent, latest);
+    (!delta.is_empty(sent.revision)).then(|| FromControl::Change(Box::new(delta)))
+}
+
 /// While sign-in is off, only loopback may change the cell. An entry host takes requests from
 /// anywhere, so what it carries would let every caller in.
 fn not_served() -> Answer {
@@ -201,7 +215,7 @@
         loop {
             match rx.read::<FromControl>().await? {
                 Some(FromControl::Answer { answer, .. }) => return Ok(answer),
-                Some(FromControl::Feed(_)) => {}
+                Some(FromControl::Feed(_) | FromControl::Change(_)) => {}
                 None => {
                     let e = Error::new(Step::Transfer, "the leader closed the connection");
                     return Err(e.with_peer(leader));
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -1,6 +1,7 @@
 //! The state machine above the replicated log: the cell, and what only its leader holds.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -13,7 +14,7 @@
 use crate::replication::StateMachine;
 use crate::slo::Tally;
 use crate::state::{Cell, JobNumber, Reply, WorkerNumber};
-use crate::wire::{RefusalKind, StopRun};
+use crate::wire::{Feed, RefusalKind, StopRun};
 
 pub use crate::state::Command;
 
@@ -27,6 +28,8 @@
     /// What only a leader holds; none on a follower.
     pub(super) lead: Option<Lead<P>>,
     pub(super) feed: watch::Sender<u64>,
+    /// The feed that belongs to a number of changes, shared by all connections.
+    latest_feed: Option<(u64, Arc<Feed>)>,
 }
 
 /// Volatile state of a leader, built anew by each one.
@@ -63,6 +66,7 @@
             make_placer,
             lead: None,
             feed: watch::Sender::new(0),
+            latest_feed: None,
         }
     }
 
@@ -76,6 +80,19 @@
         self.feed.subscribe()
     }
 
+    /// Everything an entry host must hold. Built once for each change.
+    pub fn latest_feed(&mut self) -> Arc<Feed> {
+        let changes = self.cell.feed_changes();
+        match &self.latest_feed {
+            Some((at, feed)) if *at == changes => Arc::clone(feed),
+            _ => {
+                let feed = Arc::new(self.cell.feed());
+                self.latest_feed = Some((changes, Arc::clone(&feed)));
+                feed
+            }
+        }
+    }
+
     /// The cell's time that belongs to a monotonic time; only a leader knows it.
     pub(super) fn cell_time(&self, now: Timestamp) -> Timestamp {
         self.lead
@@ -207,6 +224,7 @@
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
         self.cell = Cell::from_bytes(snapshot)?;
+        self.latest_feed = None;
         self.publish();
         Ok(())
     }
--- a/src/entry/link_connection.rs
+++ b/src/entry/link_connection.rs
@@ -175,6 +175,9 @@
                 let _ = pending.reply.send(Ok(answer));
             }
             FromControl::Feed(update) => merge(feed, update),
+            FromControl::Change(delta) => feed.send_modify(|held| {
+                delta.apply(Arc::make_mut(held));
+            }),
         }
         None
     }
--- a/src/state/queries/feed.rs
+++ b/src/state/queries/feed.rs
@@ -1,20 +1,16 @@
 //! What an entry host must hold.
 
-use std::sync::Arc;
-
-use crate::ids::Revision;
 use crate::state::Cell;
 use crate::wire::{Feed, OwnedMinion, PeerEntry};
 
 impl Cell {
-    /// The feed for an entry host that holds the document of revision `held`.
-    pub fn feed(&self, held: Revision) -> Feed {
+    /// Everything an entry host must hold.
+    pub fn feed(&self) -> Feed {
         let revision = self.revision();
-        let document = (revision != held).then(|| self.document());
         let entries = self.entries.iter().filter(|(_, entry)| !entry.leaving);
         Feed {
             revision,
-            document: document.map(|document| Arc::clone(&document)),
+            document: (revision > 0).then(|| self.document()),
             entries: entries
                 .map(|(id, entry)| {
                     let peer = PeerEntry {
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::delta::FeedDelta;
 use crate::document::Document;
 use crate::ids::{
     EntryId, IdempotencyKey, JobName, KindName, MinionId, ProcessId, Revision, ServiceName,
@@ -44,8 +45,10 @@
         /// What came of it.
         answer: Answer,
     },
-    /// State the entry host must hold, sent on each change by a confirmed leader.
+    /// State the entry host must hold, sent first on each connection by a confirmed leader.
     Feed(Feed),
+    /// What changed in that state since the message before on the same connection.
+    Change(Box<FeedDelta>),
 }
 
 /// An entry host's introduction of itself.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 mod auth;
 mod calls;
 mod connection;
+mod delta;
 
 pub use auth::{CellKey, CellKeys, KeyId};
 pub use calls::{
@@ -12,6 +13,7 @@
     StoredAnswer, ToControl, WorkerPoll, WorkerTasks,
 };
 pub use connection::{FrameReader, FrameWriter, accept, connect, split_client, split_server};
+pub use delta::{DocumentDelta, FeedDelta, MapDelta};
 
 /// Version of the frame format and of every message in it; another one is refused by number.
 pub const WIRE_VERSION: u16 = 1;
