--- a/src/console/document_pages.rs
+++ b/src/console/document_pages.rs
@@ -174,7 +174,8 @@
 fn title(ask: &Ask) -> String {
     match (ask.section.as_str(), ask.name.as_str()) {
         (CELL, _) => "Edit the cell".to_owned(),
-        (section, "") => format!("{section}: new or only part"),
+        ("policy", _) => "Edit the policy".to_owned(),
+        (section, "") => format!("Add to {section}"),
         (section, name) => format!("{section}: {name}"),
     }
 }
@@ -194,6 +195,7 @@
         wrong,
         new: ask.name.is_empty() && section.shape != Shape::Single,
         shallow: ask.section == CELL,
+        names: &names_of(document),
     };
     let mut inputs = html! {};
     let mut show = |record: &mut dyn crate::schema::Record| inputs = fields(record, shown);
@@ -235,6 +237,20 @@
     })
 }
 
+/// Names that a form offers for fields that refer to other parts.
+fn names_of(d: &Document) -> [(&'static str, Vec<String>); 4] {
+    let zones = d.zones.iter().map(|z| z.name.to_string());
+    [
+        ("team", d.teams.keys().map(ToString::to_string).collect()),
+        (
+            "service",
+            d.services.keys().map(ToString::to_string).collect(),
+        ),
+        ("kind", d.kinds.keys().map(ToString::to_string).collect()),
+        ("zone", zones.collect()),
+    ]
+}
+
 /// Why a form can't be put in force.
 enum Refused {
     /// The document is not there any more as the form saw it.
--- a/src/console/forms.rs
+++ b/src/console/forms.rs
@@ -30,6 +30,8 @@
     pub(super) new: bool,
     /// Whether records within it are left out.
     pub(super) shallow: bool,
+    /// Names that fields of certain keys are to be taken from.
+    pub(super) names: &'a [(&'static str, Vec<String>)],
 }
 
 /// The fields of a record.
@@ -40,7 +42,16 @@
         out: Vec::new(),
     };
     record.visit(&mut writer);
-    html! { @for field in &writer.out { (field) } }
+    html! {
+        @for (key, names) in shown.names {
+            datalist id=(list_id(key)) { @for name in names { option value=(name) {} } }
+        }
+        @for field in &writer.out { (field) }
+    }
+}
+
+fn list_id(key: &str) -> String {
+    format!("names-of-{key}")
 }
 
 struct Writer<'a> {
@@ -60,12 +71,14 @@
         };
         let wrong = self.shown.wrong.get(&name);
         let hint = format!("{name}-hint");
+        let named = self.shown.names.iter().any(|(key, _)| *key == field.key);
+        let list = named.then(|| list_id(field.key));
         self.out.push(html! {
             div.field {
                 label for=(name) { (field.key) @if field.required { span.needed { " (required)" } } }
                 @if choices.is_empty() {
                     input id=(name) name=(name) value=(value) required[field.required]
-                        autocomplete="off" aria-describedby=(hint) aria-invalid[wrong.is_some()];
+                        autocomplete="off" list=[list] aria-describedby=(hint) aria-invalid[wrong.is_some()];
                 } @else {
                     select id=(name) name=(name) aria-describedby=(hint) {
                         @for choice in choices {
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -6,6 +6,7 @@
 mod read;
 mod scalars;
 mod tree;
+mod units;
 mod write;
 mod yaml;
 
