--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -14,7 +14,7 @@
 use crate::placement::Placer;
 use crate::replication::Role;
 use crate::state::{ReplicaRow, Reply};
-use crate::wire::{Answer, Call, HttpAnswer, HttpCall, JobSubmission, Refusal, RefusalKind};
+use crate::wire::{Answer, HttpAnswer, HttpCall, JobSubmission, Refusal, RefusalKind};
 
 /// Largest document in bytes.
 pub const MAX_DOCUMENT: usize = 1024 * 1024;
@@ -46,8 +46,10 @@
             ("GET", ["v1", "history"]) => self.history().await,
             ("GET", ["v1", "jobs"]) => self.jobs().await,
             ("POST", ["v1", "jobs"]) => self.submit_job(&call).await,
-            ("GET", ["v1", "jobs", name]) => self.job(Call::QueryJob(decoded(name))).await,
-            ("DELETE", ["v1", "jobs", name]) => self.job(Call::CancelJob(decoded(name))).await,
+            ("GET", ["v1", "jobs", name]) => job_answer(self.query(decoded(name)).await),
+            ("DELETE", ["v1", "jobs", name]) => {
+                job_answer(self.cancel(decoded(name), operator(&call)).await)
+            }
             ("GET", ["v1", "workers"]) => self.table(|m, now| m.worker_rows(now)).await,
             ("GET", ["v1", "teams"]) => self.table(|m, _| m.cell().team_rows()).await,
             ("GET", ["v1", "minions"]) => self.table(|m, _| m.minion_rows()).await,
@@ -161,14 +163,7 @@
             .map_err(|e| problem(400, &format!("the job is not as expected: {e}")))?;
         let key = header_of(call, "idempotency-key").map(CompactString::from);
         submission.key = submission.key.or(key);
-        self.job(Call::SubmitJob(submission)).await
-    }
-
-    async fn job(&self, call: Call) -> Answered {
-        match self.answer(None, call).await {
-            Answer::Job(view) => Ok(json_answer(200, &view)),
-            answer => Err(failed(answer)),
-        }
+        job_answer(self.submit(submission, operator(call)).await)
     }
 
     async fn table<T: Serialize + Send + 'static>(
@@ -187,6 +182,13 @@
     }
 }
 
+fn job_answer(answered: Result<Answer, Answer>) -> Answered {
+    match answered {
+        Ok(Answer::Job(view)) => Ok(json_answer(200, &view)),
+        Ok(answer) | Err(answer) => Err(failed(answer)),
+    }
+}
+
 fn decoded(part: &str) -> JobName {
     JobName::from(part)
 }
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -71,12 +71,9 @@
             Call::AnnounceMinion(minion) => self.announce(minion).await,
             Call::LeaveMinion(minion) => self.agree(Command::LeaveMinion(minion)).await,
             Call::PollWorker(poll) => self.poll(poll).await,
-            Call::SubmitJob(submission) => self.submit(submission).await,
+            Call::SubmitJob(submission) => self.submit(submission, CALLER.into()).await,
             Call::QueryJob(job) => self.query(job).await,
-            Call::CancelJob(job) => {
-                let who = CompactString::const_new(CALLER);
-                self.agree(Command::CancelJob { job, who }).await
-            }
+            Call::CancelJob(job) => self.cancel(job, CALLER.into()).await,
             Call::ClaimKey(claim) => self.claim(claim).await,
             Call::SettleKey(settlement) => self.settle(settlement).await,
             Call::Burn(delta) => self.agree(Command::Burn(delta)).await,
@@ -147,12 +144,19 @@
         Ok(())
     }
 
-    async fn submit(&self, submission: JobSubmission) -> Result<Answer, Answer> {
-        let who = CompactString::const_new(CALLER);
+    pub(super) async fn submit(
+        &self,
+        submission: JobSubmission,
+        who: CompactString,
+    ) -> Result<Answer, Answer> {
         self.agree(Command::SubmitJob { submission, who }).await
     }
 
-    async fn query(&self, job: JobName) -> Result<Answer, Answer> {
+    pub(super) async fn cancel(&self, job: JobName, who: CompactString) -> Result<Answer, Answer> {
+        self.agree(Command::CancelJob { job, who }).await
+    }
+
+    pub(super) async fn query(&self, job: JobName) -> Result<Answer, Answer> {
         let name = job.clone();
         let view = self.read(move |m, now| m.job_view(now, &name)).await?;
         Ok(match view {
