Burn report on the command line and in the console

Cause: the objectives' burn was counted but could not be looked at. Change: yuccahold report burn as table, JSON and one page; the same in the console, and through entry hosts. Conclusion: one renderer serves the file and the console.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -133,6 +133,11 @@
         /// Whether to go on without asking.
         yes: bool,
     },
+    /// Shows how the objectives' error budgets burn.
+    ReportBurn {
+        /// File for the report as a page with plots.
+        html: Option<PathBuf>,
+    },
     /// Makes a token for an operator.
     Token {
         /// The operator.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 mod output;
 mod parse;
 mod parse_tools;
+mod report;
 mod specs;
 mod tools;
 
@@ -83,6 +84,7 @@
         Command::Status { job, watch } => jobs::status(config, job.as_deref(), *watch).await,
         Command::Cancel { job } => jobs::cancel(config, job).await,
         Command::Drain { drain, undo, yes } => drains::drain(config, drain, *undo, *yes).await,
+        Command::ReportBurn { html } => report::burn(config, html.as_deref()).await,
         Command::Token { operator } => tools::token(config, operator),
         Command::Load {
             options,
--- a/src/cli/parse.rs
+++ b/src/cli/parse.rs
@@ -220,6 +220,12 @@
                 undo: self.switch("--undo"),
                 yes,
             },
+            "report" => {
+                self.one_of("REPORT", &first(), &[("burn", ())])?;
+                Command::ReportBurn {
+                    html: self.path("--html"),
+                }
+            }
             "token" => self.token()?,
             "load" => self.load()?,
             "stand-in" => self.stand_in()?,
--- a/src/cli/specs.rs
+++ b/src/cli/specs.rs
@@ -263,6 +263,26 @@
             ),
         ],
     },
+    Spec {
+        name: "report",
+        arguments: "burn",
+        count: (1, 1),
+        summary: "Show how the objectives' error budgets burn, and what burned them",
+        detail: "",
+        options: &[valued(
+            "--html",
+            "FILE",
+            "write a page with plots as well",
+            "",
+        )],
+        examples: &[
+            ("yuccahold report burn", "a table of all objectives"),
+            (
+                "yuccahold report burn --html burn.html",
+                "with plots, in one file",
+            ),
+        ],
+    },
     Spec {
         name: "token",
         arguments: "NAME",
--- a/src/console/layout.rs
+++ b/src/console/layout.rs
@@ -17,6 +17,7 @@
     ("/console/minions", "Minions"),
     ("/console/entries", "Entry hosts"),
     ("/console/replicas", "Replicas"),
+    ("/console/burn", "Burn"),
     ("/console/history", "History"),
     ("/console/audit", "Audit"),
 ];
--- a/src/console/pages.rs
+++ b/src/console/pages.rs
@@ -231,6 +231,7 @@
         ("GET", ["entries"]) => tables::entries(&visit).await,
         ("GET", ["replicas"]) => tables::replicas(&visit).await,
         ("GET", ["teams"]) => tables::teams(&visit).await,
+        ("GET", ["burn"]) => tables::burn(&visit).await,
         ("GET", ["history"]) => tables::history(&visit).await,
         ("GET", ["audit"]) => tables::audit(&visit).await,
         ("GET", ["document"]) => document_pages::overview(&visit).await,
--- a/src/console/tables.rs
+++ b/src/console/tables.rs
@@ -4,11 +4,13 @@
 
 use maud::{Markup, html};
 
+use super::http::refusal;
 use super::layout::{table, watch_link};
 use super::pages::{Paged, Visit};
 use super::state::ConsoleState;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
+use crate::slo::BurnReport;
 use crate::state::{AuditRow, EntryRow, MinionRow, ReplicaRow, RevisionRow, TeamRow, WorkerRow};
 use crate::wire::{JobPhase, JobView};
 
@@ -240,6 +242,12 @@
     )
 }
 
+pub(super) async fn burn<S: ConsoleState>(visit: &Visit<'_, S>) -> Paged {
+    let report: BurnReport = visit.api.get("/v1/burn").await?;
+    let body = crate::slo::render_body(&report).map_err(|e| refusal(500, &e.to_string()))?;
+    visit.page("Service-level burn", &body)
+}
+
 pub(super) async fn audit<S: ConsoleState>(visit: &Visit<'_, S>) -> Paged {
     let rows: Vec<AuditRow> = visit.api.get("/v1/audit").await?;
     let cells = |r: &AuditRow| vec![when(r.at), text(&r.who), text(&r.what)];
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -106,7 +106,7 @@
         (&Method::DELETE, ["v1", "jobs", name]) => jobs::cancel(context, name).await,
         (_, ["v1", "document"] | ["console", ..])
         | (&Method::GET, ["v1", "jobs" | "history" | "workers" | "minions" | "entries"])
-        | (&Method::GET, ["v1", "replicas" | "teams" | "audit"]) => {
+        | (&Method::GET, ["v1", "replicas" | "teams" | "audit" | "burn"]) => {
             match read_body(incoming.body, SMALL_BODY).await {
                 Ok(body) => {
                     let path = with_query(&path, &incoming.query);
--- a/src/slo/html.rs
+++ b/src/slo/html.rs
@@ -12,19 +12,23 @@
 
 /// Writes the report as a whole HTML page.
 pub fn render_html(report: &BurnReport) -> Result<String> {
+    Ok(page("Service-level burn", &render_body(report)?))
+}
+
+/// Writes the report as a part of a page.
+pub fn render_body(report: &BurnReport) -> Result<Markup> {
     let sections: Vec<Markup> = report
         .objectives
         .iter()
         .map(section)
         .collect::<Result<_>>()?;
-    let body = html! {
+    Ok(html! {
         p { "At Unix time " (report.at.as_secs()) " s." }
         @if report.objectives.is_empty() {
             p { "The document declares no objectives." }
         }
         @for section in sections { (section) }
-    };
-    Ok(page("Service-level burn", &body))
+    })
 }
 
 fn section(report: &ObjectiveReport) -> Result<Markup> {
--- a/src/slo/mod.rs
+++ b/src/slo/mod.rs
@@ -14,7 +14,7 @@
 
 pub use alert::{Alert, Severity};
 pub use burn::{BURNER_DIMENSIONS, Burn, BurnRate, Burner, ObjectiveReport};
-pub use html::render_html;
+pub use html::{render_body, render_html};
 pub use report::{BurnReport, render_json, render_table};
 pub use ring::Counts;
 pub use tally::{BurnDelta, Dimension, Dimensions, Event, ObjectiveDelta, Outcome, Tally};
