--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Routing of quick requests: which minion works on which request, and when to queue, refuse,
 //! retry, hedge or give up. Pure state machines; the daemon under `entry` carries out effects.
 
+mod admission;
 mod budget;
 mod choice;
 mod latency;
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -1,5 +1,6 @@
 //! Entry hosts with fake minions and a fake control, over real connections in one process.
 
+#[allow(dead_code, reason = "each test file uses a part")]
 mod support;
 
 use std::time::Duration;
@@ -14,7 +15,7 @@
     // key, and each ran once.
     let cell = Cell::start(document(), 2, 2).await;
     for n in 0..20 {
-        let reply = cell.ask(n % 2, &format!("work-{n}")).await;
+        let reply = cell.ask(n % 2, format!("work-{n}")).await;
         assert_eq!(reply.status(), 200);
         assert_eq!(outcome(&reply), "done");
         let body: serde_json::Value = reply.json().await.unwrap();
@@ -32,7 +33,7 @@
     let cell = Cell::start(document(), 2, 2).await;
     let asks = (0..60).map(|n| {
         let cell = &cell;
-        async move { cell.ask(n % 2, &format!("work-{n}")).await.status() }
+        async move { cell.ask(n % 2, format!("work-{n}")).await.status() }
     });
     let statuses = futures::future::join_all(asks).await;
     assert!(statuses.iter().all(|s| *s == 200), "{statuses:?}");
--- /dev/null
+++ b/tests/entry_faults.rs
@@ -0,0 +1,186 @@
+//! Connections that go silent, answers that are cut or crossed, between an entry host and its
+//! minions, peers and control.
+
+#[allow(dead_code, reason = "each test file uses a part")]
+mod support;
+
+use std::time::Duration;
+
+use support::{Cell, TestEntry, document, outcome, settings, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use yuccahold::fault::{Direction, Fault, TcpProxy};
+use yuccahold::stand_in::MinionBehaviour;
+
+/// One entry host with one minion behind a proxy.
+async fn behind_proxy(behaviour: MinionBehaviour) -> (Cell, TcpProxy) {
+    let mut cell = Cell::start(document(), 1, 0).await;
+    let proxy = TcpProxy::start(None, 1).await.unwrap();
+    cell.add_minion_at("minion-0", behaviour, Some(proxy.addr()))
+        .await;
+    proxy.set_upstream(cell.minions[0].addr());
+    cell.settled(1).await;
+    (cell, proxy)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_a_minion_are_replaced() {
+    // Something between forgets the kept connections; new ones work. Requests sent into the
+    // silence get no answer on them, are tried again over new connections within their deadline,
+    // and the minion, which answers its probe, stays in use.
+    let (cell, proxy) = behind_proxy(MinionBehaviour::default()).await;
+    let warm = (0..4).map(|n| cell.ask(0, format!("warm-{n}")));
+    futures::future::join_all(warm).await;
+    proxy.apply(Fault::SilenceOpen);
+    let asks = (0..4).map(|n| {
+        let url = cell.url(0, &format!("/v1/services/desk/silent-{n}"));
+        cell.client
+            .get(url)
+            .header("yuccahold-deadline-ms", "3000")
+            .send()
+    });
+    for reply in futures::future::join_all(asks).await {
+        let reply = reply.unwrap();
+        assert_eq!((reply.status().as_u16(), outcome(&reply)), (200, "done"));
+    }
+    cell.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_answer_is_never_delivered() {
+    // The connection ends in the middle of an answer's body. An idempotent request is tried
+    // again and gets the whole answer; one that must run once is answered as unknown, at once.
+    let big = MinionBehaviour {
+        answer_bytes: 100_000,
+        ..MinionBehaviour::default()
+    };
+    let (cell, proxy) = behind_proxy(big).await;
+    let ask = |key: &str, idempotent: &str| {
+        let url = cell.url(0, &format!("/v1/services/desk/{key}"));
+        cell.client
+            .get(url)
+            .header("yuccahold-idempotent", idempotent)
+            .send()
+    };
+    let cut = Fault::Truncate {
+        direction: Direction::ToClient,
+        after: 30_000,
+    };
+    proxy.apply(cut);
+    let once = ask("once", "false").await.unwrap();
+    assert_eq!((once.status().as_u16(), outcome(&once)), (502, "unknown"));
+    let retried = ask("twice", "true");
+    let reopen = async {
+        until("the first try runs", || async {
+            cell.check().contains_key("/twice")
+        })
+        .await;
+        proxy.apply(Fault::Reopen);
+    };
+    let (retried, ()) = tokio::join!(retried, reopen);
+    let retried = retried.unwrap();
+    assert_eq!(
+        (retried.status().as_u16(), outcome(&retried)),
+        (200, "done")
+    );
+    assert!(retried.bytes().await.unwrap().len() > 100_000);
+    assert_eq!(cell.check()["/once"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crossed_answer_goes_to_nobody() {
+    // A minion sends one request's answer on another's connection. The number it carries is not
+    // the one that was sent, so it is dropped and the outcome is unknown.
+    let cell = Cell::start(document(), 1, 0).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 4096]).await;
+            let crossed = "HTTP/1.1 200 OK\r\nyuccahold-request-id: other\r\n\
+                           content-length: 6\r\n\r\nsecret";
+            let _ = stream.write_all(crossed.as_bytes()).await;
+        }
+    });
+    let url = cell.url(0, "/v1/minions/minion-0");
+    let body = serde_json::json!({"service": "desk", "addr": addr, "ttl_ms": 60_000});
+    let announced = cell.client.put(url).json(&body).send().await.unwrap();
+    assert_eq!(announced.status(), 200);
+    cell.settled(1).await;
+    let url = cell.url(0, "/v1/services/desk/mine");
+    let reply = cell
+        .client
+        .get(url)
+        .header("yuccahold-idempotent", "false")
+        .send();
+    let reply = reply.await.unwrap();
+    assert_eq!((reply.status().as_u16(), outcome(&reply)), (502, "unknown"));
+    assert!(!reply.text().await.unwrap().contains("secret"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_a_peer_and_to_control_are_replaced() {
+    // First the connection to the only owner goes silent: an idempotent request sent into it is
+    // forwarded again over a new one. Then the one to control: it is replaced, the lease is
+    // renewed, and calls are answered again.
+    let mut cell = Cell::start(document(), 1, 1).await;
+    let to_peer = TcpProxy::start(cell.entries[0].peer_addr, 1).await.unwrap();
+    let to_control = TcpProxy::start(cell.control.addr, 1).await.unwrap();
+    cell.control.advertise_peer("entry-0", to_peer.addr());
+    let second = settings("entry-1", to_control.addr());
+    cell.entries.push(TestEntry::start(second).await);
+    cell.settled(1).await;
+    assert_eq!(cell.ask(1, "before").await.status(), 200);
+    to_peer.apply(Fault::SilenceOpen);
+    assert_eq!(cell.ask(1, "silent").await.status(), 200);
+    to_control.apply(Fault::SilenceOpen);
+    let url = cell.url(1, "/v1/jobs/none");
+    until("control answers again", || async {
+        let reply = cell.client.get(&url).send().await.unwrap();
+        reply.status() == 404
+    })
+    .await;
+    cell.settled(1).await;
+    cell.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn overload_is_refused_at_once() {
+    // A hundred callers ask one minion of eight slots and a short deadline. Those that can't be
+    // served in time are told so long before their deadline, with when to come back, and what
+    // was called not run did not run.
+    let slow = MinionBehaviour {
+        service_time: Duration::from_millis(200),
+        ..MinionBehaviour::default()
+    };
+    let mut cell = Cell::start(document(), 1, 0).await;
+    cell.add_minion("minion-0", slow).await;
+    cell.settled(1).await;
+    let measured = (0..8).map(|n| cell.ask(0, format!("measured-{n}")));
+    futures::future::join_all(measured).await;
+    let asks = (0..100).map(|n| {
+        let url = cell.url(0, &format!("/v1/services/desk/work-{n}"));
+        let ask = cell
+            .client
+            .get(url)
+            .header("yuccahold-deadline-ms", "1000")
+            .send();
+        async move { (format!("/work-{n}"), ask.await.unwrap()) }
+    });
+    let replies = futures::future::join_all(asks).await;
+    let ran = cell.check();
+    let (mut done, mut refused) = (0, 0);
+    for (key, reply) in &replies {
+        match outcome(reply) {
+            "done" => done += 1,
+            "not-run" => {
+                assert_eq!(reply.status(), 503);
+                assert!(reply.headers().contains_key("retry-after"));
+                assert!(!ran.contains_key(key), "{key} ran");
+                refused += 1;
+            }
+            other => panic!("{key} ended as {other}"),
+        }
+    }
+    assert!(done >= 8 && refused > 0, "{done} done, {refused} refused");
+}
--- a/tests/support/fake_control.rs
+++ b/tests/support/fake_control.rs
@@ -24,6 +24,7 @@
     keys: BTreeMap<(String, String), (KeyState, [u8; 16])>,
     jobs: BTreeMap<String, JobView>,
     lease: Duration,
+    advertised: BTreeMap<EntryId, SocketAddr>,
 }
 
 /// A running fake. Dropping it kills it and its connections.
@@ -47,6 +48,7 @@
             keys: BTreeMap::new(),
             jobs: BTreeMap::new(),
             lease,
+            advertised: BTreeMap::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -84,6 +86,11 @@
         }
     }
 
+    /// Tells everyone another address for an entry host, such as a proxy's.
+    pub fn advertise_peer(&self, entry: &str, addr: SocketAddr) {
+        lock(&self.state).advertised.insert(entry.into(), addr);
+    }
+
     pub fn feed(&self) -> Feed {
         lock(&self.state).feed.clone()
     }
@@ -197,7 +204,10 @@
         self.seen.insert(hello.entry.clone(), Instant::now());
         let peer = PeerEntry {
             zone: hello.zone.clone(),
-            peer_addr: hello.peer_addr,
+            peer_addr: *self
+                .advertised
+                .get(&hello.entry)
+                .unwrap_or(&hello.peer_addr),
             process: hello.process,
         };
         if report.leaving {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -60,6 +60,7 @@
 /// An entry host on a runtime of its own. Dropping it kills the entry host.
 pub struct TestEntry {
     pub http_addr: SocketAddr,
+    pub peer_addr: SocketAddr,
     handle: Option<EntryHandle>,
     runtime: Option<Runtime>,
 }
@@ -75,6 +76,7 @@
         let handle = handle.await.unwrap().unwrap();
         Self {
             http_addr: handle.http_addr(),
+            peer_addr: handle.peer_addr(),
             handle: Some(handle),
             runtime: Some(runtime),
         }
@@ -126,12 +128,23 @@
     }
 
     pub async fn add_minion(&mut self, id: &str, behaviour: MinionBehaviour) {
+        self.add_minion_at(id, behaviour, None).await;
+    }
+
+    /// Adds a minion that announces another address than its own, such as a proxy's.
+    pub async fn add_minion_at(
+        &mut self,
+        id: &str,
+        behaviour: MinionBehaviour,
+        advertise: Option<SocketAddr>,
+    ) {
         let options = MinionOptions {
             id: id.into(),
             service: "desk".into(),
             entries: self.entries.iter().map(|e| e.http_addr).collect(),
             ttl: Duration::from_secs(2),
             behaviour,
+            advertise,
             ..MinionOptions::default()
         };
         self.minions.push(start_minion(options).await.unwrap());
@@ -161,7 +174,7 @@
     }
 
     /// Sends `GET /v1/services/desk/{key}` to an entry host.
-    pub async fn ask(&self, entry: usize, key: &str) -> reqwest::Response {
+    pub async fn ask(&self, entry: usize, key: impl std::fmt::Display) -> reqwest::Response {
         let url = self.url(entry, &format!("/v1/services/desk/{key}"));
         self.client.get(url).send().await.unwrap()
     }
