--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -27,6 +27,8 @@
 
 /// Mean service time of the simulated minions in seconds.
 const SERVICE: f64 = 0.010;
+/// Way between two hosts in seconds, as in the model. A slot is taken for the way there and back.
+const HOP: f64 = 0.0005;
 /// Span of the simulated load.
 const SPAN: Duration = Duration::from_secs(20);
 
@@ -48,7 +50,7 @@
 /// all slots gives the bound.
 fn queued(seed: u64, minions: usize, slots: u32, load: f64, choose: &impl Choose) -> Vec<f64> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let rate = load * minions as f64 * f64::from(slots) / SERVICE;
+    let rate = rate(minions, slots, load);
     // For each minion the times at which its slots are free, earliest first, in nanoseconds.
     let free = || {
         (0..slots)
@@ -70,8 +72,9 @@
             .pop()
             .map_or(at, |s: std::cmp::Reverse<u64>| s.0.max(at));
         let service = exponential(&mut rng, SERVICE);
-        slots.push(std::cmp::Reverse(start + (service * 1e9) as u64));
-        waits.push((start - at) as f64 / 1e9);
+        let held = service + 2.0 * HOP;
+        slots.push(std::cmp::Reverse(start + (held * 1e9) as u64));
+        waits.push((start - at) as f64 / 1e9 + HOP);
     }
     waits
 }
@@ -88,6 +91,11 @@
     }
 }
 
+/// Arrivals a second at a share of what the slots can do, the ways there and back included.
+fn rate(minions: usize, slots: u32, load: f64) -> f64 {
+    load * minions as f64 * f64::from(slots) / (SERVICE + 2.0 * HOP)
+}
+
 fn exponential(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
     -rng.random::<f64>().max(1e-12).ln() * mean
 }
@@ -103,7 +111,7 @@
         idempotent: true,
         deadline: Duration::from_secs(10),
     };
-    let rate = load * minions as f64 * f64::from(slots) / SERVICE;
+    let rate = rate(minions, slots, load);
     world.load(1, rate, SPAN, &caller);
     world.run(SPAN + Duration::from_secs(12));
     world.check(slots);
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -199,6 +199,11 @@
         self.minions_of(service).map(Minion::free).sum()
     }
 
+    /// Whether a slot of this service takes a request now.
+    fn has_free(&self, now: Timestamp, service: &ServiceName) -> bool {
+        now < self.leased_until && self.minions_of(service).any(|m| m.free() > 0)
+    }
+
     fn minions_of(&self, service: &ServiceName) -> impl Iterator<Item = &Minion> {
         let minions = self.minions.values();
         minions.filter(move |m| m.owned.minion.service == *service)
@@ -345,7 +350,7 @@
     /// Starts waiting requests of one service while there is a free slot.
     pub(super) fn pump(&mut self, now: Timestamp, service: &ServiceName, out: &mut Vec<Effect>) {
         loop {
-            let here = self.free_here(now, service) > 0;
+            let here = self.has_free(now, service);
             if !here && !self.peers.any_free(service) {
                 return;
             }
@@ -388,7 +393,7 @@
     fn watch_load(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
         let mut due = now >= self.load_due;
         for name in std::mem::take(&mut self.touched) {
-            let free = self.free_here(now, &name) > 0;
+            let free = self.has_free(now, &name);
             let state = self.services.entry(name).or_default();
             due |= state.had_free != free;
             state.had_free = free;
