Tests of control replicas as real processes

Cause: nothing drove the real daemons through lost, paused and cut-off replicas, nor two operators and resends.

Change: TestEnv starts the daemons on loopback addresses of the test's own process, puts a fault proxy in front of every address that a daemon tells others, and names the daemon behind each connection from /proc, so that a link can be silenced in one direction. For the proxies control gets call_advertise, the kin of replica_advertise. A document refused over HTTP now shows its problems instead of their number. A stand-in worker that is refused a lease pauses before it polls again.

--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -89,7 +89,7 @@
             .map_err(|_| problem(400, "the document is not UTF-8 text"))?;
         let base = base_revision(call)?;
         let document = document::parse("document", text)
-            .map_err(|problems| problem(422, &problems.to_string()))?;
+            .map_err(|problems| problem(422, &problems.to_text()))?;
         let command = Command::PutDocument {
             base,
             document: Arc::new(document),
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -114,7 +114,7 @@
         zone: cfg.zone.clone(),
         replica_listen: cfg.replica_listen,
         replica_advertise: cfg.replica_advertise,
-        call_addr,
+        call_addr: cfg.call_advertise.unwrap_or(call_addr),
         peers: cfg.replicas.clone(),
         election_timeout: cfg.election_timeout,
         heartbeat: cfg.heartbeat,
--- a/src/dev/cell.rs
+++ b/src/dev/cell.rs
@@ -247,6 +247,7 @@
         listen: place.console,
         call_listen: loopback(),
         replica_listen: loopback(),
+        call_advertise: None,
         replica_advertise: None,
         replicas: Vec::new(),
         operators: None,
--- a/src/fault/tcp.rs
+++ b/src/fault/tcp.rs
@@ -173,11 +173,11 @@
 
 impl SourceProxy {
     /// Listens on a free loopback port and forwards to `upstream`. `source` names the process
-    /// behind the address of a new connection.
+    /// that opened a connection from its address to the proxy's.
     pub async fn start(
         upstream: SocketAddr,
         seed: u64,
-        source: impl Fn(SocketAddr) -> CompactString + Send + 'static,
+        source: impl Fn(SocketAddr, SocketAddr) -> CompactString + Send + 'static,
     ) -> Result<Self> {
         let (listener, addr) = listen().await?;
         let lanes = Arc::new(Lanes {
@@ -186,7 +186,7 @@
             by_source: Mutex::default(),
         });
         let taking = lanes.clone();
-        let take = move |client, peer| taking.of(&source(peer)).take(client);
+        let take = move |client, peer| taking.of(&source(peer, addr)).take(client);
         Ok(Self {
             addr,
             lanes,
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -42,6 +42,8 @@
     pub listen: SocketAddr,
     /// Where entry hosts send calls.
     pub call_listen: SocketAddr,
+    /// Address entry hosts and other replicas are told to call; `call_listen` when absent.
+    pub call_advertise: Option<SocketAddr>,
     /// Where other replicas connect.
     pub replica_listen: SocketAddr,
     /// Address other replicas are told to connect to; `replica_listen` when absent.
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -85,6 +85,11 @@
         v.scalar(listen, &mut Address(&mut self.listen));
         let call = Field::required("call_listen", "Where entry hosts send calls.");
         v.scalar(call, &mut Address(&mut self.call_listen));
+        let advertise = Field::optional(
+            "call_advertise",
+            "Address entry hosts and other replicas are told to call; `call_listen` when absent.",
+        );
+        v.scalar(advertise, &mut OptionalAddress(&mut self.call_advertise));
         let replica = Field::required("replica_listen", "Where other replicas connect.");
         v.scalar(replica, &mut Address(&mut self.replica_listen));
         let advertise = Field::optional(
@@ -128,6 +133,7 @@
             data: PathBuf::new(),
             listen: NO_ADDRESS,
             call_listen: NO_ADDRESS,
+            call_advertise: None,
             replica_listen: NO_ADDRESS,
             replica_advertise: None,
             replicas: Vec::new(),
@@ -162,6 +168,7 @@
         ("replica_listen", s.replica_listen),
     ];
     let mut findings = clashes(&listens);
+    advertised(&mut findings, "call", s.call_listen, s.call_advertise);
     advertised(
         &mut findings,
         "replica",
--- a/src/stand_in/worker.rs
+++ b/src/stand_in/worker.rs
@@ -166,6 +166,8 @@
             let sent = self.now();
             let poll = self.state.poll(sent, self.wait, wish.leaving);
             match self.exchange(&poll).await {
+                // Control grants no lease while another process of this worker may hold one.
+                Outcome::Answered(tasks) if tasks.lease.is_zero() => self.pause().await,
                 Outcome::Answered(tasks) => self.answered(sent, *tasks),
                 Outcome::Failed(e) => self.failed(&e).await,
                 Outcome::News => continue,
@@ -232,10 +234,15 @@
         self.record();
     }
 
-    /// Goes on to the next entry host after a pause in which the runs go on.
+    /// Goes on to the next entry host after a pause.
     async fn failed(&mut self, e: &Error) {
         slog::debug!(self.log, "a poll failed"; "error" => %e);
         self.entry = self.entry.wrapping_add(1);
+        self.pause().await;
+    }
+
+    /// Waits before the next poll; the runs go on.
+    async fn pause(&mut self) {
         let until = Instant::now() + RETRY;
         while Instant::now() < until {
             let due = self.state.next_due().map(|due| self.instant(due));
--- /dev/null
+++ b/tests/cell/daemon.rs
@@ -0,0 +1,166 @@
+//! One real process: started, stopped, paused and killed by its id.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::net::Pids;
+use super::until;
+
+/// First port of the range in which free ports are looked for, below the system's own range.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+
+/// A port that is free now, at a loopback address of this process alone: a test of another
+/// process cannot take it before the daemon does.
+pub fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    loop {
+        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let addr = SocketAddr::from(([127, 64 | a, b, c], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+/// A daemon with its settings file and log.
+pub struct Daemon {
+    pub name: String,
+    pub http: SocketAddr,
+    pub folder: PathBuf,
+    binary: &'static str,
+    pids: Pids,
+    child: Option<Child>,
+    paused: bool,
+}
+
+impl Daemon {
+    pub fn new(
+        name: &str,
+        binary: &'static str,
+        folder: &Path,
+        http: SocketAddr,
+        pids: Pids,
+    ) -> Self {
+        std::fs::create_dir_all(folder).unwrap();
+        Self {
+            name: name.to_owned(),
+            http,
+            folder: folder.to_owned(),
+            binary,
+            pids,
+            child: None,
+            paused: false,
+        }
+    }
+
+    pub fn write_settings(&self, text: &str) {
+        std::fs::write(self.folder.join("settings.yaml"), text).unwrap();
+    }
+
+    /// Starts the process; its log is added to the one of earlier starts.
+    pub fn start(&mut self, args: &[&str]) {
+        assert!(self.child.is_none(), "{} runs already", self.name);
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_file())
+            .unwrap();
+        let child = Command::new(self.binary)
+            .args(args)
+            .arg(self.folder.join("settings.yaml"))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.pids.add(child.id(), &self.name);
+        self.child = Some(child);
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().expect("the daemon runs").id()
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child
+            .as_mut()
+            .is_some_and(|child| child.try_wait().unwrap().is_none())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.pid() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+
+    pub fn pause(&mut self) {
+        self.signal(Signal::STOP);
+        self.paused = true;
+    }
+
+    pub fn resume(&mut self) {
+        self.signal(Signal::CONT);
+        self.paused = false;
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// The planned stop: asks for it and waits for the end.
+    pub async fn stop(&mut self) -> ExitStatus {
+        self.signal(Signal::TERM);
+        let name = self.name.clone();
+        let child = self.child.as_mut().expect("the daemon runs");
+        let mut status = None;
+        until(&format!("the planned stop of {name}"), async || {
+            status = child.try_wait().unwrap();
+            status.is_some()
+        })
+        .await;
+        self.child = None;
+        status.unwrap()
+    }
+
+    pub fn wipe_data(&self) {
+        assert!(self.child.is_none(), "{} still runs", self.name);
+        std::fs::remove_dir_all(self.folder.join("data")).unwrap();
+    }
+
+    fn log_file(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.log_file()).unwrap_or_default()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if std::thread::panicking() {
+            let log = self.log();
+            let lines: Vec<_> = log.lines().rev().take(25).collect();
+            eprintln!("--- end of the log of {}", self.name);
+            lines.iter().rev().for_each(|line| eprintln!("{line}"));
+        }
+    }
+}
+
+/// Time for a process to come up or end, on a machine that is busy with other tests.
+pub const DEADLINE: Duration = Duration::from_secs(40);
--- /dev/null
+++ b/tests/cell/mod.rs
@@ -0,0 +1,514 @@
+//! `TestEnv`: a cell of real processes on loopback, with fault proxies between its daemons and
+//! stand-in workers and minions in the test's own process.
+//!
+//! Nothing here waits for a fixed time: [`until`] asks again and again until a deadline.
+#![allow(dead_code)]
+
+mod daemon;
+mod net;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use yuccahold::resources::Resources;
+use yuccahold::stand_in::{
+    Behaviour, Ledger, MinionBehaviour, MinionHandle, MinionOptions, WorkerHandle, WorkerOptions,
+    start_minion, start_worker,
+};
+use yuccahold::telemetry;
+use yuccahold::wire::{JobPhase, JobView};
+use yuccahold::workload::WorkerSpec;
+
+pub use daemon::{DEADLINE, Daemon, free_addr};
+pub use net::Net;
+
+/// Zones of the cell, in turn over replicas, entry hosts, workers and minions.
+pub const ZONES: [&str; 3] = ["bern-a", "bern-b", "olten"];
+
+/// A document with short times, so that a lapse of a lease is seen within a test.
+pub const DOCUMENT: &str = include_str!("document.yaml");
+
+/// Asks again until the condition holds, or fails after [`DEADLINE`].
+pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + DEADLINE;
+    while !condition().await {
+        assert!(Instant::now() < end, "waited too long for {what}");
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+}
+
+/// Size of a cell.
+pub struct Shape {
+    pub replicas: usize,
+    pub entries: usize,
+    pub workers: usize,
+    pub minions: usize,
+    pub document: String,
+    /// Further lines in the settings of every replica.
+    pub control: String,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            replicas: 1,
+            entries: 1,
+            workers: 0,
+            minions: 0,
+            document: DOCUMENT.to_owned(),
+            control: String::new(),
+        }
+    }
+}
+
+/// Answer to a caller's request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub outcome: String,
+    pub body: Vec<u8>,
+}
+
+/// A running cell. Dropping it ends its processes; its folder stays when a test fails.
+pub struct TestEnv {
+    pub replicas: Vec<Daemon>,
+    pub entries: Vec<Daemon>,
+    pub net: Net,
+    pub workers: BTreeMap<String, WorkerHandle>,
+    pub minions: BTreeMap<String, MinionHandle>,
+    pub ledger: Arc<Ledger>,
+    pub client: reqwest::Client,
+    pub folder: PathBuf,
+}
+
+impl TestEnv {
+    /// Starts the daemons, puts the document in force and waits until everything has joined.
+    pub async fn start(name: &str, shape: Shape) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("cell.key"), "a key for tests\n").unwrap();
+        let mut env = Self {
+            replicas: Vec::new(),
+            entries: Vec::new(),
+            net: Net::default(),
+            workers: BTreeMap::new(),
+            minions: BTreeMap::new(),
+            ledger: Arc::default(),
+            client: reqwest::Client::builder()
+                .timeout(Duration::from_secs(15))
+                .build()
+                .unwrap(),
+            folder,
+        };
+        let calls = env.start_replicas(&shape).await;
+        env.start_entries(&shape, &calls).await;
+        env.put_document(&shape.document, 0)
+            .await
+            .expect("the first document is accepted");
+        for n in 0..shape.workers {
+            env.add_worker(&format!("worker-{n}"), Behaviour::default());
+        }
+        for n in 0..shape.minions {
+            env.add_minion(&format!("minion-{n}"), MinionBehaviour::default())
+                .await;
+        }
+        env.until_joined().await;
+        env
+    }
+
+    async fn start_replicas(&mut self, shape: &Shape) -> Vec<SocketAddr> {
+        let mut ports = Vec::new();
+        for n in 1..=shape.replicas {
+            let name = format!("c{n}");
+            let (calls, replica) = (free_addr(), free_addr());
+            let fronts = (
+                self.net.front(&name, calls).await,
+                self.net.front(&name, replica).await,
+            );
+            ports.push((name, calls, replica, fronts));
+        }
+        for (n, (name, calls, replica, fronts)) in ports.iter().enumerate() {
+            let others = ports.iter().filter(|other| other.0 != *name);
+            let others: Vec<_> = others.map(|other| format!("\"{}\"", other.3.1)).collect();
+            let daemon = self.daemon(name, env!("CARGO_BIN_EXE_yuccahold-control"));
+            daemon.write_settings(&format!(
+                "zone: {}\ncell_key: ../cell.key\ndata: data\nlisten: {}\ncall_listen: {calls}\n\
+                 call_advertise: {}\nreplica_listen: {replica}\nreplica_advertise: {}\n\
+                 replicas: [{}]\nelection_timeout: 600 ms\nheartbeat: 100 ms\n{}",
+                ZONES[n % ZONES.len()],
+                daemon.http,
+                fronts.0,
+                fronts.1,
+                others.join(", "),
+                shape.control
+            ));
+            self.replicas.push(daemon);
+        }
+        self.replicas[0].start(&["--form-group"]);
+        until("the first replica to lead", async || {
+            self.leader().await == Some(0)
+        })
+        .await;
+        for n in 1..shape.replicas {
+            self.replicas[n].start(&[]);
+        }
+        until("all replicas to vote", async || {
+            self.voters().await == shape.replicas
+        })
+        .await;
+        ports.iter().map(|port| port.3.0).collect()
+    }
+
+    async fn start_entries(&mut self, shape: &Shape, calls: &[SocketAddr]) {
+        for n in 1..=shape.entries {
+            let name = format!("e{n}");
+            let peer = free_addr();
+            let front = self.net.front(&name, peer).await;
+            let calls: Vec<_> = calls.iter().map(|addr| format!("\"{addr}\"")).collect();
+            let mut daemon = self.daemon(&name, env!("CARGO_BIN_EXE_yuccahold-entry"));
+            daemon.write_settings(&format!(
+                "id: {name}\nzone: {}\ncell_key: ../cell.key\nlisten: {}\npeer_listen: {peer}\n\
+                 peer_advertise: {front}\ncontrol: [{}]\nstop_delay: 200 ms\nstop_grace: 10 s\n",
+                ZONES[(n - 1) % ZONES.len()],
+                daemon.http,
+                calls.join(", ")
+            ));
+            daemon.start(&[]);
+            self.entries.push(daemon);
+        }
+    }
+
+    fn daemon(&self, name: &str, binary: &'static str) -> Daemon {
+        let pids = self.net.pids.clone();
+        Daemon::new(name, binary, &self.folder.join(name), free_addr(), pids)
+    }
+
+    /// HTTP addresses of all entry hosts.
+    pub fn entry_addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.http).collect()
+    }
+
+    pub fn add_worker(&mut self, name: &str, behaviour: Behaviour) {
+        let n = self.workers.len();
+        let options = WorkerOptions {
+            spec: WorkerSpec {
+                id: name.into(),
+                zone: ZONES[n % ZONES.len()].into(),
+                rack: compact_str::format_compact!("rack-{}", n / 6),
+                capacity: Resources::new(8, 16_000, 0),
+                accelerator: None,
+            },
+            entries: self.entry_addrs(),
+            wait: Duration::from_secs(1),
+            behaviour,
+        };
+        let (client, ledger) = (self.client.clone(), self.ledger.clone());
+        let worker = start_worker(options, client, ledger, &telemetry::discard());
+        self.workers.insert(name.to_owned(), worker);
+    }
+
+    /// Starts a minion that announces itself to all entry hosts in turn.
+    pub async fn add_minion(&mut self, name: &str, behaviour: MinionBehaviour) {
+        let n = self.minions.len();
+        let options = MinionOptions {
+            id: name.into(),
+            service: "massrechner".into(),
+            zone: ZONES[n % ZONES.len()].into(),
+            entries: self.entry_addrs(),
+            ttl: Duration::from_secs(2),
+            behaviour,
+            ..MinionOptions::default()
+        };
+        let minion = start_minion(options).await.unwrap();
+        self.minions.insert(name.to_owned(), minion);
+    }
+
+    /// Waits until entry hosts are ready and every worker and minion is known and owned.
+    pub async fn until_joined(&self) {
+        until("the entry hosts to be ready", async || {
+            let mut ready = true;
+            for entry in &self.entries {
+                ready &= self.is_ready(entry).await;
+            }
+            ready
+        })
+        .await;
+        until("workers and minions to join", async || {
+            let workers = self.table("workers").await.len();
+            let minions = self.table("minions").await;
+            let owned = minions.iter().filter(|row| !row["owner"].is_null()).count();
+            workers >= self.workers.len() && owned >= self.minions.len()
+        })
+        .await;
+    }
+
+    pub async fn is_ready(&self, daemon: &Daemon) -> bool {
+        let url = format!("http://{}/healthz/ready", daemon.http);
+        let answer = self.client.get(url).timeout(Duration::from_secs(2)).send();
+        answer
+            .await
+            .is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// The replica that leads and has confirmed it.
+    pub async fn leader(&self) -> Option<usize> {
+        for (n, replica) in self.replicas.iter().enumerate() {
+            let url = format!("http://{}/healthz/ready", replica.http);
+            let sent = self
+                .client
+                .get(url)
+                .timeout(Duration::from_secs(2))
+                .send()
+                .await;
+            let Ok(answer) = sent else { continue };
+            if answer
+                .text()
+                .await
+                .is_ok_and(|text| text.contains("ready: leader"))
+            {
+                return Some(n);
+            }
+        }
+        None
+    }
+
+    /// Waits for a leader other than `old`.
+    pub async fn new_leader(&self, old: Option<usize>) -> usize {
+        let mut found = None;
+        until("a new leader", async || {
+            found = self.leader().await.filter(|leader| Some(*leader) != old);
+            found.is_some()
+        })
+        .await;
+        found.unwrap()
+    }
+
+    pub async fn voters(&self) -> usize {
+        let rows = self.table("replicas").await;
+        rows.iter()
+            .filter(|row| row["role"] != json!("Learner"))
+            .count()
+    }
+
+    /// A table of the operators' interface, from the first replica that answers.
+    pub async fn table(&self, name: &str) -> Vec<Value> {
+        for replica in &self.replicas {
+            let url = format!("http://{}/v1/{name}", replica.http);
+            let sent = self
+                .client
+                .get(url)
+                .timeout(Duration::from_secs(2))
+                .send()
+                .await;
+            let Ok(answer) = sent else { continue };
+            if let Ok(rows) = answer.json().await {
+                return rows;
+            }
+        }
+        Vec::new()
+    }
+
+    /// Puts a document over revision `base`; gives the new revision, or the status and body of
+    /// the refusal. Asks again while no replica leads, under one key.
+    pub async fn put_document(&self, text: &str, base: u64) -> Result<u64, (u16, String)> {
+        let key: u64 = rand::random();
+        let mut result = Err((0, String::new()));
+        until("an answer to a document", async || {
+            for replica in &self.replicas {
+                result = self
+                    .put_once(replica.http, text, base, &key.to_string())
+                    .await;
+                if !matches!(result, Err((0 | 500.., _))) {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+        result
+    }
+
+    /// Puts a document once, at one replica; status 0 means no answer.
+    pub async fn put_once(
+        &self,
+        addr: SocketAddr,
+        text: &str,
+        base: u64,
+        key: &str,
+    ) -> Result<u64, (u16, String)> {
+        let req = self.client.put(format!("http://{addr}/v1/document"));
+        let req = req
+            .header("if-match", format!("\"{base}\""))
+            .header("idempotency-key", key);
+        let Ok(answer) = req.body(text.to_owned()).send().await else {
+            return Err((0, String::new()));
+        };
+        let (status, tag) = (answer.status(), revision_of(&answer));
+        let text = answer.text().await.unwrap_or_default();
+        match (status.is_success(), tag) {
+            (true, Some(revision)) => Ok(revision),
+            _ => Err((status.as_u16(), text)),
+        }
+    }
+
+    /// The document in force at a replica's view of the leader, with its revision.
+    pub async fn document(&self) -> Option<(u64, String)> {
+        for replica in &self.replicas {
+            let url = format!("http://{}/v1/document", replica.http);
+            let sent = self
+                .client
+                .get(url)
+                .timeout(Duration::from_secs(2))
+                .send()
+                .await;
+            let Ok(answer) = sent else { continue };
+            if let Some(revision) = revision_of(&answer).filter(|_| answer.status().is_success()) {
+                return Some((revision, answer.text().await.ok()?));
+            }
+        }
+        None
+    }
+
+    /// Submits a job under its name as key until it is accepted.
+    pub async fn submit(&self, name: &str, kind: &str) {
+        let mut n = 0;
+        until(&format!("job {name} to be accepted"), async || {
+            let entry = &self.entries[n % self.entries.len()];
+            n += 1;
+            let url = format!("http://{}/v1/jobs", entry.http);
+            let body = json!({ "name": name, "kind": kind, "payload": "", "key": name });
+            let sent = self.client.post(url).json(&body).send().await;
+            sent.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+    }
+
+    pub async fn job(&self, name: &str) -> Option<JobView> {
+        for entry in &self.entries {
+            let url = format!("http://{}/v1/jobs/{name}", entry.http);
+            let sent = self
+                .client
+                .get(url)
+                .timeout(Duration::from_secs(5))
+                .send()
+                .await;
+            let Ok(answer) = sent else { continue };
+            if answer.status().is_success() {
+                return answer.json().await.ok();
+            }
+        }
+        None
+    }
+
+    /// Waits until all jobs have ended and gives their last state.
+    pub async fn until_ended(&self, names: &[String]) -> Vec<JobView> {
+        let mut views = Vec::new();
+        let end = Instant::now() + DEADLINE;
+        for name in names {
+            loop {
+                let view = self.job(name).await;
+                let open = |phase| matches!(phase, JobPhase::Waiting | JobPhase::Running);
+                if let Some(view) = view.clone().filter(|view| !open(view.phase)) {
+                    views.push(view);
+                    break;
+                }
+                assert!(Instant::now() < end, "job {name} did not end: {view:?}");
+                tokio::time::sleep(Duration::from_millis(25)).await;
+            }
+        }
+        views
+    }
+
+    /// Sends one request to a service through an entry host.
+    pub async fn ask(&self, entry: usize, path: &str, headers: &[(&str, &str)]) -> Answer {
+        ask(&self.client, self.entries[entry].http, path, headers).await
+    }
+
+    /// Checks what must always hold, from what workers and minions counted: nothing ran in two
+    /// places, no worker and no minion was overfilled.
+    pub fn check(&self) {
+        let counts = self.ledger.counts();
+        assert_eq!(counts.doubles, [], "tasks that ran in two places at once");
+        assert_eq!(counts.overfills, [], "workers that were overfilled");
+        for (name, minion) in &self.minions {
+            let counts = minion.counts();
+            assert!(
+                counts.highest_in_work <= 8,
+                "{name} had {} in work",
+                counts.highest_in_work
+            );
+            let connections = counts.highest_connections;
+            assert!(connections <= 64, "{name} had {connections} connections");
+        }
+    }
+
+    /// Checks that each of these jobs is done, and that each task finished exactly once.
+    pub async fn check_done(&self, names: &[String]) {
+        let views = self.until_ended(names).await;
+        for view in views {
+            assert_eq!(view.phase, JobPhase::Done, "{view:?}");
+        }
+        let done = self.ledger.counts().done;
+        for name in names {
+            let of_job = done.iter().filter(|(task, _)| task.job == name.as_str());
+            let times: Vec<_> = of_job.map(|(_, times)| *times).collect();
+            assert!(
+                !times.is_empty() && times.iter().all(|n| *n == 1),
+                "{name}: {times:?}"
+            );
+        }
+        self.check();
+    }
+}
+
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            self.replicas.clear();
+            self.entries.clear();
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn revision_of(answer: &reqwest::Response) -> Option<u64> {
+    let tag = answer.headers().get("etag")?.to_str().ok()?;
+    tag.trim_matches('"').parse().ok()
+}
+
+/// Sends one request to the service of the test document.
+pub async fn ask(
+    client: &reqwest::Client,
+    entry: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Answer {
+    let mut req = client.post(format!("http://{entry}/v1/services/massrechner{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let none = |outcome: &str| Answer {
+        status: 0,
+        outcome: outcome.to_owned(),
+        body: Vec::new(),
+    };
+    let Ok(answer) = req.send().await else {
+        return none("no-answer");
+    };
+    let status = answer.status().as_u16();
+    let outcome = answer.headers().get("yuccahold-outcome").cloned();
+    let Ok(body) = answer.bytes().await else {
+        return none("cut-answer");
+    };
+    Answer {
+        status,
+        outcome: outcome.map_or(String::new(), |o| o.to_str().unwrap_or("").to_owned()),
+        body: body.to_vec(),
+    }
+}
--- /dev/null
+++ b/tests/cell/net.rs
@@ -0,0 +1,95 @@
+//! The network between named daemons: every address that a daemon tells others is a fault
+//! proxy's, and the proxy knows which daemon opened a connection.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+
+use compact_str::CompactString;
+use yuccahold::fault::{Direction, Fault, Lane, SourceProxy};
+
+/// Names of running daemons by process id.
+#[derive(Clone, Default)]
+pub struct Pids(Arc<Mutex<BTreeMap<u32, CompactString>>>);
+
+impl Pids {
+    pub fn add(&self, pid: u32, name: &str) {
+        self.0.lock().unwrap().insert(pid, name.into());
+    }
+
+    /// Names the daemon that holds the connection from one address to another.
+    fn owner(&self, from: SocketAddr, to: SocketAddr) -> Option<CompactString> {
+        let inode = inode_of(from, to)?;
+        let wanted = format!("socket:[{inode}]");
+        let pids = self.0.lock().unwrap().clone();
+        pids.into_iter().find_map(|(pid, name)| {
+            let files = std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?;
+            let mut links = files.filter_map(|file| std::fs::read_link(file.ok()?.path()).ok());
+            links
+                .any(|link| link.as_os_str() == wanted.as_str())
+                .then_some(name)
+        })
+    }
+}
+
+/// Both ends are matched: the system uses one local port for connections to several addresses.
+fn inode_of(from: SocketAddr, to: SocketAddr) -> Option<u64> {
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let ends = [from, to].map(|addr| match addr.ip() {
+        IpAddr::V4(ip) => {
+            let host = u32::from_le_bytes(ip.octets());
+            format!("{host:08X}:{:04X}", addr.port())
+        }
+        IpAddr::V6(_) => unreachable!("daemons under test use IPv4"),
+    });
+    let line = table.lines().find(|line| {
+        let mut fields = line.split_whitespace().skip(1);
+        ends.iter().all(|end| fields.next() == Some(end.as_str()))
+    })?;
+    line.split_whitespace().nth(9)?.parse().ok()
+}
+
+/// Proxies by the daemon they lead to.
+#[derive(Default)]
+pub struct Net {
+    pub pids: Pids,
+    proxies: BTreeMap<String, Vec<SourceProxy>>,
+}
+
+impl Net {
+    /// Puts a proxy in front of one address of a daemon and gives the address others use.
+    pub async fn front(&mut self, daemon: &str, addr: SocketAddr) -> SocketAddr {
+        let pids = self.pids.clone();
+        let source = move |from, to| pids.owner(from, to).unwrap_or("unknown".into());
+        let proxy = SourceProxy::start(addr, 1, source).await.unwrap();
+        let front = proxy.addr();
+        self.proxies
+            .entry(daemon.to_owned())
+            .or_default()
+            .push(proxy);
+        front
+    }
+
+    /// Connections that one daemon opens to another.
+    pub fn lanes(&self, from: &str, to: &str) -> Vec<Lane> {
+        let proxies = self.proxies.get(to).into_iter().flatten();
+        proxies.map(|proxy| proxy.from(from)).collect()
+    }
+
+    /// Injects a fault on connections that either of two daemons opens to the other.
+    pub fn between(&self, a: &str, b: &str, fault: Fault) {
+        for lane in self.lanes(a, b).into_iter().chain(self.lanes(b, a)) {
+            lane.apply(fault);
+        }
+    }
+
+    /// Nothing that `from` sends reaches `to` any more; the other direction works.
+    pub fn silence(&self, from: &str, to: &str) {
+        for lane in self.lanes(from, to) {
+            lane.apply(Fault::Silence(Direction::ToServer));
+        }
+        for lane in self.lanes(to, from) {
+            lane.apply(Fault::Silence(Direction::ToClient));
+        }
+    }
+}
--- a/tests/fault.rs
+++ b/tests/fault.rs
@@ -113,7 +113,7 @@
     let addr = listener.local_addr().unwrap();
     let ports = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
     let known = ports.clone();
-    let source = move |peer: std::net::SocketAddr| {
+    let source = move |peer: std::net::SocketAddr, _| {
         let place = known
             .lock()
             .unwrap()
