--- a/src/control/polls.rs
+++ b/src/control/polls.rs
@@ -88,13 +88,14 @@
         let ended = |run: &TaskRun| poll.ended.iter().any(|ended| ended.run == *run);
         tasks.stop.retain(|stop| !ended(&stop.run));
         tasks.assigned.retain(|assigned| !ended(&assigned.run));
+        // Only what the worker does not hold yet is told: with 18 runs a worker, telling all of
+        // them in every answer would be most of control's traffic.
+        let holds = |run: &TaskRun| poll.running.contains(run);
+        tasks.assigned.retain(|assigned| !holds(&assigned.run));
         let Some(lead) = &mut self.lead else {
             return refuse_lease();
         };
-        let starts = tasks
-            .assigned
-            .iter()
-            .any(|assigned| !poll.running.contains(&assigned.run));
+        let starts = !tasks.assigned.is_empty();
         // A run takes a while to stop; the same orders again are no news.
         let orders = lead
             .told
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -288,7 +288,7 @@
 pub struct WorkerTasks {
     /// Lease, counted by the worker from the moment it sent the poll.
     pub lease: Duration,
-    /// Runs the worker must hold; a run it has not started is started now.
+    /// Runs to start now. A run the worker said it holds is not named again; it goes on.
     pub assigned: Vec<AssignedRun>,
     /// Runs to checkpoint or stop.
     pub stop: Vec<StopRun>,
