Replay from the command line; help examples under test

Cause: traces could be replayed only from tests, and nothing kept the help's examples true. Conclusion: every example of the help pages is a command line the program takes.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -6,6 +6,7 @@
 use crate::document::Drain;
 use crate::ids::{Revision, TeamName};
 use crate::load::LoadOptions;
+use crate::replay::ReplayArgs;
 use crate::stand_in::{MinionOptions, WorkerOptions};
 use crate::wire::JobSubmission;
 
@@ -133,6 +134,11 @@
         /// Whether to go on without asking.
         yes: bool,
     },
+    /// Replays traces against the decision code.
+    Replay {
+        /// Which, and how.
+        args: ReplayArgs,
+    },
     /// Shows how the objectives' error budgets burn.
     ReportBurn {
         /// File for the report as a page with plots.
--- a/src/cli/jobs.rs
+++ b/src/cli/jobs.rs
@@ -116,7 +116,7 @@
         None => "no document is in force".to_owned(),
     };
     let mut out = format!(
-        "{revision}; {} workers, {} minions, {} entry hosts ({behind} not yet on it)\n",
+        "{revision}; workers: {}, minions: {}, entry hosts: {} ({behind} not yet on it)\n",
         count("workers"),
         count("minions"),
         count("entries")
--- a/src/cli/parse.rs
+++ b/src/cli/parse.rs
@@ -226,6 +226,7 @@
                     html: self.path("--html"),
                 }
             }
+            "replay" => self.replay()?,
             "token" => self.token()?,
             "load" => self.load()?,
             "stand-in" => self.stand_in()?,
--- a/src/cli/parse_tools.rs
+++ b/src/cli/parse_tools.rs
@@ -10,6 +10,7 @@
 use super::parse::{Raw, UsageError};
 use crate::console::Role;
 use crate::load::{JobLoad, LoadOptions, RequestLoad, Watched};
+use crate::replay::ReplayArgs;
 use crate::resources::Resources;
 use crate::schema::{Choice, Cores, Megabytes, Scalar, Span};
 use crate::stand_in::{Behaviour, MinionBehaviour, MinionOptions, WorkerOptions};
@@ -29,6 +30,22 @@
         Ok(Command::Token { operator })
     }
 
+    pub(super) fn replay(&self) -> Result<Command, UsageError> {
+        let args = ReplayArgs {
+            traces: self.values.iter().map(PathBuf::from).collect(),
+            generate: self.list("--generate").map(str::to_owned).collect(),
+            seed: self.number("--seed")?.unwrap_or(1),
+            write: self.path("--write"),
+            baselines: self.switch("--baselines"),
+            waiting_weight: self.number("--waiting-weight")?,
+            html: self.path("--html"),
+        };
+        if args.traces.is_empty() && args.generate.is_empty() {
+            return Err(self.wrong("name a TRACE, or --generate NAME"));
+        }
+        Ok(Command::Replay { args })
+    }
+
     pub(super) fn load(&self) -> Result<Command, UsageError> {
         let defaults = LoadOptions::default();
         let options = LoadOptions {
--- a/src/cli/specs.rs
+++ b/src/cli/specs.rs
@@ -359,6 +359,55 @@
             ),
         ],
     },
+    Spec {
+        name: "replay",
+        arguments: "[TRACE...]",
+        count: (0, MANY),
+        summary: "Replay traces against the decision code, and check their stated outcomes",
+        detail: "The outcome of TRACE.jsonl stands in TRACE.yaml. Ends with code 4 when one is \
+                 not met.",
+        options: &[
+            valued(
+                "--generate",
+                "NAME,...",
+                "traces to generate; `all` for every one",
+                "",
+            ),
+            valued(
+                "--seed",
+                "N",
+                "seed of generated traces and of the scheduler",
+                "1",
+            ),
+            valued(
+                "--write",
+                "FOLDER",
+                "write generated traces instead of replaying them",
+                "",
+            ),
+            switch(
+                "--baselines",
+                "also replay with simple schedulers, to compare",
+            ),
+            valued(
+                "--waiting-weight",
+                "N",
+                "weight of short waiting, 0 to 100",
+                "the trace's",
+            ),
+            valued("--html", "FILE", "write a page with plots", ""),
+        ],
+        examples: &[
+            (
+                "yuccahold replay --generate all --baselines",
+                "every generated trace",
+            ),
+            (
+                "yuccahold replay traces/*.jsonl",
+                "recorded traces with their outcomes",
+            ),
+        ],
+    },
     Spec {
         name: "load",
         arguments: "",
--- a/src/document/effects.rs
+++ b/src/document/effects.rs
@@ -53,7 +53,8 @@
     let endless = matches!(kind.class, WorkClass::Service | WorkClass::Watcher);
     if !same_form && !endless {
         out.push(format!(
-            "leave `{name}` as it is if it has ended, else start it anew in its changed form"
+            "cancel `{name}` unless it has ended; its changed form starts only if nothing of the \
+             old one runs"
         ));
     } else if !same_form {
         out.push(format!(
--- a/src/slo/html.rs
+++ b/src/slo/html.rs
@@ -1,6 +1,6 @@
 //! The burn report as one HTML file with plots, readable without colour and without scripts.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use maud::{Markup, PreEscaped, html};
 
@@ -8,6 +8,7 @@
 use super::report::{BurnReport, alert_text, goal, percent, span};
 use super::ring::Counts;
 use crate::error::Result;
+use crate::ids::Timestamp;
 use crate::plot::{LinePlot, Series, page};
 
 /// Writes the report as a whole HTML page.
@@ -23,7 +24,7 @@
         .map(section)
         .collect::<Result<_>>()?;
     Ok(html! {
-        p { "At Unix time " (report.at.as_secs()) " s." }
+        p { "At " (moment(report.at)) " (UTC)." }
         @if report.objectives.is_empty() {
             p { "The document declares no objectives." }
         }
@@ -31,6 +32,11 @@
     })
 }
 
+/// A point in time since the Unix epoch as people write it.
+fn moment(at: Timestamp) -> String {
+    humantime::format_rfc3339_seconds(SystemTime::UNIX_EPOCH + at).to_string()
+}
+
 fn section(report: &ObjectiveReport) -> Result<Markup> {
     let budget = budget_plot(report).to_svg()?;
     let events = events_plot(report).to_svg()?;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -353,3 +353,38 @@
     assert!(token.starts_with("beat."), "{said}");
     assert!(!file.contains(token), "the file holds no token");
 }
+
+/// The examples that the help pages show are command lines that the program takes.
+#[test]
+fn the_examples_in_the_help_are_understood() {
+    let overview = stdout(&run(&["--help"]));
+    let commands = overview.split_once("commands:\n").unwrap().1;
+    let commands = commands.lines().take_while(|line| !line.is_empty());
+    let mut examples = 0;
+    for command in commands.map(|line| line.split_whitespace().next().unwrap()) {
+        let page = stdout(&run(&[command, "--help"]));
+        let lines = page
+            .lines()
+            .filter_map(|line| line.strip_prefix("  yuccahold "));
+        for line in lines {
+            let line = line
+                .split(" > ")
+                .next()
+                .unwrap()
+                .replace("'30 min'", "30min");
+            let args = line.split(' ').map(std::ffi::OsString::from);
+            let parsed = yuccahold::cli::parse(args);
+            assert!(
+                matches!(parsed, Ok(yuccahold::cli::Parsed::Run(_))),
+                "{line}: {parsed:?}"
+            );
+            examples += 1;
+        }
+    }
+    assert!(examples >= commands_count(&overview), "{examples}");
+}
+
+fn commands_count(overview: &str) -> usize {
+    let commands = overview.split_once("commands:\n").unwrap().1;
+    commands.lines().take_while(|line| !line.is_empty()).count()
+}
