Leave a worker's list of runs out of polls while it does not change

Change: a list has a number; a worker leaves it out when an answered poll carried the same one. A leader that does not hold the list asks for it and decides nothing on account of it. The stand-in worker sends the list at every tenth poll all the same, with what the runs use. Conclusion: a poll's size no longer follows the number of runs. The number of polls still does with workers and the lease.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -14,8 +14,8 @@
 use yuccahold::replication::StateMachine;
 use yuccahold::resources::Resources;
 use yuccahold::state::{Cell, Command, WorkerReport};
-use yuccahold::wire::{FeedDelta, JobSubmission, MinionAnnouncement};
-use yuccahold::workload::{RunEnd, WorkerSpec};
+use yuccahold::wire::{FeedDelta, JobSubmission, MinionAnnouncement, WorkerPoll};
+use yuccahold::workload::{RunEnd, TaskId, TaskRun, WorkerSpec};
 
 /// Counts the bytes that are allocated at the moment.
 struct Counting;
@@ -42,6 +42,7 @@
 const WORKERS: [u32; 3] = [475, 950, 1_900];
 const TASKS_PER_WORKER: u32 = 18;
 const TASKS_PER_JOB: u32 = 10;
+const RUNS: [u32; 3] = [6, 12, 18];
 const MINIONS: [u32; 3] = [1_700, 3_400, 6_800];
 const TEAMS: u32 = 160;
 const ZONES: u32 = 14;
@@ -124,13 +125,7 @@
 
     fn add_workers(&mut self, workers: u32) {
         for number in 0..workers {
-            let spec = WorkerSpec {
-                id: format!("worker-{number:05}").into(),
-                zone: format!("zone-{:02}", number % ZONES).into(),
-                rack: format!("rack-{:03}", number / 40).into(),
-                capacity: Resources::new(32, 64_000, 2),
-                accelerator: None,
-            };
+            let spec = worker_spec(number);
             let process = u64::from(number) << 32 | 0x9e37_79b9;
             self.apply(Command::WorkerUp { spec, process });
         }
@@ -150,6 +145,16 @@
     }
 }
 
+fn worker_spec(number: u32) -> WorkerSpec {
+    WorkerSpec {
+        id: format!("worker-{number:05}").into(),
+        zone: format!("zone-{:02}", number % ZONES).into(),
+        rack: format!("rack-{:03}", number / 40).into(),
+        capacity: Resources::new(32, 64_000, 2),
+        accelerator: None,
+    }
+}
+
 fn document() -> Document {
     let mut document = Document::default();
     for number in 0..TEAMS {
@@ -261,6 +266,38 @@
         .push((x, begun.elapsed().as_secs_f64() * 1e3));
 }
 
+/// Bytes of a worker's poll with its list of runs, and with the list left out.
+fn measure_poll(runs: u32, rows: &mut [Row]) {
+    let running = (0..runs).map(|index| TaskRun {
+        task: TaskId {
+            job: format!("job-of-a-team-{index:07}").into(),
+            index,
+        },
+        attempt: 1,
+    });
+    let mut poll = WorkerPoll {
+        worker: worker_spec(7),
+        process: 7 << 32 | 0x9e37_79b9,
+        sequence: 100_000,
+        list: 1_000,
+        unchanged: false,
+        running: running.collect(),
+        ended: Vec::new(),
+        usage: Vec::new(),
+        wait: Duration::from_secs(3),
+        leaving: false,
+    };
+    let bytes = |poll: &WorkerPoll| {
+        postcard::to_allocvec(poll)
+            .expect("a poll is encoded")
+            .len()
+    };
+    let x = f64::from(runs);
+    rows[0].points.push((x, bytes(&poll) as f64));
+    (poll.unchanged, poll.running) = (true, Vec::new());
+    rows[1].points.push((x, bytes(&poll) as f64));
+}
+
 /// Bytes and memory of the feed, and of the change of one minion.
 fn measure_feed(minions: u32, rows: &mut [Row]) {
     let mut cell = Cell::default();
@@ -348,9 +385,16 @@
     for minions in MINIONS {
         measure_feed(minions, &mut feed);
     }
+    let mut poll = vec![
+        row("poll with its list", "B", "run"),
+        row("poll without its list", "B", "run"),
+    ];
+    for runs in RUNS {
+        measure_poll(runs, &mut poll);
+    }
     println!("| quantity | at three sizes | slope | intercept | largest error |");
     println!("| --- | --- | --- | --- | --- |");
-    for row in cell.iter().chain(&feed) {
+    for row in cell.iter().chain(&feed).chain(&poll) {
         let (slope, intercept, error) = fit(&row.points);
         let points = row.points.iter().map(|(x, y)| format!("{x:.0}: {y:.1}"));
         let points = points.collect::<Vec<_>>().join(", ");
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -15,6 +15,7 @@
 use crate::slo::Tally;
 use crate::state::{Cell, JobNumber, Reply, WorkerNumber};
 use crate::wire::{Feed, RefusalKind, StopRun};
+use crate::workload::TaskRun;
 
 pub use crate::state::Command;
 
@@ -32,6 +33,13 @@
     latest_feed: Option<(u64, Arc<Feed>)>,
 }
 
+/// A worker's list of runs.
+pub(super) struct HeldList {
+    pub(super) process: ProcessId,
+    pub(super) list: u64,
+    pub(super) running: Vec<TaskRun>,
+}
+
 /// Volatile state of a leader, built anew by each one.
 pub(super) struct Lead<P> {
     pub(super) placer: P,
@@ -46,6 +54,8 @@
     pub(super) wakers: BTreeMap<WorkerNumber, watch::Sender<()>>,
     /// Orders to stop in the latest answer to each worker.
     pub(super) told: BTreeMap<WorkerNumber, Vec<StopRun>>,
+    /// Latest list of runs that each worker sent.
+    pub(super) lists: BTreeMap<WorkerNumber, HeldList>,
     /// Number of the latest poll seen of each worker's process.
     pub(super) sequences: BTreeMap<WorkerNumber, u64>,
     /// Document revision that each entry host reports, and when it did.
@@ -160,6 +170,7 @@
                 lead.unsent.remove(worker);
                 lead.told.remove(worker);
                 lead.sequences.remove(worker);
+                lead.lists.remove(worker);
             }
             Command::EntryDown { entry, .. } => {
                 lead.entries.forget(entry);
@@ -241,6 +252,7 @@
             unsent: BTreeMap::new(),
             wakers: BTreeMap::new(),
             told: BTreeMap::new(),
+            lists: BTreeMap::new(),
             sequences: BTreeMap::new(),
             in_force: BTreeMap::new(),
             tally: Tally::default(),
--- a/src/control/polls.rs
+++ b/src/control/polls.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::watch;
 
-use super::machine::{Command, Lead, Machine};
+use super::machine::{Command, HeldList, Lead, Machine};
 use crate::ids::Timestamp;
 use crate::placement::{Event, Placer};
 use crate::resources::Resources;
@@ -58,6 +58,13 @@
             // over and its runs are being given to others. Without a lease it starts nothing.
             return refuse_lease();
         }
+        let Some(poll) = &lead.whole_poll(number, poll) else {
+            return PollStep::Answer(WorkerTasks {
+                lease,
+                send_list: true,
+                ..WorkerTasks::default()
+            });
+        };
         let commands = commands_for(number, record, poll, &self.cell, lead);
         if !commands.is_empty() {
             return PollStep::Propose(commands);
@@ -180,6 +187,28 @@
         *latest == sequence
     }
 
+    /// The poll with its list of runs; none when the list was left out and is not known here,
+    /// as after a change of leaders.
+    ///
+    /// At 18 runs a worker the lists would be most of what control receives, although they
+    /// seldom change between two polls.
+    fn whole_poll(&mut self, number: WorkerNumber, poll: &WorkerPoll) -> Option<WorkerPoll> {
+        let mut whole = poll.clone();
+        if poll.unchanged {
+            let held = self.lists.get(&number);
+            let held = held.filter(|held| held.process == poll.process && held.list == poll.list);
+            whole.running.clone_from(&held?.running);
+            return Some(whole);
+        }
+        let held = HeldList {
+            process: poll.process,
+            list: poll.list,
+            running: poll.running.clone(),
+        };
+        self.lists.insert(number, held);
+        Some(whole)
+    }
+
     fn take_usage(&mut self, clock: Timestamp, poll: &WorkerPoll) {
         for usage in &poll.usage {
             let used = Resources {
--- a/src/stand_in/worker_state.rs
+++ b/src/stand_in/worker_state.rs
@@ -12,6 +12,9 @@
 /// Tasks whose latest attempt is remembered; the oldest is forgotten first.
 const REMEMBERED_TASKS: usize = 65_536;
 
+/// Polls after which the list of runs is sent although it did not change.
+const POLLS_PER_LIST: u64 = 10;
+
 /// How a stand-in worker departs from what was declared.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Behaviour {
@@ -87,6 +90,9 @@
     process: ProcessId,
     behaviour: Behaviour,
     sequence: u64,
+    list: u64,
+    polled_list: u64,
+    known_list: Option<u64>,
     lease_until: Timestamp,
     running: BTreeMap<TaskRun, Running>,
     ended: Vec<EndedRun>,
@@ -103,6 +109,9 @@
             process,
             behaviour,
             sequence: 0,
+            list: 0,
+            polled_list: 0,
+            known_list: None,
             lease_until: Timestamp::ZERO,
             running: BTreeMap::new(),
             ended: Vec::new(),
@@ -141,18 +150,32 @@
     pub fn poll(&mut self, now: Timestamp, wait: Duration, leaving: bool) -> WorkerPoll {
         self.advance(now);
         self.sequence += 1;
+        let unchanged = self.may_leave_out_list();
+        let (running, usage) = match unchanged {
+            true => (Vec::new(), Vec::new()),
+            false => (self.running.keys().cloned().collect(), self.usage()),
+        };
+        self.polled_list = self.list;
         WorkerPoll {
             worker: self.spec.clone(),
             process: self.process,
             sequence: self.sequence,
-            running: self.running.keys().cloned().collect(),
+            list: self.list,
+            unchanged,
+            running,
             ended: self.ended.clone(),
-            usage: self.usage(),
+            usage,
             wait,
             leaving,
         }
     }
 
+    /// Whether control holds the list of runs. Every so often it is sent all the same, with
+    /// what the runs use.
+    fn may_leave_out_list(&self) -> bool {
+        self.known_list == Some(self.list) && !self.sequence.is_multiple_of(POLLS_PER_LIST)
+    }
+
     /// Takes in the answer to the poll that was sent at `sent`. A run it does not mention goes
     /// on; one that must end is in its list of stops.
     pub fn answered(&mut self, sent: Timestamp, now: Timestamp, tasks: WorkerTasks) {
@@ -165,6 +188,7 @@
             return;
         }
         self.lease_until = self.lease_until.max(until);
+        self.known_list = (!tasks.send_list).then_some(self.polled_list);
         self.ended
             .retain(|ended| !tasks.acknowledged.contains(&ended.run));
         for stop in tasks.stop {
@@ -254,6 +278,7 @@
             at: now,
         });
         self.running.insert(run, running);
+        self.list += 1;
     }
 
     fn remember(&mut self, run: &TaskRun) {
@@ -295,6 +320,7 @@
 
     fn finish(&mut self, run: TaskRun, at: Timestamp, end: RunEnd) {
         self.running.remove(&run);
+        self.list += 1;
         self.events.push(RunEvent::Ended {
             run: run.clone(),
             end,
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -251,7 +251,13 @@
     /// Grows with each poll of one process. A poll with a number not above the last one seen
     /// was overtaken on the way: its list of runs is out of date and must not be believed.
     pub sequence: u64,
-    /// Every run the worker holds at this moment.
+    /// Number of the list of runs; grows with each change of the list.
+    #[serde(default)]
+    pub list: u64,
+    /// Whether the list is left out because an answered poll carried the same one before.
+    #[serde(default)]
+    pub unchanged: bool,
+    /// Every run the worker holds at this moment, unless the list is left out.
     pub running: Vec<TaskRun>,
     /// Runs that ended since the last answered poll; repeated until acknowledged.
     pub ended: Vec<EndedRun>,
@@ -294,6 +300,9 @@
     pub stop: Vec<StopRun>,
     /// Ended runs control has recorded; the worker may forget them.
     pub acknowledged: Vec<TaskRun>,
+    /// Control does not hold the list that was left out: the next poll must carry it.
+    #[serde(default)]
+    pub send_list: bool,
 }
 
 /// A run a worker must hold.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -121,6 +121,8 @@
         },
         process,
         sequence: 1,
+        list: 0,
+        unchanged: false,
         running: Vec::new(),
         ended: Vec::new(),
         usage: Vec::new(),
@@ -305,6 +307,34 @@
     assert_eq!(leader.phase("a"), JobPhase::Done);
 }
 
+#[test]
+fn a_list_that_did_not_change_is_left_out() {
+    // A worker sends its list of runs once and leaves it out of later polls. A new leader does
+    // not hold the list: it stops and starts nothing on account of it, and asks for the list.
+    let mut leader = Leader::new();
+    leader.poll(&worker("w", 1));
+    leader.submit("a", "sum");
+    leader.poll(&worker("w", 1));
+    let mut poll = worker("w", 1);
+    (poll.list, poll.running) = (1, vec![run("a", 1)]);
+    leader.poll(&poll);
+    (poll.unchanged, poll.running) = (true, vec![]);
+    let answer = leader.poll(&poll);
+    assert_eq!(
+        (starts(&answer), answer.stop, answer.send_list),
+        (vec![], vec![], false)
+    );
+    leader.machine.leadership_changed(false, leader.now);
+    leader.machine.leadership_changed(true, leader.now);
+    let answer = leader.poll(&poll);
+    assert_eq!(
+        (starts(&answer), answer.stop, answer.send_list),
+        (vec![], vec![], true)
+    );
+    (poll.unchanged, poll.running) = (false, vec![run("a", 1)]);
+    assert!(!leader.poll(&poll).send_list);
+}
+
 #[test]
 fn an_overtaken_poll_is_not_believed() {
     // A worker's first poll is delayed on its way. Its second one reports a run; then the first
