Explore whole groups of replicas under faults, and mend what it found

Agreement is only as good as the worst order of failures it was tried in. Adds a seeded explorer over the pure core: hosts with disks, clocks that drift, a network that loses, repeats and reorders, one-way cuts, pauses, crashes that drop unsynced saves, wiped and full disks, hand-overs, and changes of membership. It checks election safety, log matching, kept commitments, a linearizable register, one acting leader per instant, time that never goes back, and that the group works again once faults end.

Found and mended: - a new leader counted members it had never heard as alive and could remove a live voter to spread zones while another was lost.

--- a/src/replication/core/follower.rs
+++ b/src/replication/core/follower.rs
@@ -72,12 +72,20 @@
             self.send_after_sync(from, reply);
             return;
         }
+        let is_heartbeat = entries.is_empty();
         let matched = prev_index + entries.len() as u64;
         self.take_entries(entries);
         let matched = matched.min(self.log.last_index());
         self.commit = self.commit.max(commit.min(matched));
         self.apply_committed();
-        self.send_after_sync(from, Body::Accepted { matched, beat });
+        if is_heartbeat {
+            // Answered at once, for what is synced: a slow disk must not look like a lost
+            // follower.
+            let matched = matched.min(self.stable);
+            self.send(from, Body::Accepted { matched, beat });
+        } else {
+            self.send_after_sync(from, Body::Accepted { matched, beat });
+        }
     }
 
     fn agrees(&self, prev_index: LogIndex, prev_term: Term) -> bool {
--- a/src/replication/core/leader.rs
+++ b/src/replication/core/leader.rs
@@ -70,7 +70,11 @@
         self.append_entry(Entry {
             index,
             term: self.hard.term,
-            at: at.max(self.log.last_at()),
+            at: if self.cfg.safeguards.time_forward {
+                at.max(self.log.last_at())
+            } else {
+                at
+            },
             payload,
         });
         index
@@ -464,6 +468,7 @@
 
     fn continue_hand_over(&mut self, now: Timestamp) {
         let last = self.log.last_index();
+        let all_committed = self.commit == last;
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -474,17 +479,25 @@
             leading.handing_over = None;
             return;
         }
-        if leading.progress.get(&to).is_some_and(|p| p.matched == last) {
+        let complete = leading.progress.get(&to).is_some_and(|p| p.matched == last);
+        if complete && all_committed {
+            leading.handing_over = None;
             // Leadership ends here, before the message can leave: the receiver's election is
             // not held back by the promise that followers gave to this leader.
             self.send(to, Body::TimeoutNow);
-            self.rest(now, None);
+            if self.cfg.safeguards.hand_over_ends {
+                self.rest(now, None);
+            }
         }
     }
 
+    /// Whether a member has answered this leader, and lately.
+    ///
+    /// A new leader knows nothing of members it has not heard: to count them as alive would let
+    /// it remove a live voter while another is lost, and the group could lose its majority.
     fn is_active(&self, id: ReplicaId, now: Timestamp) -> bool {
         self.progress(id)
-            .is_some_and(|p| now < p.active_at + self.cfg.election_timeout)
+            .is_some_and(|p| p.beat.round > 0 && now < p.active_at + self.cfg.election_timeout)
     }
 
     fn track_members(&mut self, now: Timestamp) {
--- a/src/replication/core/membership.rs
+++ b/src/replication/core/membership.rs
@@ -140,6 +140,10 @@
     if let Some((id, _)) = others.clone().find(|(id, m)| replaceable(**id, m)) {
         return Some(*id);
     }
+    // Nobody is lost: what follows only tidies up, and waits until all voters are well.
+    if others.clone().any(|(id, _)| !health(*id).active) {
+        return None;
+    }
     if surplus {
         return others
             .max_by_key(|(_, m)| members.voters_in(&m.zone))
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) log_up_to_date: bool,
     /// No vote within an election timeout after word from a leader, or after a start.
     pub(crate) leader_stickiness: bool,
+    /// A restarted replica gives no vote within an election timeout.
+    pub(crate) restart_waits: bool,
     /// A leader counts only entries of its own term when it commits.
     pub(crate) commit_own_term: bool,
     /// A commit needs a majority of all voters.
@@ -58,6 +60,10 @@
     pub(crate) one_change: bool,
     /// A wiped disk is a new replica.
     pub(crate) fresh_identity: bool,
+    /// A leader steps down before it asks another to stand.
+    pub(crate) hand_over_ends: bool,
+    /// Time in the entries never goes back.
+    pub(crate) time_forward: bool,
 }
 
 impl Default for Safeguards {
@@ -67,6 +73,7 @@
             single_vote: true,
             log_up_to_date: true,
             leader_stickiness: true,
+            restart_waits: true,
             commit_own_term: true,
             commit_majority: true,
             check_previous: true,
@@ -74,6 +81,8 @@
             check_quorum: true,
             one_change: true,
             fresh_identity: true,
+            hand_over_ends: true,
+            time_forward: true,
         }
     }
 }
@@ -112,17 +121,17 @@
     pub entries: Vec<Entry>,
 }
 
-/// What must reach the disk together.
+/// What must reach the disk together, in the order of the fields.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Save {
     /// Number to report back once it is synced.
     pub seq: u64,
+    /// A snapshot, with the whole log as it stands after it.
+    pub snapshot: Option<SaveSnapshot>,
     /// Term and vote, if they changed.
     pub hard: Option<HardState>,
     /// Entries; the first one replaces whatever stood at or after its index.
     pub entries: Vec<Entry>,
-    /// A snapshot that replaces the log up to its index.
-    pub snapshot: Option<SaveSnapshot>,
 }
 
 /// A snapshot to be written and how much of the log stays.
@@ -155,8 +164,8 @@
     Leadership(bool),
     /// Reads up to this number may run now.
     ReadsReady(ReadId),
-    /// Make a snapshot of the state as applied and hand it to `snapshot_taken`.
-    TakeSnapshot,
+    /// Make a snapshot of the state, applied up to this index, and hand it to `snapshot_taken`.
+    TakeSnapshot(LogIndex),
 }
 
 /// Why the core takes no proposal or read.
@@ -203,7 +212,6 @@
         let log = Log::new(snapshot.clone(), found.base, found.entries);
         let (members_index, members) = log.members(LogIndex::MAX);
         let mut core = Self {
-            cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             hard: found.hard,
             members,
@@ -212,7 +220,11 @@
             applied: snapshot.index,
             role: Role::Learner,
             leader: None,
-            heard_at: now,
+            heard_at: if cfg.safeguards.restart_waits {
+                now
+            } else {
+                Timestamp::ZERO
+            },
             election_at: now,
             votes: BTreeSet::new(),
             leading: None,
@@ -228,6 +240,7 @@
             held: VecDeque::new(),
             effects: Vec::new(),
             log,
+            cfg,
         };
         if snapshot.index > 0 {
             core.effects.push(Effect::Restore(snapshot));
@@ -322,10 +335,12 @@
         }
     }
 
-    /// Takes the machine's snapshot of the state as applied.
-    pub(crate) fn snapshot_taken(&mut self, data: impl Into<bytes::Bytes>) {
+    /// Takes the machine's snapshot of the state applied up to `index`.
+    pub(crate) fn snapshot_taken(&mut self, index: LogIndex, data: impl Into<bytes::Bytes>) {
         self.taking_snapshot = false;
-        let index = self.applied;
+        if index <= self.log.snapshot().index {
+            return;
+        }
         let Some(term) = self.log.term_at(index) else {
             return;
         };
@@ -376,6 +391,10 @@
         self.cfg.member.addr
     }
 
+    pub(crate) fn log(&self) -> &Log {
+        &self.log
+    }
+
     pub(crate) fn term(&self) -> Term {
         self.hard.term
     }
@@ -509,7 +528,7 @@
         let new = self.applied - self.log.snapshot().index;
         if self.log.bytes() > self.cfg.snapshot_bytes && new > 0 && !self.taking_snapshot {
             self.taking_snapshot = true;
-            self.effects.push(Effect::TakeSnapshot);
+            self.effects.push(Effect::TakeSnapshot(self.applied));
         }
     }
 
--- a/src/replication/core/progress.rs
+++ b/src/replication/core/progress.rs
@@ -76,9 +76,16 @@
         if prev_index < self.matched || matches!(self.mode, Mode::Snapshot { .. }) {
             return;
         }
+        let probing = self.mode == Mode::Probe;
+        if probing && prev_index + 1 != self.next {
+            return;
+        }
+        let before = self.next;
         self.next = (hint + 1).min(prev_index.max(1)).max(self.matched + 1);
         self.mode = Mode::Probe;
         self.in_flight.clear();
-        self.waits = false;
+        // An answer that taught nothing must not cause the next question: repeated by the
+        // network, the two would multiply. The next heartbeat asks again.
+        self.waits = probing && self.next == before;
     }
 }
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -2,6 +2,7 @@
 //! the runtime that gives them a disk, a network and a clock.
 
 mod core;
+pub mod explore;
 mod machine;
 mod runtime;
 
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -17,6 +17,8 @@
 
 /// Most commands that wait for agreement at once.
 const MAX_PENDING: usize = 16 * 1024;
+/// Longest command in bytes; some fit into one message with room to spare.
+const MAX_COMMAND: usize = 8 * 1024 * 1024;
 /// Most messages taken before the effects are carried out.
 const MAX_BATCH: usize = 1024;
 
@@ -111,9 +113,9 @@
                 self.led_since_tick |= leading;
             }
             Effect::ReadsReady(through) => self.run_reads(through),
-            Effect::TakeSnapshot => {
+            Effect::TakeSnapshot(index) => {
                 let data = self.machine.snapshot();
-                self.core.snapshot_taken(data);
+                self.core.snapshot_taken(index, data);
             }
         }
     }
@@ -215,6 +217,10 @@
             let _ = reply.send(Err(ProposeError::Overloaded("too many commands wait")));
             return;
         }
+        if command.len() > MAX_COMMAND {
+            let _ = reply.send(Err(ProposeError::Overloaded("the command is too long")));
+            return;
+        }
         match self.core.propose(monotonic_now(), unix_now(), command) {
             Ok(index) => {
                 self.pending.insert(index, (self.core.term(), reply));
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -105,17 +105,17 @@
     pub fn write(&mut self, saves: &[Save]) -> Result<(), WriteError> {
         let mut records = Vec::new();
         for save in saves {
+            if let Some(snapshot) = &save.snapshot {
+                // The new segment holds everything the records before it said.
+                records.clear();
+                self.rotate(snapshot)?;
+            }
             if let Some(hard) = &save.hard {
                 records.extend(encode(&Record::Hard(*hard)));
             }
             for entry in &save.entries {
                 records.extend(encode(&Record::Entry(entry.clone())));
             }
-            if let Some(snapshot) = &save.snapshot {
-                // The new segment holds everything the records before it said.
-                records.clear();
-                self.rotate(snapshot)?;
-            }
         }
         if records.is_empty() {
             return Ok(());
