--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -270,6 +270,11 @@
         if others {
             self.hand_over().await;
         }
+        self.abort().await;
+    }
+
+    /// Ends the replica at once, as a crash would: leadership is not handed over.
+    pub async fn abort(&self) {
         let _ = self.control.send(Stop).await;
         self.ended().await;
     }
