Never give up a receive of the control thread's mailbox

The loop polled the mailbox once to see whether more was waiting and dropped the receive otherwise. The mailbox's cancellation looks for a message and then drops its channel; one that arrives between the two is lost, and its reply with it. News of a sync could have been lost the same way and stalled the replica.

The loop now looks at the queue's length first and receives only what is there, so that no receive is ever given up.

--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use futures::FutureExt;
 use tokio::sync::{oneshot, watch};
 use xtra::{Actor, Context, Handler, Mailbox};
 
@@ -48,14 +47,17 @@
 
 /// Takes messages in batches: what many proposals ask for is saved and sent together.
 pub(super) async fn run<M: StateMachine>(mailbox: Mailbox<Control<M>>, mut control: Control<M>) {
+    let address = mailbox.address();
     control.carry_out();
     while !control.stopped {
         let _ = mailbox.next().await.dispatch_to(&mut control).await;
         for _ in 1..MAX_BATCH {
-            let Some(message) = mailbox.next().now_or_never() else {
+            // Looked at first: a receive that is begun and given up can lose a message that
+            // arrives at that moment, and with it a command or the news of a sync.
+            if address.is_empty() {
                 break;
-            };
-            let _ = message.dispatch_to(&mut control).await;
+            }
+            let _ = mailbox.next().await.dispatch_to(&mut control).await;
         }
         if !control.stopped {
             control.carry_out();
