Only the claimer's word settles a key; idempotent keys of a lost host are free

(1) a settlement did not name its claimer: an entry host whose claim was lost on the way says not-run until control has heard it, and that word freed the key although another host had claimed it meanwhile and its request was in work; a resend would have run it twice. (2) a key whose entry host was lost became unknown even for idempotent requests, so a rolling restart could fail one. Change: claims say whether the request is idempotent, settlements carry entry host and process and count only for their own claim. Figures: the new test a_lost_claim_does_not_free_the_key_of_another claims as a third host and got `Claimed` by the old rule (by reading; the old message had no claimer to test with). Conclusion: (1) could have doubled a payment under lost messages.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -229,7 +229,8 @@
     work: &Arc<Work>,
     key: &IdempotencyKey,
 ) -> Routed {
-    let Some(open) = context.keys.open(&work.service, key) else {
+    let (entry, process) = (&context.settings.id, context.process);
+    let Some(open) = context.keys.open(&work.service, key, entry, process) else {
         return (in_progress(), None);
     };
     let gone = CancellationToken::new();
@@ -246,7 +247,7 @@
     gone: CancellationToken,
 ) -> Routed {
     let timeout = context.core.left(work.deadline).min(CLAIM_TIMEOUT);
-    let claim = open.claim(&work, &context.settings.id, context.process);
+    let claim = open.claim(&work);
     let answer = context.link.call(claim, timeout).await;
     match answer {
         Ok(Answer::Key(KeyState::Claimed)) => {}
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -35,16 +35,26 @@
 pub(super) struct OpenKey {
     open: Arc<Mutex<HashSet<Name>>>,
     name: Name,
+    entry: EntryId,
+    process: ProcessId,
 }
 
 impl KeyTable {
     /// Takes a key, unless a request under it is under way here.
-    pub(super) fn open(&self, service: &ServiceName, key: &IdempotencyKey) -> Option<OpenKey> {
+    pub(super) fn open(
+        &self,
+        service: &ServiceName,
+        key: &IdempotencyKey,
+        entry: &EntryId,
+        process: ProcessId,
+    ) -> Option<OpenKey> {
         let name = (service.clone(), key.clone());
         let taken = lock(&self.open).insert(name.clone());
         taken.then(|| OpenKey {
             open: self.open.clone(),
             name,
+            entry: entry.clone(),
+            process,
         })
     }
 }
@@ -57,13 +67,14 @@
 
 impl OpenKey {
     /// The claim for a request.
-    pub(super) fn claim(&self, work: &Work, entry: &EntryId, process: ProcessId) -> Call {
+    pub(super) fn claim(&self, work: &Work) -> Call {
         Call::ClaimKey(KeyClaim {
             service: self.name.0.clone(),
             key: self.name.1.clone(),
             digest: digest(work),
-            entry: entry.clone(),
-            process,
+            entry: self.entry.clone(),
+            process: self.process,
+            idempotent: work.idempotent,
         })
     }
 
@@ -85,6 +96,8 @@
         let settlement = Call::SettleKey(KeySettlement {
             service: self.name.0.clone(),
             key: self.name.1.clone(),
+            entry: self.entry.clone(),
+            process: self.process,
             state: state.clone(),
         });
         let answer = link.call(settlement, SETTLE_TIMEOUT).await;
--- a/src/state/commands/mod.rs
+++ b/src/state/commands/mod.rs
@@ -274,6 +274,7 @@
             digest: claim.digest,
             entry: claim.entry.clone(),
             process: claim.process,
+            idempotent: claim.idempotent,
             state: KeyState::InProgress(claim.entry),
         };
         match self
@@ -294,8 +295,7 @@
     }
 
     fn settle_key(&mut self, settlement: KeySettlement) -> Reply {
-        self.keys
-            .settle(&settlement.service, &settlement.key, settlement.state);
+        self.keys.settle(settlement);
         Reply::Ok
     }
 }
--- a/src/state/keys.rs
+++ b/src/state/keys.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{EntryId, IdempotencyKey, JobName, ProcessId, ServiceName, Timestamp};
-use crate::wire::KeyState;
+use crate::wire::{KeySettlement, KeyState};
 
 /// A key's fingerprint is kept this many times as long as its answer.
 ///
@@ -39,6 +39,8 @@
     pub entry: EntryId,
     /// Process of that entry host.
     pub process: ProcessId,
+    /// Whether the request may run again when it is lost with its entry host.
+    pub idempotent: bool,
     /// What became of it.
     pub state: KeyState,
 }
@@ -85,22 +87,31 @@
     }
 
     /// Records what became of a claim; a later word than the first final one changes nothing.
-    pub(crate) fn settle(&mut self, service: &ServiceName, key: &IdempotencyKey, state: KeyState) {
-        let id = (service.clone(), key.clone());
+    ///
+    /// Only the claimer's word counts. An entry host whose claim was lost on the way says
+    /// `not-run` of it; taken for another's claim, that would free the key while its request is
+    /// in work, and a resend would run it twice.
+    pub(crate) fn settle(&mut self, settlement: KeySettlement) {
+        let id = (settlement.service, settlement.key);
         let Some(found) = self.records.get_mut(&id) else {
             return;
         };
-        if matches!(found.state, KeyState::InProgress(_) | KeyState::Unknown) {
-            found.state = state;
+        let own = (&found.entry, found.process) == (&settlement.entry, settlement.process);
+        if own && matches!(found.state, KeyState::InProgress(_) | KeyState::Unknown) {
+            found.state = settlement.state;
         }
     }
 
-    /// Marks what a lost process had in progress as unknown: it may have run.
+    /// Marks what a lost process had in progress: it may have run. An idempotent request's key
+    /// is free again.
     pub(crate) fn lose_process(&mut self, entry: &EntryId, process: ProcessId) {
         let records = self.records.values_mut();
         for record in records.filter(|r| r.entry == *entry && r.process == process) {
             if matches!(record.state, KeyState::InProgress(_)) {
-                record.state = KeyState::Unknown;
+                record.state = match record.idempotent {
+                    true => KeyState::NotRun,
+                    false => KeyState::Unknown,
+                };
             }
         }
     }
--- a/src/wire/calls.rs
+++ b/src/wire/calls.rs
@@ -443,6 +443,8 @@
     pub entry: EntryId,
     /// Process of that entry host.
     pub process: ProcessId,
+    /// Whether the request may run again when it is lost with its entry host.
+    pub idempotent: bool,
 }
 
 /// What became of a claimed key.
@@ -452,6 +454,10 @@
     pub service: ServiceName,
     /// The caller's key.
     pub key: IdempotencyKey,
+    /// Entry host that claimed it.
+    pub entry: EntryId,
+    /// Process that claimed it; the word of another one changes nothing.
+    pub process: ProcessId,
     /// What happened.
     pub state: KeyState,
 }
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -303,14 +303,16 @@
         digest: [digest; 16],
         entry: entry.into(),
         process: 7,
+        idempotent: false,
     })
 }
 
-fn settle(key: &str, state: KeyState) -> Command {
-    let (service, key) = ("s".into(), key.into());
+fn settle(key: &str, entry: &str, state: KeyState) -> Command {
     Command::SettleKey(KeySettlement {
-        service,
-        key,
+        service: "s".into(),
+        key: key.into(),
+        entry: entry.into(),
+        process: 7,
         state,
     })
 }
@@ -329,7 +331,42 @@
         bench.apply(claim("k", 2, "e2")),
         Reply::Key(KeyState::Mismatch)
     );
-    bench.apply(settle("k", KeyState::NotRun));
+    bench.apply(settle("k", "e1", KeyState::NotRun));
+    assert_eq!(
+        bench.apply(claim("k", 1, "e2")),
+        Reply::Key(KeyState::Claimed)
+    );
+}
+
+#[test]
+fn a_lost_claim_does_not_free_the_key_of_another() {
+    // The claim of e1 is lost on the way, and e1 keeps saying that nothing ran under it. Until
+    // that word arrives, e2 has claimed the key and works on the request. The key stays taken.
+    let mut bench = Bench::new();
+    bench.apply(claim("k", 1, "e2"));
+    bench.apply(settle("k", "e1", KeyState::NotRun));
+    let in_progress = Reply::Key(KeyState::InProgress("e2".into()));
+    assert_eq!(bench.apply(claim("k", 1, "e3")), in_progress);
+}
+
+#[test]
+fn an_idempotent_key_of_a_lost_entry_host_is_free() {
+    // The entry host that claimed the key dies. The request may run twice, so a resend through
+    // another entry host runs it instead of being told that its outcome is unknown.
+    let mut bench = Bench::new();
+    bench.apply(Command::EntryUp(hello("e1")));
+    let Command::ClaimKey(first) = claim("k", 1, "e1") else {
+        unreachable!("a claim is a claim")
+    };
+    let idempotent = KeyClaim {
+        idempotent: true,
+        ..first
+    };
+    bench.apply(Command::ClaimKey(idempotent));
+    bench.apply(Command::EntryDown {
+        entry: "e1".into(),
+        process: 7,
+    });
     assert_eq!(
         bench.apply(claim("k", 1, "e2")),
         Reply::Key(KeyState::Claimed)
@@ -358,7 +395,7 @@
     // work twice, so it is refused by name.
     let mut bench = Bench::new();
     bench.apply(claim("k", 1, "e1"));
-    bench.apply(settle("k", KeyState::Unknown));
+    bench.apply(settle("k", "e1", KeyState::Unknown));
     bench.now += DAY + Duration::from_secs(1);
     let Reply::Refused(refusal) = bench.apply(claim("k", 1, "e1")) else {
         panic!("ran again")
