--- a/benches/replication.rs
+++ b/benches/replication.rs
@@ -119,6 +119,12 @@
     }
 }
 
+/// Latencies in microseconds up to a minute. A histogram without bounds does not grow when it
+/// records saturating: everything above its first range would count as the top of that.
+fn latencies() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("three digits")
+}
+
 fn print_row(name: &str, done: u64, took: Duration, latency: &Histogram<u64>) {
     let rate = done as f64 / took.as_secs_f64();
     let at = |q: f64| latency.value_at_quantile(q) as f64 / 1000.0;
@@ -133,7 +139,7 @@
 fn sync_each_entry() {
     let path = folder("baseline");
     let (mut store, _) = Store::open(&path).expect("a new store");
-    let mut latency = Histogram::<u64>::new(3).expect("three digits");
+    let mut latency = latencies();
     let start = Instant::now();
     let mut index = 0;
     while start.elapsed() < RUN {
@@ -166,12 +172,13 @@
 
 async fn throughput(size: usize) {
     let group = Group::form(size).await;
+    let leader = leader_of(&group).await;
     for callers in CALLERS {
         let start = Instant::now();
         let tasks: Vec<_> = (0..callers)
-            .map(|_| tokio::spawn(call_for(group.replicas[0].clone(), RUN)))
+            .map(|_| tokio::spawn(call_for(group.replicas[leader].clone(), RUN)))
             .collect();
-        let mut latency = Histogram::<u64>::new(3).expect("three digits");
+        let mut latency = latencies();
         for task in tasks {
             latency
                 .add(task.await.expect("a caller"))
@@ -184,7 +191,7 @@
 }
 
 async fn call_for(replica: ReplicaHandle<Counter>, time: Duration) -> Histogram<u64> {
-    let mut latency = Histogram::<u64>::new(3).expect("three digits");
+    let mut latency = latencies();
     let start = Instant::now();
     while start.elapsed() < time {
         let one = Instant::now();
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -22,6 +22,9 @@
 /// Longest time for which a poll's answer is held back, whatever the worker asks for.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(20);
 
+/// Longest time for a command to be agreed; an election takes a small part of it.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Rounds of proposals one call may need: join, report, leave, and spare.
 const MAX_ROUNDS: usize = 8;
 
@@ -187,7 +190,13 @@
         let bytes = command
             .to_bytes()
             .map_err(|e| refusal(RefusalKind::Invalid, e.to_string()))?;
-        self.group.propose(bytes).await.map_err(|e| match e {
+        let agreed = tokio::time::timeout(PROPOSE_TIMEOUT, self.group.propose(bytes)).await;
+        // A proposal that waits without end keeps its caller waiting without end. The command
+        // may still be agreed, so its outcome is unknown and the key tells it later.
+        let Ok(agreed) = agreed else {
+            return Err(Answer::Unknown);
+        };
+        agreed.map_err(|e| match e {
             ProposeError::NotLeader { leader } => Answer::NotLeader(leader),
             ProposeError::Overloaded(message) => come_back(RefusalKind::Overloaded, message),
             ProposeError::Unknown => Answer::Unknown,
--- a/src/placement/baseline.rs
+++ b/src/placement/baseline.rs
@@ -5,8 +5,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::cell::{Cell, Job, JobIx, Outcome, RunRef, WorkerIx};
+use super::cell::{Cell, Outcome};
 use super::interface::{Decision, Event, Placer};
+use super::records::{Job, JobIx, RunRef, WorkerIx};
 use super::search::{self, Ask};
 use super::{explain, never};
 use crate::ids::{JobName, Timestamp};
--- a/src/placement/classes.rs
+++ b/src/placement/classes.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use super::cell::WorkerIx;
+use super::records::WorkerIx;
 use crate::ids::{AcceleratorName, ZoneName};
 use crate::resources::Resources;
 use crate::workload::WorkerSpec;
--- a/src/placement/drains.rs
+++ b/src/placement/drains.rs
@@ -1,8 +1,8 @@
 //! Emptying workers by a deadline, replacing old versions in steps, and what else depends on
 //! time alone.
 
-use super::cell::{Ending, RunRef, WorkerIx};
 use super::interface::{Decision, StopReason};
+use super::records::{Ending, RunRef, WorkerIx};
 use super::rules;
 use super::scheduler::Scheduler;
 use crate::ids::{Timestamp, WorkerId};
@@ -89,7 +89,7 @@
     }
 
     /// Stops as many runs of older versions as may be away; says whether any are left.
-    fn update_step(&mut self, ix: super::cell::JobIx) -> bool {
+    fn update_step(&mut self, ix: super::records::JobIx) -> bool {
         let job = self.cell.job(ix);
         let limit = job.spec.max_unavailable.max(1) as usize;
         let old: Vec<RunRef> = job
--- a/src/placement/estimates.rs
+++ b/src/placement/estimates.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::cell::{WorkerIx, larger, saturating_sub};
+use super::records::{WorkerIx, larger, saturating_sub};
 use crate::ids::{KindName, Timestamp};
 use crate::resources::Resources;
 use crate::workload::JobSpec;
--- a/src/placement/events.rs
+++ b/src/placement/events.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::cell::{JobIx, Outcome, Place, Run, RunRef};
+use super::cell::Outcome;
 use super::interface::{Decision, Event, StopReason};
+use super::records::{JobIx, Place, Run, RunRef};
 use super::scheduler::Scheduler;
 use super::{never, rules};
 use crate::ids::Timestamp;
--- a/src/placement/explain.rs
+++ b/src/placement/explain.rs
@@ -1,7 +1,8 @@
 //! Why a job waits now.
 
-use super::cell::{Cell, Job, JobIx};
+use super::cell::Cell;
 use super::never::cores;
+use super::records::{Job, JobIx};
 use super::scheduler::Scheduler;
 use super::search::Ask;
 use crate::ids::{JobName, Timestamp};
--- a/src/placement/faults.rs
+++ b/src/placement/faults.rs
@@ -5,8 +5,8 @@
 
 use rand::RngExt;
 
-use super::cell::{Ending, FailedTask, Quarantine, Run, RunRef, WorkerIx, saturating_sub};
 use super::interface::{Decision, StopReason};
+use super::records::{Ending, FailedTask, Quarantine, Run, RunRef, WorkerIx, saturating_sub};
 use super::scheduler::Scheduler;
 use super::{rules, search};
 use crate::ids::Timestamp;
--- a/src/placement/headroom.rs
+++ b/src/placement/headroom.rs
@@ -8,7 +8,8 @@
 
 use std::time::Duration;
 
-use super::cell::{Cell, JobIx, larger, saturating_add, saturating_sub};
+use super::cell::Cell;
+use super::records::{JobIx, larger, saturating_add, saturating_sub};
 use super::scheduler::Scheduler;
 use super::search;
 use crate::ids::Timestamp;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod never;
 mod preemption;
 mod queues;
+mod records;
 mod reservations;
 mod rules;
 mod scheduler;
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use super::cell::{Ending, JobIx, Place, RunRef, Worker, WorkerIx, saturating_add};
 use super::interface::{Decision, StopReason};
+use super::records::{Ending, JobIx, Place, RunRef, Worker, WorkerIx, saturating_add};
 use super::scheduler::Scheduler;
 use super::search::Ask;
 use super::teams::TeamIx;
--- a/src/placement/queues.rs
+++ b/src/placement/queues.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::cell::{BANDS, JobIx};
+use super::records::{BANDS, JobIx};
 use super::teams::{Standing, TeamIx};
 use crate::ids::{AcceleratorName, KindName, Timestamp, ZoneName};
 use crate::resources::Resources;
--- a/src/placement/reservations.rs
+++ b/src/placement/reservations.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-use super::cell::{Hold, JobIx, RunRef, Worker, WorkerIx, saturating_add};
 use super::queues::QueueIx;
+use super::records::{Hold, JobIx, RunRef, Worker, WorkerIx, saturating_add};
 use super::scheduler::Scheduler;
 use super::search;
 use crate::ids::Timestamp;
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -7,10 +7,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::cell::{Cell, JobIx, RunRef, WorkerIx};
+use super::cell::Cell;
 use super::estimates::Estimates;
 use super::interface::{Decision, Event, Placer};
 use super::queues::{QueueIx, Queues, ReadyKey};
+use super::records::{JobIx, RunRef, WorkerIx};
 use super::reservations::Reservation;
 use super::search::{self, Ask};
 use super::teams::{Standing, Teams};
@@ -405,7 +406,7 @@
 
 /// Says whether a job's waiting tasks may start now: a gang that starts all again first has to
 /// be gone as a whole.
-fn startable(job: &super::cell::Job) -> bool {
+fn startable(job: &super::records::Job) -> bool {
     if job.spec.class != WorkClass::Gang {
         return true;
     }
--- a/src/placement/search.rs
+++ b/src/placement/search.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 
-use super::cell::{Cell, JobIx, Worker, WorkerIx, saturating_sub};
+use super::cell::Cell;
 use super::classes::{Class, Group, GroupIx};
+use super::records::{JobIx, Worker, WorkerIx, saturating_sub};
 use crate::ids::{AcceleratorName, Timestamp, ZoneName};
 use crate::resources::Resources;
 use crate::workload::{Band, JobSpec, Spread};
--- a/src/placement/teams.rs
+++ b/src/placement/teams.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::cell::{saturating_add, saturating_sub};
+use super::records::{saturating_add, saturating_sub};
 use crate::document::Team;
 use crate::ids::{TeamName, Timestamp};
 use crate::resources::Resources;
--- /dev/null
+++ b/src/replication/explore/world/damage.rs
@@ -0,0 +1,152 @@
+//! Faults, and calls made while they last.
+
+use super::{Event, RESTART_GAP, RESTARTS, World};
+use std::collections::HashSet;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::replication::core::{Membership, Payload};
+use crate::replication::explore::checks::Broken;
+use crate::replication::explore::faults::Fault;
+use crate::replication::explore::host::{Disk, Input};
+
+impl World {
+    /// Some host; with the given chance one that believes it leads.
+    pub(super) fn pick_host(&mut self, leading: f64) -> usize {
+        let leads = |i: &usize| {
+            let running = self.hosts[*i].running.as_ref();
+            running.is_some_and(|r| r.core.is_leader())
+        };
+        let leaders: Vec<_> = (0..self.hosts.len()).filter(leads).collect();
+        if leaders.is_empty() || !self.rng.random_bool(leading) {
+            return self.rng.random_range(0..self.hosts.len());
+        }
+        leaders[self.rng.random_range(0..leaders.len())]
+    }
+
+    /// A client calls some host, mostly one that leads.
+    pub(super) fn call(&mut self) -> Result<(), Broken> {
+        let longest = self.mix.longest_call_gap.as_micros() as u64;
+        let next = Duration::from_micros(self.rng.random_range(1_000..longest));
+        self.schedule(next, Event::Call);
+        let host = self.pick_host(0.9);
+        if self.hosts[host].running.is_none() {
+            return Ok(());
+        }
+        let is_read = self.rng.random_bool(0.5);
+        let op = self.history.call(is_read, self.now);
+        let input = if is_read {
+            Input::Read(op)
+        } else {
+            Input::Write(op)
+        };
+        self.reach(host, input)
+    }
+
+    pub(super) fn inflict(&mut self, fault: Fault) -> Result<(), Broken> {
+        match fault {
+            Fault::Crash { host, down } => self.crash_for(host, down),
+            Fault::Pause { host, time } => {
+                self.coverage.pauses += 1;
+                self.hosts[host].paused_until = self.now + time;
+                self.schedule(time, Event::Wake(host));
+            }
+            Fault::CutOneWay { from, to } => {
+                self.cuts.insert((from, to));
+            }
+            Fault::Isolate { host } => {
+                for other in 0..self.hosts.len() {
+                    self.cuts.insert((host, other));
+                    self.cuts.insert((other, host));
+                }
+            }
+            Fault::Heal => self.cuts.clear(),
+            Fault::Wipe { host } => {
+                if self.keeps_majorities(Some(host)) {
+                    self.wipe(host);
+                }
+            }
+            Fault::HandOver { host } => return self.reach(host, Input::HandOver),
+            Fault::SlowDisk { host, longest } => self.hosts[host].slow_sync = longest,
+            Fault::FullDisk { host, full } => return self.reach(host, Input::DiskFull(full)),
+            Fault::SetClock { host, unix } => self.hosts[host].clock.unix = unix,
+            Fault::FallingLeaders { time } => self.leaders_fall_until = self.now + time,
+            Fault::Restarts { offset } => {
+                let hosts = self.hosts.len();
+                let leader = self.pick_host(1.0);
+                let host = (leader + offset) % hosts;
+                let cut_off = (leader + offset % (hosts - 1) + 1) % hosts;
+                self.cuts.insert((leader, cut_off));
+                self.cuts.insert((cut_off, leader));
+                for n in 0..RESTARTS {
+                    let crash = Event::Crash(host, Duration::from_millis(1));
+                    self.schedule(RESTART_GAP * n, crash);
+                }
+            }
+            Fault::Network { loss, repeat } => (self.loss, self.repeat) = (loss, repeat),
+        }
+        Ok(())
+    }
+
+    pub(super) fn crash_for(&mut self, host: usize, down: Duration) {
+        self.crash(host);
+        let life = self.hosts[host].life;
+        self.schedule(down, Event::Restart(host, life));
+    }
+
+    pub(super) fn crash(&mut self, host: usize) {
+        let Some(running) = &self.hosts[host].running else {
+            return;
+        };
+        let kept = self.rng.random_range(0..=running.unsynced.len());
+        self.coverage.crashes += 1;
+        self.hosts[host].crash(kept);
+    }
+
+    /// Whether every membership that any replica holds keeps a majority of disks without those
+    /// of one host. More loss than that no protocol survives.
+    pub(super) fn keeps_majorities(&self, without: Option<usize>) -> bool {
+        let others = self
+            .hosts
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| Some(*i) != without);
+        let alive: HashSet<_> = others.map(|(_, h)| h.disk.id).collect();
+        let keeps = |members: &Membership| {
+            let left = members
+                .voters
+                .keys()
+                .filter(|id| alive.contains(id))
+                .count();
+            members.voters.is_empty() || left >= members.quorum()
+        };
+        self.hosts.iter().all(|h| {
+            let state = &h.disk.state;
+            let held = state.entries.iter().filter_map(|e| match &e.payload {
+                Payload::Members(members) => Some(members),
+                _ => None,
+            });
+            let running = h.running.as_ref().map(|r| r.core.members());
+            held.chain(running)
+                .chain([&state.snapshot.members])
+                .all(keeps)
+        })
+    }
+
+    pub(super) fn wipe(&mut self, host: usize) {
+        self.coverage.wipes += 1;
+        self.crash(host);
+        let old = self.hosts[host].disk.id;
+        let id = if self.template.safeguards.fresh_identity {
+            self.rng.random_range(1..u64::MAX)
+        } else {
+            old
+        };
+        self.homes.insert(id, host);
+        self.hosts[host].disk = Disk::wiped(id);
+        let life = self.hosts[host].life;
+        let down = Duration::from_millis(self.rng.random_range(5..100));
+        self.schedule(down, Event::Restart(host, life));
+    }
+}
--- /dev/null
+++ b/src/replication/explore/world/effects.rs
@@ -0,0 +1,206 @@
+//! What replicas ask for: saves, messages, replies, and the checks after each.
+
+use super::{Event, LATE_SHARE, SNAPSHOT_LEN, World};
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::replication::core::{Effect, Entry, Message, Payload};
+use crate::replication::explore::Check;
+use crate::replication::explore::checks::Broken;
+use crate::replication::explore::history::{OpId, Outcome};
+use crate::replication::explore::host::Input;
+
+impl World {
+    pub(super) fn take(&mut self, host: usize, input: Input) {
+        self.coverage.events += 1;
+        let clock = self.hosts[host].clock;
+        let (now, unix) = (clock.monotonic(self.now), clock.unix(self.now));
+        let Some(r) = &mut self.hosts[host].running else {
+            return;
+        };
+        match input {
+            Input::Message(message) => r.core.receive(now, message),
+            Input::Synced(seq) => r.core.saved(now, seq),
+            Input::Tick => r.core.tick(now),
+            Input::HandOver => r.core.hand_over(now),
+            Input::DiskFull(full) => r.core.disk_full(now, full),
+            Input::Write(op) => match r.core.propose(now, unix, op.to_le_bytes().to_vec()) {
+                Ok(index) => {
+                    r.writes.insert(index, (r.core.term(), op));
+                }
+                Err(_) => {
+                    self.coverage.refused += 1;
+                    self.history.answer(op, Outcome::Refused, self.now);
+                }
+            },
+            Input::Read(op) => match r.core.read(now) {
+                Ok(id) => {
+                    r.reads.insert(id, op);
+                }
+                Err(_) => self.coverage.refused += 1,
+            },
+        }
+    }
+
+    /// Carries out what a replica wants and checks what has become of it.
+    pub(super) fn settle(&mut self, host: usize) -> Result<(), Broken> {
+        let now = self.hosts[host].clock.monotonic(self.now);
+        if let Some(r) = &mut self.hosts[host].running {
+            r.core.replicate(now);
+        }
+        self.carry_out(host)?;
+        self.check_host(host)
+    }
+
+    pub(super) fn carry_out(&mut self, host: usize) -> Result<(), Broken> {
+        loop {
+            let Some(r) = &mut self.hosts[host].running else {
+                return Ok(());
+            };
+            let effects = r.core.take_effects();
+            if effects.is_empty() {
+                return Ok(());
+            }
+            for effect in effects {
+                self.carry_out_one(host, effect)?;
+            }
+        }
+    }
+
+    pub(super) fn carry_out_one(&mut self, host: usize, effect: Effect) -> Result<(), Broken> {
+        let now = self.hosts[host].clock.monotonic(self.now);
+        let life = Some(self.hosts[host].life);
+        let Some(r) = &mut self.hosts[host].running else {
+            return Ok(());
+        };
+        match effect {
+            Effect::Save(save) => {
+                for entry in &save.entries {
+                    self.checks.appends(&r.core, entry)?;
+                }
+                let seq = save.seq;
+                r.unsynced.push_back(save);
+                let longest = self.hosts[host].slow_sync.as_micros() as u64;
+                let time = Duration::from_micros(self.rng.random_range(100..=longest.max(200)));
+                self.schedule_input(time, host, life, Input::Synced(seq));
+            }
+            Effect::Send(message) => {
+                if let Some(to) = self.homes.get(&message.to).copied() {
+                    self.transmit(host, to, message);
+                }
+            }
+            Effect::Announce(message) => {
+                for to in (0..self.hosts.len()).filter(|to| *to != host) {
+                    self.transmit(host, to, message.clone());
+                }
+            }
+            Effect::Apply(entries) => {
+                for entry in entries {
+                    self.apply(host, &entry)?;
+                }
+            }
+            Effect::Restore(snapshot) => {
+                let mut version = [0; 8];
+                version.copy_from_slice(&snapshot.data[..8]);
+                r.register.version = u64::from_le_bytes(version);
+                self.coverage.snapshots_installed += 1;
+            }
+            Effect::Leadership(leading) => self.coverage.elections += u64::from(leading),
+            Effect::ReadsReady(through) => {
+                let confirmed = r.core.is_confirmed(now);
+                let later = r.reads.split_off(&(through + 1));
+                for (_, op) in std::mem::replace(&mut r.reads, later) {
+                    if confirmed {
+                        let outcome = Outcome::Version(r.register.version);
+                        self.history.answer(op, outcome, self.now);
+                        self.coverage.reads += 1;
+                    }
+                }
+            }
+            Effect::TakeSnapshot(index) => {
+                let mut data = r.register.version.to_le_bytes().to_vec();
+                data.resize(SNAPSHOT_LEN, 0);
+                r.core.snapshot_taken(index, data);
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn apply(&mut self, host: usize, entry: &Entry) -> Result<(), Broken> {
+        let Some(r) = &mut self.hosts[host].running else {
+            return Ok(());
+        };
+        self.checks.applies(&r.core, entry)?;
+        let Payload::Command(command) = &entry.payload else {
+            return Ok(());
+        };
+        let mut op = [0; 8];
+        op.copy_from_slice(command);
+        r.register.version = entry.index;
+        self.history.applied(OpId::from_le_bytes(op), entry.index);
+        if let Some((term, op)) = r.writes.remove(&entry.index)
+            && term == entry.term
+        {
+            let outcome = Outcome::Version(entry.index);
+            self.history.answer(op, outcome, self.now);
+            self.coverage.writes += 1;
+            self.confirmed_in_calm |= self.calm;
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_host(&mut self, host: usize) -> Result<(), Broken> {
+        let Some(r) = &mut self.hosts[host].running else {
+            return Ok(());
+        };
+        if r.core.is_leader() {
+            if r.led_term != r.core.term() {
+                r.led_term = r.core.term();
+                self.checks.leads(&r.core)?;
+                if self.now < self.leaders_fall_until {
+                    let after = Duration::from_millis(self.rng.random_range(0..30));
+                    let down = Duration::from_millis(self.rng.random_range(1..200));
+                    self.schedule(after, Event::Crash(host, down));
+                }
+            }
+        } else {
+            self.coverage.refused += (r.writes.len() + r.reads.len()) as u64;
+            r.writes.clear();
+            r.reads.clear();
+        }
+        let acting: Vec<_> = self
+            .hosts
+            .iter()
+            .filter_map(|h| {
+                let core = &h.running.as_ref()?.core;
+                let acts = core.is_confirmed(h.clock.monotonic(self.now));
+                acts.then(|| (core.id(), core.term()))
+            })
+            .collect();
+        // With reads unguarded, their own check must find it.
+        let guarded = self.template.safeguards.read_after_round;
+        if acting.len() > 1 && guarded {
+            let detail = format!("(replica, term) {acting:?} may act");
+            return Err((Check::OneActingLeader, detail));
+        }
+        Ok(())
+    }
+
+    pub(super) fn transmit(&mut self, from: usize, to: usize, message: Message) {
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_bool(self.repeat));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let late = !self.calm && self.rng.random_bool(LATE_SHARE);
+            let usual = self.mix.longest_delay.as_micros() as u64;
+            let longest = if late { 250_000 } else { usual };
+            let delay = Duration::from_micros(self.rng.random_range(300..longest));
+            self.schedule_input(delay, to, None, Input::Message(message.clone()));
+        }
+    }
+}
