Test that failures do not multiply the load

Cause: with the retry budget taken out, all tests of the routing model passed. Change: a test in which every minion answers with an error bounds what they are given by what the budget allows. Conclusion: the budget is proved; hedging and team limits still have no test of their own.

--- a/tests/routing_cell.rs
+++ b/tests/routing_cell.rs
@@ -170,6 +170,24 @@
     assert!(world.count(|v| *v == Verdict::Unknown) > 0);
 }
 
+#[rstest]
+fn failures_do_not_multiply_the_load(#[values(1, 2)] seed: u64) {
+    // Every minion answers with an error. Each request would be tried four times, and the minions
+    // would get a multiple of what callers send. The budget lets at most a fifth be added, besides
+    // one a second and a burst of twenty at each entry host.
+    let mut world = world(seed);
+    (0..14).for_each(|m| world.minions[m].fails = true);
+    let (seconds, hosts) = (3, 7);
+    let sent = drive(&mut world, 0.1, seconds) as u32;
+    let begun: u32 = world.minions.iter().map(|minion| minion.begun).sum();
+    let most = sent + sent / 5 + hosts * (20 + seconds + 5);
+    assert!(
+        begun <= most,
+        "{begun} begun, {most} allowed of {sent} sent"
+    );
+    assert!(begun > sent, "no try was repeated at all");
+}
+
 #[rstest]
 fn entry_hosts_restart_one_after_another(#[values(1, 2)] seed: u64) {
     // Each entry host in turn dies and comes back with nothing in memory, under load.
