--- a/src/bin/entry.rs
+++ b/src/bin/entry.rs
@@ -5,7 +5,6 @@
 use slog::{Logger, error};
 use yuccahold::daemon::{self, DaemonArgs, Program, fail, stop_signals};
 use yuccahold::entry::Entry;
-use yuccahold::wire::CellKeys;
 use yuccahold::{ExitCode, settings};
 
 const HELP: &str = "\
@@ -41,16 +40,10 @@
 }
 
 async fn serve(args: DaemonArgs, log: Logger) -> ExitCode {
-    let cfg = match settings::load_entry(&args.settings) {
-        Ok(cfg) => cfg,
-        Err(problems) => {
-            eprintln!("{:?}", miette::Report::new(problems));
-            return ExitCode::Invalid;
-        }
-    };
-    let keys = match CellKeys::load(&cfg.cell_key) {
-        Ok(keys) => keys,
-        Err(e) => return fail(&log, &e, ExitCode::Invalid),
+    let loaded = settings::load_entry(&args.settings);
+    let (cfg, keys) = match daemon::prepare(loaded, |cfg| &cfg.cell_key, &log) {
+        Ok(prepared) => prepared,
+        Err(code) => return code,
     };
     let handle = match Entry::start(cfg, keys, log.clone()).await {
         Ok(handle) => handle,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,4 +4,4 @@
 mod run;
 
 pub use args::{Asked, DaemonArgs, Program, parse_args};
-pub use run::{fail, run, stop_signals};
+pub use run::{fail, prepare, run, stop_signals};
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,6 +1,7 @@
 //! The process around a daemon: arguments, logger, runtime, signals, exit code.
 
 use std::future::Future;
+use std::path::Path;
 use std::process::ExitCode as ProcessExitCode;
 
 use slog::{Logger, crit, info};
@@ -8,7 +9,9 @@
 
 use super::args::{Asked, DaemonArgs, Program, parse_args};
 use crate::exit_codes::ExitCode;
+use crate::schema::Problems;
 use crate::telemetry;
+use crate::wire::CellKeys;
 
 /// Runs a daemon's body on a runtime of its own and gives the process's exit code.
 ///
@@ -52,6 +55,20 @@
     code
 }
 
+/// Takes a daemon's settings and its cell key, or says on standard error why it cannot start.
+pub fn prepare<T>(
+    loaded: Result<T, Problems>,
+    cell_key: impl Fn(&T) -> &Path,
+    log: &Logger,
+) -> Result<(T, CellKeys), ExitCode> {
+    let cfg = loaded.map_err(|problems| {
+        eprintln!("{:?}", miette::Report::new(problems));
+        ExitCode::Invalid
+    })?;
+    let keys = CellKeys::load(cell_key(&cfg)).map_err(|e| fail(log, &e, ExitCode::Invalid))?;
+    Ok((cfg, keys))
+}
+
 /// Waits for the first TERM or INT. From then on a second one ends the process at once.
 pub async fn stop_signals(log: &Logger) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
