Copy a command only where the leader notes it; share the rule on long runs

Every replica copied each command before it applied it, also answers of up to 64 KB kept under keys, although only a leader notes anything, and only of five kinds. The rule on what is kept running stood in `state` and in `placement`. A function named `decoded` decoded nothing. Change: the copy is made for those five kinds on a leader; `state` calls `placement::long_running`; the function is gone. Behaviour is as before. Conclusion: followers copy nothing.

--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -46,9 +46,9 @@
             ("GET", ["v1", "history"]) => self.history().await,
             ("GET", ["v1", "jobs"]) => self.jobs().await,
             ("POST", ["v1", "jobs"]) => self.submit_job(&call).await,
-            ("GET", ["v1", "jobs", name]) => job_answer(self.query(decoded(name)).await),
+            ("GET", ["v1", "jobs", name]) => job_answer(self.query(JobName::from(*name)).await),
             ("DELETE", ["v1", "jobs", name]) => {
-                job_answer(self.cancel(decoded(name), operator(&call)).await)
+                job_answer(self.cancel(JobName::from(*name), operator(&call)).await)
             }
             ("GET", ["v1", "workers"]) => self.table(|m, now| m.worker_rows(now)).await,
             ("GET", ["v1", "teams"]) => self.table(|m, _| m.cell().team_rows()).await,
@@ -189,10 +189,6 @@
     }
 }
 
-fn decoded(part: &str) -> JobName {
-    JobName::from(part)
-}
-
 /// The revision that a change was made from, out of `If-Match`.
 fn base_revision(call: &HttpCall) -> Result<Revision, HttpAnswer> {
     let Some(value) = header_of(call, "if-match") else {
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -197,9 +197,22 @@
                 });
             }
         };
-        let reply = self.cell.apply(at, command.clone());
-        self.note_grants(&command);
-        self.note_losses(&command);
+        // Only a leader notes anything, and only of these; answers kept under keys, which may be
+        // large, are not copied.
+        let noted = matches!(
+            command,
+            Command::Place(_)
+                | Command::PutDocument { .. }
+                | Command::WorkerDown { .. }
+                | Command::EntryDown { .. }
+                | Command::MinionDown { .. }
+        );
+        let noted = (noted && self.lead.is_some()).then(|| command.clone());
+        let reply = self.cell.apply(at, command);
+        if let Some(command) = &noted {
+            self.note_grants(command);
+            self.note_losses(command);
+        }
         self.publish();
         reply
     }
--- a/src/state/records.rs
+++ b/src/state/records.rs
@@ -10,9 +10,10 @@
 use crate::ids::{
     Attempt, EntryId, IdempotencyKey, ProcessId, Revision, TaskIndex, Timestamp, ZoneName,
 };
+use crate::placement::long_running;
 use crate::resources::Resources;
 use crate::wire::{JobPhase, MinionAnnouncement, StopKind};
-use crate::workload::{JobSpec, WorkClass, WorkerSpec};
+use crate::workload::{JobSpec, WorkerSpec};
 
 /// Short name of a job in the log.
 pub type JobNumber = u32;
@@ -188,7 +189,7 @@
 
     /// Whether the job's tasks are kept at their count instead of ending by themselves.
     pub fn long_running(&self) -> bool {
-        matches!(self.spec.class, WorkClass::Service | WorkClass::Watcher)
+        long_running(&self.spec)
     }
 
     /// Whether a task of this job may start again after it may have run.
