--- a/benches/replication.rs
+++ b/benches/replication.rs
@@ -105,6 +105,7 @@
             heartbeat: Duration::from_millis(100),
             snapshot_bytes: 8 * 1024 * 1024,
             replace_after: Duration::from_secs(3600),
+            target_voters: None,
             form,
             on_disk_failure: ReplicaConfig::end_process,
         };
--- /dev/null
+++ b/src/batch/dispatch/advice.rs
@@ -0,0 +1,172 @@
+//! Tickets of the policy service: what is known of each step, and whom to ask about.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use super::order::{Advice, AdviceQuestion, Order};
+use super::{Dispatcher, ReadyStep};
+use crate::batch::model::{AdviceTerms, MinionNumber, Room, StepId};
+use crate::ids::Timestamp;
+
+/// Minions asked about in one question. The objective of a job allows for one call about this
+/// many a step, so asking for fewer gains nothing and asking for more is late.
+const ASK_AT_ONCE: usize = 30;
+/// A ticket is not used in the last part of its validity: the start may be tried again.
+const TICKET_RESERVE: Duration = Duration::from_millis(350);
+/// Pause after a question that brought nothing.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+/// Questions on the way at once; the askers take one each at a time.
+const MAX_QUESTIONS: usize = 12;
+/// A question that is not answered after this long is taken as lost.
+const QUESTION_LOST: Duration = Duration::from_secs(4);
+
+/// What is known of the policy for one step.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Knowledge {
+    /// Minions that may run it. This never changes.
+    good: BTreeSet<MinionNumber>,
+    /// Minions that may not.
+    bad: BTreeSet<MinionNumber>,
+    tickets: BTreeMap<MinionNumber, (CompactString, Timestamp)>,
+    asked: Option<(Timestamp, Vec<MinionNumber>)>,
+    next_question: Timestamp,
+}
+
+impl Knowledge {
+    pub(super) fn ticket(&self, minion: MinionNumber) -> Option<CompactString> {
+        self.tickets.get(&minion).map(|(ticket, _)| ticket.clone())
+    }
+
+    pub(super) fn has_ticket(&self, minion: MinionNumber, now: Timestamp) -> bool {
+        self.tickets
+            .get(&minion)
+            .is_some_and(|(_, until)| now + TICKET_RESERVE < *until)
+    }
+
+    pub(super) fn forget_ticket(&mut self, minion: MinionNumber) {
+        self.tickets.remove(&minion);
+    }
+}
+
+impl Dispatcher {
+    /// Asks about a step, if a question now could help to place its tasks.
+    pub(super) fn ask(&mut self, now: Timestamp, id: StepId, step: &ReadyStep, terms: AdviceTerms) {
+        if self.questions >= MAX_QUESTIONS {
+            return;
+        }
+        let knowledge = self.knowledge.entry(id).or_default();
+        if let Some((at, _)) = &knowledge.asked {
+            if now < *at + QUESTION_LOST {
+                return;
+            }
+            knowledge.asked = None;
+            self.questions -= 1;
+        }
+        if now < knowledge.next_question {
+            return;
+        }
+        let spec = &step.spec.steps[usize::from(id.step)];
+        let mut known = Vec::new();
+        let mut unknown = Vec::new();
+        for minion in self.minions.values() {
+            let fits = minion.takes_work(now)
+                && minion.report.service == step.queue.service
+                && spec.label.as_ref().is_none_or(|l| minion.has_label(l))
+                && minion.report.capacity.holds(&spec.need);
+            if !fits
+                || knowledge.bad.contains(&minion.number)
+                || knowledge.has_ticket(minion.number, now)
+            {
+                continue;
+            }
+            let room = fits_times(&minion.free(), &super::charged(spec));
+            if room == 0 {
+                continue;
+            }
+            let list = if knowledge.good.contains(&minion.number) {
+                &mut known
+            } else {
+                &mut unknown
+            };
+            list.push((room, minion.number));
+        }
+        known.sort_unstable_by(|a, b| b.cmp(a));
+        unknown.sort_unstable_by(|a, b| b.cmp(a));
+        // Known ones first, as many as the tasks need; then others.
+        let mut wanted: Vec<MinionNumber> = Vec::new();
+        let mut places = 0;
+        for (room, number) in &known {
+            if places >= 2 * step.waiting.len() as u32 {
+                break;
+            }
+            places += room;
+            wanted.push(*number);
+        }
+        if places < step.waiting.len() as u32 {
+            let left = ASK_AT_ONCE.saturating_sub(wanted.len());
+            wanted.extend(unknown.iter().take(left).map(|(_, n)| *n));
+        }
+        if wanted.is_empty() {
+            return;
+        }
+        let minions = wanted
+            .iter()
+            .filter_map(|n| self.minions.get(n).map(|m| m.report.id.clone()))
+            .collect::<Vec<_>>();
+        let cost = terms.base + terms.per_minion * minions.len() as u32;
+        knowledge.asked = Some((now, wanted));
+        self.questions += 1;
+        self.out.push(Order::Advise(AdviceQuestion {
+            step: id,
+            minions,
+            cost,
+        }));
+    }
+
+    /// Takes the answer to a question; `None` when none came.
+    pub fn advised(&mut self, now: Timestamp, id: StepId, advice: Option<Advice>) {
+        let validity = self
+            .ready
+            .get(&id)
+            .and_then(|step| step.queue.advice)
+            .map_or(Duration::ZERO, |terms| terms.validity);
+        let Some(knowledge) = self.knowledge.get_mut(&id) else {
+            return;
+        };
+        let Some((_, asked)) = knowledge.asked.take() else {
+            return;
+        };
+        self.questions -= 1;
+        let Some(advice) = advice else {
+            knowledge.next_question = now + ASK_AGAIN;
+            return;
+        };
+        let mut good = BTreeSet::new();
+        for (minion, ticket) in advice.good {
+            if let Some(number) = self.by_id.get(&minion) {
+                good.insert(*number);
+                knowledge.good.insert(*number);
+                knowledge.tickets.insert(*number, (ticket, now + validity));
+            }
+        }
+        let before = knowledge.bad.len();
+        knowledge
+            .bad
+            .extend(asked.iter().filter(|n| !good.contains(n)));
+        if good.is_empty() && knowledge.bad.len() == before {
+            knowledge.next_question = now + ASK_AGAIN;
+        }
+        self.place_wanted = true;
+    }
+}
+
+/// How many tasks of this need fit into a room.
+pub(super) fn fits_times(room: &Room, need: &Room) -> u32 {
+    let times = |have: u32, want: u32| have.checked_div(want).unwrap_or(u32::MAX);
+    times(room.millicores, need.millicores)
+        .min(times(room.memory_mb, need.memory_mb))
+        .min(times(room.accelerators, need.accelerators))
+        .min(10_000)
+}
--- /dev/null
+++ b/src/batch/dispatch/applied.rs
@@ -0,0 +1,135 @@
+//! What the leader does once a command is agreed.
+
+use super::run::RunState;
+use super::{Dispatcher, JobId, StepId, TaskId};
+use crate::batch::ledger::{Batch, Command, Ledger, TaskState};
+use crate::batch::model::{JobState, Lifetime};
+use crate::batch::note::Note;
+use crate::ids::Timestamp;
+
+/// Range of all tasks of a job.
+pub(super) fn tasks_of(job: JobId) -> std::ops::RangeInclusive<TaskId> {
+    let id = |occurrence, step, index| TaskId {
+        step: StepId {
+            job,
+            occurrence,
+            step,
+        },
+        index,
+    };
+    id(0, 0, 0)..=id(u32::MAX, u16::MAX, u32::MAX)
+}
+
+impl Dispatcher {
+    /// Follows an agreed command. `before` is what the ledger said of a submitted job before.
+    pub fn applied(&mut self, now: Timestamp, ledger: &Ledger, command: &Command, fresh: bool) {
+        match command {
+            Command::PutConfig {
+                version, parsed, ..
+            } => {
+                if fresh {
+                    self.note(Note::ConfigInForce {
+                        version: *version,
+                        queues: parsed.queues.len(),
+                    });
+                }
+            }
+            Command::Submit { job, queue, .. } => {
+                if fresh {
+                    self.note(Note::JobAccepted {
+                        job: *job,
+                        queue: queue.name.clone(),
+                        unstarted: ledger.unstarted.len(),
+                    });
+                    self.dirty_jobs.insert(*job);
+                    self.schedule_next(ledger, *job);
+                }
+            }
+            Command::Cancel { job } => {
+                if fresh {
+                    self.job_ended(now, ledger, *job);
+                }
+            }
+            Command::Batch(batch) => self.batch_applied(now, ledger, batch),
+        }
+    }
+
+    fn batch_applied(&mut self, now: Timestamp, ledger: &Ledger, batch: &Batch) {
+        if let Some(seen) = self.batches.pop_front() {
+            self.acknowledge(seen);
+        }
+        for end in &batch.ends {
+            let ending =
+                |run: &&super::run::Run| run.run == end.run && run.state == RunState::Ending;
+            if self.runs.get(&end.task).filter(ending).is_some() {
+                self.remove_run(end.task);
+            }
+            self.dirty_jobs.insert(end.task.step.job);
+        }
+        for (job, _) in &batch.due {
+            self.dirty_jobs.insert(*job);
+            self.schedule_next(ledger, *job);
+        }
+        for end in &batch.ends {
+            let job = end.task.step.job;
+            if ledger.jobs.get(&job).is_some_and(|j| j.state.is_final()) {
+                self.job_ended(now, ledger, job);
+            }
+        }
+        for start in &batch.starts {
+            self.start_agreed(now, ledger, start.task, start.run);
+        }
+    }
+
+    fn start_agreed(&mut self, now: Timestamp, ledger: &Ledger, id: TaskId, run: u32) {
+        let Some(known) = self.runs.get(&id) else {
+            return;
+        };
+        if known.run != run || known.state != RunState::Proposed {
+            return;
+        }
+        let granted = ledger
+            .task(id)
+            .is_some_and(|task| task.run == run && matches!(task.state, TaskState::Active(_)));
+        let open = ledger
+            .jobs
+            .get(&id.step.job)
+            .is_some_and(|job| !job.state.is_final());
+        if granted && open {
+            self.send_start(now, id, ledger);
+        } else {
+            self.remove_run(id);
+        }
+    }
+
+    /// A job has ended: nothing of it starts any more, and what runs is stopped.
+    fn job_ended(&mut self, now: Timestamp, ledger: &Ledger, id: JobId) {
+        self.dirty_jobs.insert(id);
+        let Some(job) = ledger.jobs.get(&id) else {
+            return;
+        };
+        let state = match job.state {
+            JobState::Done => "done",
+            JobState::Failed => "failed",
+            _ => "canceled",
+        };
+        self.note(Note::JobEnded {
+            job: id,
+            state,
+            age: ledger.clock.saturating_sub(job.accepted),
+        });
+        self.knowledge.retain(|step, _| step.job != id);
+        let tasks: Vec<_> = self.runs.range(tasks_of(id)).map(|(id, _)| *id).collect();
+        for task in tasks {
+            self.stop_run(now, task);
+        }
+    }
+
+    /// Whether a job has a lasting step.
+    pub(super) fn lasts(ledger: &Ledger, id: JobId) -> bool {
+        ledger
+            .jobs
+            .get(&id)
+            .is_some_and(|j| j.spec.steps.iter().any(|s| s.lifetime == Lifetime::Lasting))
+    }
+}
--- /dev/null
+++ b/src/batch/dispatch/gangs.rs
@@ -0,0 +1,110 @@
+//! Gangs: all members at once, or none.
+
+use std::collections::BTreeMap;
+
+use super::advice::fits_times;
+use super::{Dispatcher, ReadyStep, charged};
+use crate::batch::ledger::Ledger;
+use crate::batch::model::{MinionNumber, StepId, StepSpec, TaskId};
+use crate::ids::Timestamp;
+
+impl Dispatcher {
+    /// Places every member of a gang, or leaves the step as it is.
+    pub(super) fn place_gang(
+        &mut self,
+        now: Timestamp,
+        id: StepId,
+        step: &mut ReadyStep,
+        spec: &StepSpec,
+        ledger: &Ledger,
+    ) {
+        let all = step.waiting.iter().all(|index| {
+            let task = TaskId {
+                step: id,
+                index: *index,
+            };
+            Self::is_waiting(ledger, task) && !self.runs.contains_key(&task)
+        });
+        if !all {
+            return;
+        }
+        let places = self.gang_places(now, id, step, spec);
+        let wanted = step.waiting.len();
+        let chosen = if spec.one_rack {
+            // Apart it works too, only slower; but waiting for a rack could take for ever.
+            one_rack(&places, wanted).or_else(|| any_rack(&places, wanted))
+        } else {
+            any_rack(&places, wanted)
+        };
+        let Some(chosen) = chosen else {
+            return;
+        };
+        let run = step
+            .waiting
+            .iter()
+            .filter_map(|index| {
+                ledger.task(TaskId {
+                    step: id,
+                    index: *index,
+                })
+            })
+            .map(|task| task.run + 1)
+            .max()
+            .unwrap_or(1);
+        let members = std::mem::take(&mut step.waiting);
+        for (index, minion) in members.into_iter().zip(chosen) {
+            let task = TaskId { step: id, index };
+            self.grant(now, task, step, spec, minion, run, ledger);
+        }
+    }
+
+    /// Members that each minion could take, by rack.
+    fn gang_places(
+        &self,
+        now: Timestamp,
+        id: StepId,
+        step: &ReadyStep,
+        spec: &StepSpec,
+    ) -> BTreeMap<usize, Vec<(u32, MinionNumber)>> {
+        let need = charged(spec);
+        let mut places: BTreeMap<usize, Vec<(u32, MinionNumber)>> = BTreeMap::new();
+        for minion in self.minions.values() {
+            if !self.may_run(now, minion, id, step, spec, &need) {
+                continue;
+            }
+            let most = spec.max_per_minion.unwrap_or(u32::MAX);
+            let times = fits_times(&minion.free(), &need).min(most);
+            let rack = places.entry(minion.rack).or_default();
+            rack.push((times, minion.number));
+        }
+        for rack in places.values_mut() {
+            rack.sort_unstable_by(|a, b| b.cmp(a));
+        }
+        places
+    }
+}
+
+type Places = BTreeMap<usize, Vec<(u32, MinionNumber)>>;
+
+fn one_rack(places: &Places, wanted: usize) -> Option<Vec<MinionNumber>> {
+    places.values().find_map(|rack| take(rack.iter(), wanted))
+}
+
+fn any_rack(places: &Places, wanted: usize) -> Option<Vec<MinionNumber>> {
+    take(places.values().flatten(), wanted)
+}
+
+fn take<'a>(
+    places: impl Iterator<Item = &'a (u32, MinionNumber)>,
+    wanted: usize,
+) -> Option<Vec<MinionNumber>> {
+    let mut chosen = Vec::with_capacity(wanted);
+    for (times, number) in places {
+        let left = wanted - chosen.len();
+        chosen.extend(std::iter::repeat_n(*number, left.min(*times as usize)));
+        if chosen.len() == wanted {
+            return Some(chosen);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/src/batch/dispatch/minion.rs
@@ -0,0 +1,191 @@
+//! One incarnation of a minion in the leader's eyes: its clock, its lease, what it holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::order::Target;
+use crate::batch::model::{MinionNumber, MinionReport, Readiness, Room, RunNumber, TaskId};
+use crate::ids::Timestamp;
+
+/// A minion's clock may run this much slower than ours; from the platform's contract.
+const CLOCK_RATE: f64 = 0.98;
+/// Failures in a row before a minion gets no work. With one run in twenty failing by its own
+/// fault, two in a row come by chance once in 400.
+const FAILURES_TOLERATED: u32 = 2;
+/// First time for which it gets none.
+const AVOID: Duration = Duration::from_secs(1);
+
+/// A reading of a minion's clock. It was taken after the request left and before the answer came.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClockReading {
+    value: Duration,
+    sent: Timestamp,
+    received: Timestamp,
+}
+
+impl ClockReading {
+    /// The minion's clock is at most this at `now`.
+    fn latest(&self, now: Timestamp) -> Duration {
+        self.value + now.saturating_sub(self.sent)
+    }
+
+    /// The minion's clock is at least this at `now`.
+    pub(super) fn earliest(&self, now: Timestamp) -> Duration {
+        self.value + now.saturating_sub(self.received).mul_f64(CLOCK_RATE)
+    }
+}
+
+/// Where the one hold of a minion stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HoldState {
+    /// None is on the way; the next may leave then.
+    Due(Timestamp),
+    /// Sent then.
+    Waiting(Timestamp),
+}
+
+/// One incarnation of a minion.
+#[derive(Debug)]
+pub(super) struct Minion {
+    pub(super) number: MinionNumber,
+    pub(super) report: MinionReport,
+    pub(super) rack: usize,
+    pub(super) draining: bool,
+    /// It said that it ends, or another one was seen in its place.
+    pub(super) leaving: bool,
+    /// It has answered a hold under this leader's token: orders of earlier leaders do nothing.
+    pub(super) fenced: bool,
+    /// Our time at which a lease granted by an earlier leader is over for sure.
+    pub(super) assumed_until: Timestamp,
+    /// Highest deadline this leader has sent, on the minion's clock.
+    pub(super) lease: Duration,
+    clock: Option<ClockReading>,
+    pub(super) heard: Timestamp,
+    pub(super) reported: Timestamp,
+    /// Calls in a row that brought no answer.
+    pub(super) silent_calls: u32,
+    pub(super) hold: HoldState,
+    /// Last end taken from its list.
+    pub(super) seen_end: u64,
+    /// Last end that is agreed.
+    pub(super) acked_end: u64,
+    /// Room given away, runs that are being stopped included.
+    pub(super) used: Room,
+    /// Processor use declared by tasks that fill; not part of `used`.
+    pub(super) filling: u32,
+    /// Serving tasks with a latency target.
+    pub(super) serving: u32,
+    pub(super) runs: BTreeSet<TaskId>,
+    /// Runs that the minion lists and no decision of ours stands behind, with their room.
+    pub(super) strays: BTreeMap<(TaskId, RunNumber), (Room, Timestamp)>,
+    /// Failed ends and refusals in a row.
+    pub(super) failures: u32,
+    /// No new work before then.
+    pub(super) avoid_until: Timestamp,
+}
+
+impl Minion {
+    pub(super) fn new(number: MinionNumber, report: MinionReport, now: Timestamp) -> Self {
+        Self {
+            number,
+            draining: report.readiness != Readiness::Ready,
+            report,
+            rack: 0,
+            leaving: false,
+            fenced: false,
+            assumed_until: Timestamp::ZERO,
+            lease: Duration::ZERO,
+            clock: None,
+            heard: now,
+            reported: now,
+            silent_calls: 0,
+            hold: HoldState::Due(now),
+            seen_end: 0,
+            acked_end: 0,
+            used: Room::default(),
+            filling: 0,
+            serving: 0,
+            runs: BTreeSet::new(),
+            strays: BTreeMap::new(),
+            failures: 0,
+            avoid_until: Timestamp::ZERO,
+        }
+    }
+
+    pub(super) fn target(&self) -> Target {
+        Target {
+            minion: self.number,
+            id: self.report.id.clone(),
+            addr: self.report.addr,
+        }
+    }
+
+    /// Notes the clock in an answer to a request sent at `sent`.
+    pub(super) fn read_clock(&mut self, value: Duration, sent: Timestamp, now: Timestamp) {
+        self.clock = Some(ClockReading {
+            value,
+            sent,
+            received: now,
+        });
+        self.heard = now;
+        self.silent_calls = 0;
+    }
+
+    /// Deadline that lies at least `span` ahead; none before the first reading of the clock.
+    pub(super) fn deadline(&self, now: Timestamp, span: Duration) -> Option<Duration> {
+        // Whole milliseconds travel.
+        let exact = self.clock?.latest(now) + span;
+        Some(Duration::from_millis(exact.as_millis() as u64))
+    }
+
+    /// Whether the minion's clock has passed `deadline` for sure.
+    pub(super) fn is_past(&self, deadline: Duration, now: Timestamp) -> bool {
+        self.clock.is_some_and(|c| c.earliest(now) > deadline)
+    }
+
+    /// Whether everything that any leader ever let it run is over for sure.
+    ///
+    /// A silent minion may run on until its lease ends. Starting its tasks elsewhere before that
+    /// would run them twice. Deadlines are absolute on its own clock, so orders that are carried
+    /// out late add nothing; only the clock's slowest rate has to be allowed for.
+    pub(super) fn lease_over(&self, now: Timestamp) -> bool {
+        let own = self.lease.is_zero() || self.is_past(self.lease, now);
+        own && (self.fenced || now > self.assumed_until)
+    }
+
+    pub(super) fn free(&self) -> Room {
+        self.report.capacity.minus(&self.used)
+    }
+
+    /// Whether new work may be given to it now.
+    pub(super) fn takes_work(&self, now: Timestamp) -> bool {
+        let sound = self.silent_calls == 0 && now >= self.avoid_until;
+        self.fenced && !self.draining && !self.leaving && sound
+    }
+
+    /// Notes a failed run or a refusal. A minion on which several in a row fail gets no work for
+    /// a while that doubles, so that one that fails everything does not eat up the attempts of
+    /// every task; a single failure is usually the task's own.
+    pub(super) fn failed(&mut self, now: Timestamp) {
+        self.failures += 1;
+        if self.failures >= FAILURES_TOLERATED {
+            let doubled = (self.failures - FAILURES_TOLERATED).min(3);
+            self.avoid_until = now + AVOID * 2_u32.pow(doubled);
+        }
+    }
+
+    /// Notes a run that ended well.
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+        self.avoid_until = Timestamp::ZERO;
+    }
+
+    pub(super) fn has_label(&self, label: &str) -> bool {
+        self.report.labels.iter().any(|l| l == label)
+    }
+
+    /// Whether it holds, or may hold, anything of ours.
+    pub(super) fn is_busy(&self) -> bool {
+        !self.runs.is_empty() || !self.strays.is_empty() || self.seen_end > self.acked_end
+    }
+}
--- /dev/null
+++ b/src/batch/dispatch/mod.rs
@@ -0,0 +1,381 @@
+//! The leader's decisions: which run goes where, what is renewed, stopped and believed.
+//!
+//! A pure state machine beside the ledger. Answers of minions and the present time go in; a
+//! batch for the log and orders come out. Nothing that starts work leaves before its batch is
+//! agreed. All of it is built anew by each leader from the ledger and from what minions list.
+
+mod advice;
+mod answers;
+mod applied;
+mod gangs;
+mod holds;
+mod minion;
+mod order;
+mod place;
+mod ready;
+mod run;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::ledger::{Batch, Ledger, TaskState};
+use super::model::{JobId, MinionNumber, MinionReport, Readiness, Room, StepId, StepSpec, TaskId};
+use super::note::Note;
+use crate::ids::{MinionId, Term, Timestamp};
+
+use advice::Knowledge;
+use minion::Minion;
+pub use order::{
+    Advice, AdviceQuestion, Answer, ConfigOrder, HoldAnswer, HoldOrder, ListedEnd, ListedRun,
+    Listing, Order, Silence, StartOrder, StartRefusal, Target,
+};
+use ready::{OrderKey, ReadyStep};
+use run::{Run, RunState, StopState};
+
+/// Batches on the way to agreement at once. Two keep the log busy while one is synced; more
+/// would only make smaller batches.
+const MAX_BATCHES: usize = 2;
+/// Two replicas' clocks and the log's delay add to the time for which an earlier leader's lease
+/// must be assumed.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// A minion's slowest clock, as a factor on our time; from the platform's contract.
+const SLOW_CLOCK: f64 = 1.0 / 0.98;
+
+/// Bounds of the platform that decisions depend on.
+#[derive(Clone, Debug)]
+pub struct DispatchConfig {
+    /// Longest lease a minion takes.
+    pub lease_max: Duration,
+    /// How long a stop may take.
+    pub stop_time: Duration,
+    /// How long a gang's member waits for the others.
+    pub gang_wait: Duration,
+    /// Slowdown of work away from its data or on several racks.
+    pub far_factor: f64,
+}
+
+/// The leader's volatile state.
+pub struct Dispatcher {
+    cfg: DispatchConfig,
+    term: Term,
+    minions: BTreeMap<MinionNumber, Minion>,
+    by_id: HashMap<MinionId, MinionNumber>,
+    racks: HashMap<String, usize>,
+    next_minion: MinionNumber,
+    runs: BTreeMap<TaskId, Run>,
+    ready: BTreeMap<StepId, ReadyStep>,
+    queue: BTreeSet<(OrderKey, StepId)>,
+    dirty_jobs: BTreeSet<JobId>,
+    knowledge: HashMap<StepId, Knowledge>,
+    /// Questions on the way to the policy service.
+    questions: usize,
+    /// What the next batch will hold.
+    batch: Batch,
+    /// Ends taken from minions, by batch on its way; they are acknowledged once it is agreed.
+    batches: std::collections::VecDeque<Vec<(MinionNumber, u64)>>,
+    /// Something that placement depends on has changed.
+    place_wanted: bool,
+    /// When placement should be tried again although nothing changed.
+    place_at: Timestamp,
+    /// Occurrences that come due, by Unix time.
+    timetable: BTreeSet<(Timestamp, JobId, u32)>,
+    out: Vec<Order>,
+}
+
+impl Dispatcher {
+    /// The state of a leader that has just begun.
+    pub fn new(cfg: DispatchConfig, term: Term, ledger: &Ledger, now: Timestamp) -> Self {
+        let mut d = Self {
+            cfg,
+            term,
+            minions: BTreeMap::new(),
+            by_id: HashMap::new(),
+            racks: HashMap::new(),
+            next_minion: ledger.next_minion,
+            runs: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            dirty_jobs: BTreeSet::new(),
+            knowledge: HashMap::new(),
+            questions: 0,
+            batch: Batch::default(),
+            batches: Default::default(),
+            place_wanted: true,
+            place_at: now,
+            timetable: BTreeSet::new(),
+            out: Vec::new(),
+        };
+        let assumed = now + d.cfg.lease_max.mul_f64(SLOW_CLOCK) + LEASE_MARGIN;
+        for (number, record) in &ledger.minions {
+            let mut minion = Minion::new(*number, record.report.clone(), now);
+            minion.draining |= record.draining;
+            minion.assumed_until = assumed;
+            d.add_minion(minion);
+        }
+        for id in ledger.jobs.keys() {
+            d.restore_job(ledger, *id, now);
+        }
+        d.out.push(Order::Note(Box::new(Note::LeadBegan {
+            term,
+            runs: d.runs.len(),
+            jobs: ledger.jobs.values().filter(|j| !j.state.is_final()).count(),
+            config: ledger.config.as_ref().map_or(0, |c| c.version),
+        })));
+        d
+    }
+
+    fn restore_job(&mut self, ledger: &Ledger, id: JobId, now: Timestamp) {
+        let job = &ledger.jobs[&id];
+        let stop = if job.state.is_final() {
+            StopState::Due(now)
+        } else {
+            StopState::No
+        };
+        for (occurrence, step, index, task, number) in job.active() {
+            let task_id = TaskId {
+                step: StepId {
+                    job: id,
+                    occurrence,
+                    step,
+                },
+                index,
+            };
+            let spec = &job.spec.steps[usize::from(step)];
+            self.add_run(
+                task_id,
+                Run {
+                    run: task.run,
+                    minion: number,
+                    state: RunState::InDoubt,
+                    stop,
+                    need: charged(spec),
+                    fills: if spec.fills { spec.need.millicores } else { 0 },
+                    serves: spec.latency_target.is_some(),
+                    deadline: Duration::ZERO,
+                    tries: 0,
+                    proposed: now,
+                    percent: 0,
+                    load: 0,
+                    checkpoint: task.checkpoint.clone(),
+                    pace: 100,
+                },
+            );
+        }
+        if !job.state.is_final() {
+            self.dirty_jobs.insert(id);
+            self.schedule_next(ledger, id);
+        }
+    }
+
+    fn add_minion(&mut self, mut minion: Minion) {
+        let rack = minion
+            .report
+            .labels
+            .iter()
+            .find(|l| is_rack(l))
+            .map_or_else(String::new, ToString::to_string);
+        let next = self.racks.len();
+        minion.rack = *self.racks.entry(rack).or_insert(next);
+        self.next_minion = self.next_minion.max(minion.number + 1);
+        self.by_id.insert(minion.report.id.clone(), minion.number);
+        self.minions.insert(minion.number, minion);
+    }
+
+    fn add_run(&mut self, id: TaskId, run: Run) {
+        if let Some(minion) = self.minions.get_mut(&run.minion) {
+            minion.used.add(&run.need);
+            minion.filling += run.fills;
+            minion.serving += u32::from(run.serves);
+            minion.runs.insert(id);
+        }
+        self.runs.insert(id, run);
+    }
+
+    /// Forgets a run and frees its room.
+    fn remove_run(&mut self, id: TaskId) -> Option<Run> {
+        let run = self.runs.remove(&id)?;
+        self.free_room(id, &run);
+        self.dirty_jobs.insert(id.step.job);
+        Some(run)
+    }
+
+    fn free_room(&mut self, id: TaskId, run: &Run) {
+        if let Some(minion) = self.minions.get_mut(&run.minion)
+            && minion.runs.remove(&id)
+        {
+            minion.used = minion.used.minus(&run.need);
+            minion.filling -= run.fills;
+            minion.serving -= u32::from(run.serves);
+            self.place_wanted = true;
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        self.out.push(Order::Note(Box::new(note)));
+    }
+
+    /// Takes a minion's report about itself.
+    pub fn report(&mut self, now: Timestamp, report: MinionReport) {
+        if let Some(number) = self.by_id.get(&report.id).copied() {
+            self.known_report(now, number, report);
+            return;
+        }
+        // Whoever was known at this address may be gone: a call shows it.
+        let at_same_addr = |m: &&mut Minion| m.report.addr == report.addr;
+        for old in self.minions.values_mut().filter(at_same_addr) {
+            old.leaving = true;
+            old.hold = match old.hold {
+                minion::HoldState::Due(_) => minion::HoldState::Due(now),
+                waiting => waiting,
+            };
+        }
+        self.note(Note::MinionJoined {
+            minion: report.id.clone(),
+        });
+        let number = self.next_minion;
+        self.batch.joined.push((number, report.clone()));
+        self.add_minion(Minion::new(number, report, now));
+    }
+
+    fn known_report(&mut self, now: Timestamp, number: MinionNumber, report: MinionReport) {
+        let Some(minion) = self.minions.get_mut(&number) else {
+            return;
+        };
+        minion.reported = now;
+        if report.sequence < minion.report.sequence {
+            return;
+        }
+        let draining = report.readiness != Readiness::Ready;
+        let (id, sequence) = (report.id.clone(), report.sequence);
+        minion.report = report;
+        if draining && !minion.draining {
+            minion.draining = true;
+            self.batch.draining.push(number);
+            self.note(Note::MinionDraining {
+                minion: id,
+                sequence,
+            });
+        }
+    }
+
+    /// A minion has said that it ends.
+    pub fn left(&mut self, now: Timestamp, id: &MinionId) {
+        let Some(minion) = self.by_id.get(id).and_then(|n| self.minions.get_mut(n)) else {
+            return;
+        };
+        minion.leaving = true;
+        minion.draining = true;
+        if let minion::HoldState::Due(_) = minion.hold {
+            minion.hold = minion::HoldState::Due(now);
+        }
+    }
+
+    /// Decides what is due; gives what should be proposed to the log. `unix` is the time of day.
+    pub fn decide(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) -> Option<Batch> {
+        self.begin_due_occurrences(unix);
+        self.renew_ready(ledger);
+        self.tend_minions(now);
+        self.tend_runs(now, ledger);
+        if self.batches.len() < MAX_BATCHES {
+            if self.place_wanted || now >= self.place_at {
+                self.place(now, ledger);
+            }
+            return self.cut_batch();
+        }
+        None
+    }
+
+    fn cut_batch(&mut self) -> Option<Batch> {
+        let batch = std::mem::take(&mut self.batch);
+        let seen = self
+            .minions
+            .values()
+            .filter(|m| m.seen_end > m.acked_end)
+            .map(|m| (m.number, m.seen_end))
+            .collect();
+        if batch.is_empty() {
+            if self.batches.is_empty() {
+                self.acknowledge(seen);
+            }
+            return None;
+        }
+        self.batches.push_back(seen);
+        Some(batch)
+    }
+
+    /// Ends are acknowledged only once they are agreed: a minion forgets what is acknowledged,
+    /// so an end that only this process knew would be lost with it and its task run again.
+    fn acknowledge(&mut self, seen: Vec<(MinionNumber, u64)>) {
+        for (number, end) in seen {
+            if let Some(minion) = self.minions.get_mut(&number) {
+                minion.acked_end = minion.acked_end.max(end);
+            }
+        }
+    }
+
+    fn begin_due_occurrences(&mut self, unix: Timestamp) {
+        while let Some((due, job, occurrence)) = self.timetable.first().copied()
+            && due <= unix
+        {
+            self.timetable.pop_first();
+            self.batch.due.push((job, occurrence));
+        }
+    }
+
+    fn schedule_next(&mut self, ledger: &Ledger, id: JobId) {
+        let Some(job) = ledger.jobs.get(&id) else {
+            return;
+        };
+        let Some(timetable) = job.spec.timetable else {
+            return;
+        };
+        if job.begun < timetable.occurrences {
+            self.timetable
+                .insert((timetable.due(job.begun), id, job.begun));
+        }
+    }
+
+    /// Hands out what must be done outside, in order.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Whether something is waiting to be handed out.
+    pub fn has_orders(&self) -> bool {
+        !self.out.is_empty()
+    }
+
+    /// Processor room given away and in all, in thousandths of a core.
+    pub fn fill_level(&self) -> (u64, u64) {
+        self.minions.values().fold((0, 0), |(used, all), m| {
+            (
+                used + u64::from(m.used.millicores),
+                all + u64::from(m.report.capacity.millicores),
+            )
+        })
+    }
+
+    /// Runs that are tracked, and steps with tasks that wait.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.runs.len(), self.ready.len())
+    }
+
+    fn is_waiting(ledger: &Ledger, id: TaskId) -> bool {
+        ledger
+            .task(id)
+            .is_some_and(|task| task.state == TaskState::Waiting)
+    }
+}
+
+/// Room that a task takes of its minion; the processor time of one that fills is not granted.
+fn charged(spec: &StepSpec) -> Room {
+    Room {
+        millicores: if spec.fills { 0 } else { spec.need.millicores },
+        ..spec.need
+    }
+}
+
+/// Racks are labels such as `r1-3`; kinds are single letters.
+fn is_rack(label: &str) -> bool {
+    label.starts_with('r') && label.contains('-')
+}
--- /dev/null
+++ b/src/batch/dispatch/place.rs
@@ -0,0 +1,213 @@
+//! Placement: which minion runs which waiting task.
+
+use std::time::Duration;
+
+use super::minion::Minion;
+use super::run::{Run, RunState, StopState};
+use super::{Dispatcher, ReadyStep, charged};
+use crate::batch::ledger::{Ledger, Start};
+use crate::batch::model::{Grouping, MinionNumber, Room, StepId, StepSpec, TaskId};
+use crate::batch::note::Note;
+use crate::ids::Timestamp;
+
+/// Pause between two rounds when nothing has changed: tickets and pauses run out meanwhile.
+const PLACE_AGAIN: Duration = Duration::from_millis(100);
+/// Most starts decided in one round, so that one round never holds the control thread long.
+const MAX_STARTS: usize = 256;
+
+impl Dispatcher {
+    /// Gives waiting tasks to minions, in the order of service.
+    pub(super) fn place(&mut self, now: Timestamp, ledger: &Ledger) {
+        self.place_wanted = false;
+        self.place_at = now + PLACE_AGAIN;
+        let order: Vec<StepId> = self.queue.iter().map(|(_, id)| *id).collect();
+        let mut started = 0;
+        for id in order {
+            if started >= MAX_STARTS {
+                self.place_wanted = true;
+                break;
+            }
+            let Some(step) = self.ready.remove(&id) else {
+                continue;
+            };
+            started += self.place_step(now, id, step, ledger);
+        }
+    }
+
+    fn place_step(
+        &mut self,
+        now: Timestamp,
+        id: StepId,
+        mut step: ReadyStep,
+        ledger: &Ledger,
+    ) -> usize {
+        let spec = std::sync::Arc::clone(&step.spec);
+        let spec = &spec.steps[usize::from(id.step)];
+        let before = step.waiting.len();
+        match spec.grouping {
+            Grouping::Gang => self.place_gang(now, id, &mut step, spec, ledger),
+            Grouping::Single => self.place_singles(now, id, &mut step, spec, ledger),
+        }
+        let placed = before - step.waiting.len();
+        if step.waiting.is_empty() {
+            self.queue.remove(&(step.key, id));
+            return placed;
+        }
+        if let Some(terms) = step.queue.advice {
+            self.ask(now, id, &step, terms);
+        }
+        self.ready.insert(id, step);
+        placed
+    }
+
+    fn place_singles(
+        &mut self,
+        now: Timestamp,
+        id: StepId,
+        step: &mut ReadyStep,
+        spec: &StepSpec,
+        ledger: &Ledger,
+    ) {
+        while let Some(index) = step.waiting.first().copied() {
+            let task = TaskId { step: id, index };
+            if !Self::is_waiting(ledger, task) || self.runs.contains_key(&task) {
+                step.waiting.remove(0);
+                continue;
+            }
+            let Some(minion) = self.choose(now, id, step, spec) else {
+                return;
+            };
+            step.waiting.remove(0);
+            self.grant(now, task, step, spec, minion, 0, ledger);
+        }
+    }
+
+    /// The best minion for one more task of a step.
+    fn choose(
+        &self,
+        now: Timestamp,
+        id: StepId,
+        step: &ReadyStep,
+        spec: &StepSpec,
+    ) -> Option<MinionNumber> {
+        let need = charged(spec);
+        self.minions
+            .values()
+            .filter(|m| self.may_run(now, m, id, step, spec, &need))
+            .min_by_key(|m| self.score(m, spec, &need))
+            .map(|m| m.number)
+    }
+
+    /// Whether a minion may be given one more task of a step now.
+    pub(super) fn may_run(
+        &self,
+        now: Timestamp,
+        minion: &Minion,
+        id: StepId,
+        step: &ReadyStep,
+        spec: &StepSpec,
+        need: &Room,
+    ) -> bool {
+        if !minion.takes_work(now) || !minion.free().holds(need) {
+            return false;
+        }
+        if minion.report.service != step.queue.service {
+            return false;
+        }
+        if spec.label.as_ref().is_some_and(|l| !minion.has_label(l)) {
+            return false;
+        }
+        // A task that fills slows down those that serve beside it; apart, nobody is harmed.
+        if (spec.fills && minion.serving > 0)
+            || (spec.latency_target.is_some() && minion.filling > 0)
+        {
+            return false;
+        }
+        if spec.fills && minion.filling + spec.need.millicores > minion.free().millicores {
+            return false;
+        }
+        if step.queue.advice.is_some()
+            && !self
+                .knowledge
+                .get(&id)
+                .is_some_and(|k| k.has_ticket(minion.number, now))
+        {
+            return false;
+        }
+        spec.max_per_minion
+            .is_none_or(|most| self.of_step_on(minion, id) < most)
+    }
+
+    fn of_step_on(&self, minion: &Minion, id: StepId) -> u32 {
+        let first = TaskId { step: id, index: 0 };
+        let last = TaskId {
+            step: id,
+            index: u32::MAX,
+        };
+        minion.runs.range(first..=last).count() as u32
+    }
+
+    /// Lower is better: near the data, then the tightest fit, so that large room stays whole.
+    fn score(&self, minion: &Minion, spec: &StepSpec, need: &Room) -> (u8, u32, MinionNumber) {
+        let far = spec
+            .data_rack
+            .as_ref()
+            .is_some_and(|rack| !minion.has_label(rack));
+        let left = minion.free().minus(need);
+        let filled = left.millicores.saturating_sub(minion.filling);
+        (u8::from(far), filled, minion.number)
+    }
+
+    /// Proposes a start; it is sent once agreed.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn grant(
+        &mut self,
+        now: Timestamp,
+        task: TaskId,
+        step: &ReadyStep,
+        spec: &StepSpec,
+        number: MinionNumber,
+        gang_run: u32,
+        ledger: &Ledger,
+    ) {
+        let Some(record) = ledger.task(task) else {
+            return;
+        };
+        let run = (record.run + 1).max(gang_run);
+        let Some(minion) = self.minions.get(&number) else {
+            return;
+        };
+        self.note(Note::RunPlaced {
+            task,
+            run,
+            minion: minion.report.id.clone(),
+            age: ledger.clock.saturating_sub(step.accepted),
+            free: minion.free().millicores,
+            heard: now.saturating_sub(minion.heard),
+        });
+        self.batch.starts.push(Start {
+            task,
+            run,
+            minion: number,
+        });
+        self.add_run(
+            task,
+            Run {
+                run,
+                minion: number,
+                state: RunState::Proposed,
+                stop: StopState::No,
+                need: charged(spec),
+                fills: if spec.fills { spec.need.millicores } else { 0 },
+                serves: spec.latency_target.is_some(),
+                deadline: Duration::ZERO,
+                tries: 0,
+                proposed: now,
+                percent: 0,
+                load: 0,
+                checkpoint: record.checkpoint.clone(),
+                pace: 100,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/src/batch/dispatch/ready.rs
@@ -0,0 +1,128 @@
+//! Steps with tasks that wait, in the order in which they are served.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Dispatcher;
+use crate::batch::ledger::{Job, Ledger, TaskState};
+use crate::batch::model::{Grouping, JobSpec, Lifetime, Queue, StepId, TaskId};
+use crate::ids::Timestamp;
+
+/// Place in the order of service; the least comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct OrderKey {
+    /// Lasting tasks first: a service that is down serves nobody, however full the cell is.
+    class: u8,
+    /// The queue's priority.
+    priority: u32,
+    /// Unix time by which the job should be done.
+    due: Timestamp,
+    /// Later steps of a job first: they finish what was begun.
+    step: Reverse<u16>,
+}
+
+/// A step with tasks that wait.
+#[derive(Clone, Debug)]
+pub(super) struct ReadyStep {
+    pub(super) key: OrderKey,
+    pub(super) spec: Arc<JobSpec>,
+    pub(super) queue: Arc<Queue>,
+    pub(super) accepted: Timestamp,
+    /// Tasks to be started, in order.
+    pub(super) waiting: Vec<u32>,
+}
+
+impl Dispatcher {
+    /// Looks again at the jobs that changed.
+    pub(super) fn renew_ready(&mut self, ledger: &Ledger) {
+        for id in std::mem::take(&mut self.dirty_jobs) {
+            self.forget_ready(id);
+            let Some(job) = ledger.jobs.get(&id) else {
+                continue;
+            };
+            for step in ledger.ready_steps(id) {
+                self.add_ready(job, step);
+            }
+        }
+    }
+
+    fn forget_ready(&mut self, job: u64) {
+        let first = StepId {
+            job,
+            occurrence: 0,
+            step: 0,
+        };
+        let last = StepId {
+            job,
+            occurrence: u32::MAX,
+            step: u16::MAX,
+        };
+        let known: Vec<_> = self.ready.range(first..=last).map(|(id, _)| *id).collect();
+        for id in known {
+            if let Some(step) = self.ready.remove(&id) {
+                self.queue.remove(&(step.key, id));
+            }
+        }
+    }
+
+    fn add_ready(&mut self, job: &Job, id: StepId) {
+        let spec = &job.spec.steps[usize::from(id.step)];
+        let tasks = &job.occurrences[&id.occurrence].steps[usize::from(id.step)].tasks;
+        let waits = |index: usize| {
+            let task = TaskId {
+                step: id,
+                index: index as u32,
+            };
+            tasks[index].state == TaskState::Waiting && !self.runs.contains_key(&task)
+        };
+        let waiting: Vec<u32> = (0..tasks.len())
+            .filter(|i| waits(*i))
+            .map(|i| i as u32)
+            .collect();
+        // A gang starts again only once every member of its last run is known to be over.
+        let whole = spec.grouping == Grouping::Single || waiting.len() == tasks.len();
+        if waiting.is_empty() || !whole {
+            return;
+        }
+        let lasting = spec.lifetime == Lifetime::Lasting;
+        let key = OrderKey {
+            class: u8::from(!lasting),
+            priority: job.queue.priority,
+            due: due(job, id),
+            step: Reverse(id.step),
+        };
+        self.queue.insert((key, id));
+        self.place_wanted = true;
+        self.ready.insert(
+            id,
+            ReadyStep {
+                key,
+                spec: Arc::clone(&job.spec),
+                queue: Arc::clone(&job.queue),
+                accepted: job.accepted,
+                waiting,
+            },
+        );
+    }
+}
+
+/// When a job should be done: its objective counted from its hand-in or its due time.
+fn due(job: &Job, id: StepId) -> Timestamp {
+    let begun = job
+        .spec
+        .timetable
+        .map_or(job.accepted, |t| t.due(id.occurrence));
+    begun + job.queue.slo + longest_chain(&job.spec).mul_f64(job.queue.stretch)
+}
+
+/// Longest chain of declared run times through the steps.
+pub(super) fn longest_chain(spec: &JobSpec) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
+        let after = step.after.iter().filter_map(|s| ends.get(usize::from(*s)));
+        let begin = after.max().copied().unwrap_or_default();
+        ends.push(begin + step.estimate);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- /dev/null
+++ b/src/batch/dispatch/run.rs
@@ -0,0 +1,57 @@
+//! Runs that the leader keeps track of, until it is known that they are over.
+
+use std::time::Duration;
+
+use crate::batch::model::{Checkpoint, MinionNumber, Room, RunNumber};
+use crate::ids::Timestamp;
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunState {
+    /// Its start is not agreed yet; nothing was sent.
+    Proposed,
+    /// Its start was sent and is not answered.
+    Starting,
+    /// Its start brought no answer, or an earlier leader gave it: it may run, or may yet begin.
+    InDoubt,
+    /// Its minion confirmed it then.
+    Running(Timestamp),
+    /// Its end is known and is being agreed.
+    Ending,
+}
+
+/// Where the stopping of a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StopState {
+    /// Not wanted.
+    No,
+    /// Wanted; the order may leave then.
+    Due(Timestamp),
+    /// The order is on the way.
+    Sent,
+    /// The minion confirmed the order then: it runs no more once the end is listed, and will
+    /// never begin if it had not.
+    Confirmed(Timestamp),
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub(super) run: RunNumber,
+    pub(super) minion: MinionNumber,
+    pub(super) state: RunState,
+    pub(super) stop: StopState,
+    pub(super) need: Room,
+    pub(super) fills: u32,
+    pub(super) serves: bool,
+    /// On the minion's clock: the latest start that was sent is not begun after this.
+    pub(super) deadline: Duration,
+    /// Starts sent.
+    pub(super) tries: u32,
+    pub(super) proposed: Timestamp,
+    pub(super) percent: u32,
+    pub(super) load: u32,
+    pub(super) checkpoint: Checkpoint,
+    /// Share of its work at which a task that fills may work.
+    pub(super) pace: u8,
+}
--- /dev/null
+++ b/src/batch/ledger/mod.rs
@@ -0,0 +1,77 @@
+//! The replicated state: configuration, jobs, tasks and the minions that runs were given to.
+//!
+//! Deterministic: the same commands in the same order give the same ledger on every replica.
+
+mod commands;
+mod queries;
+mod records;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::model::{ConfigVersion, Configuration, JobId, MinionNumber};
+use crate::error::{Error, Result, Step};
+use crate::ids::{MinionId, Timestamp};
+
+pub use commands::{Batch, Command, End, Reply, Start};
+pub use records::{Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState};
+
+/// Version of the snapshot and of the commands; another one is refused by number.
+pub const FORMAT_VERSION: u16 = 1;
+
+/// The configuration in force, as sent and as understood.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StoredConfig {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The operator's own text, given back unchanged to readers.
+    pub document: Bytes,
+    /// Its meaning.
+    pub parsed: Arc<Configuration>,
+}
+
+/// All that must survive.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Unix time of the last command.
+    pub(crate) clock: Timestamp,
+    pub(crate) config: Option<StoredConfig>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    /// Open jobs of which no task has started.
+    pub(crate) unstarted: BTreeSet<JobId>,
+    /// Incarnations that may hold runs, and those that can be given some.
+    pub(crate) minions: BTreeMap<MinionNumber, MinionRecord>,
+    pub(crate) next_minion: MinionNumber,
+    /// Jobs that have ended, oldest first.
+    pub(crate) ended: std::collections::VecDeque<(Timestamp, JobId)>,
+}
+
+impl Ledger {
+    /// Writes the whole ledger, led by the version of its format.
+    pub fn to_bytes(&self) -> Result<Vec<u8>> {
+        postcard::to_allocvec(&(FORMAT_VERSION, self))
+            .map_err(|e| Error::caused(Step::Codec, "writing a snapshot", e))
+    }
+
+    /// Reads a whole ledger.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
+            .map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))?;
+        if version != FORMAT_VERSION {
+            let message = format!(
+                "the snapshot has format {version}; this program reads format {FORMAT_VERSION}"
+            );
+            return Err(Error::new(Step::Codec, message));
+        }
+        postcard::from_bytes(rest).map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))
+    }
+
+    /// Number of a minion's incarnation, if it is known.
+    pub fn minion_number(&self, id: &MinionId) -> Option<MinionNumber> {
+        let mut known = self.minions.iter();
+        known.find(|(_, m)| m.report.id == *id).map(|(n, _)| *n)
+    }
+}
--- /dev/null
+++ b/src/batch/ledger/queries.rs
@@ -0,0 +1,79 @@
+//! Queries: what is read from the ledger.
+
+use super::records::{StepRecord, TaskRecord, TaskState};
+use super::{Job, Ledger};
+use crate::batch::model::{JobId, JobState, MinionNumber, StepId, TaskId};
+
+impl Job {
+    pub(super) fn step_mut(&mut self, task: TaskId) -> Option<&mut StepRecord> {
+        let occurrence = self.occurrences.get_mut(&task.step.occurrence)?;
+        occurrence.steps.get_mut(usize::from(task.step.step))
+    }
+
+    pub(super) fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskRecord> {
+        self.step_mut(task)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// Looks a task up.
+    pub fn task(&self, task: TaskId) -> Option<&TaskRecord> {
+        let occurrence = self.occurrences.get(&task.step.occurrence)?;
+        let step = occurrence.steps.get(usize::from(task.step.step))?;
+        step.tasks.get(task.index as usize)
+    }
+
+    /// Runs that may be under way, with the minion that has each.
+    pub fn active(&self) -> impl Iterator<Item = (u32, u16, u32, &TaskRecord, MinionNumber)> + '_ {
+        self.occurrences.iter().flat_map(|(k, occurrence)| {
+            let steps = occurrence.steps.iter().enumerate();
+            steps.flat_map(move |(s, step)| {
+                let tasks = step.tasks.iter().enumerate();
+                tasks.filter_map(move |(i, task)| match task.state {
+                    TaskState::Active(minion) => Some((*k, s as u16, i as u32, task, minion)),
+                    _ => None,
+                })
+            })
+        })
+    }
+}
+
+impl Ledger {
+    /// A job's state; `None` when no such job is known.
+    pub fn job_state(&self, id: JobId) -> Option<JobState> {
+        self.jobs.get(&id).map(|job| job.state)
+    }
+
+    /// Accepted jobs of a queue of which no task has started.
+    pub fn pending(&self, host: &str, prefix: &str) -> usize {
+        let of_queue = |id: &&JobId| {
+            self.jobs
+                .get(id)
+                .is_some_and(|job| job.queue.host == host && job.queue.prefix == prefix)
+        };
+        self.unstarted.iter().filter(of_queue).count()
+    }
+
+    /// Looks a task up.
+    pub fn task(&self, id: TaskId) -> Option<&TaskRecord> {
+        self.jobs.get(&id.step.job)?.task(id)
+    }
+
+    /// Steps whose turn has come and that are not done, of open jobs.
+    pub fn ready_steps(&self, id: JobId) -> Vec<StepId> {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.state.is_final()) else {
+            return Vec::new();
+        };
+        let mut ready = Vec::new();
+        for (k, occurrence) in &job.occurrences {
+            for (s, spec) in job.spec.steps.iter().enumerate() {
+                if occurrence.steps[s].open > 0 && occurrence.is_ready(spec) {
+                    ready.push(StepId {
+                        job: id,
+                        occurrence: *k,
+                        step: s as u16,
+                    });
+                }
+            }
+        }
+        ready
+    }
+}
--- /dev/null
+++ b/src/batch/ledger/records.rs
@@ -0,0 +1,132 @@
+//! Records of the ledger.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::batch::model::{
+    Checkpoint, JobSpec, JobState, MinionNumber, MinionReport, Queue, RunNumber, StepSpec,
+};
+use crate::ids::Timestamp;
+
+/// A job and how far it has come.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// What was declared; its payload is dropped once the job has ended.
+    pub spec: Arc<JobSpec>,
+    /// Its queue as configured when it was handed in.
+    pub queue: Arc<Queue>,
+    /// Unix time at which it was accepted.
+    pub accepted: Timestamp,
+    /// Its state.
+    pub state: JobState,
+    /// Occurrences that are due and not done.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences begun so far.
+    pub begun: u32,
+}
+
+/// One repetition of a job's steps.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Occurrence {
+    /// One record a step.
+    pub steps: Vec<StepRecord>,
+}
+
+/// The tasks of a step.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StepRecord {
+    /// One record a task.
+    pub tasks: Vec<TaskRecord>,
+    /// Tasks not done.
+    pub open: u32,
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    /// Not running.
+    #[default]
+    Waiting,
+    /// Its latest run was given to this minion and is not known to have ended.
+    Active(MinionNumber),
+    /// Done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// Where it stands.
+    pub state: TaskState,
+    /// Number of its latest run; 0 before the first.
+    pub run: RunNumber,
+    /// Runs that ended as failed.
+    pub failures: u32,
+    /// Newest saved progress.
+    pub checkpoint: Checkpoint,
+}
+
+/// One incarnation of a minion.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MinionRecord {
+    /// What it said of itself when it joined.
+    pub report: MinionReport,
+    /// Whether it has said that it leaves.
+    pub draining: bool,
+}
+
+impl Job {
+    /// A job nobody has begun.
+    pub(super) fn new(spec: Arc<JobSpec>, queue: Arc<Queue>, accepted: Timestamp) -> Self {
+        let mut job = Self {
+            spec,
+            queue,
+            accepted,
+            state: JobState::Queued,
+            occurrences: BTreeMap::new(),
+            begun: 0,
+        };
+        if job.spec.timetable.is_none() {
+            job.begin(0);
+        }
+        job
+    }
+
+    /// Makes the records of an occurrence that is due.
+    pub(super) fn begin(&mut self, occurrence: u32) {
+        if occurrence != self.begun {
+            return;
+        }
+        self.begun += 1;
+        let steps = self.spec.steps.iter().map(StepRecord::new).collect();
+        self.occurrences.insert(occurrence, Occurrence { steps });
+    }
+
+    /// Number of occurrences in all.
+    pub fn occurrences_wanted(&self) -> u32 {
+        self.spec.timetable.map_or(1, |t| t.occurrences)
+    }
+}
+
+impl StepRecord {
+    fn new(spec: &StepSpec) -> Self {
+        Self {
+            tasks: vec![TaskRecord::default(); spec.count as usize],
+            open: spec.count,
+        }
+    }
+}
+
+impl Occurrence {
+    /// Whether all steps that this one waits for are done.
+    pub fn is_ready(&self, spec: &StepSpec) -> bool {
+        let done = |step: &u16| {
+            self.steps
+                .get(usize::from(*step))
+                .is_some_and(|s| s.open == 0)
+        };
+        spec.after.iter().all(done)
+    }
+}
--- /dev/null
+++ b/src/batch/link.rs
@@ -0,0 +1,320 @@
+//! The way to the leader, from entry hosts and from followers: one kept connection, found anew
+//! whenever it breaks, falls silent, or its far end ceases to lead.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use slog::{Logger, info};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+
+use super::calls::{Call, CallNumber, CallReply, Down, Up};
+use super::driver::Policy;
+use crate::error::{Error, Result, Step};
+use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
+
+/// Time for a connection to be opened, proved and greeted. Several round trips within a region,
+/// with room for a slowed machine; a peer that is cut off costs no more than this.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause after all known addresses were tried in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// Silence of the far end, while an answer is due, after which it is asked for a sign of life.
+const QUIET: Duration = Duration::from_millis(350);
+/// Silence on an idle connection after which it is.
+const QUIET_IDLE: Duration = Duration::from_millis(1500);
+/// Time for that sign.
+const PONG_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// It was never sent.
+    NotSent,
+    /// It was sent; it may have been carried out.
+    InDoubt,
+}
+
+struct Outgoing {
+    call: Call,
+    reply: oneshot::Sender<CallReply>,
+}
+
+/// Handle for calls to the leader; cheap to clone.
+#[derive(Clone)]
+pub struct LeaderLink {
+    current: watch::Receiver<Option<mpsc::UnboundedSender<Outgoing>>>,
+    seeds: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+impl LeaderLink {
+    /// Starts looking for the leader among the seeds.
+    pub fn start(seeds: Vec<SocketAddr>, keys: CellKeys, policy: impl Policy, log: Logger) -> Self {
+        let (tx, current) = watch::channel(None);
+        let seeds = Arc::new(Mutex::new(seeds));
+        let search = Search {
+            seeds: Arc::clone(&seeds),
+            learned: BTreeSet::new(),
+            hint: None,
+            keys,
+            policy,
+            current: tx,
+            log,
+        };
+        tokio::spawn(search.run());
+        Self { current, seeds }
+    }
+
+    /// Takes new seeds into use at the next search.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock().expect("no holder panics") = seeds;
+    }
+
+    /// Whether a leader is connected at this moment.
+    pub fn is_connected(&self) -> bool {
+        self.current.borrow().is_some()
+    }
+
+    /// Calls the leader, whoever it is, until it answers or the deadline passes.
+    ///
+    /// Every call is idempotent: a job by its id, a configuration by its version, a report by its
+    /// sequence. So one whose connection broke is sent again to the next leader.
+    pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, NoAnswer> {
+        let mut current = self.current.clone();
+        let mut sent = false;
+        let failed = |sent| {
+            if sent {
+                NoAnswer::InDoubt
+            } else {
+                NoAnswer::NotSent
+            }
+        };
+        loop {
+            let connected = timeout_at(deadline, current.wait_for(Option::is_some)).await;
+            let Ok(Ok(tx)) = connected.map(|found| found.map(|tx| tx.clone())) else {
+                return Err(failed(sent));
+            };
+            let (reply, rx) = oneshot::channel();
+            let call = call.clone();
+            let Some(tx) = tx.filter(|tx| tx.send(Outgoing { call, reply }).is_ok()) else {
+                sleep(ROUND_PAUSE / 4).await;
+                continue;
+            };
+            match timeout_at(deadline, rx).await {
+                Ok(Ok(CallReply::NotLeader(_))) => {
+                    // Nothing was done. The link looks for the new leader meanwhile.
+                    wait_for_change(&mut current, &tx, deadline).await;
+                }
+                Ok(Ok(reply)) => return Ok(reply),
+                Ok(Err(_)) => sent = true,
+                Err(_) => return Err(NoAnswer::InDoubt),
+            }
+        }
+    }
+}
+
+async fn wait_for_change(
+    current: &mut watch::Receiver<Option<mpsc::UnboundedSender<Outgoing>>>,
+    old: &mpsc::UnboundedSender<Outgoing>,
+    deadline: Instant,
+) {
+    let other = |now: &Option<mpsc::UnboundedSender<Outgoing>>| {
+        now.as_ref().is_some_and(|tx| !tx.same_channel(old))
+    };
+    let _ = timeout_at(deadline, current.wait_for(other)).await;
+}
+
+struct Search<P> {
+    seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Addresses that members named.
+    learned: BTreeSet<SocketAddr>,
+    hint: Option<SocketAddr>,
+    keys: CellKeys,
+    policy: P,
+    current: watch::Sender<Option<mpsc::UnboundedSender<Outgoing>>>,
+    log: Logger,
+}
+
+impl<P: Policy> Search<P> {
+    async fn run(mut self) {
+        let mut next = 0;
+        loop {
+            let addr = match self.hint.take() {
+                Some(addr) => addr,
+                None => {
+                    let all = self.addresses();
+                    if next >= all.len() {
+                        next = 0;
+                        sleep(ROUND_PAUSE).await;
+                    }
+                    let Some(addr) = all.get(next).copied() else {
+                        continue;
+                    };
+                    next += 1;
+                    addr
+                }
+            };
+            let greeted = timeout(CONNECT_TIMEOUT, self.connect(addr)).await;
+            let Ok(Ok((reader, writer, here))) = greeted else {
+                continue;
+            };
+            if !here {
+                continue;
+            }
+            next = 0;
+            info!(self.log, "leader found"; "leader" => %addr);
+            let why = self.serve(reader, writer).await;
+            self.current.send_replace(None);
+            let why = why.map_or_else(|e| e.to_string(), |()| "it no longer leads".to_owned());
+            info!(self.log, "leader lost"; "leader" => %addr, "why" => why);
+        }
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().expect("no holder panics").clone();
+        let learned = self.learned.iter().copied().filter(|a| !seeds.contains(a));
+        let learned: Vec<_> = learned.collect();
+        seeds.into_iter().chain(learned).collect()
+    }
+
+    async fn connect(&mut self, addr: SocketAddr) -> Result<(FrameReader, FrameWriter, bool)> {
+        let stream = TcpStream::connect(addr)
+            .await
+            .map_err(|e| Error::caused(Step::Connect, "opening a connection", e).with_peer(addr))?;
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(PONG_TIMEOUT * 2));
+        let (mut reader, writer) = wire::split_client(stream, &self.keys).await?;
+        match reader.read::<Down>().await? {
+            Some(Down::Lead {
+                here,
+                leader,
+                members,
+            }) => {
+                self.learn(here, leader, members, addr);
+                Ok((reader, writer, here))
+            }
+            _ => Err(Error::new(Step::Handshake, "no greeting came").with_peer(addr)),
+        }
+    }
+
+    fn learn(
+        &mut self,
+        here: bool,
+        leader: Option<SocketAddr>,
+        members: Vec<SocketAddr>,
+        from: SocketAddr,
+    ) {
+        if !members.is_empty() {
+            self.learned = members.into_iter().collect();
+        }
+        self.hint = leader.filter(|addr| !here && *addr != from);
+    }
+
+    /// Carries calls until the connection fails or the far end ceases to lead.
+    async fn serve(&mut self, mut reader: FrameReader, mut writer: FrameWriter) -> Result<()> {
+        let (tx, mut rx) = mpsc::unbounded_channel::<Outgoing>();
+        let (ups, mut answers) = mpsc::unbounded_channel::<Up>();
+        let (down_tx, mut downs) = mpsc::channel::<Down>(64);
+        let reading = tokio::spawn(async move {
+            while let Ok(Some(down)) = reader.read::<Down>().await {
+                if down_tx.send(down).await.is_err() {
+                    break;
+                }
+            }
+        });
+        let _reading = AbortOnDrop(reading);
+        self.current.send_replace(Some(tx));
+        let mut open: HashMap<CallNumber, oneshot::Sender<CallReply>> = HashMap::new();
+        let mut number: CallNumber = 0;
+        let mut heard = Instant::now();
+        let mut pinged: Option<Instant> = None;
+        loop {
+            let quiet = if open.is_empty() { QUIET_IDLE } else { QUIET };
+            let check = pinged.map_or(heard + quiet, |at| at + PONG_TIMEOUT);
+            tokio::select! {
+                outgoing = rx.recv() => {
+                    let Some(first) = outgoing else { return Ok(()) };
+                    if open.is_empty() && pinged.is_none() {
+                        heard = Instant::now();
+                    }
+                    let mut next = Some(first);
+                    while let Some(Outgoing { call, reply }) = next {
+                        number += 1;
+                        open.insert(number, reply);
+                        writer.queue(&Up::Call(number, call))?;
+                        next = rx.try_recv().ok();
+                    }
+                    flush(&mut writer).await?;
+                }
+                up = answers.recv() => {
+                    if let Some(up) = up {
+                        writer.queue(&up)?;
+                        flush(&mut writer).await?;
+                    }
+                }
+                down = downs.recv() => {
+                    heard = Instant::now();
+                    pinged = None;
+                    match down {
+                        None => return Err(Error::new(Step::Transfer, "the connection ended")),
+                        Some(Down::Reply(number, reply)) => {
+                            let moved = matches!(reply, CallReply::NotLeader(_));
+                            if let CallReply::NotLeader(leader) = &reply {
+                                self.hint = *leader;
+                            }
+                            if let Some(tx) = open.remove(&number) {
+                                let _ = tx.send(reply);
+                            }
+                            if moved {
+                                return Ok(());
+                            }
+                        }
+                        Some(Down::Lead { here, leader, members }) => {
+                            let from = writer.peer().parse();
+                            if let Ok(from) = from {
+                                self.learn(here, leader, members, from);
+                            }
+                            if !here {
+                                return Ok(());
+                            }
+                        }
+                        Some(Down::Advise(question)) => {
+                            let (policy, ups) = (self.policy.clone(), ups.clone());
+                            tokio::spawn(async move {
+                                let advice = policy.advise(&question).await;
+                                let _ = ups.send(Up::Advised(question.step, advice));
+                            });
+                        }
+                        Some(Down::Pong(_)) => {}
+                    }
+                }
+                () = sleep_until(check) => {
+                    // Open connections can fall silent for good while new ones work.
+                    if pinged.is_some() {
+                        return Err(Error::new(Step::Transfer, "the connection fell silent"));
+                    }
+                    pinged = Some(Instant::now());
+                    writer.queue(&Up::Ping(number))?;
+                    flush(&mut writer).await?;
+                }
+            }
+        }
+    }
+}
+
+async fn flush(writer: &mut FrameWriter) -> Result<()> {
+    match timeout(PONG_TIMEOUT, writer.flush()).await {
+        Ok(done) => done,
+        Err(_) => Err(Error::new(Step::Transfer, "the peer does not read")),
+    }
+}
+
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/src/batch/machine.rs
@@ -0,0 +1,250 @@
+//! The state machine above the replicated log: the ledger, and beside it, only while this replica
+//! leads, the dispatcher.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply};
+use super::dispatch::{Advice, Answer, DispatchConfig, Dispatcher, HoldAnswer, Order};
+use super::ledger::{Command, Ledger, Reply};
+use super::model::{ConfigVersion, JobId, JobSpec, MinionNumber, MinionReport, StepId, TaskId};
+use crate::error::Result;
+use crate::ids::{LogIndex, MinionId, Term, Timestamp};
+use crate::replication::StateMachine;
+
+/// Longest time for which a caller whose request cannot be served now is asked to stay away.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The replicated ledger and the volatile state of its leader.
+pub struct Machine {
+    pub(crate) ledger: Ledger,
+    cfg: DispatchConfig,
+    term: Term,
+    lead: Option<Dispatcher>,
+    /// Orders leave through here; the receiver is bounded by what the dispatcher keeps in flight.
+    orders: UnboundedSender<Vec<Order>>,
+}
+
+/// What a caller's request comes down to.
+pub(crate) enum Admission {
+    /// It is answered from the ledger.
+    Answer(ClientReply),
+    /// It is answered once this command is agreed.
+    Propose(Command),
+}
+
+impl Machine {
+    /// An empty ledger.
+    pub fn new(cfg: DispatchConfig, orders: UnboundedSender<Vec<Order>>) -> Self {
+        Self {
+            ledger: Ledger::default(),
+            cfg,
+            term: 0,
+            lead: None,
+            orders,
+        }
+    }
+
+    /// Decides on a caller's request. Only a leader whose leadership is confirmed may ask.
+    pub(crate) fn admit(&self, call: ClientCall) -> Admission {
+        let Some(config) = &self.ledger.config else {
+            return Admission::Answer(ClientReply::Unavailable(RETRY_AFTER));
+        };
+        let Some((queue, rest)) = config.parsed.route(&call.host, &call.path) else {
+            return Admission::Answer(ClientReply::NoQueue);
+        };
+        let job = match (&call.action, parse_job_id(rest)) {
+            (ClientAction::Pending, _) => {
+                let pending = self.ledger.pending(&queue.host, &queue.prefix);
+                return Admission::Answer(ClientReply::Pending(pending as u64));
+            }
+            (_, Some(job)) => job,
+            (_, None) => return Admission::Answer(ClientReply::NoQueue),
+        };
+        let known = self
+            .ledger
+            .jobs
+            .get(&job)
+            .filter(|j| j.queue.host == queue.host && j.queue.prefix == queue.prefix);
+        match call.action {
+            ClientAction::Submit(_) if known.is_some() => Admission::Answer(ClientReply::Accepted),
+            ClientAction::Submit(spec) => {
+                let queue = Arc::new(queue.clone());
+                self.submit(job, queue, spec)
+            }
+            ClientAction::State => Admission::Answer(match known {
+                Some(known) => ClientReply::State(known.state),
+                None => ClientReply::Gone,
+            }),
+            ClientAction::Cancel => match known {
+                None => Admission::Answer(ClientReply::Gone),
+                Some(known) if known.state.is_final() => Admission::Answer(ClientReply::Accepted),
+                Some(_) => Admission::Propose(Command::Cancel { job }),
+            },
+            ClientAction::Pending => Admission::Answer(ClientReply::NoQueue),
+        }
+    }
+
+    fn submit(&self, job: JobId, queue: Arc<super::model::Queue>, spec: Arc<JobSpec>) -> Admission {
+        Admission::Propose(Command::Submit { job, queue, spec })
+    }
+
+    /// The configuration in force, as its operator sent it.
+    pub(crate) fn config_document(&self) -> OperatorReply {
+        match &self.ledger.config {
+            Some(config) => OperatorReply::Document(config.document.clone()),
+            None => OperatorReply::Unavailable,
+        }
+    }
+
+    /// Whether a configuration of this version would change anything.
+    pub(crate) fn is_newer(&self, version: ConfigVersion) -> bool {
+        self.ledger
+            .config
+            .as_ref()
+            .is_none_or(|c| version > c.version)
+    }
+
+    /// Takes a minion's report.
+    pub(crate) fn report(&mut self, now: Timestamp, report: MinionReport) {
+        if let Some(lead) = &mut self.lead {
+            lead.report(now, report);
+        }
+    }
+
+    /// A minion has said that it ends.
+    pub(crate) fn left(&mut self, now: Timestamp, id: &MinionId) {
+        if let Some(lead) = &mut self.lead {
+            lead.left(now, id);
+        }
+    }
+
+    pub(crate) fn held(
+        &mut self,
+        now: Timestamp,
+        minion: MinionNumber,
+        sent: Timestamp,
+        answer: HoldAnswer,
+    ) {
+        if let Some(lead) = &mut self.lead {
+            lead.held(now, minion, sent, answer, &self.ledger);
+        }
+    }
+
+    pub(crate) fn started(
+        &mut self,
+        now: Timestamp,
+        minion: MinionNumber,
+        run: (TaskId, u32),
+        sent: Timestamp,
+        answer: Answer,
+    ) {
+        if let Some(lead) = &mut self.lead {
+            lead.started(now, minion, run, sent, answer, &self.ledger);
+        }
+    }
+
+    pub(crate) fn stopped(
+        &mut self,
+        now: Timestamp,
+        minion: MinionNumber,
+        run: (TaskId, u32),
+        sent: Timestamp,
+        answer: Answer,
+    ) {
+        if let Some(lead) = &mut self.lead {
+            lead.stopped(now, minion, run, sent, answer);
+        }
+    }
+
+    pub(crate) fn advised(&mut self, now: Timestamp, step: StepId, advice: Option<Advice>) {
+        if let Some(lead) = &mut self.lead {
+            lead.advised(now, step, advice);
+        }
+    }
+
+    /// Whether a command changes anything; told to the dispatcher after it is applied.
+    fn is_fresh(&self, command: &Command) -> bool {
+        match command {
+            Command::PutConfig { version, .. } => self.is_newer(*version),
+            Command::Submit { job, .. } => !self.ledger.jobs.contains_key(job),
+            Command::Cancel { job } => {
+                let state = self.ledger.job_state(*job);
+                state.is_some_and(|state| !state.is_final())
+            }
+            Command::Batch(_) => true,
+        }
+    }
+}
+
+/// Reads a job's id: sixteen hexadecimal digits.
+pub fn parse_job_id(text: &str) -> Option<JobId> {
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    digits.then(|| JobId::from_str_radix(text, 16).ok())?
+}
+
+fn unix_now() -> Timestamp {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+impl StateMachine for Machine {
+    type Reply = Reply;
+
+    fn apply(&mut self, _: LogIndex, at: Timestamp, command: &[u8]) -> Reply {
+        let command = match Command::from_bytes(command) {
+            Ok(command) => command,
+            // Every replica of this version passes over it alike, so they stay equal.
+            Err(_) => return Reply::Unknown,
+        };
+        let fresh = self.lead.is_some() && self.is_fresh(&command);
+        let reply = self.ledger.apply(at, &command);
+        if let Some(lead) = &mut self.lead {
+            let now = crate::replication::monotonic_now();
+            lead.applied(now, &self.ledger, &command, fresh);
+        }
+        reply
+    }
+
+    fn term_began(&mut self, term: Term) {
+        self.term = term;
+    }
+
+    fn leadership_changed(&mut self, leading: bool, now: Timestamp) {
+        self.lead =
+            leading.then(|| Dispatcher::new(self.cfg.clone(), self.term, &self.ledger, now));
+    }
+
+    fn lead(&mut self, now: Timestamp) -> Vec<Vec<u8>> {
+        let Some(lead) = &mut self.lead else {
+            return Vec::new();
+        };
+        let batch = lead.decide(now, unix_now(), &self.ledger);
+        if lead.has_orders() {
+            // The receiver lives as long as the process.
+            let _ = self.orders.send(lead.take_orders());
+        }
+        let command = batch.map(Command::Batch);
+        command
+            .and_then(|c| c.to_bytes().ok())
+            .into_iter()
+            .collect()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        // An empty snapshot would be refused by its missing version instead of being believed.
+        self.ledger.to_bytes().unwrap_or_default()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
+        self.ledger = Ledger::from_bytes(snapshot)?;
+        Ok(())
+    }
+}
+
+/// Bytes of a configuration; kept here so that callers need no further import.
+pub type Document = Bytes;
--- /dev/null
+++ b/src/batch/mod.rs
@@ -0,0 +1,12 @@
+//! Batch work on minions that take orders by call: jobs of steps with dependencies, gangs and
+//! lasting tasks, held in a replicated ledger and dispatched by the leader under a fencing token.
+
+pub mod calls;
+pub mod dispatch;
+pub mod driver;
+pub mod ledger;
+pub mod link;
+pub mod machine;
+pub mod model;
+pub mod note;
+pub mod server;
--- a/src/bin/control.rs
+++ b/src/bin/control.rs
@@ -4,7 +4,7 @@
 
 use slog::{Logger, error};
 use yuccahold::daemon::{self, DaemonArgs, Program, fail, stop_signals};
-use yuccahold::{ExitCode, control, settings};
+use yuccahold::{ExitCode, control, platform, settings};
 
 const HELP: &str = "\
 One replica of a yuccahold cell's state: placement, leases, documents and the console.
@@ -20,6 +20,7 @@
                             this folder holds; what only the lost replicas held is lost
       --log-format FORMAT   auto, human or json [default: auto]
       --log-level LEVEL     error, warning, info, debug or trace [default: info]
+      --platform            take the settings from the platform's file and serve its contract
   -h, --help                print this
   -V, --version             print the version
 
@@ -38,6 +39,12 @@
 };
 
 fn main() -> ProcessExitCode {
+    if std::env::args_os()
+        .nth(1)
+        .is_some_and(|arg| arg == "--platform")
+    {
+        return platform::run_control();
+    }
     daemon::run(&PROGRAM, serve)
 }
 
--- a/src/bin/entry.rs
+++ b/src/bin/entry.rs
@@ -5,7 +5,7 @@
 use slog::{Logger, error};
 use yuccahold::daemon::{self, DaemonArgs, Program, fail, stop_signals};
 use yuccahold::entry::Entry;
-use yuccahold::{ExitCode, settings};
+use yuccahold::{ExitCode, platform, settings};
 
 const HELP: &str = "\
 The traffic daemon of a yuccahold entry host: callers' requests, minions and workers.
@@ -18,6 +18,7 @@
 Options:
       --log-format FORMAT  auto, human or json [default: auto]
       --log-level LEVEL    error, warning, info, debug or trace [default: info]
+      --platform           take the settings from the platform's file, serve its contract
   -h, --help               print this
   -V, --version            print the version
 
@@ -36,6 +37,12 @@
 };
 
 fn main() -> ProcessExitCode {
+    if std::env::args_os()
+        .nth(1)
+        .is_some_and(|arg| arg == "--platform")
+    {
+        return platform::run_entry();
+    }
     daemon::run(&PROGRAM, serve)
 }
 
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -120,6 +120,7 @@
         heartbeat: cfg.heartbeat,
         snapshot_bytes: cfg.snapshot_bytes,
         replace_after: cfg.replace_after,
+        target_voters: None,
         form,
         on_disk_failure: ReplicaConfig::end_process,
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! in, effects come out. The daemons under `src/bin` and the command line only add I/O.
 //! This module lists what is public.
 
+pub mod batch;
 pub mod cli;
 pub mod console;
 pub mod control;
@@ -18,6 +19,7 @@
 pub mod lease;
 pub mod load;
 pub mod placement;
+pub mod platform;
 pub mod plot;
 pub mod replay;
 pub mod replication;
--- /dev/null
+++ b/src/platform/control.rs
@@ -0,0 +1,127 @@
+//! The control daemon on the platform.
+
+use std::process::ExitCode as ProcessExitCode;
+use std::time::Duration;
+
+use slog::{Logger, info};
+use tokio::sync::{mpsc, watch};
+
+use super::client::Client;
+use super::entry::{bind, farewell, open_cell_keys, run_daemon, wait_for_end};
+use super::http;
+use super::minions::{MinionCalls, PolicyCalls};
+use super::operator::ControlFront;
+use super::settings::Boot;
+use crate::batch::driver::{self, Askers};
+use crate::batch::link::LeaderLink;
+use crate::batch::machine::Machine;
+use crate::batch::model::Limits;
+use crate::batch::server::{CallServer, ToLeader};
+use crate::error::{Error, Result, Step};
+use crate::replication::{Formation, Replica, ReplicaConfig};
+
+/// Shortest silence of a leader before an election. A disk that is thirty times slower than
+/// usual still syncs within it.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between a leader's heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// Silence after which a voter is replaced by a spare. Below the platform's bound for a
+/// newcomer to count, above the time of a restart.
+const REPLACE_AFTER: Duration = Duration::from_millis(2500);
+/// Bytes of log that cause a snapshot; a tenth of the disk holds several.
+const SNAPSHOT_BYTES: u64 = 6 * 1024 * 1024;
+/// Voters wanted; fewer while fewer exist.
+const VOTERS: usize = 5;
+
+/// Runs the control daemon until it is told to end.
+pub fn run() -> ProcessExitCode {
+    run_daemon("yuccahold-control", serve)
+}
+
+async fn serve(boot: Boot, log: Logger) -> Result<()> {
+    let data = boot
+        .data
+        .clone()
+        .ok_or_else(|| Error::new(Step::Settings, "no folder for files is given"))?;
+    let keys = open_cell_keys()?;
+    let control = bind(boot.control, "operators and minions").await?;
+    let calls = bind(Some(boot.call_addr()), "calls").await?;
+    let (orders_tx, orders) = mpsc::unbounded_channel();
+    let machine = Machine::new(boot.dispatch.clone(), orders_tx);
+    let cfg = ReplicaConfig {
+        data,
+        keys: keys.clone(),
+        zone: boot.zone.clone(),
+        replica_listen: boot.replica_addr(),
+        replica_advertise: None,
+        call_addr: boot.call_addr(),
+        peers: boot.seed_replicas(),
+        election_timeout: ELECTION_TIMEOUT,
+        heartbeat: HEARTBEAT,
+        snapshot_bytes: SNAPSHOT_BYTES,
+        replace_after: REPLACE_AFTER,
+        target_voters: Some(VOTERS),
+        form: if boot.forms_group() {
+            Formation::FormOnce
+        } else {
+            Formation::Join
+        },
+        on_disk_failure: ReplicaConfig::end_process,
+    };
+    let replica = Replica::start(cfg, machine)?;
+    let client = Client::default();
+    let askers = Askers::default();
+    tokio::spawn(driver::run(
+        orders,
+        replica.clone(),
+        MinionCalls(client.clone()),
+        askers.clone(),
+        log.clone(),
+    ));
+    let policy = PolicyCalls {
+        client,
+        addr: boot.policy,
+    };
+    let link = LeaderLink::start(boot.seed_calls(), keys.clone(), policy, log.clone());
+    let server = CallServer::new(replica.clone(), keys, askers, log.clone());
+    tokio::spawn(server.clone().serve(calls));
+    let (_stop, stopping) = watch::channel(false);
+    let front = ControlFront {
+        leader: ToLeader {
+            local: server,
+            link: link.clone(),
+        },
+        log: log.clone(),
+    };
+    tokio::spawn(http::serve(control, front, Limits::default(), stopping));
+    tokio::spawn(tell_role(replica.status(), log.clone()));
+    wait_for_end(&link, &log).await?;
+    info!(log, "stopping"; "farewell_ms" => farewell(&boot).as_millis() as u64);
+    replica.hand_over().await;
+    tokio::time::sleep(farewell(&boot) / 2).await;
+    replica.abort().await;
+    Ok(())
+}
+
+/// Logs each change of what this replica believes of its group.
+async fn tell_role(mut status: watch::Receiver<crate::replication::ReplicaStatus>, log: Logger) {
+    let mut last = None;
+    while status.changed().await.is_ok() {
+        let now = status.borrow_and_update().clone();
+        let belief = (
+            now.role,
+            now.term,
+            now.leader,
+            now.voters.len(),
+            now.learners.len(),
+        );
+        if last == Some(belief) {
+            continue;
+        }
+        last = Some(belief);
+        info!(log, "group"; "role" => format!("{:?}", now.role), "term" => now.term,
+            "leader" => now.leader.map(|id| format!("{id:016x}")),
+            "voters" => now.voters.len(), "learners" => now.learners.len(),
+            "committed" => now.committed);
+    }
+}
--- /dev/null
+++ b/src/platform/entry.rs
@@ -0,0 +1,144 @@
+//! The traffic daemon on the platform.
+
+use std::process::ExitCode as ProcessExitCode;
+use std::time::Duration;
+
+use slog::{Logger, crit, info};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use super::client::Client;
+use super::front::{Front, Ready};
+use super::http;
+use super::minions::PolicyCalls;
+use super::settings::Boot;
+use crate::batch::link::LeaderLink;
+use crate::batch::model::Limits;
+use crate::error::{Error, Result, Step};
+use crate::exit_codes::ExitCode;
+use crate::telemetry;
+use crate::wire::{CellKey, CellKeys};
+
+/// Key between the daemons. The platform gives no secret, so this proves no identity; it keeps
+/// processes of other versions and stray connections apart. Only machines of the system can reach
+/// the ports.
+const OPEN_CELL: &str = "open cell on a closed network";
+/// Part of the time before SIGKILL that is left for the process to end by itself.
+const GRACE_RESERVE: Duration = Duration::from_millis(800);
+
+pub(super) fn open_cell_keys() -> Result<CellKeys> {
+    CellKeys::new([CellKey::from_text(OPEN_CELL)])
+}
+
+/// Runs a daemon's body on a runtime of one thread.
+pub(super) fn run_daemon<F>(
+    name: &'static str,
+    body: impl FnOnce(Boot, Logger) -> F,
+) -> ProcessExitCode
+where
+    F: Future<Output = Result<()>>,
+{
+    let (log, guard) = telemetry::stdout_logger(name);
+    let boot = match Boot::from_environment() {
+        Ok(boot) => boot,
+        Err(e) => {
+            crit!(log, "the daemon cannot run"; "error" => %e);
+            drop(guard);
+            return ExitCode::Invalid.into();
+        }
+    };
+    info!(log, "starting"; "version" => env!("CARGO_PKG_VERSION"), "node" => boot.node.as_str(),
+        "zone" => boot.zone.as_str(), "first_start" => boot.first_start,
+        "seeds" => format!("{:?}", boot.seed_calls()));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let done = match runtime {
+        Ok(runtime) => runtime.block_on(body(boot, log.clone())),
+        Err(e) => Err(Error::caused(Step::Listen, "starting a runtime", e)),
+    };
+    let code = match done {
+        Ok(()) => {
+            info!(log, "stopped");
+            ExitCode::Success
+        }
+        Err(e) => {
+            crit!(log, "the daemon cannot run"; "error" => %e);
+            ExitCode::GeneralError
+        }
+    };
+    drop(guard);
+    code.into()
+}
+
+pub(super) async fn bind(addr: Option<std::net::SocketAddr>, what: &str) -> Result<TcpListener> {
+    let addr = addr.ok_or_else(|| {
+        Error::new(
+            Step::Settings,
+            format!("no address to listen on for {what}"),
+        )
+    })?;
+    TcpListener::bind(addr).await.map_err(|e| {
+        Error::caused(Step::Listen, format!("listening for {what}"), e).with_peer(addr)
+    })
+}
+
+/// Waits for the order to end; takes new seeds into use when the settings change meanwhile.
+pub(super) async fn wait_for_end(link: &LeaderLink, log: &Logger) -> Result<()> {
+    let failed = |e| Error::caused(Step::Listen, "receiving signals", e);
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = reload.recv() => match Boot::from_environment() {
+                Ok(boot) => {
+                    info!(log, "settings read again"; "seeds" => format!("{:?}", boot.seed_calls()));
+                    link.set_seeds(boot.seed_calls());
+                }
+                Err(e) => slog::warn!(log, "changed settings are refused; the old ones stay";
+                    "error" => %e),
+            },
+        }
+    }
+}
+
+/// Time for which a process that was told to end still answers.
+pub(super) fn farewell(boot: &Boot) -> Duration {
+    boot.grace.saturating_sub(GRACE_RESERVE)
+}
+
+/// Runs the traffic daemon until it is told to end.
+pub fn run() -> ProcessExitCode {
+    run_daemon("yuccahold-entry", serve)
+}
+
+async fn serve(boot: Boot, log: Logger) -> Result<()> {
+    let front = bind(boot.front, "callers").await?;
+    let ready = bind(boot.ready, "the balancer").await?;
+    let client = Client::default();
+    let policy = PolicyCalls {
+        client,
+        addr: boot.policy,
+    };
+    let link = LeaderLink::start(boot.seed_calls(), open_cell_keys()?, policy, log.clone());
+    let (stop, stopping) = watch::channel(false);
+    let limits = Limits::default();
+    let callers = Front {
+        link: link.clone(),
+        limits,
+        log: log.clone(),
+    };
+    tokio::spawn(http::serve(front, callers, limits, stopping.clone()));
+    let balancer = Ready {
+        link: link.clone(),
+        stopping: stopping.clone(),
+    };
+    tokio::spawn(http::serve(ready, balancer, limits, stopping));
+    wait_for_end(&link, &log).await?;
+    info!(log, "stopping"; "farewell_ms" => farewell(&boot).as_millis() as u64);
+    stop.send_replace(true);
+    tokio::time::sleep(farewell(&boot)).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/platform/front.rs
@@ -0,0 +1,167 @@
+//! Callers' requests: a queue is a path prefix, a job is a path in it.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use http::header::HOST;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use slog::{Logger, info};
+use tokio::time::Instant;
+
+use super::http::{Handler, Reply, body_refused, come_back, empty, json, read_body, refused};
+use super::jobs::{self, PendingBody};
+use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply};
+use crate::batch::link::{LeaderLink, NoAnswer};
+use crate::batch::machine::parse_job_id;
+use crate::batch::model::Limits;
+
+/// How long the caller waits for an answer, in ms.
+const DEADLINE: &str = "Yuccahold-Deadline-Ms";
+/// Time for an answer when the caller names none: the timeout of the users' routes.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+/// Part of the caller's time that is left for the answer's way back.
+const ANSWER_RESERVE: Duration = Duration::from_millis(100);
+/// How long a request waits for a leader to be found before it is refused: most changes of leader
+/// are over by then, and the caller still has time to try elsewhere.
+const LEADER_WAIT: Duration = Duration::from_millis(1000);
+/// When to come back after that.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Answers callers.
+#[derive(Clone)]
+pub(super) struct Front {
+    pub(super) link: LeaderLink,
+    pub(super) limits: Limits,
+    pub(super) log: Logger,
+}
+
+impl Handler for Front {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let received = Instant::now();
+        let host = host_of(&req);
+        let path = CompactString::from(req.uri().path());
+        let patience = deadline_of(&req);
+        let is_job = path.rsplit('/').next().and_then(parse_job_id).is_some();
+        let action = match (req.method().clone(), is_job) {
+            (Method::POST, true) => {
+                let body = match read_body(req.into_body(), self.limits.body_bytes as usize).await {
+                    Ok(body) => body,
+                    Err(e) => return body_refused(e),
+                };
+                match jobs::decode(&body) {
+                    Ok(spec) => ClientAction::Submit(spec),
+                    Err(why) => return refused(StatusCode::BAD_REQUEST, &why),
+                }
+            }
+            (Method::GET, true) => ClientAction::State,
+            (Method::DELETE, true) => ClientAction::Cancel,
+            (Method::GET, false) => ClientAction::Pending,
+            (Method::POST | Method::DELETE, false) => {
+                // Whether there is such a queue at all is for the leader to say.
+                ClientAction::Pending
+            }
+            _ => return refused(StatusCode::METHOD_NOT_ALLOWED, "only GET, POST and DELETE"),
+        };
+        let changes = matches!(action, ClientAction::Submit(_) | ClientAction::Cancel);
+        let call = ClientCall { host, path, action };
+        let path = call.path.clone();
+        let patience = patience.saturating_sub(ANSWER_RESERVE);
+        let patience = if self.link.is_connected() {
+            patience
+        } else {
+            patience.min(LEADER_WAIT)
+        };
+        let reply = self
+            .link
+            .call(Call::Client(call), received + patience)
+            .await;
+        if changes || reply.is_err() {
+            info!(self.log, "request answered"; "path" => path.as_str(),
+                "outcome" => outcome(&reply), "took_ms" => received.elapsed().as_millis() as u64);
+        }
+        to_http(reply)
+    }
+}
+
+fn outcome(reply: &Result<CallReply, NoAnswer>) -> &'static str {
+    match reply {
+        Ok(CallReply::Client(ClientReply::Accepted)) => "accepted",
+        Ok(CallReply::Client(ClientReply::State(_) | ClientReply::Pending(_))) => "read",
+        Ok(CallReply::Client(ClientReply::Gone)) => "unknown job",
+        Ok(CallReply::Client(ClientReply::NoQueue)) => "unknown queue",
+        Ok(CallReply::Client(ClientReply::Invalid(_))) => "invalid",
+        Ok(CallReply::Client(ClientReply::Unavailable(_))) | Err(NoAnswer::NotSent) => "not run",
+        Ok(CallReply::Client(ClientReply::InDoubt)) | Err(NoAnswer::InDoubt) => "in doubt",
+        Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) => "no leader",
+    }
+}
+
+fn to_http(reply: Result<CallReply, NoAnswer>) -> Reply {
+    let unavailable = |after| {
+        come_back(
+            StatusCode::SERVICE_UNAVAILABLE,
+            after,
+            "not accepted and not run; come back later",
+        )
+    };
+    let in_doubt = || {
+        refused(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the outcome is not known; ask again",
+        )
+    };
+    match reply {
+        Ok(CallReply::Client(reply)) => match reply {
+            ClientReply::Accepted => empty(StatusCode::OK),
+            ClientReply::State(state) => json(StatusCode::OK, &jobs::state(state)),
+            ClientReply::Pending(pending) => json(StatusCode::OK, &PendingBody { pending }),
+            ClientReply::Gone => refused(StatusCode::GONE, "there is no such job"),
+            ClientReply::NoQueue => refused(StatusCode::NOT_FOUND, "there is no such queue"),
+            ClientReply::Invalid(why) => refused(StatusCode::BAD_REQUEST, &why),
+            ClientReply::Unavailable(after) => unavailable(after),
+            ClientReply::InDoubt => in_doubt(),
+        },
+        Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) | Err(NoAnswer::NotSent) => {
+            unavailable(RETRY_AFTER)
+        }
+        Err(NoAnswer::InDoubt) => in_doubt(),
+    }
+}
+
+fn host_of<B>(req: &Request<B>) -> CompactString {
+    let host = req.headers().get(HOST).and_then(|h| h.to_str().ok());
+    let host = host.or_else(|| req.uri().host()).unwrap_or_default();
+    // A port after the name does not belong to it.
+    let name = host.rsplit_once(':').map_or(host, |(name, port)| {
+        if port.bytes().all(|b| b.is_ascii_digit()) {
+            name
+        } else {
+            host
+        }
+    });
+    CompactString::from(name).to_lowercase()
+}
+
+fn deadline_of<B>(req: &Request<B>) -> Duration {
+    let text = req.headers().get(DEADLINE).and_then(|v| v.to_str().ok());
+    let ms = text.and_then(|t| t.trim().parse::<u64>().ok());
+    ms.map_or(DEFAULT_DEADLINE, Duration::from_millis)
+        .min(Duration::from_secs(60))
+}
+
+/// Tells the balancer whether to send connections here.
+#[derive(Clone)]
+pub(super) struct Ready {
+    pub(super) link: LeaderLink,
+    pub(super) stopping: tokio::sync::watch::Receiver<bool>,
+}
+
+impl Handler for Ready {
+    async fn handle(&self, _: Request<Incoming>) -> Reply {
+        if *self.stopping.borrow() || !self.link.is_connected() {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        empty(StatusCode::OK)
+    }
+}
--- /dev/null
+++ b/src/platform/jobs.rs
@@ -0,0 +1,174 @@
+//! Jobs as callers write them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::batch::model::{Grouping, JobSpec, JobState, Lifetime, Room, StepSpec, Timetable};
+
+/// Longest payload in bytes, as the contract has it.
+const MAX_PAYLOAD: usize = 4000;
+/// Most tasks in a step. The contract names none; the largest jobs of the users have 50, and each
+/// task costs 100 bytes on every replica.
+const MAX_TASKS: u32 = 20_000;
+/// Most steps of a job, for the same reason.
+const MAX_STEPS: usize = 200;
+/// Longest time in ms that is taken: a hundred years.
+const MAX_MS: f64 = 3.2e12;
+
+#[derive(Deserialize)]
+struct JobBody {
+    #[serde(default)]
+    spec: CompactString,
+    steps: Vec<StepBody>,
+    #[serde(default)]
+    times: u32,
+    #[serde(default)]
+    start_time_ms: f64,
+    #[serde(default)]
+    interval_ms: f64,
+}
+
+/// Fields whose value is zero, false or empty are left out on the wire.
+#[derive(Deserialize)]
+struct StepBody {
+    #[serde(default)]
+    count: u32,
+    /// Thousandths of a core.
+    #[serde(default)]
+    cpu: u32,
+    #[serde(default)]
+    mem_mb: u32,
+    /// Accelerators.
+    #[serde(default)]
+    gpu: u32,
+    #[serde(default)]
+    est_ms: f64,
+    #[serde(default)]
+    depends_on: Vec<u16>,
+    #[serde(default)]
+    saves_progress: bool,
+    #[serde(default)]
+    gang: bool,
+    #[serde(default)]
+    rack_local: bool,
+    #[serde(default)]
+    required_label: CompactString,
+    #[serde(default)]
+    data_rack: CompactString,
+    #[serde(default)]
+    max_per_server: u32,
+    #[serde(default)]
+    speculative: bool,
+    #[serde(default)]
+    runs_forever: bool,
+    #[serde(default)]
+    image: CompactString,
+    #[serde(default)]
+    target_ms: f64,
+    #[serde(default)]
+    fills: bool,
+    #[serde(default)]
+    may_miss: u32,
+}
+
+/// Reads a job; the error is one sentence for the caller.
+pub(super) fn decode(body: &[u8]) -> Result<Arc<JobSpec>, String> {
+    let job: JobBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    if job.spec.len() > MAX_PAYLOAD {
+        return Err(format!("spec is longer than {MAX_PAYLOAD} bytes"));
+    }
+    if job.steps.is_empty() || job.steps.len() > MAX_STEPS {
+        return Err(format!("a job has 1 to {MAX_STEPS} steps"));
+    }
+    let steps = job.steps.into_iter().enumerate().map(|(i, s)| step(i, s));
+    let timetable = if job.times > 0 {
+        Some(Timetable {
+            occurrences: job.times,
+            first: span("start_time_ms", job.start_time_ms)?,
+            interval: span("interval_ms", job.interval_ms)?,
+        })
+    } else {
+        None
+    };
+    Ok(Arc::new(JobSpec {
+        payload: job.spec,
+        steps: steps.collect::<Result<_, _>>()?,
+        timetable,
+    }))
+}
+
+fn step(index: usize, body: StepBody) -> Result<StepSpec, String> {
+    if body.count == 0 || body.count > MAX_TASKS {
+        return Err(format!(
+            "step {index}: count is not within 1 to {MAX_TASKS}"
+        ));
+    }
+    if let Some(bad) = body.depends_on.iter().find(|s| usize::from(**s) >= index) {
+        return Err(format!(
+            "step {index}: depends_on names step {bad}, which is not earlier"
+        ));
+    }
+    let nonzero = |number: u32| (number > 0).then_some(number);
+    let text = |text: CompactString| (!text.is_empty()).then_some(text);
+    Ok(StepSpec {
+        count: body.count,
+        need: Room {
+            millicores: body.cpu,
+            memory_mb: body.mem_mb,
+            accelerators: body.gpu,
+        },
+        estimate: span("est_ms", body.est_ms)?,
+        after: body.depends_on,
+        saves_progress: body.saves_progress,
+        grouping: if body.gang {
+            Grouping::Gang
+        } else {
+            Grouping::Single
+        },
+        one_rack: body.rack_local,
+        label: text(body.required_label),
+        data_rack: text(body.data_rack),
+        max_per_minion: nonzero(body.max_per_server),
+        copies_allowed: body.speculative,
+        lifetime: if body.runs_forever {
+            Lifetime::Lasting
+        } else {
+            Lifetime::Finite
+        },
+        image: body.image,
+        latency_target: Some(span("target_ms", body.target_ms)?).filter(|t| !t.is_zero()),
+        fills: body.fills,
+        disruption_budget: nonzero(body.may_miss),
+    })
+}
+
+fn span(name: &str, ms: f64) -> Result<Duration, String> {
+    if !(0.0..=MAX_MS).contains(&ms) {
+        return Err(format!("{name} is not a time"));
+    }
+    Ok(Duration::from_secs_f64(ms / 1000.0))
+}
+
+#[derive(Serialize)]
+pub(super) struct StateBody {
+    state: &'static str,
+}
+
+#[derive(Serialize)]
+pub(super) struct PendingBody {
+    pub(super) pending: u64,
+}
+
+pub(super) fn state(state: JobState) -> StateBody {
+    let state = match state {
+        JobState::Queued => "queued",
+        JobState::Running => "running",
+        JobState::Done => "done",
+        JobState::Failed => "failed",
+        JobState::Canceled => "canceled",
+    };
+    StateBody { state }
+}
--- /dev/null
+++ b/src/platform/minions.rs
@@ -0,0 +1,350 @@
+//! Calls to minions and to the policy service, and what minions say of themselves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use super::client::{Client, Failure};
+use crate::batch::dispatch::{
+    Advice, AdviceQuestion, Answer, HoldAnswer, HoldOrder, ListedEnd, ListedRun, Listing, Silence,
+    StartOrder, StartRefusal, Target,
+};
+use crate::batch::driver::{Minions, Policy};
+use crate::batch::machine::parse_job_id;
+use crate::batch::model::{EndKind, MinionReport, Readiness, Room, RunNumber, StepId, TaskId};
+use crate::ids::Term;
+
+/// Time for an order to be answered: a round trip across zones takes 2 ms and a minion answers
+/// at once, so this allows for a slowed machine and a lost packet.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time beyond the wait that a hold asks for.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time beyond the expected cost of a question; others of the same machine may be before it.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(2500);
+
+#[derive(Serialize)]
+struct StartBody<'a> {
+    task: String,
+    run: RunNumber,
+    spec: &'a str,
+    deadline_ms: u64,
+    fencing_token: Term,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    last_checkpoint: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct StopBody {
+    task: String,
+    run: RunNumber,
+    fencing_token: Term,
+}
+
+#[derive(Serialize)]
+struct PaceBody {
+    task: String,
+    run: RunNumber,
+    percent: u8,
+    fencing_token: Term,
+}
+
+#[derive(Serialize)]
+struct HoldBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline_ms: Option<u64>,
+    fencing_token: Term,
+    acked_upto: u64,
+    #[serde(skip_serializing_if = "is_zero")]
+    wait_ms: u64,
+}
+
+fn is_zero(ms: &u64) -> bool {
+    *ms == 0
+}
+
+#[derive(Deserialize)]
+struct OrderReply {
+    clock_ms: Option<f64>,
+    #[serde(default)]
+    reason: CompactString,
+}
+
+#[derive(Deserialize)]
+struct HoldReply {
+    clock_ms: f64,
+    #[serde(default)]
+    running: Vec<RunningRow>,
+    #[serde(default)]
+    ended: Vec<EndedRow>,
+}
+
+/// Task, run, saved progress, percent, and a rough load.
+#[derive(Deserialize)]
+struct RunningRow(
+    CompactString,
+    RunNumber,
+    CompactString,
+    f64,
+    #[serde(default)] f64,
+);
+
+/// Number, task, run, how, saved progress.
+#[derive(Deserialize)]
+struct EndedRow(u64, CompactString, RunNumber, CompactString, CompactString);
+
+#[derive(Serialize)]
+struct AdviseBody<'a> {
+    step: String,
+    workers: &'a [CompactString],
+}
+
+#[derive(Deserialize)]
+struct AdviseReply {
+    good: Vec<(CompactString, CompactString)>,
+}
+
+/// Speaks to minions over kept connections.
+#[derive(Clone)]
+pub(super) struct MinionCalls(pub(super) Client);
+
+impl MinionCalls {
+    async fn order(&self, to: &Target, path: &str, body: &impl Serialize) -> Answer {
+        let call = self
+            .0
+            .post(to.addr, path, Some(&to.id), body, ORDER_TIMEOUT);
+        let (status, body) = match call.await {
+            Ok(answered) => answered,
+            Err(Failure::Refused) => return Answer::Silent(Silence::Refused),
+            Err(Failure::Lost) => return Answer::Silent(Silence::Lost),
+        };
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Answer::OtherIncarnation;
+        }
+        let reply: Option<OrderReply> = serde_json::from_slice(&body).ok();
+        let clock = reply.as_ref().and_then(|r| r.clock_ms).map(ms);
+        if status.is_success() {
+            return Answer::Done { clock };
+        }
+        let reason = reply.map(|r| r.reason).unwrap_or_default();
+        let why = match reason.as_str() {
+            "fence" => StartRefusal::Fenced,
+            "old" => StartRefusal::Superseded,
+            "late" => StartRefusal::Late,
+            "room" => StartRefusal::NoRoom,
+            "ticket" => StartRefusal::Ticket,
+            _ => StartRefusal::Unhealthy,
+        };
+        Answer::Refused { clock, why }
+    }
+}
+
+impl Minions for MinionCalls {
+    async fn start(&self, to: &Target, order: &StartOrder) -> Answer {
+        let body = StartBody {
+            task: order.task.to_string(),
+            run: order.run,
+            spec: &order.payload,
+            deadline_ms: whole_ms(order.deadline),
+            fencing_token: order.token,
+            last_checkpoint: &order.checkpoint,
+            ticket: order.ticket.as_deref(),
+        };
+        self.order(to, "/yuccahold/run-start", &body).await
+    }
+
+    async fn stop(&self, to: &Target, task: TaskId, run: RunNumber, token: Term) -> Answer {
+        let body = StopBody {
+            task: task.to_string(),
+            run,
+            fencing_token: token,
+        };
+        self.order(to, "/yuccahold/run-stop", &body).await
+    }
+
+    async fn pace(
+        &self,
+        to: &Target,
+        task: TaskId,
+        run: RunNumber,
+        percent: u8,
+        token: Term,
+    ) -> Answer {
+        let body = PaceBody {
+            task: task.to_string(),
+            run,
+            percent,
+            fencing_token: token,
+        };
+        self.order(to, "/yuccahold/pace", &body).await
+    }
+
+    async fn hold(&self, to: &Target, order: &HoldOrder) -> HoldAnswer {
+        let body = HoldBody {
+            deadline_ms: order.deadline.map(whole_ms),
+            fencing_token: order.token,
+            acked_upto: order.acked,
+            wait_ms: whole_ms(order.wait),
+        };
+        let timeout = order.wait + HOLD_TIMEOUT;
+        let call = self
+            .0
+            .post(to.addr, "/yuccahold/hold", Some(&to.id), &body, timeout);
+        let (status, body) = match call.await {
+            Ok(answered) => answered,
+            Err(Failure::Refused) => return HoldAnswer::Silent(Silence::Refused),
+            Err(Failure::Lost) => return HoldAnswer::Silent(Silence::Lost),
+        };
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return HoldAnswer::OtherIncarnation;
+        }
+        if !status.is_success() {
+            return HoldAnswer::Refused;
+        }
+        match serde_json::from_slice::<HoldReply>(&body) {
+            Ok(reply) => HoldAnswer::Listing(listing(reply)),
+            Err(_) => HoldAnswer::Refused,
+        }
+    }
+}
+
+fn listing(reply: HoldReply) -> Listing {
+    let running = reply.running.into_iter().filter_map(|row| {
+        Some(ListedRun {
+            task: parse_task(&row.0)?,
+            run: row.1,
+            checkpoint: row.2,
+            percent: row.3.max(0.0) as u32,
+            load: row.4.max(0.0) as u32,
+        })
+    });
+    let ended = reply.ended.into_iter().filter_map(|row| {
+        Some(ListedEnd {
+            number: row.0,
+            task: parse_task(&row.1)?,
+            run: row.2,
+            kind: match row.3.as_str() {
+                "done" => EndKind::Done,
+                "failed" => EndKind::Failed,
+                "stopped" => EndKind::Stopped,
+                "broken" => EndKind::Broken,
+                "alone" => EndKind::Alone,
+                _ => EndKind::Lapsed,
+            },
+            checkpoint: row.4,
+        })
+    });
+    Listing {
+        clock: ms(reply.clock_ms),
+        running: running.collect(),
+        ended: ended.collect(),
+    }
+}
+
+/// Reads a task's name: job, occurrence, step and index, between dots.
+fn parse_task(name: &str) -> Option<TaskId> {
+    let mut parts = name.split('.');
+    let step = StepId {
+        job: parse_job_id(parts.next()?)?,
+        occurrence: parts.next()?.parse().ok()?,
+        step: parts.next()?.parse().ok()?,
+    };
+    let index = parts.next()?.parse().ok()?;
+    parts.next().is_none().then_some(TaskId { step, index })
+}
+
+fn ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.clamp(0.0, 1e12) / 1000.0)
+}
+
+fn whole_ms(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
+/// Asks the policy service.
+#[derive(Clone)]
+pub(super) struct PolicyCalls {
+    pub(super) client: Client,
+    pub(super) addr: Option<SocketAddr>,
+}
+
+impl Policy for PolicyCalls {
+    async fn advise(&self, question: &AdviceQuestion) -> Option<Advice> {
+        let body = AdviseBody {
+            step: question.step.to_string(),
+            workers: &question.minions,
+        };
+        let timeout = question.cost + ADVICE_TIMEOUT;
+        let call = self
+            .client
+            .post(self.addr?, "/yuccahold/advise", None, &body, timeout);
+        let (status, body) = call.await.ok()?;
+        if !status.is_success() {
+            return None;
+        }
+        let reply: AdviseReply = serde_json::from_slice(&body).ok()?;
+        Some(Advice { good: reply.good })
+    }
+}
+
+#[derive(Deserialize)]
+struct ReportBody {
+    service: CompactString,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: CompactString,
+    state: CompactString,
+    #[serde(default)]
+    capacity: CapacityBody,
+    #[serde(default)]
+    labels: Vec<CompactString>,
+    #[serde(default)]
+    remaining_ms: Option<f64>,
+    #[serde(default)]
+    clock_ms: f64,
+    #[serde(default)]
+    seq: u64,
+}
+
+#[derive(Default, Deserialize)]
+struct CapacityBody {
+    /// Thousandths of a core.
+    #[serde(default)]
+    cpu: u32,
+    #[serde(default)]
+    mem_mb: u32,
+    /// Accelerators.
+    #[serde(default)]
+    gpu: u32,
+}
+
+/// Reads what a minion says of itself; the error is one sentence.
+pub(super) fn decode_report(id: &str, body: &[u8]) -> Result<MinionReport, String> {
+    let report: ReportBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let readiness = match report.state.as_str() {
+        "ready" => Readiness::Ready,
+        "draining" => Readiness::Draining {
+            remaining: report.remaining_ms.map(ms),
+        },
+        other => return Err(format!("unknown state {other:?}")),
+    };
+    Ok(MinionReport {
+        id: id.into(),
+        service: report.service,
+        addr: report.addr,
+        zone: report.zone,
+        capacity: Room {
+            millicores: report.capacity.cpu,
+            memory_mb: report.capacity.mem_mb,
+            accelerators: report.capacity.gpu,
+        },
+        labels: report.labels,
+        readiness,
+        clock: ms(report.clock_ms),
+        sequence: report.seq,
+    })
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,17 @@
+//! The adapter to the platform that the scheduler runs on: its settings file, its names on the
+//! wire, its calls. Everything is translated here, and nothing is decided.
+
+mod client;
+mod config;
+mod control;
+mod entry;
+mod front;
+mod http;
+mod jobs;
+mod minions;
+mod operator;
+mod settings;
+
+pub use control::run as run_control;
+pub use entry::run as run_entry;
+pub use settings::{Boot, BootProblems};
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -376,6 +376,7 @@
             applied: self.applied,
             voters: self.members.voters.keys().copied().collect(),
             learners: self.members.learners.keys().copied().collect(),
+            call_addrs: self.members.call_addrs(),
         }
     }
 
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -16,6 +16,10 @@
     /// Must give the same result on every replica: no clock, no randomness, no I/O.
     fn apply(&mut self, index: LogIndex, at: Timestamp, command: &[u8]) -> Self::Reply;
 
+    /// Tells the term in which this replica is about to lead; each term has one leader at most,
+    /// so it can serve as a fencing token. Called before `leadership_changed`.
+    fn term_began(&mut self, _term: Term) {}
+
     /// Tells that this replica began or ceased to lead. `now` is its monotonic time.
     fn leadership_changed(&mut self, leading: bool, now: Timestamp);
 
@@ -67,6 +71,8 @@
     pub voters: Vec<ReplicaId>,
     /// Members that catch up.
     pub learners: Vec<ReplicaId>,
+    /// Addresses at which the members answer calls.
+    pub call_addrs: Vec<SocketAddr>,
 }
 
 /// Why a command was not applied, or may not have been.
--- a/src/replication/runtime/config.rs
+++ b/src/replication/runtime/config.rs
@@ -17,6 +17,8 @@
     Join,
     /// Forms a group of one that others join. Refused on a folder that holds a log already.
     FormGroup,
+    /// Forms a group of one on an empty folder; on a folder in use it goes on as what it was.
+    FormOnce,
     /// Makes the replica of this folder the only voter of its group. The last resort when a
     /// quorum is gone for good: what only the lost replicas held is lost.
     ForceGroupOfOne,
@@ -47,6 +49,8 @@
     pub snapshot_bytes: u64,
     /// Silence after which a member is replaced.
     pub replace_after: Duration,
+    /// Voters wanted; counted from `peers` when absent.
+    pub target_voters: Option<usize>,
     /// What it does about its group.
     pub form: Formation,
     /// Called when the disk cannot be trusted any more; must end the process.
@@ -75,7 +79,10 @@
             heartbeat: self.heartbeat,
             snapshot_bytes: self.snapshot_bytes,
             replace_after: self.replace_after,
-            target_voters: (self.peers.len() + 1).min(Self::MAX_VOTERS),
+            target_voters: self
+                .target_voters
+                .unwrap_or(self.peers.len() + 1)
+                .min(Self::MAX_VOTERS),
             append_bytes: 1024 * 1024,
             chunk_bytes: 256 * 1024,
             safeguards: Safeguards::default(),
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -6,7 +6,9 @@
 use xtra::{Actor, Context, Handler, Mailbox};
 
 use super::disk::DiskQueue;
-use super::messages::{DiskNews, FromPeer, HandOver, Local, Propose, Read, ReadJob, Stop, Tick};
+use super::messages::{
+    DiskNews, FromPeer, HandOver, Inform, Leased, Local, Propose, Read, ReadJob, Stop, Tick,
+};
 use super::peers::PeerQueue;
 use super::{monotonic_now, unix_now};
 use crate::error::Error;
@@ -103,7 +105,7 @@
                 let addr = self.core.members().get(message.to).map(|m| m.addr);
                 self.peers.send(addr, message);
             }
-            Effect::Announce(message) => self.peers.announce(message),
+            Effect::Announce(message) => self.peers.announce(message, self.core.members().addrs()),
             Effect::Apply(entries) => entries.into_iter().for_each(|e| self.apply(e)),
             Effect::Restore(snapshot) => {
                 if let Err(e) = self.machine.restore(&snapshot.data) {
@@ -111,6 +113,9 @@
                 }
             }
             Effect::Leadership(leading) => {
+                if leading {
+                    self.machine.term_began(self.core.term());
+                }
                 self.machine.leadership_changed(leading, monotonic_now());
                 self.led_since_tick |= leading;
             }
@@ -259,6 +264,30 @@
     }
 }
 
+impl<M: StateMachine> Handler<Leased<M>> for Control<M> {
+    type Return = ();
+
+    async fn handle(&mut self, Leased(job): Leased<M>, _: &mut Context<Self>) {
+        // Read now: this thread may have been paused since the message was sent.
+        let now = monotonic_now();
+        if !self.core.is_confirmed(now) {
+            job(Err(self.not_leading()));
+            return;
+        }
+        job(Ok((&mut self.machine, now)));
+        self.led_since_tick = true;
+    }
+}
+
+impl<M: StateMachine> Handler<Inform<M>> for Control<M> {
+    type Return = ();
+
+    async fn handle(&mut self, Inform(job): Inform<M>, _: &mut Context<Self>) {
+        job(&mut self.machine, monotonic_now());
+        self.led_since_tick = true;
+    }
+}
+
 impl<M: StateMachine> Handler<FromPeer> for Control<M> {
     type Return = ();
 
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -11,7 +11,7 @@
 
 use super::config::{Formation, ReplicaConfig};
 use super::control::{self, Control};
-use super::messages::{HandOver, Local, Propose, Read, Stop, Tick};
+use super::messages::{HandOver, Inform, Leased, Local, Propose, Read, Stop, Tick};
 use super::{disk, monotonic_now, peers};
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
@@ -69,7 +69,9 @@
             .map_err(|e| Error::caused(Step::Listen, "reading the own address", e))?;
         let core_cfg = cfg.core(opened.id, addr);
         let mut found = opened.recovered;
-        if cfg.form == Formation::FormGroup {
+        let unused = found.hard == HardState::default() && found.entries.is_empty();
+        let first_start = unused && found.snapshot.index == 0;
+        if cfg.form == Formation::FormGroup || (cfg.form == Formation::FormOnce && first_start) {
             found = form_group(&mut store, &core_cfg, found, &cfg)?;
         }
         let mut core = Core::new(core_cfg, rand::random(), monotonic_now(), found);
@@ -234,6 +236,31 @@
         rx.await.unwrap_or(Err(ReadError::Stopping))
     }
 
+    /// Runs `f` on the state if a quorum's answers of the last moments still confirm that this
+    /// replica leads. No round of messages is made: voters promise not to elect another leader
+    /// within their election timeout, and the clock used here counts suspensions as well, so what
+    /// `f` sees was the newest state at some moment after this call.
+    pub async fn leased<R: Send + 'static>(
+        &self,
+        f: impl FnOnce(&mut M, Timestamp) -> R + Send + 'static,
+    ) -> Result<R, ReadError> {
+        let (tx, rx) = oneshot::channel();
+        let job = move |access: Result<(&mut M, Timestamp), ReadError>| {
+            let _ = tx.send(access.map(|(machine, now)| f(machine, now)));
+        };
+        let sent = self.control.send(Leased(Box::new(job))).detach().await;
+        if sent.is_err() {
+            return Err(ReadError::Stopping);
+        }
+        rx.await.unwrap_or(Err(ReadError::Stopping))
+    }
+
+    /// Tells the machine something; what it wants to propose then is proposed if this replica
+    /// leads. Without effect once the replica has ended.
+    pub async fn inform(&self, f: impl FnOnce(&mut M, Timestamp) + Send + 'static) {
+        let _ = self.control.send(Inform(Box::new(f))).detach().await;
+    }
+
     /// Runs `f` on this replica's own state, which may be behind; `None` once it has ended.
     pub async fn local<R: Send + 'static>(
         &self,
--- a/src/replication/runtime/messages.rs
+++ b/src/replication/runtime/messages.rs
@@ -19,6 +19,12 @@
 /// A read under confirmed leadership.
 pub(super) struct Read<M>(pub(super) ReadJob<M>);
 
+/// Work on the state of a leader whose leadership is confirmed at this moment, or told why not.
+pub(super) struct Leased<M>(pub(super) ReadJob<M>);
+
+/// News for the machine above the log.
+pub(super) struct Inform<M>(pub(super) Box<dyn FnOnce(&mut M, Timestamp) + Send>);
+
 /// A look at this replica's own state.
 pub(super) struct Local<M>(pub(super) Box<dyn FnOnce(&M) + Send>);
 
--- a/src/replication/runtime/mod.rs
+++ b/src/replication/runtime/mod.rs
@@ -9,7 +9,9 @@
 mod peers;
 
 use std::sync::OnceLock;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::ids::Timestamp;
 
@@ -20,9 +22,22 @@
 const START_TIME: Duration = Duration::from_secs(3600);
 
 /// This process's monotonic time. Every `now` that a replica hands out is on this scale.
+///
+/// It counts the time for which the machine was suspended. A leader that wakes from a suspension
+/// would otherwise still believe in the lease it held before, and answer reads from an old state
+/// while another one leads.
 pub fn monotonic_now() -> Timestamp {
-    static START: OnceLock<Instant> = OnceLock::new();
-    START_TIME + START.get_or_init(Instant::now).elapsed()
+    static START: OnceLock<Timestamp> = OnceLock::new();
+    let now = since_boot();
+    START_TIME + now.saturating_sub(*START.get_or_init(|| now))
+}
+
+fn since_boot() -> Timestamp {
+    let now = clock_gettime(ClockId::Boottime);
+    Timestamp::new(
+        now.tv_sec.unsigned_abs(),
+        u32::try_from(now.tv_nsec).unwrap_or_default(),
+    )
 }
 
 fn unix_now() -> Timestamp {
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -55,7 +55,7 @@
 
 enum Outgoing {
     To(Option<SocketAddr>, Message),
-    ToAll(Message),
+    ToAll(Message, Vec<SocketAddr>),
 }
 
 /// Sending end towards the peer thread. Never waits: what does not fit is dropped.
@@ -66,8 +66,10 @@
         self.put(Outgoing::To(addr, message));
     }
 
-    pub(super) fn announce(&self, message: Message) {
-        self.put(Outgoing::ToAll(message));
+    /// Sends to every configured address and to further ones that the log names: the configured
+    /// ones may all be down while the group goes on elsewhere.
+    pub(super) fn announce(&self, message: Message, further: Vec<SocketAddr>) {
+        self.put(Outgoing::ToAll(message, further));
     }
 
     fn put(&self, outgoing: Outgoing) {
@@ -146,8 +148,13 @@
                         self.put(addr, message);
                     }
                 }
-                Outgoing::ToAll(message) => {
-                    for addr in self.configured.clone() {
+                Outgoing::ToAll(message, further) => {
+                    let mut addrs = further;
+                    addrs.extend(&self.configured);
+                    addrs.sort_unstable();
+                    addrs.dedup();
+                    addrs.retain(|addr| *addr != self.identity.addr);
+                    for addr in addrs {
                         self.put(addr, message.clone());
                     }
                 }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -43,6 +43,11 @@
     spawn(daemon, json_drain(std::io::stderr()).fuse(), level)
 }
 
+/// Makes the logger of a daemon whose platform collects JSON lines from standard output.
+pub fn stdout_logger(daemon: &'static str) -> (Logger, LogGuard) {
+    spawn(daemon, json_drain(std::io::stdout()).fuse(), Level::Info)
+}
+
 /// Makes a logger that writes JSON lines to any writer without a thread in between.
 pub fn json_logger(daemon: &'static str, writer: impl Write + Send + 'static) -> Logger {
     let drain = std::sync::Mutex::new(json_drain(writer)).fuse();
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,5 +3,5 @@
 mod logs;
 mod metrics_page;
 
-pub use logs::{LogFormat, LogGuard, discard, json_logger, logger};
+pub use logs::{LogFormat, LogGuard, discard, json_logger, logger, stdout_logger};
 pub use metrics_page::{MetricsPage, install_metrics};
