Give up a silent minion once its lease is over

Ruled out: tickets running out, a stuck queue of questions. Change: a silent minion is asked without a further lease.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -60,7 +60,11 @@
                 return;
             }
         }
-        let deadline = minion.deadline(now, lease);
+        // A silent minion is asked without a further lease: each one might reach it late, and its
+        // tasks could never be started elsewhere while the leader kept asking.
+        let deadline = minion
+            .deadline(now, lease)
+            .filter(|_| minion.silent_calls == 0);
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(now);
         let wait = if minion.fenced && minion.silent_calls == 0 && !minion.leaving {
--- /dev/null
+++ b/tests/batch_world/mod.rs
@@ -0,0 +1,254 @@
+//! A leader's dispatcher with its ledger, and minions that a test answers for by hand.
+
+#![allow(dead_code)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use yuccahold::batch::dispatch::{
+    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, Listing, Order, Silence, StartOrder,
+};
+use yuccahold::batch::ledger::{Batch, Command, Ledger};
+use yuccahold::batch::model::{
+    JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue, Readiness, Room, StepSpec, TaskId,
+};
+
+pub const JOB: JobId = 0x5c0e_7a21_d94b_36f8;
+const UNIX: Duration = Duration::from_secs(1_700_000_000);
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn config() -> DispatchConfig {
+    DispatchConfig {
+        lease_max: ms(6000),
+        stop_time: ms(400),
+        gang_wait: ms(3000),
+        far_factor: 3.0,
+    }
+}
+
+pub fn queue() -> Queue {
+    Queue {
+        name: "checks".into(),
+        host: "example".into(),
+        prefix: "/checks/".into(),
+        timeout: ms(3000),
+        slo: ms(250),
+        stretch: 1.5,
+        priority: 0,
+        service: "desk".into(),
+        attempts: 3,
+        advice: None,
+    }
+}
+
+pub fn step(count: u32, millicores: u32) -> StepSpec {
+    StepSpec {
+        count,
+        need: Room {
+            millicores,
+            memory_mb: 100,
+            accelerators: 0,
+        },
+        estimate: ms(1000),
+        ..StepSpec::default()
+    }
+}
+
+pub fn lasting(count: u32, millicores: u32) -> StepSpec {
+    StepSpec {
+        lifetime: Lifetime::Lasting,
+        ..step(count, millicores)
+    }
+}
+
+pub fn report(id: &str, port: u16) -> MinionReport {
+    MinionReport {
+        id: id.into(),
+        service: "desk".into(),
+        addr: ([10, 0, 0, 1], port).into(),
+        zone: "mixco".into(),
+        capacity: Room {
+            millicores: 32_000,
+            memory_mb: 64_000,
+            accelerators: 0,
+        },
+        labels: vec!["a".into(), "r1-1".into()],
+        readiness: Readiness::Ready,
+        clock: ms(0),
+        sequence: 1,
+    }
+}
+
+/// One leader; its log agrees at once.
+pub struct World {
+    pub now: Duration,
+    pub ledger: Ledger,
+    pub leader: Dispatcher,
+    pub orders: Vec<Order>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let now = Duration::from_secs(3600);
+        let ledger = Ledger::default();
+        let leader = Dispatcher::new(config(), 1, &ledger, now);
+        Self {
+            now,
+            ledger,
+            leader,
+            orders: Vec::new(),
+        }
+    }
+
+    /// Another leader takes over, with what the ledger holds and nothing else.
+    pub fn new_leader(&mut self, term: u64) {
+        self.leader = Dispatcher::new(config(), term, &self.ledger, self.now);
+        self.orders.clear();
+        self.decide();
+    }
+
+    pub fn unix(&self) -> Duration {
+        UNIX + self.now
+    }
+
+    pub fn apply(&mut self, command: &Command) {
+        let fresh = match command {
+            Command::Submit { job, .. } => self.ledger.job_state(*job).is_none(),
+            _ => true,
+        };
+        let at = self.unix();
+        self.ledger.apply(at, command);
+        self.leader.applied(self.now, &self.ledger, command, fresh);
+    }
+
+    pub fn submit(&mut self, job: JobId, steps: Vec<StepSpec>) {
+        self.submit_to(job, queue(), steps);
+    }
+
+    pub fn submit_to(&mut self, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
+        let spec = JobSpec {
+            payload: "payload".into(),
+            steps,
+            timetable: None,
+        };
+        self.apply(&Command::Submit {
+            job,
+            queue: Arc::new(queue),
+            spec: Arc::new(spec),
+        });
+        self.decide();
+    }
+
+    pub fn decide(&mut self) {
+        for _ in 0..8 {
+            let unix = self.unix();
+            let batch = self.leader.decide(self.now, unix, &self.ledger);
+            self.orders.extend(self.leader.take_orders());
+            let Some(batch) = batch else { return };
+            self.apply(&Command::Batch(batch));
+        }
+    }
+
+    /// What the leader would propose now, not agreed.
+    pub fn propose_only(&mut self) -> Option<Batch> {
+        let unix = self.unix();
+        self.leader.decide(self.now, unix, &self.ledger)
+    }
+
+    pub fn pass(&mut self, span: Duration) {
+        self.now += span;
+        self.decide();
+    }
+
+    /// A minion joins and answers its first hold.
+    pub fn join(&mut self, id: &str, port: u16) -> MinionNumber {
+        self.leader.report(self.now, report(id, port));
+        self.decide();
+        let number = self.ledger.minion_number(&id.into()).expect("it joined");
+        self.listing(
+            number,
+            Listing {
+                clock: self.now,
+                ..Listing::default()
+            },
+        );
+        number
+    }
+
+    /// Answers the hold on the way with a list.
+    pub fn listing(&mut self, minion: MinionNumber, listing: Listing) {
+        let sent = self.now;
+        self.now += ms(2);
+        let answer = HoldAnswer::Listing(listing);
+        self.leader
+            .held(self.now, minion, sent, answer, &self.ledger);
+        self.decide();
+    }
+
+    /// The hold on the way brings no answer.
+    pub fn silent_hold(&mut self, minion: MinionNumber) {
+        let answer = HoldAnswer::Silent(Silence::Lost);
+        self.leader
+            .held(self.now, minion, self.now, answer, &self.ledger);
+        self.decide();
+    }
+
+    pub fn answer_start(&mut self, minion: MinionNumber, task: TaskId, run: u32, answer: Answer) {
+        let sent = self.now;
+        self.now += ms(2);
+        self.leader
+            .started(self.now, minion, (task, run), sent, answer, &self.ledger);
+        self.decide();
+    }
+
+    /// Answers every start sent so far with success.
+    pub fn start_all(&mut self) -> Vec<(MinionNumber, StartOrder)> {
+        let starts = self.take_starts();
+        for (minion, order) in &starts {
+            let clock = Some(self.now);
+            self.answer_start(*minion, order.task, order.run, Answer::Done { clock });
+        }
+        starts
+    }
+
+    pub fn take_starts(&mut self) -> Vec<(MinionNumber, StartOrder)> {
+        let mut starts = Vec::new();
+        self.orders.retain(|order| match order {
+            Order::Start(target, start) => {
+                starts.push((target.minion, (**start).clone()));
+                false
+            }
+            _ => true,
+        });
+        starts
+    }
+
+    pub fn take_holds(&mut self) -> Vec<(MinionNumber, HoldOrder)> {
+        let mut holds = Vec::new();
+        self.orders.retain(|order| match order {
+            Order::Hold(target, hold) => {
+                holds.push((target.minion, hold.clone()));
+                false
+            }
+            _ => true,
+        });
+        holds
+    }
+
+    pub fn take_stops(&mut self) -> Vec<(MinionNumber, TaskId, u32)> {
+        let mut stops = Vec::new();
+        self.orders.retain(|order| match order {
+            Order::Stop {
+                target, task, run, ..
+            } => {
+                stops.push((target.minion, *task, *run));
+                false
+            }
+            _ => true,
+        });
+        stops
+    }
+}
