Preempt work that saves its progress; late work behind work in time

Cause sought: quick checks are late in bursts and while minions are away. Change: urgent steps stop less urgent runs that write checkpoints; late jobs fall behind; elections begin after 0.4 s of silence instead of 0.5 s.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -56,6 +56,12 @@
         if self.questions >= MAX_QUESTIONS {
             return;
         }
+        let priority = step.queue.priority;
+        let reaches: BTreeMap<_, _> = self
+            .minions
+            .values()
+            .map(|m| (m.number, self.reach(m, priority)))
+            .collect();
         let knowledge = self.knowledge.entry(id).or_default();
         if let Some((at, _)) = &knowledge.asked {
             if now < *at + QUESTION_LOST {
@@ -81,7 +87,8 @@
             {
                 continue;
             }
-            let room = fits_times(&minion.free(), &super::charged(spec));
+            let reach = reaches.get(&minion.number).copied().unwrap_or_default();
+            let room = fits_times(&reach, &super::charged(spec));
             if room == 0 {
                 continue;
             }
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -198,8 +198,8 @@
         };
     }
 
-    /// Stops the runs of jobs that have ended, and sends the stops that are due.
-    pub(super) fn tend_runs(&mut self, now: Timestamp, _ledger: &Ledger) {
+    /// Sends the stops that are due.
+    pub(super) fn send_stops(&mut self, now: Timestamp) {
         let token = self.term;
         let mut never = Vec::new();
         for (id, run) in &mut self.runs {
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -3,7 +3,7 @@
 use super::run::RunState;
 use super::{Dispatcher, JobId, StepId, TaskId};
 use crate::batch::ledger::{Batch, Command, Ledger, TaskState};
-use crate::batch::model::{JobState, Lifetime};
+use crate::batch::model::JobState;
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 
@@ -124,12 +124,4 @@
             self.stop_run(now, task);
         }
     }
-
-    /// Whether a job has a lasting step.
-    pub(super) fn lasts(ledger: &Ledger, id: JobId) -> bool {
-        ledger
-            .jobs
-            .get(&id)
-            .is_some_and(|j| j.spec.steps.iter().any(|s| s.lifetime == Lifetime::Lasting))
-    }
 }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod minion;
 mod order;
 mod place;
+mod preempt;
 mod ready;
 mod run;
 
@@ -19,7 +20,7 @@
 use std::time::Duration;
 
 use super::ledger::{Batch, Ledger, TaskState};
-use super::model::{JobId, MinionNumber, MinionReport, Readiness, Room, StepId, StepSpec, TaskId};
+use super::model::{JobId, MinionNumber, MinionReport, Readiness, StepId, TaskId};
 use super::note::Note;
 use crate::ids::{MinionId, Term, Timestamp};
 
@@ -30,7 +31,7 @@
     Listing, Order, Silence, StartOrder, StartRefusal, Target,
 };
 use ready::{OrderKey, ReadyStep};
-use run::{Run, RunState, StopState};
+use run::{Run, RunState, StopState, charged};
 
 /// Batches on the way to agreement at once. Two keep the log busy while one is synced; more
 /// would only make smaller batches.
@@ -79,6 +80,8 @@
     place_at: Timestamp,
     /// Occurrences that come due, by Unix time.
     timetable: BTreeSet<(Timestamp, JobId, u32)>,
+    /// Highest number, which is the least urgent, among the priorities seen so far.
+    least_urgent: u32,
     out: Vec<Order>,
 }
 
@@ -103,6 +106,7 @@
             place_wanted: true,
             place_at: now,
             timetable: BTreeSet::new(),
+            least_urgent: 0,
             out: Vec::new(),
         };
         let assumed = now + d.cfg.lease_max.mul_f64(SLOW_CLOCK) + LEASE_MARGIN;
@@ -141,25 +145,11 @@
                 index,
             };
             let spec = &job.spec.steps[usize::from(step)];
-            self.add_run(
-                task_id,
-                Run {
-                    run: task.run,
-                    minion: number,
-                    state: RunState::InDoubt,
-                    stop,
-                    need: charged(spec),
-                    fills: if spec.fills { spec.need.millicores } else { 0 },
-                    serves: spec.latency_target.is_some(),
-                    deadline: Duration::ZERO,
-                    tries: 0,
-                    proposed: now,
-                    percent: 0,
-                    load: 0,
-                    checkpoint: task.checkpoint.clone(),
-                    pace: 100,
-                },
-            );
+            let checkpoint = task.checkpoint.clone();
+            let mut run = Run::new(task.run, number, (spec, &job.queue), checkpoint, now);
+            run.state = RunState::InDoubt;
+            run.stop = stop;
+            self.add_run(task_id, run);
         }
         if !job.state.is_final() {
             self.dirty_jobs.insert(id);
@@ -188,6 +178,7 @@
             minion.serving += u32::from(run.serves);
             minion.runs.insert(id);
         }
+        self.least_urgent = self.least_urgent.max(run.priority);
         self.runs.insert(id, run);
     }
 
@@ -275,11 +266,13 @@
         self.begin_due_occurrences(unix);
         self.renew_ready(ledger);
         self.tend_minions(now);
-        self.tend_runs(now, ledger);
         if self.batches.len() < MAX_BATCHES {
             if self.place_wanted || now >= self.place_at {
-                self.place(now, ledger);
+                self.place(now, unix, ledger);
             }
+        }
+        self.send_stops(now);
+        if self.batches.len() < MAX_BATCHES {
             return self.cut_batch();
         }
         None
@@ -367,14 +360,6 @@
     }
 }
 
-/// Room that a task takes of its minion; the processor time of one that fills is not granted.
-fn charged(spec: &StepSpec) -> Room {
-    Room {
-        millicores: if spec.fills { 0 } else { spec.need.millicores },
-        ..spec.need
-    }
-}
-
 /// Racks are labels such as `r1-3`; kinds are single letters.
 fn is_rack(label: &str) -> bool {
     label.starts_with('r') && label.contains('-')
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::minion::Minion;
-use super::run::{Run, RunState, StopState};
-use super::{Dispatcher, ReadyStep, charged};
+use super::run::{Run, charged};
+use super::{Dispatcher, ReadyStep};
 use crate::batch::ledger::{Ledger, Start};
 use crate::batch::model::{Grouping, MinionNumber, Room, StepId, StepSpec, TaskId};
 use crate::batch::note::Note;
@@ -17,12 +17,13 @@
 
 impl Dispatcher {
     /// Gives waiting tasks to minions, in the order of service.
-    pub(super) fn place(&mut self, now: Timestamp, ledger: &Ledger) {
+    pub(super) fn place(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) {
         self.place_wanted = false;
         self.place_at = now + PLACE_AGAIN;
-        let order: Vec<StepId> = self.queue.iter().map(|(_, id)| *id).collect();
+        let order = self.service_order(unix);
         let mut started = 0;
-        for id in order {
+        for id in &order {
+            let id = *id;
             if started >= MAX_STARTS {
                 self.place_wanted = true;
                 break;
@@ -32,6 +33,7 @@
             };
             started += self.place_step(now, id, step, ledger);
         }
+        self.make_room(now, unix, &order);
     }
 
     fn place_step(
@@ -108,7 +110,21 @@
         spec: &StepSpec,
         need: &Room,
     ) -> bool {
-        if !minion.takes_work(now) || !minion.free().holds(need) {
+        minion.free().holds(need)
+            && (!spec.fills || minion.filling + spec.need.millicores <= minion.free().millicores)
+            && self.suits(now, minion, id, step, spec)
+    }
+
+    /// Whether a minion may run tasks of a step at all now, its room aside.
+    pub(super) fn suits(
+        &self,
+        now: Timestamp,
+        minion: &Minion,
+        id: StepId,
+        step: &ReadyStep,
+        spec: &StepSpec,
+    ) -> bool {
+        if !minion.takes_work(now) {
             return false;
         }
         if minion.report.service != step.queue.service {
@@ -123,9 +139,6 @@
         {
             return false;
         }
-        if spec.fills && minion.filling + spec.need.millicores > minion.free().millicores {
-            return false;
-        }
         if step.queue.advice.is_some()
             && !self
                 .knowledge
@@ -190,24 +203,8 @@
             run,
             minion: number,
         });
-        self.add_run(
-            task,
-            Run {
-                run,
-                minion: number,
-                state: RunState::Proposed,
-                stop: StopState::No,
-                need: charged(spec),
-                fills: if spec.fills { spec.need.millicores } else { 0 },
-                serves: spec.latency_target.is_some(),
-                deadline: Duration::ZERO,
-                tries: 0,
-                proposed: now,
-                percent: 0,
-                load: 0,
-                checkpoint: record.checkpoint.clone(),
-                pace: 100,
-            },
-        );
+        let checkpoint = record.checkpoint.clone();
+        let run = Run::new(run, number, (spec, &step.queue), checkpoint, now);
+        self.add_run(task, run);
     }
 }
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -29,11 +29,64 @@
     pub(super) spec: Arc<JobSpec>,
     pub(super) queue: Arc<Queue>,
     pub(super) accepted: Timestamp,
+    /// Declared run time of this step and of the longest chain after it.
+    pub(super) remaining: Duration,
     /// Tasks to be started, in order.
     pub(super) waiting: Vec<u32>,
 }
 
+impl ReadyStep {
+    /// Whether a job that ends is clearly past its objective.
+    pub(super) fn is_late(&self, unix: Timestamp) -> bool {
+        self.key.class > 0 && self.lateness(unix) > 0
+    }
+
+    /// Levels of priority lost by being late.
+    fn lateness(&self, unix: Timestamp) -> u32 {
+        let objective = self.key.due.saturating_sub(self.accepted);
+        if unix > self.accepted + objective * LATE_LIMIT {
+            return WORTHLESS;
+        }
+        if unix + self.remaining.mul_f64(SURELY_NEEDED) > self.key.due {
+            return LATE;
+        }
+        0
+    }
+}
+
+/// Levels of priority by which a job falls behind once it is late: it still earns a fifth of its
+/// worth, about what a core-second of the users' least urgent work earns.
+const LATE: u32 = 2;
+/// Levels by which it falls once it earns nothing more.
+const WORTHLESS: u32 = 6;
+/// A job is worth something up to this multiple of its objective.
+const LATE_LIMIT: u32 = 3;
+/// Part of the declared remaining run time that must still fit before the due time. Declared
+/// times are rough, so a job is only taken for late when it is clearly so.
+const SURELY_NEEDED: f64 = 0.8;
+
 impl Dispatcher {
+    /// Steps with tasks that wait, in the order of service at `unix`.
+    ///
+    /// Answers a load above the room: by due time alone, jobs that are late already would go
+    /// first and make the next ones late as well.
+    pub(super) fn service_order(&self, unix: Timestamp) -> Vec<StepId> {
+        let mut order: Vec<_> = self
+            .queue
+            .iter()
+            .filter_map(|(key, id)| {
+                let step = self.ready.get(id)?;
+                let mut key = *key;
+                if key.class > 0 {
+                    key.priority += step.lateness(unix);
+                }
+                Some((key, *id))
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Looks again at the jobs that changed.
     pub(super) fn renew_ready(&mut self, ledger: &Ledger) {
         for id in std::mem::take(&mut self.dirty_jobs) {
@@ -101,6 +154,7 @@
                 spec: Arc::clone(&job.spec),
                 queue: Arc::clone(&job.queue),
                 accepted: job.accepted,
+                remaining: chain_from(&job.spec, usize::from(id.step)),
                 waiting,
             },
         );
@@ -116,6 +170,19 @@
     begun + job.queue.slo + longest_chain(&job.spec).mul_f64(job.queue.stretch)
 }
 
+/// Declared run time of a step and of the longest chain of steps that wait for it.
+fn chain_from(spec: &JobSpec, step: usize) -> Duration {
+    let mut chains = vec![Duration::ZERO; spec.steps.len()];
+    for (i, s) in spec.steps.iter().enumerate().rev() {
+        chains[i] += s.estimate;
+        for before in &s.after {
+            let before = usize::from(*before);
+            chains[before] = chains[before].max(chains[i]);
+        }
+    }
+    chains[step]
+}
+
 /// Longest chain of declared run times through the steps.
 pub(super) fn longest_chain(spec: &JobSpec) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(spec.steps.len());
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::batch::model::{Checkpoint, MinionNumber, Room, RunNumber};
+use crate::batch::model::{
+    Checkpoint, Grouping, Lifetime, MinionNumber, Queue, Room, RunNumber, StepSpec,
+};
 use crate::ids::Timestamp;
 
 /// Where a run stands.
@@ -52,6 +54,52 @@
     pub(super) percent: u32,
     pub(super) load: u32,
     pub(super) checkpoint: Checkpoint,
-    /// Share of its work at which a task that fills may work.
-    pub(super) pace: u8,
+    /// Priority of its queue; 0 comes first.
+    pub(super) priority: u32,
+    /// Whether stopping it throws nothing away.
+    pub(super) yields: bool,
+}
+
+impl Run {
+    /// A run that has only been decided on.
+    pub(super) fn new(
+        run: RunNumber,
+        minion: MinionNumber,
+        (spec, queue): (&StepSpec, &Queue),
+        checkpoint: Checkpoint,
+        now: Timestamp,
+    ) -> Self {
+        Self {
+            run,
+            minion,
+            state: RunState::Proposed,
+            stop: StopState::No,
+            need: charged(spec),
+            fills: if spec.fills { spec.need.millicores } else { 0 },
+            serves: spec.latency_target.is_some(),
+            deadline: Duration::ZERO,
+            tries: 0,
+            proposed: now,
+            percent: 0,
+            load: 0,
+            checkpoint,
+            priority: queue.priority,
+            yields: spec.saves_progress
+                && spec.lifetime == Lifetime::Finite
+                && spec.grouping == Grouping::Single,
+        }
+    }
+
+    /// Whether it was told to stop and its room will come free.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.stop != StopState::No
+    }
+}
+
+/// Room that a task takes of its minion; the processor time of one that fills is not granted.
+pub(super) fn charged(spec: &StepSpec) -> Room {
+    Room {
+        millicores: if spec.fills { 0 } else { spec.need.millicores },
+        ..spec.need
+    }
 }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -22,9 +22,9 @@
 
 /// Shortest silence of a leader before an election. A disk that is thirty times slower than
 /// usual still syncs within it.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between a leader's heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(100);
+const HEARTBEAT: Duration = Duration::from_millis(80);
 /// Silence after which a voter is replaced by a spare. Below the platform's bound for a
 /// newcomer to count, above the time of a restart.
 const REPLACE_AFTER: Duration = Duration::from_millis(2500);
