--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -195,6 +195,8 @@
             run,
             minion: minion.report.id.clone(),
             age: ledger.clock.saturating_sub(step.accepted),
+            estimate: spec.estimate,
+            slack: step.slack(ledger.clock),
             free: minion.free().millicores,
             heard: now.saturating_sub(minion.heard),
         });
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -36,6 +36,11 @@
 }
 
 impl ReadyStep {
+    /// Time left until the job should be done.
+    pub(super) fn slack(&self, unix: Timestamp) -> Duration {
+        self.key.due.saturating_sub(unix)
+    }
+
     /// Whether a job that ends is clearly past its objective.
     pub(super) fn is_late(&self, unix: Timestamp) -> bool {
         self.key.class > 0 && self.lateness(unix) > 0
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -38,6 +38,10 @@
         minion: MinionId,
         /// Since the task's job was accepted.
         age: Duration,
+        /// Declared run time.
+        estimate: Duration,
+        /// Time left until the job should be done; zero when that has passed.
+        slack: Duration,
         /// Thousandths of a core free there before.
         free: u32,
         /// Age of the last word from the minion.
@@ -137,10 +141,13 @@
             run,
             minion,
             age,
+            estimate,
+            slack,
             free,
             heard,
         } => info!(log, "run placed"; "task" => %task, "run" => run, "minion" => minion.as_str(),
-            "age_ms" => ms(age), "free_millicores" => free, "heard_ms" => ms(heard)),
+            "age_ms" => ms(age), "estimate_ms" => ms(estimate),
+            "slack_ms" => ms(slack), "free_millicores" => free, "heard_ms" => ms(heard)),
         Note::RunEnded {
             task,
             run,
