Send the leader's orders through agents in the minions' zones

Change: entry hosts and followers send orders to minions on the leader's behalf, under its token, one agent a minion, in its zone where there is one. An agent owns nothing: its death gives its orders back unanswered.

--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -8,9 +8,9 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::dispatch::{Advice, AdviceQuestion, ConfigOrder};
+use super::dispatch::{Advice, AdviceQuestion, ConfigOrder, MinionAnswer, MinionOrder, Target};
 use super::model::{JobSpec, JobState, MinionReport, StepId};
-use crate::ids::MinionId;
+use crate::ids::{MinionId, ZoneName};
 
 /// Number of a call on its connection.
 pub type CallNumber = u64;
@@ -97,9 +97,16 @@
     NotLeader(Option<SocketAddr>),
 }
 
+/// Number of an order that an agent sends on the leader's behalf.
+pub type OrderNumber = u64;
+
 /// What flows towards control.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
+    /// Sent first: the availability zone of this process.
+    Hello(ZoneName),
+    /// What came of orders.
+    Done(Vec<(OrderNumber, MinionAnswer)>),
     /// A call.
     Call(CallNumber, Call),
     /// Answer to a question that was passed on; `None` when none came.
@@ -122,6 +129,8 @@
     },
     /// Answer to a call.
     Reply(CallNumber, CallReply),
+    /// Orders to minions, to be sent on the leader's behalf.
+    Orders(Vec<(OrderNumber, Target, MinionOrder)>),
     /// A question for the policy service, asked on the leader's behalf.
     Advise(AdviceQuestion),
     /// Answer to a ping.
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::order::{Answer, Order, StartOrder, StartRefusal};
+use super::order::{Answer, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder, StartRefusal};
 use super::run::{RunState, StopState};
 use crate::batch::ledger::Ledger;
 use crate::batch::model::{EndKind, MinionNumber, RunNumber, TaskId};
@@ -50,7 +50,33 @@
             ticket,
         };
         let target = minion.target();
-        self.out.push(Order::Start(target, Box::new(order)));
+        let order = MinionOrder::Start(Box::new(order));
+        self.out.push(Order::Minion(target, order));
+    }
+
+    /// Takes what came of an order that was sent at `sent`.
+    pub fn answered(
+        &mut self,
+        now: Timestamp,
+        number: MinionNumber,
+        order: &OrderKind,
+        sent: Timestamp,
+        answer: MinionAnswer,
+        ledger: &Ledger,
+    ) {
+        match (order, answer) {
+            (OrderKind::Hold, MinionAnswer::Hold(answer)) => {
+                self.held(now, number, sent, answer, ledger);
+            }
+            (OrderKind::Start(task, run), MinionAnswer::Order(answer)) => {
+                self.started(now, number, (*task, *run), sent, answer, ledger);
+            }
+            (OrderKind::Stop(task, run), MinionAnswer::Order(answer)) => {
+                self.stopped(now, number, (*task, *run), sent, answer);
+            }
+            // A pace has no state to follow; anything else answers another question.
+            _ => {}
+        }
     }
 
     /// Takes the answer to a start that was sent at `sent`.
@@ -221,12 +247,12 @@
                 continue;
             }
             run.stop = StopState::Sent;
-            self.out.push(Order::Stop {
-                target: minion.target(),
+            let stop = MinionOrder::Stop {
                 task: *id,
                 run: run.run,
                 token,
-            });
+            };
+            self.out.push(Order::Minion(minion.target(), stop));
         }
         for id in never {
             self.run_over(now, id, EndKind::Lapsed, Default::default());
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::minion::HoldState;
-use super::order::{HoldAnswer, HoldOrder, ListedEnd, Listing, Order};
+use super::order::{HoldAnswer, HoldOrder, ListedEnd, Listing, MinionOrder, Order};
 use super::run::{RunState, StopState};
 use super::{Dispatcher, charged};
 use crate::batch::ledger::{End, Ledger};
@@ -86,7 +86,8 @@
             wait,
         };
         let target = minion.target();
-        self.out.push(Order::Hold(target, order));
+        self.out
+            .push(Order::Minion(target, MinionOrder::Hold(order)));
     }
 
     fn has_short_runs(&self, number: MinionNumber) -> bool {
@@ -304,12 +305,8 @@
         if due {
             minion.strays.insert((task, run), (need, now));
             let target = minion.target();
-            self.out.push(Order::Stop {
-                target,
-                task,
-                run,
-                token,
-            });
+            let stop = MinionOrder::Stop { task, run, token };
+            self.out.push(Order::Minion(target, stop));
         }
     }
 
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -121,6 +121,7 @@
             minion: self.number,
             id: self.report.id.clone(),
             addr: self.report.addr,
+            zone: self.report.zone.clone(),
         }
     }
 
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -29,7 +29,8 @@
 use minion::Minion;
 pub use order::{
     Advice, AdviceQuestion, Answer, ConfigOrder, HoldAnswer, HoldOrder, ListedEnd, ListedRun,
-    Listing, Order, Silence, StartOrder, StartRefusal, Target,
+    Listing, MinionAnswer, MinionOrder, Order, OrderKind, Silence, StartOrder, StartRefusal,
+    Target,
 };
 use ready::{OrderKey, ReadyStep};
 use run::{Run, RunState, StopState, charged};
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -9,10 +9,10 @@
 
 use crate::batch::model::{Checkpoint, EndKind, MinionNumber, RunNumber, StepId, TaskId};
 use crate::batch::note::Note;
-use crate::ids::{MinionId, Term};
+use crate::ids::{MinionId, Term, ZoneName};
 
 /// Where an order goes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Number in the ledger.
     pub minion: MinionNumber,
@@ -20,10 +20,12 @@
     pub id: MinionId,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
 }
 
 /// Starts a run. Idempotent by task and run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// The task.
     pub task: TaskId,
@@ -42,7 +44,7 @@
 }
 
 /// Renews a minion's lease, acknowledges ends and asks what runs.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldOrder {
     /// Lease on the minion's clock; none while its clock is not known.
     pub deadline: Option<Duration>,
@@ -54,15 +56,13 @@
     pub wait: Duration,
 }
 
-/// Something to be done outside.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Order {
+/// An order to a minion. Each is idempotent and may be sent by any process on the leader's behalf.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MinionOrder {
     /// Starts a run.
-    Start(Target, Box<StartOrder>),
+    Start(Box<StartOrder>),
     /// Stops a run.
     Stop {
-        /// Where.
-        target: Target,
         /// The task.
         task: TaskId,
         /// The run.
@@ -72,8 +72,6 @@
     },
     /// Sets the share at which a run works.
     Pace {
-        /// Where.
-        target: Target,
         /// The task.
         task: TaskId,
         /// The run.
@@ -83,8 +81,59 @@
         /// Fencing token.
         token: Term,
     },
-    /// Holds a minion.
-    Hold(Target, HoldOrder),
+    /// Holds the minion.
+    Hold(HoldOrder),
+}
+
+/// What came of an order to a minion.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MinionAnswer {
+    /// To a start, a stop or a pace.
+    Order(Answer),
+    /// To a hold.
+    Hold(HoldAnswer),
+}
+
+impl MinionOrder {
+    /// The answer that stands for none.
+    pub fn unanswered(&self) -> MinionAnswer {
+        match self {
+            Self::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(Silence::Lost)),
+            _ => MinionAnswer::Order(Answer::Silent(Silence::Lost)),
+        }
+    }
+}
+
+/// What an order was, for following up its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// A start of this run.
+    Start(TaskId, RunNumber),
+    /// A stop of this run.
+    Stop(TaskId, RunNumber),
+    /// A pace.
+    Pace,
+    /// A hold.
+    Hold,
+}
+
+impl MinionOrder {
+    /// What it is.
+    pub fn kind(&self) -> OrderKind {
+        match self {
+            Self::Start(order) => OrderKind::Start(order.task, order.run),
+            Self::Stop { task, run, .. } => OrderKind::Stop(*task, *run),
+            Self::Pace { .. } => OrderKind::Pace,
+            Self::Hold(_) => OrderKind::Hold,
+        }
+    }
+}
+
+/// Something to be done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Sends an order to a minion.
+    Minion(Target, MinionOrder),
     /// Asks which minions may run a step.
     Advise(AdviceQuestion),
     /// Tells what was decided, and from what.
@@ -110,7 +159,7 @@
 }
 
 /// Why a call brought no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Silence {
     /// Nobody listens there.
     Refused,
@@ -119,7 +168,7 @@
 }
 
 /// Why a minion did not start a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRefusal {
     /// It has seen a higher fencing token.
     Fenced,
@@ -150,7 +199,7 @@
 }
 
 /// Answer to a start or a stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// Carried out.
     Done {
@@ -171,7 +220,7 @@
 }
 
 /// A run as its minion lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedRun {
     /// The task.
     pub task: TaskId,
@@ -186,7 +235,7 @@
 }
 
 /// An end as its minion lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedEnd {
     /// Number of the end, from 1 in each incarnation.
     pub number: u64,
@@ -201,7 +250,7 @@
 }
 
 /// What a minion answers to a hold.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Its clock.
     pub clock: Duration,
@@ -212,7 +261,7 @@
 }
 
 /// Answer to a hold.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HoldAnswer {
     /// The lists.
     Listing(Listing),
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -12,9 +12,11 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::calls::{Call, CallNumber, CallReply, Down, Up};
-use super::driver::Policy;
+use super::calls::{Call, CallNumber, CallReply, Down, OrderNumber, Up};
+use super::dispatch::MinionAnswer;
+use super::driver::{Minions, Policy, send_order};
 use crate::error::{Error, Result, Step};
+use crate::ids::ZoneName;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
 /// Time for a connection to be opened, proved and greeted. Several round trips within a region,
@@ -38,6 +40,17 @@
     InDoubt,
 }
 
+/// What this process can do for a leader.
+#[derive(Clone)]
+pub struct Calls<M, P> {
+    /// Calls to minions.
+    pub minions: M,
+    /// Questions to the policy service.
+    pub policy: P,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
 struct Outgoing {
     call: Call,
     reply: oneshot::Sender<CallReply>,
@@ -52,7 +65,12 @@
 
 impl LeaderLink {
     /// Starts looking for the leader among the seeds.
-    pub fn start(seeds: Vec<SocketAddr>, keys: CellKeys, policy: impl Policy, log: Logger) -> Self {
+    pub fn start(
+        seeds: Vec<SocketAddr>,
+        keys: CellKeys,
+        calls: Calls<impl Minions, impl Policy>,
+        log: Logger,
+    ) -> Self {
         let (tx, current) = watch::channel(None);
         let seeds = Arc::new(Mutex::new(seeds));
         let search = Search {
@@ -60,7 +78,7 @@
             learned: BTreeSet::new(),
             hint: None,
             keys,
-            policy,
+            calls,
             current: tx,
             log,
         };
@@ -127,18 +145,18 @@
     let _ = timeout_at(deadline, current.wait_for(other)).await;
 }
 
-struct Search<P> {
+struct Search<M, P> {
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     /// Addresses that members named.
     learned: BTreeSet<SocketAddr>,
     hint: Option<SocketAddr>,
     keys: CellKeys,
-    policy: P,
+    calls: Calls<M, P>,
     current: watch::Sender<Option<mpsc::UnboundedSender<Outgoing>>>,
     log: Logger,
 }
 
-impl<P: Policy> Search<P> {
+impl<M: Minions, P: Policy> Search<M, P> {
     async fn run(mut self) {
         let mut next = 0;
         loop {
@@ -185,7 +203,8 @@
             .await
             .map_err(|e| Error::caused(Step::Connect, "opening a connection", e).with_peer(addr))?;
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(PONG_TIMEOUT * 2));
-        let (mut reader, writer) = wire::split_client(stream, &self.keys).await?;
+        let (mut reader, mut writer) = wire::split_client(stream, &self.keys).await?;
+        writer.write(&Up::Hello(self.calls.zone.clone())).await?;
         match reader.read::<Down>().await? {
             Some(Down::Lead {
                 here,
@@ -216,6 +235,7 @@
     async fn serve(&mut self, mut reader: FrameReader, mut writer: FrameWriter) -> Result<()> {
         let (tx, mut rx) = mpsc::unbounded_channel::<Outgoing>();
         let (ups, mut answers) = mpsc::unbounded_channel::<Up>();
+        let (done_tx, mut done) = mpsc::unbounded_channel::<(OrderNumber, MinionAnswer)>();
         let (down_tx, mut downs) = mpsc::channel::<Down>(64);
         let reading = tokio::spawn(async move {
             while let Ok(Some(down)) = reader.read::<Down>().await {
@@ -254,6 +274,16 @@
                         flush(&mut writer).await?;
                     }
                 }
+                first = done.recv() => {
+                    if let Some(first) = first {
+                        let mut answers = vec![first];
+                        while let Ok(next) = done.try_recv() {
+                            answers.push(next);
+                        }
+                        writer.queue(&Up::Done(answers))?;
+                        flush(&mut writer).await?;
+                    }
+                }
                 down = downs.recv() => {
                     heard = Instant::now();
                     pinged = None;
@@ -281,12 +311,21 @@
                             }
                         }
                         Some(Down::Advise(question)) => {
-                            let (policy, ups) = (self.policy.clone(), ups.clone());
+                            let (policy, ups) = (self.calls.policy.clone(), ups.clone());
                             tokio::spawn(async move {
                                 let advice = policy.advise(&question).await;
                                 let _ = ups.send(Up::Advised(question.step, advice));
                             });
                         }
+                        Some(Down::Orders(orders)) => {
+                            for (number, target, order) in orders {
+                                let (minions, done) = (self.calls.minions.clone(), done_tx.clone());
+                                tokio::spawn(async move {
+                                    let answer = send_order(&minions, &target, &order).await;
+                                    let _ = done.send((number, answer));
+                                });
+                            }
+                        }
                         Some(Down::Pong(_)) => {}
                     }
                 }
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -8,9 +8,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply};
-use super::dispatch::{Advice, Answer, DispatchConfig, Dispatcher, HoldAnswer, Order};
+use super::dispatch::{Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind};
 use super::ledger::{Command, Ledger, Reply};
-use super::model::{ConfigVersion, JobId, JobSpec, MinionNumber, MinionReport, StepId, TaskId};
+use super::model::{ConfigVersion, JobId, JobSpec, MinionNumber, MinionReport, StepId};
 use crate::error::Result;
 use crate::ids::{LogIndex, MinionId, Term, Timestamp};
 use crate::replication::StateMachine;
@@ -28,6 +28,15 @@
     orders: UnboundedSender<Vec<Order>>,
 }
 
+/// What came of an order to a minion.
+pub(crate) struct Answered {
+    pub(crate) minion: MinionNumber,
+    pub(crate) order: OrderKind,
+    /// When it was handed out.
+    pub(crate) sent: Timestamp,
+    pub(crate) answer: MinionAnswer,
+}
+
 /// What a caller's request comes down to.
 pub(crate) enum Admission {
     /// It is answered from the ledger.
@@ -122,41 +131,11 @@
         }
     }
 
-    pub(crate) fn held(
-        &mut self,
-        now: Timestamp,
-        minion: MinionNumber,
-        sent: Timestamp,
-        answer: HoldAnswer,
-    ) {
-        if let Some(lead) = &mut self.lead {
-            lead.held(now, minion, sent, answer, &self.ledger);
-        }
-    }
-
-    pub(crate) fn started(
-        &mut self,
-        now: Timestamp,
-        minion: MinionNumber,
-        run: (TaskId, u32),
-        sent: Timestamp,
-        answer: Answer,
-    ) {
-        if let Some(lead) = &mut self.lead {
-            lead.started(now, minion, run, sent, answer, &self.ledger);
-        }
-    }
-
-    pub(crate) fn stopped(
-        &mut self,
-        now: Timestamp,
-        minion: MinionNumber,
-        run: (TaskId, u32),
-        sent: Timestamp,
-        answer: Answer,
-    ) {
-        if let Some(lead) = &mut self.lead {
-            lead.stopped(now, minion, run, sent, answer);
+    /// Takes what came of orders to minions.
+    pub(crate) fn answered(&mut self, now: Timestamp, answers: Vec<Answered>) {
+        let Some(lead) = &mut self.lead else { return };
+        for a in answers {
+            lead.answered(now, a.minion, &a.order, a.sent, a.answer, &self.ledger);
         }
     }
 
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -1,6 +1,7 @@
 //! Batch work on minions that take orders by call: jobs of steps with dependencies, gangs and
 //! lasting tasks, held in a replicated ledger and dispatched by the leader under a fencing token.
 
+pub mod agents;
 pub mod calls;
 pub mod dispatch;
 pub mod driver;
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -1,6 +1,6 @@
 //! The control daemon's side of calls: answers entry hosts and followers, and its own HTTP face.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -10,12 +10,13 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
+use super::agents::Agents;
 use super::calls::{Call, CallReply, ClientReply, Down, OperatorReply, Up};
-use super::driver::Askers;
 use super::ledger::{Command, Reply};
 use super::link::{LeaderLink, NoAnswer};
 use super::machine::{Admission, Machine};
 use crate::error::{Error, Result, Step};
+use crate::ids::ZoneName;
 use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus};
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
@@ -33,7 +34,9 @@
 pub struct CallServer {
     replica: ReplicaHandle<Machine>,
     keys: CellKeys,
-    askers: Askers,
+    agents: Agents,
+    /// Address of this machine.
+    own: IpAddr,
     connections: Arc<AtomicU64>,
     log: Logger,
 }
@@ -43,13 +46,15 @@
     pub fn new(
         replica: ReplicaHandle<Machine>,
         keys: CellKeys,
-        askers: Askers,
+        agents: Agents,
+        own: IpAddr,
         log: Logger,
     ) -> Self {
         Self {
             replica,
             keys,
-            askers,
+            agents,
+            own,
             connections: Arc::default(),
             log,
         }
@@ -158,12 +163,14 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let writing = tokio::spawn(write_all(writer, rx));
         let done = self.read_all(reader, id, &tx).await;
-        for step in self.askers.remove(id) {
-            let lost = self
-                .replica
-                .inform(move |m, now| m.advised(now, step, None));
-            lost.await;
-        }
+        let (orders, questions) = self.agents.remove(id);
+        let lost = self.replica.inform(move |m, now| {
+            m.answered(now, orders);
+            for step in questions {
+                m.advised(now, step, None);
+            }
+        });
+        lost.await;
         drop(tx);
         writing.abort();
         done
@@ -178,9 +185,8 @@
         let mut status = self.replica.status();
         let (mut last, message) = greeting(&status.borrow_and_update());
         let _ = tx.send(message);
-        if last.0 {
-            self.askers.add(id, tx.clone());
-        }
+        let mut zone = ZoneName::default();
+        let own = reader.peer().split(':').next() == Some(self.own.to_string().as_str());
         let (frames_tx, mut frames) = mpsc::channel::<Up>(64);
         let reading = tokio::spawn(async move {
             while let Ok(Some(up)) = reader.read::<Up>().await {
@@ -201,8 +207,18 @@
                             let _ = tx.send(Down::Reply(number, reply));
                         });
                     }
+                    Some(Up::Hello(named)) => {
+                        zone = named;
+                        if last.0 {
+                            self.agents.add(id, tx.clone(), zone.clone(), own);
+                        }
+                    }
+                    Some(Up::Done(answers)) => {
+                        let answers = self.agents.done(id, answers);
+                        self.replica.inform(move |m, now| m.answered(now, answers)).await;
+                    }
                     Some(Up::Advised(step, advice)) => {
-                        self.askers.answered(id, step);
+                        self.agents.answered(id, step);
                         self.replica.inform(move |m, now| m.advised(now, step, advice)).await;
                     }
                     Some(Up::Ping(number)) => {
@@ -217,7 +233,7 @@
                     if next != last {
                         let _ = tx.send(message);
                         if next.0 && !last.0 {
-                            self.askers.add(id, tx.clone());
+                            self.agents.add(id, tx.clone(), zone.clone(), own);
                         }
                         last = next;
                     }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -12,8 +12,9 @@
 use super::minions::{MinionCalls, PolicyCalls};
 use super::operator::ControlFront;
 use super::settings::Boot;
-use crate::batch::driver::{self, Askers};
-use crate::batch::link::LeaderLink;
+use crate::batch::agents::Agents;
+use crate::batch::driver;
+use crate::batch::link::{Calls, LeaderLink};
 use crate::batch::machine::Machine;
 use crate::batch::model::Limits;
 use crate::batch::server::{CallServer, ToLeader};
@@ -70,20 +71,24 @@
     };
     let replica = Replica::start(cfg, machine)?;
     let client = Client::default();
-    let askers = Askers::default();
+    let agents = Agents::default();
     tokio::spawn(driver::run(
         orders,
         replica.clone(),
         MinionCalls(client.clone()),
-        askers.clone(),
+        agents.clone(),
         log.clone(),
     ));
-    let policy = PolicyCalls {
-        client,
-        addr: boot.policy,
+    let calls_out = Calls {
+        minions: MinionCalls(client.clone()),
+        policy: PolicyCalls {
+            client,
+            addr: boot.policy,
+        },
+        zone: boot.zone.clone(),
     };
-    let link = LeaderLink::start(boot.seed_calls(), keys.clone(), policy, log.clone());
-    let server = CallServer::new(replica.clone(), keys, askers, log.clone());
+    let link = LeaderLink::start(boot.seed_calls(), keys.clone(), calls_out, log.clone());
+    let server = CallServer::new(replica.clone(), keys, agents, boot.ip, log.clone());
     tokio::spawn(server.clone().serve(calls));
     let (_stop, stopping) = watch::channel(false);
     let front = ControlFront {
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -11,9 +11,9 @@
 use super::client::Client;
 use super::front::{Front, Ready};
 use super::http;
-use super::minions::PolicyCalls;
+use super::minions::{MinionCalls, PolicyCalls};
 use super::settings::Boot;
-use crate::batch::link::LeaderLink;
+use crate::batch::link::{Calls, LeaderLink};
 use crate::batch::model::Limits;
 use crate::error::{Error, Result, Step};
 use crate::exit_codes::ExitCode;
@@ -118,11 +118,15 @@
     let front = bind(boot.front, "callers").await?;
     let ready = bind(boot.ready, "the balancer").await?;
     let client = Client::default();
-    let policy = PolicyCalls {
-        client,
-        addr: boot.policy,
+    let calls = Calls {
+        minions: MinionCalls(client.clone()),
+        policy: PolicyCalls {
+            client,
+            addr: boot.policy,
+        },
+        zone: boot.zone.clone(),
     };
-    let link = LeaderLink::start(boot.seed_calls(), open_cell_keys()?, policy, log.clone());
+    let link = LeaderLink::start(boot.seed_calls(), open_cell_keys()?, calls, log.clone());
     let (stop, stopping) = watch::channel(false);
     let limits = Limits::default();
     let callers = Front {
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{
-    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, Listing, Order, Silence, StartOrder,
+    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, Listing, MinionOrder, Order,
+    Silence, StartOrder,
 };
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
 use yuccahold::batch::model::{
@@ -217,7 +218,7 @@
     pub fn take_starts(&mut self) -> Vec<(MinionNumber, StartOrder)> {
         let mut starts = Vec::new();
         self.orders.retain(|order| match order {
-            Order::Start(target, start) => {
+            Order::Minion(target, MinionOrder::Start(start)) => {
                 starts.push((target.minion, (**start).clone()));
                 false
             }
@@ -229,7 +230,7 @@
     pub fn take_holds(&mut self) -> Vec<(MinionNumber, HoldOrder)> {
         let mut holds = Vec::new();
         self.orders.retain(|order| match order {
-            Order::Hold(target, hold) => {
+            Order::Minion(target, MinionOrder::Hold(hold)) => {
                 holds.push((target.minion, hold.clone()));
                 false
             }
@@ -241,9 +242,7 @@
     pub fn take_stops(&mut self) -> Vec<(MinionNumber, TaskId, u32)> {
         let mut stops = Vec::new();
         self.orders.retain(|order| match order {
-            Order::Stop {
-                target, task, run, ..
-            } => {
+            Order::Minion(target, MinionOrder::Stop { task, run, .. }) => {
                 stops.push((target.minion, *task, *run));
                 false
             }
