Cheaper decisions and logs on the leader

Cause: each round looked at every run of every minion, each waiting step sorted all minions before it knew whether it may ask, and each log line woke a thread. Change: checks that end a round early come first; runs that are leaving are kept apart; only minions with a ticket are weighed; a third of the askers is kept for urgent steps; log lines are gathered and written every 100 ms.

--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -72,6 +72,11 @@
         self.lock().agents.insert(id, agent);
     }
 
+    /// Number of agents.
+    pub fn count(&self) -> usize {
+        self.lock().agents.len()
+    }
+
     /// Takes a connection away; gives what it left unanswered.
     pub(crate) fn remove(&self, id: AgentId) -> (Vec<Answered>, Vec<StepId>) {
         let mut pool = self.lock();
--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -18,8 +18,8 @@
 const TICKET_RESERVE: Duration = Duration::from_millis(350);
 /// Pause after a question that brought nothing.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
-/// Questions on the way at once; the askers take one each at a time.
-const MAX_QUESTIONS: usize = 12;
+/// Pause after a look that found nobody to ask about.
+const LOOK_AGAIN: Duration = Duration::from_millis(60);
 /// A question that is not answered after this long is taken as lost.
 const QUESTION_LOST: Duration = Duration::from_secs(4);
 
@@ -40,6 +40,11 @@
         self.tickets.get(&minion).map(|(ticket, _)| ticket.clone())
     }
 
+    /// Minions with a ticket, valid or not.
+    pub(super) fn ticketed(&self) -> impl Iterator<Item = MinionNumber> + '_ {
+        self.tickets.keys().copied()
+    }
+
     pub(super) fn has_ticket(&self, minion: MinionNumber, now: Timestamp) -> bool {
         self.tickets
             .get(&minion)
@@ -54,27 +59,28 @@
 impl Dispatcher {
     /// Asks about a step, if a question now could help to place its tasks.
     pub(super) fn ask(&mut self, now: Timestamp, id: StepId, step: &ReadyStep, terms: AdviceTerms) {
-        if self.questions >= MAX_QUESTIONS {
-            return;
-        }
         let priority = step.queue.priority;
         let urgent = priority == 0;
-        let reaches: BTreeMap<_, _> = self
-            .minions
-            .values()
-            .map(|m| (m.number, self.reach(m, priority)))
-            .collect();
-        let knowledge = self.knowledge.entry(id).or_default();
-        if let Some((at, _)) = &knowledge.asked {
+        let most = if urgent {
+            self.agents * 2
+        } else {
+            self.agents * 2 / 3
+        };
+        if self.questions >= most.max(1) {
+            return;
+        }
+        let entry = self.knowledge.entry(id).or_default();
+        if let Some((at, _)) = &entry.asked {
             if now < *at + QUESTION_LOST {
                 return;
             }
-            knowledge.asked = None;
+            entry.asked = None;
             self.questions -= 1;
         }
-        if now < knowledge.next_question {
+        if now < entry.next_question {
             return;
         }
+        let knowledge = &self.knowledge[&id];
         let spec = &step.spec.steps[usize::from(id.step)];
         let mut known = Vec::new();
         let mut unknown = Vec::new();
@@ -89,8 +95,7 @@
             {
                 continue;
             }
-            let reach = reaches.get(&minion.number).copied().unwrap_or_default();
-            let room = fits_times(&reach, &super::charged(spec));
+            let room = fits_times(&self.reach(minion, priority), &super::charged(spec));
             if room == 0 {
                 continue;
             }
@@ -120,6 +125,9 @@
             wanted.extend(unknown.iter().take(left).map(|(_, _, n)| *n));
         }
         if wanted.is_empty() {
+            if let Some(knowledge) = self.knowledge.get_mut(&id) {
+                knowledge.next_question = now + LOOK_AGAIN;
+            }
             return;
         }
         let minions = wanted
@@ -127,7 +135,9 @@
             .filter_map(|n| self.minions.get(n).map(|m| m.report.id.clone()))
             .collect::<Vec<_>>();
         let cost = terms.base + terms.per_minion * minions.len() as u32;
-        knowledge.asked = Some((now, wanted));
+        if let Some(knowledge) = self.knowledge.get_mut(&id) {
+            knowledge.asked = Some((now, wanted));
+        }
         self.questions += 1;
         self.out.push(Order::Advise(AdviceQuestion {
             step: id,
@@ -136,6 +146,12 @@
         }));
     }
 
+    /// Notes how many processes can ask. Each asks one question at a time, so a third of them is
+    /// kept for urgent steps: a question for long work takes ten times as long as theirs.
+    pub fn set_agents(&mut self, agents: usize) {
+        self.agents = agents;
+    }
+
     /// Takes the answer to a question; `None` when none came.
     pub fn advised(&mut self, now: Timestamp, id: StepId, advice: Option<Advice>) {
         let validity = self
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -115,8 +115,8 @@
                 run.state = RunState::InDoubt;
                 if tries < START_TRIES && run.stop == StopState::No {
                     self.send_start(now, id, ledger);
-                } else if run.stop == StopState::No {
-                    run.stop = StopState::Due(now);
+                } else {
+                    self.stop_run(now, id);
                 }
                 self.note_failed_start(number, id, run_number, "no answer", tries);
             }
@@ -140,12 +140,12 @@
             // Its end is listed, or will be.
             StartRefusal::Superseded if !first => {
                 run.state = RunState::InDoubt;
-                run.stop = StopState::Due(now);
+                self.stop_run(now, id);
             }
             _ if first => self.run_over(now, id, EndKind::NeverStarted, Default::default()),
             _ => {
                 run.state = RunState::InDoubt;
-                run.stop = StopState::Due(now);
+                self.stop_run(now, id);
             }
         }
         match why {
@@ -229,7 +229,10 @@
     pub(super) fn send_stops(&mut self, now: Timestamp) {
         let token = self.term;
         let mut never = Vec::new();
-        for (id, run) in &mut self.runs {
+        for id in &self.leaving {
+            let Some(run) = self.runs.get_mut(id) else {
+                continue;
+            };
             let StopState::Due(at) = run.stop else {
                 continue;
             };
@@ -265,6 +268,7 @@
             && run.stop == StopState::No
         {
             run.stop = StopState::Due(now);
+            self.leaving.insert(id);
         }
     }
 }
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -49,24 +49,13 @@
     fn hold_if_due(&mut self, number: MinionNumber, now: Timestamp) {
         let lease = self.cfg.lease_max - LEASE_RESERVE;
         let token = self.term;
+        if !self.hold_is_due(number, now) {
+            return;
+        }
         let short = self.has_short_runs(number);
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
-        let HoldState::Due(at) = minion.hold else {
-            return;
-        };
-        let wanted =
-            minion.is_busy() || !minion.fenced || minion.leaving || minion.silent_calls > 0;
-        if !wanted || now < at {
-            return;
-        }
-        // An end that waits for agreement would be listed again at once.
-        if minion.fenced && minion.seen_end > minion.acked_end && !minion.runs.is_empty() {
-            if now < at + GATHER * 4 {
-                return;
-            }
-        }
         // A silent minion is asked without a further lease: each one might reach it late, and its
         // tasks could never be started elsewhere while the leader kept asking.
         let deadline = minion
@@ -90,6 +79,25 @@
             .push(Order::Minion(target, MinionOrder::Hold(order)));
     }
 
+    fn hold_is_due(&self, number: MinionNumber, now: Timestamp) -> bool {
+        let Some(minion) = self.minions.get(&number) else {
+            return false;
+        };
+        let HoldState::Due(at) = minion.hold else {
+            return false;
+        };
+        let wanted =
+            minion.is_busy() || !minion.fenced || minion.leaving || minion.silent_calls > 0;
+        // An end that waits for agreement would be listed again at once.
+        let agreeing = minion.fenced && minion.seen_end > minion.acked_end;
+        let pause = if agreeing && !minion.runs.is_empty() {
+            GATHER * 4
+        } else {
+            Duration::ZERO
+        };
+        wanted && now >= at + pause
+    }
+
     fn has_short_runs(&self, number: MinionNumber) -> bool {
         let Some(minion) = self.minions.get(&number) else {
             return false;
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -72,6 +72,12 @@
     knowledge: HashMap<StepId, Knowledge>,
     /// Questions on the way to the policy service.
     questions: usize,
+    /// Processes that can ask.
+    agents: usize,
+    /// Runs that were told to stop and hold their room still.
+    leaving: BTreeSet<TaskId>,
+    /// When room was last sought by stopping others.
+    room_sought: Timestamp,
     /// What the next batch will hold.
     batch: Batch,
     /// Ends taken from minions, by batch on its way; they are acknowledged once it is agreed.
@@ -105,6 +111,9 @@
             dirty_jobs: BTreeSet::new(),
             knowledge: HashMap::new(),
             questions: 0,
+            agents: 1,
+            leaving: BTreeSet::new(),
+            room_sought: Timestamp::ZERO,
             batch: Batch::default(),
             batches: Default::default(),
             place_wanted: true,
@@ -183,6 +192,9 @@
             minion.serving += u32::from(run.serves);
             minion.runs.insert(id);
         }
+        if run.is_leaving() {
+            self.leaving.insert(id);
+        }
         self.least_urgent = self.least_urgent.max(run.priority);
         self.runs.insert(id, run);
     }
@@ -190,6 +202,7 @@
     /// Forgets a run and frees its room.
     fn remove_run(&mut self, id: TaskId) -> Option<Run> {
         let run = self.runs.remove(&id)?;
+        self.leaving.remove(&id);
         self.free_room(id, &run);
         self.dirty_jobs.insert(id.step.job);
         Some(run)
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -94,6 +94,16 @@
         spec: &StepSpec,
     ) -> Option<MinionNumber> {
         let need = charged(spec);
+        if step.queue.advice.is_some() {
+            // Few minions have a ticket; the others need no look.
+            let knowledge = self.knowledge.get(&id)?;
+            return knowledge
+                .ticketed()
+                .filter_map(|number| self.minions.get(&number))
+                .filter(|m| self.may_run(now, m, id, step, spec, &need))
+                .min_by_key(|m| self.score(m, step, spec, &need))
+                .map(|m| m.number);
+        }
         self.minions
             .values()
             .filter(|m| self.may_run(now, m, id, step, spec, &need))
--- a/src/batch/dispatch/preempt.rs
+++ b/src/batch/dispatch/preempt.rs
@@ -1,6 +1,7 @@
 //! Preemption: room for urgent tasks by stopping less urgent ones that lose nothing by it.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::minion::Minion;
 use super::run::{RunState, charged};
@@ -10,6 +11,8 @@
 
 /// Most runs stopped in one round; the next round sees what they freed.
 const MAX_STOPS: usize = 48;
+/// Time between two rounds: each looks at every minion for every waiting task.
+const SEEK_EVERY: Duration = Duration::from_millis(40);
 
 /// Room that will come free, less what is promised to tasks earlier in the order.
 #[derive(Default)]
@@ -25,9 +28,15 @@
     /// more when it is stopped, so all that is lost is the time to restore it; a run that does not
     /// is left alone.
     pub(super) fn make_room(&mut self, now: Timestamp, unix: Timestamp, order: &[StepId]) {
+        if now < self.room_sought + SEEK_EVERY
+            || order.iter().all(|id| !self.ready.contains_key(id))
+        {
+            return;
+        }
+        self.room_sought = now;
         let mut coming: HashMap<MinionNumber, Coming> = HashMap::new();
-        let leaving = |r: &&super::run::Run| r.is_leaving() && r.state != RunState::Ending;
-        for run in self.runs.values().filter(leaving) {
+        let leaving = self.leaving.iter().filter_map(|id| self.runs.get(id));
+        for run in leaving.filter(|r| r.state != RunState::Ending) {
             coming.entry(run.minion).or_default().room.add(&run.need);
         }
         let mut stops = Vec::new();
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -24,6 +24,8 @@
     cfg: DispatchConfig,
     term: Term,
     lead: Option<Dispatcher>,
+    /// Processes that can send orders and ask questions for the leader.
+    agents: usize,
     /// Orders leave through here; the receiver is bounded by what the dispatcher keeps in flight.
     orders: UnboundedSender<Vec<Order>>,
 }
@@ -53,6 +55,7 @@
             cfg,
             term: 0,
             lead: None,
+            agents: 0,
             orders,
         }
     }
@@ -139,6 +142,14 @@
         }
     }
 
+    /// Notes how many agents there are.
+    pub(crate) fn set_agents(&mut self, agents: usize) {
+        self.agents = agents;
+        if let Some(lead) = &mut self.lead {
+            lead.set_agents(agents);
+        }
+    }
+
     pub(crate) fn advised(&mut self, now: Timestamp, step: StepId, advice: Option<Advice>) {
         if let Some(lead) = &mut self.lead {
             lead.advised(now, step, advice);
@@ -194,8 +205,11 @@
     }
 
     fn leadership_changed(&mut self, leading: bool, now: Timestamp) {
-        self.lead =
-            leading.then(|| Dispatcher::new(self.cfg.clone(), self.term, &self.ledger, now));
+        self.lead = leading.then(|| {
+            let mut lead = Dispatcher::new(self.cfg.clone(), self.term, &self.ledger, now);
+            lead.set_agents(self.agents);
+            lead
+        });
     }
 
     fn lead(&mut self, now: Timestamp) -> Vec<Vec<u8>> {
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -164,7 +164,9 @@
         let writing = tokio::spawn(write_all(writer, rx));
         let done = self.read_all(reader, id, &tx).await;
         let (orders, questions) = self.agents.remove(id);
+        let agents = self.agents.count();
         let lost = self.replica.inform(move |m, now| {
+            m.set_agents(agents);
             m.answered(now, orders);
             for step in questions {
                 m.advised(now, step, None);
@@ -211,6 +213,8 @@
                         zone = named;
                         if last.0 {
                             self.agents.add(id, tx.clone(), zone.clone(), own);
+                            let agents = self.agents.count();
+                            self.replica.inform(move |m, _| m.set_agents(agents)).await;
                         }
                     }
                     Some(Up::Done(answers)) => {
@@ -234,6 +238,8 @@
                         let _ = tx.send(message);
                         if next.0 && !last.0 {
                             self.agents.add(id, tx.clone(), zone.clone(), own);
+                            let agents = self.agents.count();
+                            self.replica.inform(move |m, _| m.set_agents(agents)).await;
                         }
                         last = next;
                     }
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -39,7 +39,13 @@
 where
     F: Future<Output = Result<()>>,
 {
-    let (log, guard) = telemetry::stdout_logger(name);
+    let (log, guard) = match telemetry::stdout_logger(name) {
+        Ok(made) => made,
+        Err(e) => {
+            eprintln!("{name}: no thread for the log: {e}");
+            return ExitCode::GeneralError.into();
+        }
+    };
     let boot = match Boot::from_environment() {
         Ok(boot) => boot,
         Err(e) => {
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -2,6 +2,7 @@
 
 use std::io::{IsTerminal, Write};
 
+use super::stdout::Writer;
 use slog::{Drain, FnValue, Level, Logger, PushFnValue, Record, o};
 
 /// Records that wait for the log thread before new ones are dropped and counted in the log.
@@ -44,8 +45,9 @@
 }
 
 /// Makes the logger of a daemon whose platform collects JSON lines from standard output.
-pub fn stdout_logger(daemon: &'static str) -> (Logger, LogGuard) {
-    spawn(daemon, json_drain(std::io::stdout()).fuse(), Level::Info)
+pub fn stdout_logger(daemon: &'static str) -> std::io::Result<(Logger, Writer)> {
+    let (lines, writer) = Writer::start(std::io::stdout())?;
+    Ok((json_logger(daemon, lines), writer))
 }
 
 /// Makes a logger that writes JSON lines to any writer without a thread in between.
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,6 +2,8 @@
 
 mod logs;
 mod metrics_page;
+mod stdout;
 
 pub use logs::{LogFormat, LogGuard, discard, json_logger, logger, stdout_logger};
 pub use metrics_page::{MetricsPage, install_metrics};
+pub use stdout::{Lines, Writer};
