Ask only about minions that may take one more task of a step

Change: a question leaves out minions that cannot take one more task. Test: tests/batch_advice.rs, which failed first (no restart at all).

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use super::order::{Advice, AdviceQuestion, Order};
+use super::run::charged;
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{AdviceTerms, MinionNumber, Room, StepId};
@@ -85,17 +86,17 @@
         let mut known = Vec::new();
         let mut unknown = Vec::new();
         for minion in self.minions.values() {
-            let fits = minion.takes_work(now)
-                && minion.report.service == step.queue.service
-                && spec.label.as_ref().is_none_or(|l| minion.has_label(l))
-                && minion.report.capacity.holds(&spec.need);
-            if !fits
+            // A minion that already has its share of the step would be asked about in vain, and
+            // could hide all others when few tasks are left.
+            if !self.is_eligible(now, minion, id, step, spec)
                 || knowledge.bad.contains(&minion.number)
                 || knowledge.has_ticket(minion.number, now)
             {
                 continue;
             }
-            let room = fits_times(&self.reach(minion, priority), &super::charged(spec));
+            let most = spec.max_per_minion.unwrap_or(u32::MAX);
+            let left = most.saturating_sub(self.of_step_on(minion, id));
+            let room = fits_times(&self.reach(minion, priority), &charged(spec)).min(left);
             if room == 0 {
                 continue;
             }
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -134,6 +134,23 @@
         id: StepId,
         step: &ReadyStep,
         spec: &StepSpec,
+    ) -> bool {
+        self.is_eligible(now, minion, id, step, spec)
+            && (step.queue.advice.is_none()
+                || self
+                    .knowledge
+                    .get(&id)
+                    .is_some_and(|k| k.has_ticket(minion.number, now)))
+    }
+
+    /// Whether a minion could run one more task of a step if the policy lets it, its room aside.
+    pub(super) fn is_eligible(
+        &self,
+        now: Timestamp,
+        minion: &Minion,
+        id: StepId,
+        step: &ReadyStep,
+        spec: &StepSpec,
     ) -> bool {
         if !minion.takes_work(now) {
             return false;
@@ -150,19 +167,11 @@
         {
             return false;
         }
-        if step.queue.advice.is_some()
-            && !self
-                .knowledge
-                .get(&id)
-                .is_some_and(|k| k.has_ticket(minion.number, now))
-        {
-            return false;
-        }
         spec.max_per_minion
             .is_none_or(|most| self.of_step_on(minion, id) < most)
     }
 
-    fn of_step_on(&self, minion: &Minion, id: StepId) -> u32 {
+    pub(super) fn of_step_on(&self, minion: &Minion, id: StepId) -> u32 {
         let first = TaskId { step: id, index: 0 };
         let last = TaskId {
             step: id,
--- /dev/null
+++ b/tests/batch_advice.rs
@@ -0,0 +1,142 @@
+//! Questions to the policy service, and tasks that wait for its tickets.
+
+mod batch_world;
+
+use batch_world::{JOB, World, lasting, ms, queue, report};
+use yuccahold::batch::dispatch::{
+    Advice, AdviceQuestion, ListedEnd, ListedRun, Listing, Order, StartOrder,
+};
+use yuccahold::batch::model::{AdviceTerms, EndKind, Queue, StepSpec};
+
+fn advised_queue() -> Queue {
+    Queue {
+        advice: Some(AdviceTerms {
+            base: ms(100),
+            per_minion: ms(1),
+            validity: ms(2500),
+        }),
+        ..queue()
+    }
+}
+
+fn take_questions(world: &mut World) -> Vec<AdviceQuestion> {
+    let mut questions = Vec::new();
+    world.orders.retain(|order| match order {
+        Order::Advise(question) => {
+            questions.push(question.clone());
+            false
+        }
+        _ => true,
+    });
+    questions
+}
+
+/// Says yes to everyone who is asked about.
+fn allow(world: &mut World, question: &AdviceQuestion) {
+    let good = question
+        .minions
+        .iter()
+        .map(|m| (m.clone(), "ticket".into()));
+    let advice = Advice {
+        good: good.collect(),
+    };
+    world.leader.advised(world.now, question.step, Some(advice));
+    world.decide();
+}
+
+/// A service runs one task on each of eight minions, and one of these leaves. The others have the
+/// most room, but may take no second task, and a question takes a fifth of a ticket's validity.
+/// Asking about them in turn would leave the task waiting for ever, although a ninth minion that
+/// is known to be good has room.
+#[test]
+fn minions_with_their_share_of_a_step_do_not_hide_the_others() {
+    let mut world = World::new();
+    let spread = StepSpec {
+        max_per_minion: Some(1),
+        ..lasting(8, 1_000)
+    };
+    for i in 0..8 {
+        world.join(&format!("i-{i}"), i);
+    }
+    let mut ninth = report("i-8", 8);
+    ninth.labels.push("ninth".into());
+    let ninth = world.join_as(ninth);
+    world.submit_to(JOB, advised_queue(), vec![spread]);
+    let question = take_questions(&mut world).remove(0);
+    assert_eq!(question.minions.len(), 9);
+    allow(&mut world, &question);
+    let mut starts = world.start_all();
+    assert!(starts.iter().all(|(m, _)| *m != ninth));
+    let other = StepSpec {
+        label: Some("ninth".into()),
+        ..lasting(1, 16_000)
+    };
+    world.submit(JOB + 1, vec![other]);
+    starts.extend(world.start_all());
+    for _ in 0..40 {
+        world.pass(ms(100));
+        answer_holds(&mut world, &starts);
+    }
+    take_questions(&mut world);
+
+    world.leader.left(world.now, &"i-0".into());
+    let lost = starts.iter().position(|(m, _)| *m == 0).expect("one each");
+    let (minion, order) = starts.remove(lost);
+    let ended = vec![ListedEnd {
+        number: 1,
+        task: order.task,
+        run: order.run,
+        kind: EndKind::Failed,
+        checkpoint: Default::default(),
+    }];
+    let clock = world.now;
+    world.listing(
+        minion,
+        Listing {
+            clock,
+            running: Vec::new(),
+            ended,
+        },
+    );
+    let mut restarted = Vec::new();
+    for _ in 0..20 {
+        let questions = take_questions(&mut world);
+        for _ in 0..5 {
+            world.pass(ms(100));
+            answer_holds(&mut world, &starts);
+        }
+        for question in questions {
+            allow(&mut world, &question);
+        }
+        let new = world.start_all();
+        restarted.extend(new.iter().map(|(m, _)| *m));
+        starts.extend(new);
+    }
+    assert_eq!(restarted, [ninth]);
+}
+
+fn answer_holds(world: &mut World, starts: &[(u32, StartOrder)]) {
+    for (minion, _) in world.take_holds() {
+        let running = starts.iter().filter(|(m, _)| *m == minion);
+        let running = running.map(|(_, s)| listed(s)).collect();
+        let clock = world.now;
+        world.listing(
+            minion,
+            Listing {
+                clock,
+                running,
+                ended: Vec::new(),
+            },
+        );
+    }
+}
+
+fn listed(start: &StartOrder) -> ListedRun {
+    ListedRun {
+        task: start.task,
+        run: start.run,
+        checkpoint: Default::default(),
+        percent: 100,
+        load: 0,
+    }
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -166,9 +166,15 @@
 
     /// A minion joins and answers its first hold.
     pub fn join(&mut self, id: &str, port: u16) -> MinionNumber {
-        self.leader.report(self.now, report(id, port));
+        self.join_as(report(id, port))
+    }
+
+    /// A minion with this report joins and answers its first hold.
+    pub fn join_as(&mut self, report: MinionReport) -> MinionNumber {
+        let id = report.id.clone();
+        self.leader.report(self.now, report);
         self.decide();
-        let number = self.ledger.minion_number(&id.into()).expect("it joined");
+        let number = self.ledger.minion_number(&id).expect("it joined");
         self.listing(
             number,
             Listing {
