--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -1,5 +1,7 @@
 //! What the leader does once a command is agreed.
 
+use std::collections::BTreeSet;
+
 use super::run::RunState;
 use super::{Dispatcher, JobId, StepId, TaskId};
 use crate::batch::ledger::{Batch, Command, Ledger, TaskState};
@@ -70,11 +72,9 @@
             self.dirty_jobs.insert(*job);
             self.schedule_next(ledger, *job);
         }
-        for end in &batch.ends {
-            let job = end.task.step.job;
-            if ledger.jobs.get(&job).is_some_and(|j| j.state.is_final()) {
-                self.job_ended(now, ledger, job);
-            }
+        let ended: BTreeSet<_> = ledger.ended_now().collect();
+        for job in ended {
+            self.job_ended(now, ledger, job);
         }
         for start in &batch.starts {
             self.start_agreed(now, ledger, start.task, start.run);
--- a/src/batch/driver.rs
+++ b/src/batch/driver.rs
@@ -13,7 +13,7 @@
 };
 use super::machine::{Answered, Machine};
 use super::model::{RunNumber, TaskId};
-use super::note::write_note;
+use super::telling::{count_note, write_note};
 use crate::ids::Term;
 use crate::replication::{ReplicaHandle, monotonic_now};
 
@@ -85,7 +85,10 @@
         let now = monotonic_now();
         for order in batch {
             match order {
-                Order::Note(note) => write_note(&log, &note),
+                Order::Note(note) => {
+                    count_note(&note);
+                    write_note(&log, &note);
+                }
                 Order::Advise(question) => ask(question, &agents, &replica),
                 Order::Minion(target, order) => {
                     if let Err((target, order)) = agents.send(now, &mut batches, target, order) {
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -52,6 +52,13 @@
         self.unstarted.iter().filter(of_queue).count()
     }
 
+    /// Jobs that the latest command ended.
+    pub(crate) fn ended_now(&self) -> impl Iterator<Item = JobId> + '_ {
+        let latest = self.ended.iter().rev();
+        let latest = latest.take_while(|(at, _)| *at == self.clock);
+        latest.map(|(_, id)| *id)
+    }
+
     /// Looks a task up.
     pub fn task(&self, id: TaskId) -> Option<&TaskRecord> {
         self.jobs.get(&id.step.job)?.task(id)
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -11,3 +11,4 @@
 pub mod model;
 pub mod note;
 pub mod server;
+mod telling;
--- /dev/null
+++ b/src/batch/telling.rs
@@ -0,0 +1,111 @@
+//! Notes as log lines and as metrics.
+
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+use slog::{Logger, info};
+
+use super::note::Note;
+
+/// Writes a note as one line of the log.
+pub(crate) fn write_note(log: &Logger, note: &Note) {
+    let ms = |d: &Duration| d.as_millis() as u64;
+    match note {
+        Note::JobAccepted {
+            job,
+            queue,
+            unstarted,
+        } => info!(log, "job accepted"; "job" => format!("{job:016x}"),
+            "queue" => queue.as_str(), "unstarted" => unstarted),
+        Note::JobEnded { job, state, age } => info!(log, "job ended";
+            "job" => format!("{job:016x}"), "state" => state, "age_ms" => ms(age)),
+        Note::RunPlaced {
+            task,
+            run,
+            minion,
+            age,
+            estimate,
+            slack,
+            free,
+            heard,
+        } => info!(log, "run placed"; "task" => %task, "run" => run, "minion" => minion.as_str(),
+            "age_ms" => ms(age), "estimate_ms" => ms(estimate),
+            "slack_ms" => ms(slack), "free_millicores" => free, "heard_ms" => ms(heard)),
+        Note::RunEnded {
+            task,
+            run,
+            minion,
+            kind,
+            age,
+        } => info!(log, "run ended"; "task" => %task, "run" => run, "minion" => minion.as_str(),
+            "how" => kind.as_str(), "age_ms" => ms(age)),
+        Note::StartFailed {
+            task,
+            run,
+            minion,
+            why,
+            tries,
+        } => info!(log, "start failed"; "task" => %task, "run" => run,
+            "minion" => minion.as_str(), "why" => why, "tries" => tries),
+        Note::MinionJoined { minion } => info!(log, "minion joined"; "minion" => minion.as_str()),
+        Note::MinionDraining { minion, sequence } => info!(log, "minion draining";
+            "minion" => minion.as_str(), "sequence" => sequence),
+        Note::MinionSilent {
+            minion,
+            heard,
+            runs,
+        } => info!(log, "minion silent"; "minion" => minion.as_str(), "heard_ms" => ms(heard),
+            "runs" => runs),
+        Note::MinionGone { minion, why, runs } => info!(log, "minion gone";
+            "minion" => minion.as_str(), "why" => why, "runs" => runs),
+        Note::LeadBegan {
+            term,
+            runs,
+            jobs,
+            config,
+        } => info!(log, "leadership began"; "term" => term, "runs" => runs, "jobs" => jobs,
+            "config" => config),
+        Note::ConfigInForce { version, queues } => info!(log, "configuration in force";
+            "version" => version, "queues" => queues),
+    }
+}
+
+/// Counts a note.
+pub(crate) fn count_note(note: &Note) {
+    match note {
+        Note::JobAccepted { unstarted, .. } => {
+            counter!("yuccahold_batch_jobs_accepted_total").increment(1);
+            gauge!("yuccahold_batch_jobs_unstarted").set(*unstarted as f64);
+        }
+        Note::JobEnded { state, age, .. } => {
+            counter!("yuccahold_batch_jobs_ended_total", "state" => *state).increment(1);
+            histogram!("yuccahold_batch_job_seconds").record(age.as_secs_f64());
+        }
+        Note::RunPlaced { run, age, .. } => {
+            counter!("yuccahold_batch_runs_placed_total").increment(1);
+            if *run == 1 {
+                histogram!("yuccahold_batch_accepted_to_placed_seconds").record(age.as_secs_f64());
+            }
+        }
+        Note::RunEnded { kind, age, .. } => {
+            counter!("yuccahold_batch_runs_ended_total", "how" => kind.as_str()).increment(1);
+            histogram!("yuccahold_batch_run_seconds").record(age.as_secs_f64());
+        }
+        Note::StartFailed { why, .. } => {
+            counter!("yuccahold_batch_starts_failed_total", "why" => *why).increment(1);
+        }
+        Note::MinionJoined { .. } => counter!("yuccahold_batch_minions_joined_total").increment(1),
+        Note::MinionDraining { .. } => {
+            counter!("yuccahold_batch_minions_draining_total").increment(1);
+        }
+        Note::MinionSilent { .. } => counter!("yuccahold_batch_minions_silent_total").increment(1),
+        Note::MinionGone { .. } => counter!("yuccahold_batch_minions_gone_total").increment(1),
+        Note::LeadBegan { term, .. } => {
+            counter!("yuccahold_batch_leads_total").increment(1);
+            gauge!("yuccahold_batch_term").set(*term as f64);
+        }
+        Note::ConfigInForce { version, .. } => {
+            gauge!("yuccahold_batch_config_version").set(*version as f64);
+        }
+    }
+}
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -75,7 +75,7 @@
 }
 
 /// Reads a configuration; the error is one sentence for the operator.
-pub(super) fn decode(document: Bytes) -> Result<ConfigOrder, String> {
+pub fn decode(document: Bytes) -> Result<ConfigOrder, String> {
     let body: ConfigBody = serde_json::from_slice(&document).map_err(|e| e.to_string())?;
     let known: BTreeSet<_> = body.services.iter().map(|s| s.name.clone()).collect();
     let mut places = BTreeSet::new();
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::client::Client;
-use super::entry::{bind, farewell, open_cell_keys, run_daemon, wait_for_end};
+use super::entry::{bind, farewell, open_cell_keys, run_daemon, serve_metrics, wait_for_end};
 use super::http;
 use super::minions::{MinionCalls, PolicyCalls};
 use super::operator::ControlFront;
@@ -44,6 +44,7 @@
         .data
         .clone()
         .ok_or_else(|| Error::new(Step::Settings, "no folder for files is given"))?;
+    serve_metrics(&boot, &log).await?;
     let keys = open_cell_keys()?;
     let control = bind(boot.control, "operators and minions").await?;
     let calls = bind(Some(boot.call_addr()), "calls").await?;
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use super::client::Client;
-use super::front::{Front, Ready};
+use super::front::{Front, MetricsFront, Ready};
 use super::http;
 use super::minions::{MinionCalls, PolicyCalls};
 use super::settings::Boot;
@@ -24,6 +24,8 @@
 /// processes of other versions and stray connections apart. Only machines of the system can reach
 /// the ports.
 const OPEN_CELL: &str = "open cell on a closed network";
+/// Time between two foldings of the histograms, which would grow while nobody reads the page.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
 /// Part of the time before SIGKILL that is left for the process to end by itself.
 const GRACE_RESERVE: Duration = Duration::from_millis(800);
 
@@ -110,6 +112,26 @@
     }
 }
 
+/// Serves the metrics page. A daemon whose metrics port is taken does its work all the same.
+pub(super) async fn serve_metrics(boot: &Boot, log: &Logger) -> Result<()> {
+    let page = telemetry::install_metrics()?;
+    match bind(Some(boot.metrics_addr()), "metrics").await {
+        Ok(listener) => {
+            let (_, stopping) = watch::channel(false);
+            let pages = MetricsFront(page.clone());
+            tokio::spawn(async move {
+                loop {
+                    tokio::time::sleep(METRICS_UPKEEP).await;
+                    page.upkeep();
+                }
+            });
+            tokio::spawn(http::serve(listener, pages, Limits::default(), stopping));
+        }
+        Err(e) => slog::warn!(log, "metrics are not served"; "error" => %e),
+    }
+    Ok(())
+}
+
 /// Time for which a process that was told to end still answers.
 pub(super) fn farewell(boot: &Boot) -> Duration {
     boot.grace.saturating_sub(GRACE_RESERVE)
@@ -121,6 +143,7 @@
 }
 
 async fn serve(boot: Boot, log: Logger) -> Result<()> {
+    serve_metrics(&boot, &log).await?;
     let front = bind(boot.front, "callers").await?;
     let ready = bind(boot.ready, "the balancer").await?;
     let client = Client::default();
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -6,15 +6,18 @@
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
+use metrics::{counter, histogram};
 use slog::{Logger, info};
 use tokio::time::Instant;
 
-use super::http::{Handler, Reply, body_refused, come_back, empty, json, read_body, refused};
+use super::http::{Handler, Reply, body_refused, come_back, empty, json, read_body, refused, text};
 use super::jobs::{self, PendingBody};
+use super::settings::METRICS_PATH;
 use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply};
 use crate::batch::link::{LeaderLink, NoAnswer};
 use crate::batch::machine::parse_job_id;
 use crate::batch::model::Limits;
+use crate::telemetry::MetricsPage;
 
 /// How long the caller waits for an answer, in ms.
 const DEADLINE: &str = "Yuccahold-Deadline-Ms";
@@ -76,9 +79,13 @@
             .link
             .call(Call::Client(call), received + patience)
             .await;
+        let took = received.elapsed();
+        let outcome = outcome(&reply);
+        counter!("yuccahold_batch_requests_total", "outcome" => outcome).increment(1);
+        histogram!("yuccahold_batch_request_seconds").record(took.as_secs_f64());
         if changes || reply.is_err() {
             info!(self.log, "request answered"; "path" => path.as_str(),
-                "outcome" => outcome(&reply), "took_ms" => received.elapsed().as_millis() as u64);
+                "outcome" => outcome, "took_ms" => took.as_millis() as u64);
         }
         to_http(reply)
     }
@@ -165,3 +172,16 @@
         empty(StatusCode::OK)
     }
 }
+
+/// Serves the metrics page.
+#[derive(Clone)]
+pub(super) struct MetricsFront(pub(super) MetricsPage);
+
+impl Handler for MetricsFront {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        if req.uri().path() != METRICS_PATH {
+            return refused(StatusCode::NOT_FOUND, "there is nothing at this path");
+        }
+        text(self.0.render())
+    }
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -125,3 +125,10 @@
     reply.headers_mut().insert(RETRY_AFTER, seconds.into());
     reply
 }
+
+pub(super) fn text(body: String) -> Reply {
+    let mut reply = document(StatusCode::OK, body.into());
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    reply.headers_mut().insert(CONTENT_TYPE, kind);
+    reply
+}
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -75,7 +75,7 @@
 }
 
 /// Reads a job; the error is one sentence for the caller.
-pub(super) fn decode(body: &[u8]) -> Result<Arc<JobSpec>, String> {
+pub fn decode(body: &[u8]) -> Result<Arc<JobSpec>, String> {
     let job: JobBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     if job.spec.len() > MAX_PAYLOAD {
         return Err(format!("spec is longer than {MAX_PAYLOAD} bytes"));
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -323,7 +323,7 @@
 }
 
 /// Reads what a minion says of itself; the error is one sentence.
-pub(super) fn decode_report(id: &str, body: &[u8]) -> Result<MinionReport, String> {
+pub fn decode_report(id: &str, body: &[u8]) -> Result<MinionReport, String> {
     let report: ReportBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let readiness = match report.state.as_str() {
         "ready" => Readiness::Ready,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,9 @@
 mod operator;
 mod settings;
 
+pub use config::decode as decode_config;
 pub use control::run as run_control;
 pub use entry::run as run_entry;
+pub use jobs::decode as decode_job;
+pub use minions::decode_report;
 pub use settings::{Boot, BootProblems};
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -10,6 +10,9 @@
 
 /// Environment variable that names the file.
 pub(super) const PATH_VARIABLE: &str = "YUCCAHOLD_BOOT";
+/// Where each process serves its metrics; `deploy/system.toml` names the same.
+pub(super) const METRICS_PORT: u16 = 9464;
+pub(super) const METRICS_PATH: &str = "/metrics";
 /// Ports of the range given to daemons: replicas of the log, and calls to the leader.
 const REPLICA_PORT: u16 = 0;
 const CALL_PORT: u16 = 1;
@@ -200,6 +203,11 @@
         SocketAddr::new(self.ip, self.port(CALL_PORT))
     }
 
+    /// Where this process serves its metrics.
+    pub(super) fn metrics_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, METRICS_PORT)
+    }
+
     /// Where the seeds listen for other replicas.
     pub(super) fn seed_replicas(&self) -> Vec<SocketAddr> {
         self.seeds_at(REPLICA_PORT)
--- /dev/null
+++ b/tests/batch_ledger.rs
@@ -0,0 +1,230 @@
+//! What the ledger keeps, whatever arrives in whatever order.
+
+mod batch_world;
+
+use std::sync::Arc;
+
+use batch_world::{JOB, World, lasting, ms, queue, step};
+use rstest::rstest;
+use yuccahold::batch::dispatch::{Answer, ListedEnd, Listing};
+use yuccahold::batch::ledger::{Command, Ledger};
+use yuccahold::batch::model::{Configuration, EndKind, JobState, StepSpec};
+
+fn put(version: u64, text: &str) -> Command {
+    Command::PutConfig {
+        version,
+        document: text.to_owned().into(),
+        parsed: Arc::new(Configuration::default()),
+    }
+}
+
+/// Two operators race and answers are lost, so orders arrive again and in any order. The highest
+/// version stays, and other content under its number never comes into force.
+#[test]
+fn the_highest_configuration_stays() {
+    let mut ledger = Ledger::default();
+    for (version, text) in [
+        (3, "three"),
+        (2, "two"),
+        (3, "other"),
+        (5, "five"),
+        (3, "three"),
+    ] {
+        ledger.apply(ms(1), &put(version, text));
+    }
+    let snapshot = Ledger::from_bytes(&ledger.to_bytes().expect("writes")).expect("reads");
+    assert_eq!(snapshot, ledger);
+    insta::assert_debug_snapshot!(snapshot);
+}
+
+/// A snapshot or a command of another version of the program is refused by its number.
+#[test]
+fn an_unknown_format_is_refused_by_name() {
+    let mut bytes = Ledger::default().to_bytes().expect("writes");
+    bytes[0] = 9;
+    let e = Ledger::from_bytes(&bytes).expect_err("another format");
+    assert!(e.to_string().contains("format 9"), "{e}");
+}
+
+/// Reports one end of the only run under way, of a step with one task.
+fn end_once(world: &mut World, number: u64, kind: EndKind) {
+    let (minion, start) = world.start_all().pop().expect("a start");
+    world.take_holds();
+    let end = ListedEnd {
+        number,
+        task: start.task,
+        run: start.run,
+        kind,
+        checkpoint: Default::default(),
+    };
+    let clock = world.now;
+    world.listing(
+        minion,
+        Listing {
+            clock,
+            running: Vec::new(),
+            ended: vec![end],
+        },
+    );
+    // A minion on which two runs fail in a row gets no work for a second.
+    world.pass(ms(9_000));
+}
+
+#[rstest]
+#[case::done(&[EndKind::Done], JobState::Done)]
+#[case::failed_thrice(&[EndKind::Failed, EndKind::Failed, EndKind::Failed], JobState::Failed)]
+#[case::failed_twice_then_done(&[EndKind::Failed, EndKind::Failed, EndKind::Done], JobState::Done)]
+#[case::others_do_not_count(
+    &[EndKind::Stopped, EndKind::Lapsed, EndKind::Broken, EndKind::Failed, EndKind::Done],
+    JobState::Done
+)]
+fn attempts_are_counted_by_failed_ends_alone(#[case] ends: &[EndKind], #[case] state: JobState) {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    world.submit(JOB, vec![step(1, 1000)]);
+    for (i, kind) in ends.iter().enumerate() {
+        end_once(&mut world, i as u64 + 1, *kind);
+    }
+    assert_eq!(world.ledger.job_state(JOB), Some(state));
+}
+
+/// A lasting task is started again however it ends, also when it says that it is done.
+#[rstest]
+#[case(EndKind::Done)]
+#[case(EndKind::Failed)]
+#[case(EndKind::Lapsed)]
+fn a_lasting_task_is_started_again(#[case] kind: EndKind) {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    world.submit(JOB, vec![lasting(1, 1000)]);
+    for number in 1..=5 {
+        end_once(&mut world, number, kind);
+    }
+    assert_eq!(world.take_starts().len(), 1);
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
+}
+
+/// The next step begins once every task before it is done, not earlier.
+#[test]
+fn a_step_waits_for_the_steps_before_it() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1000)
+    };
+    world.submit(JOB, vec![step(2, 1000), second]);
+    let starts = world.start_all();
+    let mut begun = Vec::new();
+    for (i, (_, start)) in starts.iter().enumerate() {
+        begun.push(world.take_starts().len());
+        world.take_holds();
+        let running = starts[i + 1..]
+            .iter()
+            .map(|(_, s)| yuccahold::batch::dispatch::ListedRun {
+                task: s.task,
+                run: s.run,
+                checkpoint: Default::default(),
+                percent: 50,
+                load: 0,
+            });
+        let listing = Listing {
+            clock: world.now,
+            running: running.collect(),
+            ended: vec![ListedEnd {
+                number: i as u64 + 1,
+                task: start.task,
+                run: start.run,
+                kind: EndKind::Done,
+                checkpoint: Default::default(),
+            }],
+        };
+        world.listing(minion, listing);
+    }
+    begun.push(world.take_starts().len());
+    assert_eq!(begun, [0, 0, 1]);
+}
+
+/// The leader dies right after it had a start agreed. The next leader does not know whether the
+/// order went out. It must not start the task elsewhere before the minion, under the new token,
+/// has said that it does not run there.
+#[test]
+fn a_new_leader_asks_before_it_starts_a_task_again() {
+    let mut world = World::new();
+    let first = world.join("i-1", 1);
+    world.submit(JOB, vec![step(1, 1000)]);
+    assert_eq!(world.take_starts().len(), 1);
+    world.new_leader(2);
+    world.join("i-2", 2);
+    let before = world.take_starts().len();
+    let clock = world.now;
+    world.listing(
+        first,
+        Listing {
+            clock,
+            ..Listing::default()
+        },
+    );
+    let after: Vec<_> = world
+        .take_starts()
+        .iter()
+        .map(|(_, s)| (s.run, s.token))
+        .collect();
+    assert_eq!((before, after), (0, vec![(2, 2)]));
+}
+
+/// A start brings no answer. It may be carried out seconds later, so its room stays taken and the
+/// task is not started elsewhere until a list made after its deadline does not show it.
+#[test]
+fn an_unanswered_start_is_not_given_to_another_minion() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    world.submit(JOB, vec![step(1, 32_000)]);
+    let lost = Answer::Silent(yuccahold::batch::dispatch::Silence::Lost);
+    let mut tries = 0;
+    while let Some((_, start)) = world.take_starts().pop() {
+        assert_eq!(start.run, 1);
+        tries += 1;
+        world.answer_start(minion, start.task, start.run, lost);
+    }
+    world.join("i-2", 2);
+    let early = world.take_starts().len();
+    world.take_holds();
+    let clock = world.now;
+    world.listing(
+        minion,
+        Listing {
+            clock,
+            ..Listing::default()
+        },
+    );
+    let before_deadline = world.take_starts().len();
+    world.pass(ms(2_000));
+    world.take_holds();
+    let clock = world.now;
+    world.listing(
+        minion,
+        Listing {
+            clock,
+            ..Listing::default()
+        },
+    );
+    let later: Vec<_> = world.take_starts().iter().map(|(_, s)| s.run).collect();
+    assert_eq!((tries, early, before_deadline, later), (4, 0, 0, vec![2]));
+}
+
+/// A job is cancelled while its start is being agreed and while it runs. Nothing of it starts
+/// after that, and what runs is stopped.
+#[test]
+fn a_cancelled_job_does_not_start_and_is_stopped() {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    world.submit_to(JOB, queue(), vec![step(1, 1000)]);
+    world.start_all();
+    world.apply(&Command::Cancel { job: JOB });
+    world.decide();
+    let stops = world.take_stops().len();
+    world.pass(ms(500));
+    assert_eq!((stops, world.take_starts().len()), (1, 0));
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Canceled));
+}
--- /dev/null
+++ b/tests/platform_decoders.rs
@@ -0,0 +1,101 @@
+//! What the platform sends is either understood in full or refused with one sentence.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use yuccahold::platform::{Boot, decode_config, decode_job, decode_report};
+
+const JOB: &str = r#"{"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"est_ms":900,
+    "data_rack":"r1-3"},{"count":20,"cpu":2000,"depends_on":[0],"saves_progress":true}]}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/",
+    "kind":"unsafe","timeout_ms":3000,"slo_ms":250,"priority":0,"service":"s","attempts":3,
+    "stretch":1.5,"advice":{"decide_ms":23.5,"each_ms":0.3,"validity_ms":2000}}],
+    "services":[{"name":"s","admission_check":false,"standby":false}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,
+    "idle_timeout_ms":15000}}"#;
+const REPORT: &str = r#"{"service":"s","addr":"10.128.0.9:8080","zone":"mixco","version":"v1",
+    "slots":8,"state":"draining","remaining_ms":2000,"cold_left_ms":0,
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,
+    "seq":4}"#;
+const BOOT: &str = "node=core-1\nip=10.1.0.15\nzone=bern-a\nlisten.control=10.1.0.15:8166\n\
+    port_range=7720,7735\nseeds=10.1.0.15:8166,10.2.0.32:8166\nbootstrap=true\nsomething.new=1\n\
+    bounds.grace_s=6\nbounds.hold_max_ms=6000\nbounds.stop_ms=400\nbounds.gang_ms=3000\n\
+    bounds.far_x=3\n";
+
+#[test]
+fn the_contracts_examples_are_understood() {
+    let job = decode_job(JOB.as_bytes()).expect("a job");
+    let config = decode_config(CONFIG.into()).expect("a configuration");
+    let report = decode_report("i-1", REPORT.as_bytes()).expect("a report");
+    insta::assert_debug_snapshot!((job, config.version, config.parsed, report));
+}
+
+#[rstest]
+#[case::no_steps(r#"{"spec":"","steps":[]}"#)]
+#[case::steps_missing(r#"{"spec":""}"#)]
+#[case::count_zero(r#"{"steps":[{"cpu":1}]}"#)]
+#[case::count_of_millions(r#"{"steps":[{"count":5000000}]}"#)]
+#[case::count_negative(r#"{"steps":[{"count":-1}]}"#)]
+#[case::depends_on_itself(r#"{"steps":[{"count":1,"depends_on":[0]}]}"#)]
+#[case::depends_on_a_later_one(r#"{"steps":[{"count":1,"depends_on":[1]},{"count":1}]}"#)]
+#[case::depends_on_none_that_exists(r#"{"steps":[{"count":1,"depends_on":[7]}]}"#)]
+#[case::time_negative(r#"{"steps":[{"count":1,"est_ms":-5}]}"#)]
+#[case::time_absurd(r#"{"steps":[{"count":1,"est_ms":1e300}]}"#)]
+#[case::field_twice(r#"{"spec":"a","spec":"b","steps":[{"count":1}]}"#)]
+#[case::cut_short(r#"{"spec":"a","steps":[{"count":1}"#)]
+#[case::not_text("\u{0}")]
+fn a_job_that_makes_no_sense_is_refused(#[case] body: &str) {
+    assert!(decode_job(body.as_bytes()).is_err());
+}
+
+#[rstest]
+#[case::unknown_service(&CONFIG.replace(r#""service":"s""#, r#""service":"t""#))]
+#[case::timeout_zero(&CONFIG.replace(r#""timeout_ms":3000"#, r#""timeout_ms":0"#))]
+#[case::no_version(&CONFIG.replace(r#""version":7,"#, ""))]
+#[case::cut_short(&CONFIG[..CONFIG.len() / 2])]
+fn an_invalid_configuration_is_refused(#[case] body: &str) {
+    assert!(decode_config(body.to_owned().into()).is_err());
+}
+
+#[test]
+fn two_routes_in_one_place_are_refused() {
+    let route = &CONFIG[CONFIG.find(r#"{"name":"r""#).expect("a route")..];
+    let route = &route[..route.find("}}]").expect("its end") + 2];
+    let twice = CONFIG.replace(route, &format!("{route},{route}"));
+    assert!(decode_config(twice.into()).is_err());
+}
+
+#[test]
+fn all_that_is_wrong_with_the_settings_is_told_together() {
+    assert!(Boot::parse(BOOT).is_ok());
+    let wrong = BOOT
+        .replace("ip=10.1.0.15\n", "ip=here\n")
+        .replace("bounds.stop_ms=400\n", "")
+        .replace("zone=bern-a\n", "no value at all\n");
+    let problems = Boot::parse(&wrong).expect_err("three problems");
+    insta::assert_debug_snapshot!(problems);
+}
+
+/// Bodies with bytes changed, cut and doubled: refused or understood, never a panic.
+#[test]
+fn damaged_bodies_never_end_the_process() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for round in 0..6_000 {
+        let whole = [JOB, CONFIG, REPORT, BOOT][round % 4].as_bytes();
+        let mut body = whole.to_vec();
+        for _ in 0..rng.random_range(1..6) {
+            let at = rng.random_range(0..body.len());
+            match rng.random_range(0..3) {
+                0 => body[at] = rng.random(),
+                1 => body.truncate(at.max(1)),
+                _ => body.insert(at, b"{}[]\",:-9e"[rng.random_range(0..10)]),
+            }
+        }
+        let _ = decode_job(&body);
+        let _ = decode_config(body.clone().into());
+        let _ = decode_report("i-1", &body);
+        let _ = Boot::parse(&String::from_utf8_lossy(&body));
+    }
+    let deep = "[".repeat(100_000);
+    assert!(decode_job(deep.as_bytes()).is_err());
+}
