Weigh only minions with a ticket for preemption; clippy

Cause: with hundreds of waiting steps each round worked out the room of 350 minions for every step (worked out, not measured apart). Change: the room is worked out once a round and priority.

--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -89,22 +89,22 @@
         (open.collect(), questions.collect())
     }
 
-    /// Hands an order to the minion's agent; gives it back when there is none.
+    /// Hands an order to the minion's agent; gives it back when there is nobody.
     pub(crate) fn send(
         &self,
         now: Timestamp,
         batches: &mut Batches,
         target: Target,
         order: MinionOrder,
-    ) -> Result<(), (Target, MinionOrder)> {
+    ) -> Option<(Target, MinionOrder)> {
         let mut pool = self.lock();
         let Some(id) = pool.agent_of(now, &target) else {
-            return Err((target, order));
+            return Some((target, order));
         };
         pool.next_order += 1;
         let number = pool.next_order;
         let Some(agent) = pool.agents.get_mut(&id) else {
-            return Err((target, order));
+            return Some((target, order));
         };
         let wait = match &order {
             MinionOrder::Hold(hold) => hold.wait,
@@ -123,7 +123,7 @@
             .entry(id)
             .or_default()
             .push((number, target, order));
-        Ok(())
+        None
     }
 
     /// Sends what was gathered, one message an agent.
--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -1,6 +1,7 @@
 //! Tickets of the policy service: what is known of each step, and whom to ask about.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -20,7 +21,7 @@
 /// Pause after a question that brought nothing.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 /// Pause after a look that found nobody to ask about.
-const LOOK_AGAIN: Duration = Duration::from_millis(60);
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
 /// A question that is not answered after this long is taken as lost.
 const QUESTION_LOST: Duration = Duration::from_secs(4);
 
@@ -58,6 +59,21 @@
 }
 
 impl Dispatcher {
+    /// What each minion could make room for, worked out once in a round: with hundreds of waiting
+    /// steps it would otherwise be most of the leader's work.
+    fn reaches(&mut self, priority: u32) -> Arc<BTreeMap<MinionNumber, Room>> {
+        if let Some(known) = self.reaches.get(&priority) {
+            return Arc::clone(known);
+        }
+        let all = self
+            .minions
+            .values()
+            .map(|m| (m.number, self.reach(m, priority)));
+        let all: Arc<BTreeMap<_, _>> = Arc::new(all.collect());
+        self.reaches.insert(priority, Arc::clone(&all));
+        all
+    }
+
     /// Asks about a step, if a question now could help to place its tasks.
     pub(super) fn ask(&mut self, now: Timestamp, id: StepId, step: &ReadyStep, terms: AdviceTerms) {
         let priority = step.queue.priority;
@@ -81,6 +97,7 @@
         if now < entry.next_question {
             return;
         }
+        let reaches = self.reaches(priority);
         let knowledge = &self.knowledge[&id];
         let spec = &step.spec.steps[usize::from(id.step)];
         let mut known = Vec::new();
@@ -94,9 +111,12 @@
             {
                 continue;
             }
+            let Some(reach) = reaches.get(&minion.number) else {
+                continue;
+            };
             let most = spec.max_per_minion.unwrap_or(u32::MAX);
             let left = most.saturating_sub(self.of_step_on(minion, id));
-            let room = fits_times(&self.reach(minion, priority), &charged(spec)).min(left);
+            let room = fits_times(reach, &charged(spec)).min(left);
             if room == 0 {
                 continue;
             }
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -105,7 +105,6 @@
             Answer::Done { .. } => {
                 run.state = RunState::Running(now);
                 run.begun = Some(sent);
-                return;
             }
             Answer::Refused { why, .. } => {
                 self.start_refused(now, number, id, why);
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -18,10 +18,11 @@
 mod speed;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::ledger::{Batch, Ledger, TaskState};
-use super::model::{JobId, MinionNumber, MinionReport, Readiness, StepId, TaskId};
+use super::model::{JobId, MinionNumber, MinionReport, Readiness, Room, StepId, TaskId};
 use super::note::Note;
 use crate::ids::{MinionId, Term, Timestamp};
 
@@ -76,6 +77,8 @@
     agents: usize,
     /// Runs that were told to stop and hold their room still.
     leaving: BTreeSet<TaskId>,
+    /// Room that minions could make, by priority of the work; of the present round.
+    reaches: HashMap<u32, Arc<BTreeMap<MinionNumber, Room>>>,
     /// When room was last sought by stopping others.
     room_sought: Timestamp,
     /// What the next batch will hold.
@@ -113,6 +116,7 @@
             questions: 0,
             agents: 1,
             leaving: BTreeSet::new(),
+            reaches: HashMap::new(),
             room_sought: Timestamp::ZERO,
             batch: Batch::default(),
             batches: Default::default(),
@@ -284,16 +288,12 @@
         self.begin_due_occurrences(unix);
         self.renew_ready(ledger);
         self.tend_minions(now);
-        if self.batches.len() < MAX_BATCHES {
-            if self.place_wanted || now >= self.place_at {
-                self.place(now, unix, ledger);
-            }
+        let may_propose = self.batches.len() < MAX_BATCHES;
+        if may_propose && (self.place_wanted || now >= self.place_at) {
+            self.place(now, unix, ledger);
         }
         self.send_stops(now);
-        if self.batches.len() < MAX_BATCHES {
-            return self.cut_batch();
-        }
-        None
+        if may_propose { self.cut_batch() } else { None }
     }
 
     fn cut_batch(&mut self) -> Option<Batch> {
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -21,6 +21,7 @@
     pub(super) fn place(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) {
         self.place_wanted = false;
         self.place_at = now + PLACE_AGAIN;
+        self.reaches.clear();
         let order = self.service_order(unix);
         let mut started = 0;
         for id in &order {
--- a/src/batch/dispatch/preempt.rs
+++ b/src/batch/dispatch/preempt.rs
@@ -12,7 +12,7 @@
 /// Most runs stopped in one round; the next round sees what they freed.
 const MAX_STOPS: usize = 48;
 /// Time between two rounds: each looks at every minion for every waiting task.
-const SEEK_EVERY: Duration = Duration::from_millis(40);
+const SEEK_EVERY: Duration = Duration::from_millis(50);
 
 /// Room that will come free, less what is promised to tasks earlier in the order.
 #[derive(Default)]
@@ -80,7 +80,7 @@
     ) -> bool {
         let need = charged(spec);
         let mut best: Option<(u32, MinionNumber, Vec<TaskId>)> = None;
-        for minion in self.minions.values() {
+        for minion in self.candidates(id, step) {
             if !self.suits(now, minion, id, step, spec) {
                 continue;
             }
@@ -113,6 +113,18 @@
         true
     }
 
+    /// Minions that the policy may let run a step: those with a ticket, where there is a policy.
+    fn candidates(&self, id: StepId, step: &ReadyStep) -> Vec<&Minion> {
+        if step.queue.advice.is_none() {
+            return self.minions.values().collect();
+        }
+        let known = self.knowledge.get(&id).into_iter();
+        let ticketed = known.flat_map(super::advice::Knowledge::ticketed);
+        ticketed
+            .filter_map(|number| self.minions.get(&number))
+            .collect()
+    }
+
     /// Runs on a minion whose end makes enough room, and the processor share they take; the least
     /// urgent and the latest begun come first.
     fn victims(
--- a/src/batch/driver.rs
+++ b/src/batch/driver.rs
@@ -91,7 +91,8 @@
                 }
                 Order::Advise(question) => ask(question, &agents, &replica),
                 Order::Minion(target, order) => {
-                    if let Err((target, order)) = agents.send(now, &mut batches, target, order) {
+                    let back = agents.send(now, &mut batches, target, order);
+                    if let Some((target, order)) = back {
                         send_directly(target, order, replica.clone(), minions.clone());
                     }
                 }
--- a/src/replication/runtime/messages.rs
+++ b/src/replication/runtime/messages.rs
@@ -22,8 +22,11 @@
 /// Work on the state of a leader whose leadership is confirmed at this moment, or told why not.
 pub(super) struct Leased<M>(pub(super) ReadJob<M>);
 
+/// What to do with the machine above the log, and when.
+pub(super) type News<M> = Box<dyn FnOnce(&mut M, Timestamp) + Send>;
+
 /// News for the machine above the log.
-pub(super) struct Inform<M>(pub(super) Box<dyn FnOnce(&mut M, Timestamp) + Send>);
+pub(super) struct Inform<M>(pub(super) News<M>);
 
 /// A look at this replica's own state.
 pub(super) struct Local<M>(pub(super) Box<dyn FnOnce(&M) + Send>);
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -79,6 +79,7 @@
         heartbeat: Duration::from_millis(50),
         snapshot_bytes: 64 * 1024,
         replace_after: Duration::from_secs(3600),
+        target_voters: None,
         form,
         on_disk_failure: |e| eprintln!("{e}"),
     }
