Trial: tickets before room comes free, tight fit in a full cell

Cause sought: long work of the grown second site is late by far (p99 65 s). Change: in a full cell questions also name minions without room, tickets are renewed before they run out, and long work is fitted tightly. Kept, as it removes the wait of a question from each freed room; what binds there is not found yet.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -16,6 +16,8 @@
 /// Minions asked about in one question. The objective of a job allows for one call about this
 /// many a step, so asking for fewer gains nothing and asking for more is late.
 const ASK_AT_ONCE: usize = 30;
+/// Minions asked about at most, where known ones need new tickets.
+const MOST_ASKED: usize = 40;
 /// A ticket is not used in the last part of its validity: the start may be tried again.
 const TICKET_RESERVE: Duration = Duration::from_millis(350);
 /// Pause after a question that brought nothing.
@@ -98,6 +100,11 @@
             return;
         }
         let reaches = self.reaches(priority);
+        // The next tickets should be there before the present ones are worth nothing.
+        let lead_time = terms.base + terms.per_minion * ASK_AT_ONCE as u32;
+        // In a full cell a step needs its tickets before room comes free: by the time a question
+        // is answered, shorter work has taken the room.
+        let full = self.full;
         let knowledge = &self.knowledge[&id];
         let spec = &step.spec.steps[usize::from(id.step)];
         let mut known = Vec::new();
@@ -107,7 +114,7 @@
             // could hide all others when few tasks are left.
             if !self.is_eligible(now, minion, id, step, spec)
                 || knowledge.bad.contains(&minion.number)
-                || knowledge.has_ticket(minion.number, now)
+                || knowledge.has_ticket(minion.number, now + lead_time)
             {
                 continue;
             }
@@ -117,7 +124,7 @@
             let most = spec.max_per_minion.unwrap_or(u32::MAX);
             let left = most.saturating_sub(self.of_step_on(minion, id));
             let room = fits_times(reach, &charged(spec)).min(left);
-            if room == 0 {
+            if room == 0 && !full {
                 continue;
             }
             let list = if knowledge.good.contains(&minion.number) {
@@ -135,7 +142,7 @@
         let mut wanted: Vec<MinionNumber> = Vec::new();
         let mut places = 0;
         for (_, room, number) in &known {
-            if places >= 2 * step.waiting.len() as u32 {
+            if places >= 2 * step.waiting.len() as u32 || wanted.len() >= MOST_ASKED {
                 break;
             }
             places += room;
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -79,6 +79,8 @@
     leaving: BTreeSet<TaskId>,
     /// Room that minions could make, by priority of the work; of the present round.
     reaches: HashMap<u32, Arc<BTreeMap<MinionNumber, Room>>>,
+    /// Whether nearly all of the cell is given away, in the present round.
+    full: bool,
     /// When room was last sought by stopping others.
     room_sought: Timestamp,
     /// What the next batch will hold.
@@ -117,6 +119,7 @@
             agents: 1,
             leaving: BTreeSet::new(),
             reaches: HashMap::new(),
+            full: false,
             room_sought: Timestamp::ZERO,
             batch: Batch::default(),
             batches: Default::default(),
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -13,6 +13,9 @@
 
 /// Pause between two rounds when nothing has changed: tickets and pauses run out meanwhile.
 const PLACE_AGAIN: Duration = Duration::from_millis(100);
+/// Share of the processors given away from which the cell counts as full. What is left then is
+/// mostly too small for the larger half of the tasks.
+const FULL: f64 = 0.85;
 /// Most starts decided in one round, so that one round never holds the control thread long.
 const MAX_STARTS: usize = 256;
 
@@ -22,6 +25,7 @@
         self.place_wanted = false;
         self.place_at = now + PLACE_AGAIN;
         self.reaches.clear();
+        self.full = self.is_full();
         let order = self.service_order(unix);
         let mut started = 0;
         for id in &order {
@@ -181,6 +185,12 @@
         minion.runs.range(first..=last).count() as u32
     }
 
+    /// Whether nearly all of the cell is given away.
+    pub(super) fn is_full(&self) -> bool {
+        let (used, all) = self.fill_level();
+        used as f64 >= all as f64 * FULL
+    }
+
     /// Lower is better: near the data, then by speed, then the tightest fit, so that large room
     /// stays whole.
     ///
@@ -202,10 +212,12 @@
         let filled = left.millicores.saturating_sub(minion.filling);
         let slowness = self.speeds.slowness(&minion.pace);
         let urgent = step.queue.priority == 0 && spec.lifetime == Lifetime::Finite;
-        let speed = match (urgent, slowness) {
-            (_, Slowness::VerySlow) => u8::MAX,
-            (true, slowness) => slowness as u8,
-            (false, slowness) => Slowness::Slow as u8 - slowness as u8,
+        let speed = match slowness {
+            Slowness::VerySlow => u8::MAX,
+            slowness if urgent => slowness as u8,
+            // Where all are needed, a tight fit gains more than leaving the fast ones free.
+            _ if self.full => 0,
+            slowness => Slowness::Slow as u8 - slowness as u8,
         };
         (u8::from(far), speed, filled, minion.number)
     }
