--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -50,12 +50,6 @@
 pub struct DispatchConfig {
     /// Longest lease a minion takes.
     pub lease_max: Duration,
-    /// How long a stop may take.
-    pub stop_time: Duration,
-    /// How long a gang's member waits for the others.
-    pub gang_wait: Duration,
-    /// Slowdown of work away from its data or on several racks.
-    pub far_factor: f64,
 }
 
 /// The leader's volatile state.
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -17,6 +17,7 @@
 use super::driver::{Minions, Policy, send_order};
 use crate::error::{Error, Result, Step};
 use crate::ids::ZoneName;
+use crate::task::AbortOnDrop;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
 /// Time for a connection to be opened, proved and greeted. Several round trips within a region,
@@ -349,11 +350,3 @@
         Err(_) => Err(Error::new(Step::Transfer, "the peer does not read")),
     }
 }
-
-struct AbortOnDrop(tokio::task::JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply};
@@ -238,6 +237,3 @@
         Ok(())
     }
 }
-
-/// Bytes of a configuration; kept here so that callers need no further import.
-pub type Document = Bytes;
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -18,6 +18,7 @@
 use crate::error::{Error, Result, Step};
 use crate::ids::ZoneName;
 use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus};
+use crate::task::AbortOnDrop;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
 /// Time for a new connection to prove itself.
@@ -293,14 +294,6 @@
     }
 }
 
-struct AbortOnDrop(tokio::task::JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Reaches the leader from a control daemon: directly when it leads itself, over the link
 /// otherwise.
 #[derive(Clone)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod stand_in;
 pub mod state;
 pub mod storage;
+mod task;
 pub mod telemetry;
 pub mod wire;
 pub mod workload;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -177,9 +177,6 @@
             grace: r.span("bounds.grace_s", SECOND),
             dispatch: DispatchConfig {
                 lease_max: r.span("bounds.hold_max_ms", MILLISECOND),
-                stop_time: r.span("bounds.stop_ms", MILLISECOND),
-                gang_wait: r.span("bounds.gang_ms", MILLISECOND),
-                far_factor: r.parsed("bounds.far_x", 1.0),
             },
         };
         if r.problems.is_empty() {
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -21,6 +21,7 @@
 use crate::ids::ReplicaId;
 use crate::replication::core::Message;
 use crate::replication::machine::StateMachine;
+use crate::task::AbortOnDrop;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
 /// Messages that may wait for one peer; more are dropped, as a network would.
@@ -285,14 +286,6 @@
     }
 }
 
-struct AbortOnDrop(tokio::task::JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 async fn accept_all<M: StateMachine>(
     listener: TcpListener,
     keys: CellKeys,
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -24,9 +24,6 @@
 pub fn config() -> DispatchConfig {
     DispatchConfig {
         lease_max: ms(6000),
-        stop_time: ms(400),
-        gang_wait: ms(3000),
-        far_factor: 3.0,
     }
 }
 
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -19,8 +19,7 @@
     "seq":4}"#;
 const BOOT: &str = "node=core-1\nip=10.1.0.15\nzone=bern-a\nlisten.control=10.1.0.15:8166\n\
     port_range=7720,7735\nseeds=10.1.0.15:8166,10.2.0.32:8166\nbootstrap=true\nsomething.new=1\n\
-    bounds.grace_s=6\nbounds.hold_max_ms=6000\nbounds.stop_ms=400\nbounds.gang_ms=3000\n\
-    bounds.far_x=3\n";
+    bounds.grace_s=6\nbounds.hold_max_ms=6000\n";
 
 #[test]
 fn the_contracts_examples_are_understood() {
@@ -70,7 +69,7 @@
     assert!(Boot::parse(BOOT).is_ok());
     let wrong = BOOT
         .replace("ip=10.1.0.15\n", "ip=here\n")
-        .replace("bounds.stop_ms=400\n", "")
+        .replace("bounds.hold_max_ms=6000\n", "")
         .replace("zone=bern-a\n", "no value at all\n");
     let problems = Boot::parse(&wrong).expect_err("three problems");
     insta::assert_debug_snapshot!(problems);
