Questions about ended jobs no longer count as on the way

Cause: what was known of a job's steps was forgotten at its end, with the note of the question on the way; its answer found nobody and the count stayed up. With enough cancelled, failed or hopeless jobs no question was asked any more, and all work with a policy would stand still. Found by: reading; the grown sites' long work is asked about last, so it is what such a leak starves first. Change: the count goes down with what is forgotten. The settings file is looked at every 2 s, since it may change without a signal. Test: questions_about_cancelled_jobs_do_not_pile_up, which failed first.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -10,7 +10,7 @@
 use super::run::charged;
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
-use crate::batch::model::{AdviceTerms, MinionNumber, Room, StepId};
+use crate::batch::model::{AdviceTerms, JobId, MinionNumber, Room, StepId};
 use crate::ids::Timestamp;
 
 /// Minions asked about in one question. The objective of a job allows for one call about this
@@ -99,13 +99,48 @@
         if now < entry.next_question {
             return;
         }
-        let reaches = self.reaches(priority);
+        let wanted = self.whom_to_ask(now, id, step, terms);
+        if wanted.is_empty() {
+            if let Some(knowledge) = self.knowledge.get_mut(&id) {
+                knowledge.next_question = now + LOOK_AGAIN;
+            }
+            return;
+        }
+        let minions = wanted
+            .iter()
+            .filter_map(|n| self.minions.get(n).map(|m| m.report.id.clone()))
+            .collect::<Vec<_>>();
+        let cost = terms.base + terms.per_minion * minions.len() as u32;
+        if let Some(knowledge) = self.knowledge.get_mut(&id) {
+            knowledge.asked = Some((now, wanted));
+        }
+        self.questions += 1;
+        self.out.push(Order::Advise(AdviceQuestion {
+            step: id,
+            minions,
+            cost,
+        }));
+    }
+
+    /// Minions that a question about a step should name: known good ones whose tickets run out, as
+    /// many as the tasks need, then others.
+    fn whom_to_ask(
+        &mut self,
+        now: Timestamp,
+        id: StepId,
+        step: &ReadyStep,
+        terms: AdviceTerms,
+    ) -> Vec<MinionNumber> {
+        let urgent = step.queue.priority == 0;
+        let reaches = self.reaches(step.queue.priority);
         // The next tickets should be there before the present ones are worth nothing.
         let lead_time = terms.base + terms.per_minion * ASK_AT_ONCE as u32;
         // In a full cell a step needs its tickets before room comes free: by the time a question
         // is answered, shorter work has taken the room.
         let full = self.full;
-        let knowledge = &self.knowledge[&id];
+        let Some(knowledge) = self.knowledge.get(&id) else {
+            return Vec::new();
+        };
         let spec = &step.spec.steps[usize::from(id.step)];
         let mut known = Vec::new();
         let mut unknown = Vec::new();
@@ -138,7 +173,6 @@
         }
         known.sort_unstable_by(|a, b| b.cmp(a));
         unknown.sort_unstable_by(|a, b| b.cmp(a));
-        // Known ones first, as many as the tasks need; then others.
         let mut wanted: Vec<MinionNumber> = Vec::new();
         let mut places = 0;
         for (_, room, number) in &known {
@@ -152,26 +186,19 @@
             let left = ASK_AT_ONCE.saturating_sub(wanted.len());
             wanted.extend(unknown.iter().take(left).map(|(_, _, n)| *n));
         }
-        if wanted.is_empty() {
-            if let Some(knowledge) = self.knowledge.get_mut(&id) {
-                knowledge.next_question = now + LOOK_AGAIN;
+        wanted
+    }
+
+    /// Forgets what is known of a job's steps, and the questions about them that are on the way:
+    /// their answers will find nobody.
+    pub(super) fn forget_knowledge(&mut self, job: JobId) {
+        self.knowledge.retain(|step, knowledge| {
+            if step.job != job {
+                return true;
             }
-            return;
-        }
-        let minions = wanted
-            .iter()
-            .filter_map(|n| self.minions.get(n).map(|m| m.report.id.clone()))
-            .collect::<Vec<_>>();
-        let cost = terms.base + terms.per_minion * minions.len() as u32;
-        if let Some(knowledge) = self.knowledge.get_mut(&id) {
-            knowledge.asked = Some((now, wanted));
-        }
-        self.questions += 1;
-        self.out.push(Order::Advise(AdviceQuestion {
-            step: id,
-            minions,
-            cost,
-        }));
+            self.questions -= usize::from(knowledge.asked.is_some());
+            false
+        });
     }
 
     /// Notes how many processes can ask. Each asks one question at a time, so a third of them is
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -118,7 +118,7 @@
             state,
             age: ledger.clock.saturating_sub(job.accepted),
         });
-        self.knowledge.retain(|step, _| step.job != id);
+        self.forget_knowledge(id);
         let tasks: Vec<_> = self.runs.range(tasks_of(id)).map(|(id, _)| *id).collect();
         for task in tasks {
             self.stop_run(now, task);
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -12,7 +12,7 @@
 use super::front::{Front, MetricsFront, Ready};
 use super::http;
 use super::minions::{MinionCalls, PolicyCalls};
-use super::settings::Boot;
+use super::settings::{Boot, PATH_VARIABLE};
 use crate::batch::link::{Calls, LeaderLink};
 use crate::batch::model::Limits;
 use crate::error::{Error, Result, Step};
@@ -26,6 +26,8 @@
 const OPEN_CELL: &str = "open cell on a closed network";
 /// Time between two foldings of the histograms, which would grow while nobody reads the page.
 const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+/// Time between two looks at the settings file: a change matters when the next leader is sought.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// Part of the time before SIGKILL that is left for the process to end by itself.
 const GRACE_RESERVE: Duration = Duration::from_millis(800);
 
@@ -97,21 +99,36 @@
     let failed = |e| Error::caused(Step::Listen, "receiving signals", e);
     let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
     let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
+    let mut seen = settings_changed_at();
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
-            _ = reload.recv() => match Boot::from_environment() {
-                Ok(boot) => {
-                    info!(log, "settings read again"; "seeds" => format!("{:?}", boot.seed_calls()));
-                    link.set_seeds(boot.seed_calls());
+            _ = reload.recv() => {}
+            // The file may also change without a signal.
+            () = tokio::time::sleep(SETTINGS_LOOK) => {
+                if settings_changed_at() == seen {
+                    continue;
                 }
-                Err(e) => slog::warn!(log, "changed settings are refused; the old ones stay";
-                    "error" => %e),
-            },
+            }
+        }
+        seen = settings_changed_at();
+        match Boot::from_environment() {
+            Ok(boot) => {
+                info!(log, "settings read again"; "seeds" => format!("{:?}", boot.seed_calls()));
+                link.set_seeds(boot.seed_calls());
+            }
+            Err(e) => slog::warn!(log, "changed settings are refused; the old ones stay";
+                "error" => %e),
         }
     }
 }
 
+/// When the settings file was last written; none when that cannot be told, which is no change.
+fn settings_changed_at() -> Option<std::time::SystemTime> {
+    let path = std::env::var_os(PATH_VARIABLE)?;
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
 /// Serves the metrics page. A daemon whose metrics port is taken does its work all the same.
 pub(super) async fn serve_metrics(boot: &Boot, log: &Logger) -> Result<()> {
     let page = telemetry::install_metrics()?;
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -6,6 +6,7 @@
 use yuccahold::batch::dispatch::{
     Advice, AdviceQuestion, ListedEnd, ListedRun, Listing, Order, StartOrder,
 };
+use yuccahold::batch::ledger::Command;
 use yuccahold::batch::model::{AdviceTerms, EndKind, Queue, StepSpec};
 
 fn advised_queue() -> Queue {
@@ -140,3 +141,24 @@
         load: 0,
     }
 }
+
+/// Callers cancel jobs while the policy service is being asked about them. The answers come to
+/// nobody; they must not count as on the way for ever, or no step would be asked about any more
+/// and all work with a policy would stand still.
+#[test]
+fn questions_about_cancelled_jobs_do_not_pile_up() {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    for job in 1..=20 {
+        world.submit_to(job, advised_queue(), vec![lasting(1, 1_000)]);
+        world.apply(&Command::Cancel { job });
+        world.decide();
+    }
+    take_questions(&mut world);
+    world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
+    let asked: Vec<_> = take_questions(&mut world)
+        .iter()
+        .map(|question| question.step.job)
+        .collect();
+    assert_eq!(asked, [JOB]);
+}
