Expect a queue's mean time where declared times are rough

Cause: long work declares times that are off by up to nine tenths. Change: the leader learns each queue's mean run time and how far off declared times are; where they are rough, no task is taken for shorter than the mean. Test: a_job_that_declares_far_too_little_is_not_taken_for_late, which failed first.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -214,6 +214,7 @@
                     let seen = run
                         .begun
                         .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+                    self.profiles.learn(&run.queue, run.estimate, seen);
                     self.speeds.learn(&mut minion.pace, run.estimate, seen);
                 }
                 EndKind::Failed => minion.failed(now),
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod order;
 mod place;
 mod preempt;
+mod profile;
 mod ready;
 mod run;
 mod speed;
@@ -91,6 +92,8 @@
     least_urgent: u32,
     /// Run times over all minions.
     speeds: speed::Common,
+    /// Run times of each queue.
+    profiles: profile::Profiles,
     out: Vec<Order>,
 }
 
@@ -122,6 +125,7 @@
             timetable: BTreeSet::new(),
             least_urgent: 0,
             speeds: speed::Common::default(),
+            profiles: profile::Profiles::default(),
             out: Vec::new(),
         };
         let assumed = now + d.cfg.lease_max.mul_f64(SLOW_CLOCK) + LEASE_MARGIN;
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
+use super::profile::Profiles;
 use crate::batch::ledger::{Job, Ledger, TaskState};
 use crate::batch::model::{Grouping, JobSpec, Lifetime, Queue, StepId, TaskId};
 use crate::ids::Timestamp;
@@ -29,7 +30,7 @@
     pub(super) spec: Arc<JobSpec>,
     pub(super) queue: Arc<Queue>,
     pub(super) accepted: Timestamp,
-    /// Declared run time of this step and of the longest chain after it.
+    /// Expected run time of this step and of the longest chain after it.
     pub(super) remaining: Duration,
     /// Tasks to be started, in order.
     pub(super) waiting: Vec<u32>,
@@ -147,7 +148,7 @@
         let key = OrderKey {
             class: u8::from(!lasting),
             priority: job.queue.priority,
-            due: due(job, id),
+            due: due(job, id, &self.profiles),
             step: Reverse(id.step),
         };
         self.queue.insert((key, id));
@@ -159,7 +160,7 @@
                 spec: Arc::clone(&job.spec),
                 queue: Arc::clone(&job.queue),
                 accepted: job.accepted,
-                remaining: chain_from(&job.spec, usize::from(id.step)),
+                remaining: chain_from(job, usize::from(id.step), &self.profiles),
                 waiting,
             },
         );
@@ -167,19 +168,20 @@
 }
 
 /// When a job should be done: its objective counted from its hand-in or its due time.
-fn due(job: &Job, id: StepId) -> Timestamp {
+fn due(job: &Job, id: StepId, profiles: &Profiles) -> Timestamp {
     let begun = job
         .spec
         .timetable
         .map_or(job.accepted, |t| t.due(id.occurrence));
-    begun + job.queue.slo + longest_chain(&job.spec).mul_f64(job.queue.stretch)
+    begun + job.queue.slo + longest_chain(job, profiles).mul_f64(job.queue.stretch)
 }
 
-/// Declared run time of a step and of the longest chain of steps that wait for it.
-fn chain_from(spec: &JobSpec, step: usize) -> Duration {
+/// Expected run time of a step and of the longest chain of steps that wait for it.
+fn chain_from(job: &Job, step: usize, profiles: &Profiles) -> Duration {
+    let spec = &job.spec;
     let mut chains = vec![Duration::ZERO; spec.steps.len()];
     for (i, s) in spec.steps.iter().enumerate().rev() {
-        chains[i] += s.estimate;
+        chains[i] += profiles.expected(&job.queue.name, s.estimate);
         for before in &s.after {
             let before = usize::from(*before);
             chains[before] = chains[before].max(chains[i]);
@@ -188,13 +190,14 @@
     chains[step]
 }
 
-/// Longest chain of declared run times through the steps.
-pub(super) fn longest_chain(spec: &JobSpec) -> Duration {
+/// Longest chain of expected run times through the steps.
+fn longest_chain(job: &Job, profiles: &Profiles) -> Duration {
+    let spec = &job.spec;
     let mut ends: Vec<Duration> = Vec::with_capacity(spec.steps.len());
     for step in &spec.steps {
         let after = step.after.iter().filter_map(|s| ends.get(usize::from(*s)));
         let begin = after.max().copied().unwrap_or_default();
-        ends.push(begin + step.estimate);
+        ends.push(begin + profiles.expected(&job.queue.name, step.estimate));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::batch::model::{
     Checkpoint, Grouping, Lifetime, MinionNumber, Queue, Room, RunNumber, StepSpec,
 };
@@ -54,6 +56,8 @@
     pub(super) percent: u32,
     pub(super) load: u32,
     pub(super) checkpoint: Checkpoint,
+    /// Its queue.
+    pub(super) queue: CompactString,
     /// Priority of its queue; 0 comes first.
     pub(super) priority: u32,
     /// Declared run time; zero when it goes on from saved progress or lasts.
@@ -93,6 +97,7 @@
             },
             begun: None,
             checkpoint,
+            queue: queue.name.clone(),
             priority: queue.priority,
             yields: spec.saves_progress
                 && spec.lifetime == Lifetime::Finite
--- a/tests/batch_placement.rs
+++ b/tests/batch_placement.rs
@@ -129,3 +129,73 @@
     let chosen: Vec<_> = world.take_starts().iter().map(|(m, _)| *m).collect();
     assert_eq!(chosen, [fast]);
 }
+
+/// Declared times of plans are rough: most take six seconds, whatever they declare. One that
+/// declares a tenth of that would be late by its own word a second after it is handed in. It must
+/// not fall behind the plans that came after it, or it would wait for as long as new ones come.
+#[test]
+fn a_job_that_declares_far_too_little_is_not_taken_for_late() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    let plan = |declared| StepSpec {
+        estimate: ms(declared),
+        ..step(1, 32_000)
+    };
+    for (i, declared) in [600, 12_000, 900, 10_000]
+        .iter()
+        .cycle()
+        .take(24)
+        .enumerate()
+    {
+        let number = i as u64 + 1;
+        world.submit_to(number, plans(), vec![plan(*declared)]);
+        let (_, start) = world.start_all().pop().expect("there is room");
+        world.take_holds();
+        world.pass(ms(6_000));
+        let end = ListedEnd {
+            number,
+            task: start.task,
+            run: start.run,
+            kind: EndKind::Done,
+            checkpoint: Default::default(),
+        };
+        let clock = world.now;
+        world.listing(
+            minion,
+            Listing {
+                clock,
+                running: Vec::new(),
+                ended: vec![end],
+            },
+        );
+        world.pass(ms(100));
+    }
+    world.submit_to(101, plans(), vec![plan(12_000)]);
+    let (_, running) = world.start_all().pop().expect("there is room");
+    world.submit_to(102, plans(), vec![plan(600)]);
+    world.pass(ms(4_000));
+    world.submit_to(103, plans(), vec![plan(5_000)]);
+    world.take_holds();
+    let end = ListedEnd {
+        number: 25,
+        task: running.task,
+        run: running.run,
+        kind: EndKind::Done,
+        checkpoint: Default::default(),
+    };
+    let clock = world.now;
+    world.listing(
+        minion,
+        Listing {
+            clock,
+            running: Vec::new(),
+            ended: vec![end],
+        },
+    );
+    let next: Vec<_> = world
+        .take_starts()
+        .iter()
+        .map(|(_, s)| s.task.step.job)
+        .collect();
+    assert_eq!(next, [102]);
+}
