--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -12,6 +12,10 @@
 use super::model::{JobSpec, JobState, MinionReport, StepId};
 use crate::ids::{MinionId, ZoneName};
 
+/// When a caller may come back whose request cannot be served at the moment. A leader that is lost
+/// is replaced in about this time.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Number of a call on its connection.
 pub type CallNumber = u64;
 
--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -10,12 +10,15 @@
 use super::run::charged;
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
-use crate::batch::model::{AdviceTerms, JobId, MinionNumber, Room, StepId};
+use crate::batch::model::{AdviceTerms, JobId, MinionNumber, StepId};
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// Minions asked about in one question. The objective of a job allows for one call about this
 /// many a step, so asking for fewer gains nothing and asking for more is late.
 const ASK_AT_ONCE: usize = 30;
+/// Most tasks that one minion is reckoned to hold; tasks that need nothing fit without end.
+const MOST_TASKS: u32 = 10_000;
 /// Minions asked about at most, where known ones need new tickets.
 const MOST_ASKED: usize = 40;
 /// A ticket is not used in the last part of its validity: the start may be tried again.
@@ -63,7 +66,7 @@
 impl Dispatcher {
     /// What each minion could make room for, worked out once in a round: with hundreds of waiting
     /// steps it would otherwise be most of the leader's work.
-    fn reaches(&mut self, priority: u32) -> Arc<BTreeMap<MinionNumber, Room>> {
+    fn reaches(&mut self, priority: u32) -> Arc<BTreeMap<MinionNumber, Resources>> {
         if let Some(known) = self.reaches.get(&priority) {
             return Arc::clone(known);
         }
@@ -244,11 +247,7 @@
     }
 }
 
-/// How many tasks of this need fit into a room.
-pub(super) fn fits_times(room: &Room, need: &Room) -> u32 {
-    let times = |have: u32, want: u32| have.checked_div(want).unwrap_or(u32::MAX);
-    times(room.millicores, need.millicores)
-        .min(times(room.memory_mb, need.memory_mb))
-        .min(times(room.accelerators, need.accelerators))
-        .min(10_000)
+/// How many tasks of this need fit into a room, up to a number that no step reaches.
+pub(super) fn fits_times(room: &Resources, need: &Resources) -> u32 {
+    need.times_in(room).min(MOST_TASKS)
 }
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -74,7 +74,7 @@
             (OrderKind::Stop(task, run), MinionAnswer::Order(answer)) => {
                 self.stopped(now, number, (*task, *run), sent, answer);
             }
-            // A pace has no state to follow; anything else answers another question.
+            // It answers another question.
             _ => {}
         }
     }
@@ -134,18 +134,11 @@
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        let first = run.tries == 1;
-        match why {
-            // Its end is listed, or will be.
-            StartRefusal::Superseded if !first => {
-                run.state = RunState::InDoubt;
-                self.stop_run(now, id);
-            }
-            _ if first => self.run_over(now, id, EndKind::NeverStarted, Default::default()),
-            _ => {
-                run.state = RunState::InDoubt;
-                self.stop_run(now, id);
-            }
+        if run.tries == 1 {
+            self.run_over(now, id, EndKind::NeverStarted, Default::default());
+        } else {
+            run.state = RunState::InDoubt;
+            self.stop_run(now, id);
         }
         match why {
             StartRefusal::Ticket => {
@@ -236,9 +229,8 @@
                 continue;
             };
             match run.state {
-                // Nothing was sent, and nothing will be.
-                RunState::Proposed => continue,
-                RunState::Ending => continue,
+                // Nothing was sent and nothing will be, or it is over.
+                RunState::Proposed | RunState::Ending => continue,
                 _ => {}
             }
             let Some(minion) = self.minions.get(&run.minion) else {
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -9,21 +9,8 @@
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 
-/// Range of all tasks of a job.
-pub(super) fn tasks_of(job: JobId) -> std::ops::RangeInclusive<TaskId> {
-    let id = |occurrence, step, index| TaskId {
-        step: StepId {
-            job,
-            occurrence,
-            step,
-        },
-        index,
-    };
-    id(0, 0, 0)..=id(u32::MAX, u16::MAX, u32::MAX)
-}
-
 impl Dispatcher {
-    /// Follows an agreed command. `before` is what the ledger said of a submitted job before.
+    /// Follows an agreed command. `fresh` says whether it changed anything in the ledger.
     pub fn applied(&mut self, now: Timestamp, ledger: &Ledger, command: &Command, fresh: bool) {
         match command {
             Command::PutConfig {
@@ -119,7 +106,9 @@
             age: ledger.clock.saturating_sub(job.accepted),
         });
         self.forget_knowledge(id);
-        let tasks: Vec<_> = self.runs.range(tasks_of(id)).map(|(id, _)| *id).collect();
+        let steps = StepId::all_of(id);
+        let all = *steps.start().tasks().start()..=*steps.end().tasks().end();
+        let tasks: Vec<_> = self.runs.range(all).map(|(id, _)| *id).collect();
         for task in tasks {
             self.stop_run(now, task);
         }
--- a/src/batch/dispatch/gangs.rs
+++ b/src/batch/dispatch/gangs.rs
@@ -5,7 +5,7 @@
 use super::advice::fits_times;
 use super::{Dispatcher, ReadyStep, charged};
 use crate::batch::ledger::Ledger;
-use crate::batch::model::{MinionNumber, StepId, StepSpec, TaskId};
+use crate::batch::model::{MinionNumber, StepId, StepSpec};
 use crate::ids::Timestamp;
 
 impl Dispatcher {
@@ -18,14 +18,8 @@
         spec: &StepSpec,
         ledger: &Ledger,
     ) {
-        let all = step.waiting.iter().all(|index| {
-            let task = TaskId {
-                step: id,
-                index: *index,
-            };
-            Self::is_waiting(ledger, task) && !self.runs.contains_key(&task)
-        });
-        if !all {
+        let mut members = step.waiting.iter().map(|index| id.task(*index));
+        if !members.all(|task| self.may_start(ledger, task)) {
             return;
         }
         let places = self.gang_places(now, id, step, spec);
@@ -42,19 +36,13 @@
         let run = step
             .waiting
             .iter()
-            .filter_map(|index| {
-                ledger.task(TaskId {
-                    step: id,
-                    index: *index,
-                })
-            })
+            .filter_map(|index| ledger.task(id.task(*index)))
             .map(|task| task.run + 1)
             .max()
             .unwrap_or(1);
         let members = std::mem::take(&mut step.waiting);
         for (index, minion) in members.into_iter().zip(chosen) {
-            let task = TaskId { step: id, index };
-            self.grant(now, task, step, spec, minion, run, ledger);
+            self.grant(now, id.task(index), step, spec, minion, run, ledger);
         }
     }
 
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -7,9 +7,10 @@
 use super::run::{RunState, StopState};
 use super::{Dispatcher, charged};
 use crate::batch::ledger::{End, Ledger};
-use crate::batch::model::{EndKind, MinionNumber, Room, RunNumber, TaskId};
+use crate::batch::model::{EndKind, MinionNumber, RunNumber, TaskId};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// How long a minion may wait for an end before it answers a hold. The platform's longest, as
 /// each answer is a look that costs.
@@ -196,7 +197,7 @@
             .strays
             .remove(&(end.task, end.run))
             .is_some_and(|(room, _)| {
-                minion.used = minion.used.minus(&room);
+                minion.used = minion.used.saturating_sub(&room);
                 true
             })
         {
@@ -276,8 +277,6 @@
             if matches!(run.state, RunState::Starting | RunState::InDoubt) {
                 run.state = RunState::Running(now);
             }
-            run.percent = listed.percent;
-            run.load = listed.load;
             if !listed.checkpoint.is_empty() {
                 run.checkpoint = listed.checkpoint.clone();
             }
@@ -299,7 +298,7 @@
             .jobs
             .get(&task.step.job)
             .and_then(|job| job.spec.steps.get(usize::from(task.step.step)))
-            .map_or_else(Room::default, charged);
+            .map_or_else(Resources::default, charged);
         let token = self.term;
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
@@ -307,7 +306,7 @@
         let due = match minion.strays.get(&(task, run)) {
             Some((_, told)) => now >= *told + STRAY_PAUSE,
             None => {
-                minion.used.add(&need);
+                minion.used = minion.used.saturating_add(&need);
                 true
             }
         };
@@ -373,7 +372,7 @@
                 if listed(task, run) || told >= sent {
                     minion.strays.insert((task, run), (room, told));
                 } else {
-                    minion.used = minion.used.minus(&room);
+                    minion.used = minion.used.saturating_sub(&room);
                 }
             }
         }
@@ -407,7 +406,7 @@
             self.run_over(now, task, EndKind::Lapsed, Default::default());
         }
         if let Some(minion) = self.minions.get_mut(&number) {
-            minion.used = Room::default();
+            minion.used = Resources::default();
             minion.strays.clear();
         }
     }
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -5,11 +5,12 @@
 
 use super::order::Target;
 use super::speed::Pace;
-use crate::batch::model::{MinionNumber, MinionReport, Readiness, Room, RunNumber, TaskId};
+use crate::batch::model::{MinionNumber, MinionReport, Readiness, RunNumber, TaskId};
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// A minion's clock may run this much slower than ours; from the platform's contract.
-const CLOCK_RATE: f64 = 0.98;
+pub(super) const CLOCK_RATE: f64 = 0.98;
 /// Failures in a row before a minion gets no work. With one run in twenty failing by its own
 /// fault, two in a row come by chance once in 400.
 const FAILURES_TOLERATED: u32 = 2;
@@ -71,14 +72,14 @@
     /// Last end that is agreed.
     pub(super) acked_end: u64,
     /// Room given away, runs that are being stopped included.
-    pub(super) used: Room,
+    pub(super) used: Resources,
     /// Processor use declared by tasks that fill; not part of `used`.
     pub(super) filling: u32,
     /// Serving tasks with a latency target.
     pub(super) serving: u32,
     pub(super) runs: BTreeSet<TaskId>,
     /// Runs that the minion lists and no decision of ours stands behind, with their room.
-    pub(super) strays: BTreeMap<(TaskId, RunNumber), (Room, Timestamp)>,
+    pub(super) strays: BTreeMap<(TaskId, RunNumber), (Resources, Timestamp)>,
     /// Failed ends and refusals in a row.
     pub(super) failures: u32,
     /// Run times seen on it.
@@ -105,7 +106,7 @@
             hold: HoldState::Due(now),
             seen_end: 0,
             acked_end: 0,
-            used: Room::default(),
+            used: Resources::default(),
             filling: 0,
             serving: 0,
             runs: BTreeSet::new(),
@@ -125,6 +126,13 @@
         }
     }
 
+    /// Has the next hold leave now, if none is on the way.
+    pub(super) fn look_at_once(&mut self, now: Timestamp) {
+        if let HoldState::Due(at) = &mut self.hold {
+            *at = now;
+        }
+    }
+
     /// Notes the clock in an answer to a request sent at `sent`.
     pub(super) fn read_clock(&mut self, value: Duration, sent: Timestamp, now: Timestamp) {
         self.clock = Some(ClockReading {
@@ -158,8 +166,8 @@
         own && (self.fenced || now > self.assumed_until)
     }
 
-    pub(super) fn free(&self) -> Room {
-        self.report.capacity.minus(&self.used)
+    pub(super) fn free(&self) -> Resources {
+        self.report.capacity.saturating_sub(&self.used)
     }
 
     /// Whether new work may be given to it now.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -23,18 +23,19 @@
 use std::time::Duration;
 
 use super::ledger::{Batch, Ledger, TaskState};
-use super::model::{JobId, MinionNumber, MinionReport, Readiness, Room, StepId, TaskId};
+use super::model::{JobId, MinionNumber, MinionReport, Readiness, StepId, TaskId};
 use super::note::Note;
 use crate::ids::{MinionId, Term, Timestamp};
 
+use crate::resources::Resources;
 use advice::Knowledge;
-use minion::Minion;
+use minion::{CLOCK_RATE, Minion};
 pub use order::{
     Advice, AdviceQuestion, Answer, ConfigOrder, HoldAnswer, HoldOrder, ListedEnd, ListedRun,
     Listing, MinionAnswer, MinionOrder, Order, OrderKind, Silence, StartOrder, StartRefusal,
     Target,
 };
-use ready::{OrderKey, ReadyStep};
+use ready::ReadyStep;
 use run::{Run, RunState, StopState, charged};
 
 /// Batches on the way to agreement at once. Two keep the log busy while one is synced; more
@@ -43,8 +44,6 @@
 /// Two replicas' clocks and the log's delay add to the time for which an earlier leader's lease
 /// must be assumed.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
-/// A minion's slowest clock, as a factor on our time; from the platform's contract.
-const SLOW_CLOCK: f64 = 1.0 / 0.98;
 
 /// Bounds of the platform that decisions depend on.
 #[derive(Clone, Debug)]
@@ -63,7 +62,6 @@
     next_minion: MinionNumber,
     runs: BTreeMap<TaskId, Run>,
     ready: BTreeMap<StepId, ReadyStep>,
-    queue: BTreeSet<(OrderKey, StepId)>,
     dirty_jobs: BTreeSet<JobId>,
     knowledge: HashMap<StepId, Knowledge>,
     /// Questions on the way to the policy service.
@@ -73,7 +71,7 @@
     /// Runs that were told to stop and hold their room still.
     leaving: BTreeSet<TaskId>,
     /// Room that minions could make, by priority of the work; of the present round.
-    reaches: HashMap<u32, Arc<BTreeMap<MinionNumber, Room>>>,
+    reaches: HashMap<u32, Arc<BTreeMap<MinionNumber, Resources>>>,
     /// Whether nearly all of the cell is given away, in the present round.
     full: bool,
     /// When room was last sought by stopping others.
@@ -109,7 +107,6 @@
             next_minion: ledger.next_minion,
             runs: BTreeMap::new(),
             ready: BTreeMap::new(),
-            queue: BTreeSet::new(),
             dirty_jobs: BTreeSet::new(),
             knowledge: HashMap::new(),
             questions: 0,
@@ -128,7 +125,7 @@
             profiles: profile::Profiles::default(),
             out: Vec::new(),
         };
-        let assumed = now + d.cfg.lease_max.mul_f64(SLOW_CLOCK) + LEASE_MARGIN;
+        let assumed = now + d.cfg.lease_max.mul_f64(1.0 / CLOCK_RATE) + LEASE_MARGIN;
         for (number, record) in &ledger.minions {
             let mut minion = Minion::new(*number, record.report.clone(), now);
             minion.draining |= record.draining;
@@ -192,7 +189,7 @@
 
     fn add_run(&mut self, id: TaskId, run: Run) {
         if let Some(minion) = self.minions.get_mut(&run.minion) {
-            minion.used.add(&run.need);
+            minion.used = minion.used.saturating_add(&run.need);
             minion.filling += run.fills;
             minion.serving += u32::from(run.serves);
             minion.runs.insert(id);
@@ -217,7 +214,7 @@
         if let Some(minion) = self.minions.get_mut(&run.minion)
             && minion.runs.remove(&id)
         {
-            minion.used = minion.used.minus(&run.need);
+            minion.used = minion.used.saturating_sub(&run.need);
             minion.filling -= run.fills;
             minion.serving -= u32::from(run.serves);
             self.place_wanted = true;
@@ -238,10 +235,7 @@
         let at_same_addr = |m: &&mut Minion| m.report.addr == report.addr;
         for old in self.minions.values_mut().filter(at_same_addr) {
             old.leaving = true;
-            old.hold = match old.hold {
-                minion::HoldState::Due(_) => minion::HoldState::Due(now),
-                waiting => waiting,
-            };
+            old.look_at_once(now);
         }
         self.note(Note::MinionJoined {
             minion: report.id.clone(),
@@ -279,9 +273,7 @@
         };
         minion.leaving = true;
         minion.draining = true;
-        if let minion::HoldState::Due(_) = minion.hold {
-            minion.hold = minion::HoldState::Due(now);
-        }
+        minion.look_at_once(now);
     }
 
     /// Decides what is due; gives what should be proposed to the log. `unix` is the time of day.
@@ -358,7 +350,7 @@
     }
 
     /// Processor room given away and in all, in thousandths of a core.
-    pub fn fill_level(&self) -> (u64, u64) {
+    fn fill_level(&self) -> (u64, u64) {
         self.minions.values().fold((0, 0), |(used, all), m| {
             (
                 used + u64::from(m.used.millicores),
@@ -367,15 +359,10 @@
         })
     }
 
-    /// Runs that are tracked, and steps with tasks that wait.
-    pub fn counts(&self) -> (usize, usize) {
-        (self.runs.len(), self.ready.len())
-    }
-
-    fn is_waiting(ledger: &Ledger, id: TaskId) -> bool {
-        ledger
-            .task(id)
-            .is_some_and(|task| task.state == TaskState::Waiting)
+    /// Whether a task waits and no run of it is tracked.
+    fn may_start(&self, ledger: &Ledger, id: TaskId) -> bool {
+        let task = ledger.task(id);
+        task.is_some_and(|task| task.state == TaskState::Waiting) && !self.runs.contains_key(&id)
     }
 }
 
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -70,17 +70,6 @@
         /// Fencing token.
         token: Term,
     },
-    /// Sets the share at which a run works.
-    Pace {
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: RunNumber,
-        /// Share in percent.
-        percent: u8,
-        /// Fencing token.
-        token: Term,
-    },
     /// Holds the minion.
     Hold(HoldOrder),
 }
@@ -88,7 +77,7 @@
 /// What came of an order to a minion.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MinionAnswer {
-    /// To a start, a stop or a pace.
+    /// To a start or a stop.
     Order(Answer),
     /// To a hold.
     Hold(HoldAnswer),
@@ -111,8 +100,6 @@
     Start(TaskId, RunNumber),
     /// A stop of this run.
     Stop(TaskId, RunNumber),
-    /// A pace.
-    Pace,
     /// A hold.
     Hold,
 }
@@ -123,7 +110,6 @@
         match self {
             Self::Start(order) => OrderKind::Start(order.task, order.run),
             Self::Stop { task, run, .. } => OrderKind::Stop(*task, *run),
-            Self::Pace { .. } => OrderKind::Pace,
             Self::Hold(_) => OrderKind::Hold,
         }
     }
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
+use super::advice::Knowledge;
 use super::minion::Minion;
 use super::run::{Run, charged};
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::ledger::{Ledger, Start};
-use crate::batch::model::{Grouping, Lifetime, MinionNumber, Room, StepId, StepSpec, TaskId};
+use crate::batch::model::{Grouping, Lifetime, MinionNumber, StepId, StepSpec, TaskId};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// Pause between two rounds when nothing has changed: tickets and pauses run out meanwhile.
 const PLACE_AGAIN: Duration = Duration::from_millis(100);
@@ -58,7 +60,6 @@
         }
         let placed = before - step.waiting.len();
         if step.waiting.is_empty() {
-            self.queue.remove(&(step.key, id));
             return placed;
         }
         if let Some(terms) = step.queue.advice {
@@ -77,8 +78,8 @@
         ledger: &Ledger,
     ) {
         while let Some(index) = step.waiting.first().copied() {
-            let task = TaskId { step: id, index };
-            if !Self::is_waiting(ledger, task) || self.runs.contains_key(&task) {
+            let task = id.task(index);
+            if !self.may_start(ledger, task) {
                 step.waiting.remove(0);
                 continue;
             }
@@ -99,23 +100,26 @@
         spec: &StepSpec,
     ) -> Option<MinionNumber> {
         let need = charged(spec);
-        if step.queue.advice.is_some() {
-            // Few minions have a ticket; the others need no look.
-            let knowledge = self.knowledge.get(&id)?;
-            return knowledge
-                .ticketed()
-                .filter_map(|number| self.minions.get(&number))
-                .filter(|m| self.may_run(now, m, id, step, spec, &need))
-                .min_by_key(|m| self.score(m, step, spec, &need))
-                .map(|m| m.number);
-        }
-        self.minions
-            .values()
+        self.candidates(id, step)
+            .into_iter()
             .filter(|m| self.may_run(now, m, id, step, spec, &need))
             .min_by_key(|m| self.score(m, step, spec, &need))
             .map(|m| m.number)
     }
 
+    /// Minions that the policy may let run a step. Where there is a policy, few have a ticket, and
+    /// the others need no look.
+    pub(super) fn candidates(&self, id: StepId, step: &ReadyStep) -> Vec<&Minion> {
+        if step.queue.advice.is_none() {
+            return self.minions.values().collect();
+        }
+        let known = self.knowledge.get(&id).into_iter();
+        let ticketed = known.flat_map(Knowledge::ticketed);
+        ticketed
+            .filter_map(|number| self.minions.get(&number))
+            .collect()
+    }
+
     /// Whether a minion may be given one more task of a step now.
     pub(super) fn may_run(
         &self,
@@ -124,9 +128,9 @@
         id: StepId,
         step: &ReadyStep,
         spec: &StepSpec,
-        need: &Room,
+        need: &Resources,
     ) -> bool {
-        minion.free().holds(need)
+        need.fits_in(&minion.free())
             && (!spec.fills || minion.filling + spec.need.millicores <= minion.free().millicores)
             && self.suits(now, minion, id, step, spec)
     }
@@ -177,16 +181,11 @@
     }
 
     pub(super) fn of_step_on(&self, minion: &Minion, id: StepId) -> u32 {
-        let first = TaskId { step: id, index: 0 };
-        let last = TaskId {
-            step: id,
-            index: u32::MAX,
-        };
-        minion.runs.range(first..=last).count() as u32
+        minion.runs.range(id.tasks()).count() as u32
     }
 
     /// Whether nearly all of the cell is given away.
-    pub(super) fn is_full(&self) -> bool {
+    fn is_full(&self) -> bool {
         let (used, all) = self.fill_level();
         used as f64 >= all as f64 * FULL
     }
@@ -202,13 +201,13 @@
         minion: &Minion,
         step: &ReadyStep,
         spec: &StepSpec,
-        need: &Room,
+        need: &Resources,
     ) -> (u8, u8, u32, MinionNumber) {
         let far = spec
             .data_rack
             .as_ref()
             .is_some_and(|rack| !minion.has_label(rack));
-        let left = minion.free().minus(need);
+        let left = minion.free().saturating_sub(need);
         let filled = left.millicores.saturating_sub(minion.filling);
         let slowness = self.speeds.slowness(&minion.pace);
         let urgent = step.queue.priority == 0 && spec.lifetime == Lifetime::Finite;
--- a/src/batch/dispatch/preempt.rs
+++ b/src/batch/dispatch/preempt.rs
@@ -6,8 +6,9 @@
 use super::minion::Minion;
 use super::run::{RunState, charged};
 use super::{Dispatcher, ReadyStep};
-use crate::batch::model::{Grouping, MinionNumber, Room, StepId, StepSpec, TaskId};
+use crate::batch::model::{Grouping, MinionNumber, StepId, StepSpec, TaskId};
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// Most runs stopped in one round; the next round sees what they freed.
 const MAX_STOPS: usize = 48;
@@ -17,8 +18,8 @@
 /// Room that will come free, less what is promised to tasks earlier in the order.
 #[derive(Default)]
 struct Coming {
-    room: Room,
-    promised: Room,
+    room: Resources,
+    promised: Resources,
 }
 
 impl Dispatcher {
@@ -37,7 +38,8 @@
         let mut coming: HashMap<MinionNumber, Coming> = HashMap::new();
         let leaving = self.leaving.iter().filter_map(|id| self.runs.get(id));
         for run in leaving.filter(|r| r.state != RunState::Ending) {
-            coming.entry(run.minion).or_default().room.add(&run.need);
+            let there = coming.entry(run.minion).or_default();
+            there.room = there.room.saturating_add(&run.need);
         }
         let mut stops = Vec::new();
         for id in order {
@@ -86,10 +88,10 @@
             }
             let mut room = minion.free();
             if let Some(there) = coming.get(&minion.number) {
-                room.add(&there.room);
-                room = room.minus(&there.promised);
+                room = room.saturating_add(&there.room);
+                room = room.saturating_sub(&there.promised);
             }
-            if room.holds(&need) {
+            if need.fits_in(&room) {
                 best = Some((0, minion.number, Vec::new()));
                 break;
             }
@@ -105,34 +107,22 @@
             return false;
         };
         let there = coming.entry(number).or_default();
-        there.promised.add(&need);
+        there.promised = there.promised.saturating_add(&need);
         for victim in victims {
-            there.room.add(&self.runs[&victim].need);
+            there.room = there.room.saturating_add(&self.runs[&victim].need);
             stops.push(victim);
         }
         true
     }
 
-    /// Minions that the policy may let run a step: those with a ticket, where there is a policy.
-    fn candidates(&self, id: StepId, step: &ReadyStep) -> Vec<&Minion> {
-        if step.queue.advice.is_none() {
-            return self.minions.values().collect();
-        }
-        let known = self.knowledge.get(&id).into_iter();
-        let ticketed = known.flat_map(super::advice::Knowledge::ticketed);
-        ticketed
-            .filter_map(|number| self.minions.get(&number))
-            .collect()
-    }
-
     /// Runs on a minion whose end makes enough room, and the processor share they take; the least
     /// urgent and the latest begun come first.
     fn victims(
         &self,
         minion: &Minion,
         priority: u32,
-        mut room: Room,
-        need: &Room,
+        mut room: Resources,
+        need: &Resources,
         stops: &[TaskId],
     ) -> Option<(u32, Vec<TaskId>)> {
         let mut yielding: Vec<_> = minion
@@ -153,25 +143,25 @@
         let mut victims = Vec::new();
         let mut cost = 0;
         for (id, run) in yielding {
-            if room.holds(need) {
+            if need.fits_in(&room) {
                 break;
             }
-            room.add(&run.need);
+            room = room.saturating_add(&run.need);
             cost += run.need.millicores;
             victims.push(*id);
         }
-        room.holds(need).then_some((cost, victims))
+        need.fits_in(&room).then_some((cost, victims))
     }
 
     /// Room that a minion could make for work of a priority: what is free, what is coming free and
     /// what would yield.
-    pub(super) fn reach(&self, minion: &Minion, priority: u32) -> Room {
+    pub(super) fn reach(&self, minion: &Minion, priority: u32) -> Resources {
         let mut room = minion.free();
         for id in &minion.runs {
             if let Some(run) = self.runs.get(id)
                 && (run.is_leaving() || (run.yields && run.priority > priority))
             {
-                room.add(&run.need);
+                room = room.saturating_add(&run.need);
             }
         }
         room
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -7,7 +7,7 @@
 use super::Dispatcher;
 use super::profile::Profiles;
 use crate::batch::ledger::{Job, Ledger, TaskState};
-use crate::batch::model::{Grouping, JobSpec, Lifetime, Queue, StepId, TaskId};
+use crate::batch::model::{Grouping, JobSpec, Lifetime, Queue, StepId};
 use crate::ids::Timestamp;
 
 /// Place in the order of service; the least comes first.
@@ -78,15 +78,14 @@
     /// first and make the next ones late as well.
     pub(super) fn service_order(&self, unix: Timestamp) -> Vec<StepId> {
         let mut order: Vec<_> = self
-            .queue
+            .ready
             .iter()
-            .filter_map(|(key, id)| {
-                let step = self.ready.get(id)?;
-                let mut key = *key;
+            .map(|(id, step)| {
+                let mut key = step.key;
                 if key.class > 0 {
                     key.priority += step.lateness(unix);
                 }
-                Some((key, *id))
+                (key, *id)
             })
             .collect();
         order.sort_unstable();
@@ -107,51 +106,35 @@
     }
 
     fn forget_ready(&mut self, job: u64) {
-        let first = StepId {
-            job,
-            occurrence: 0,
-            step: 0,
-        };
-        let last = StepId {
-            job,
-            occurrence: u32::MAX,
-            step: u16::MAX,
-        };
-        let known: Vec<_> = self.ready.range(first..=last).map(|(id, _)| *id).collect();
+        let steps = self.ready.range(StepId::all_of(job));
+        let known: Vec<_> = steps.map(|(id, _)| *id).collect();
         for id in known {
-            if let Some(step) = self.ready.remove(&id) {
-                self.queue.remove(&(step.key, id));
-            }
+            self.ready.remove(&id);
         }
     }
 
     fn add_ready(&mut self, job: &Job, id: StepId) {
         let spec = &job.spec.steps[usize::from(id.step)];
         let tasks = &job.occurrences[&id.occurrence].steps[usize::from(id.step)].tasks;
-        let waits = |index: usize| {
-            let task = TaskId {
-                step: id,
-                index: index as u32,
-            };
-            tasks[index].state == TaskState::Waiting && !self.runs.contains_key(&task)
+        let waits = |index: &u32| {
+            let waiting = tasks[*index as usize].state == TaskState::Waiting;
+            waiting && !self.runs.contains_key(&id.task(*index))
         };
-        let waiting: Vec<u32> = (0..tasks.len())
-            .filter(|i| waits(*i))
-            .map(|i| i as u32)
-            .collect();
+        let waiting: Vec<u32> = (0..tasks.len() as u32).filter(waits).collect();
         // A gang starts again only once every member of its last run is known to be over.
         let whole = spec.grouping == Grouping::Single || waiting.len() == tasks.len();
         if waiting.is_empty() || !whole {
             return;
         }
         let lasting = spec.lifetime == Lifetime::Lasting;
+        let chains = chains(job, &self.profiles);
+        let longest = chains.iter().max().copied().unwrap_or_default();
         let key = OrderKey {
             class: u8::from(!lasting),
             priority: job.queue.priority,
-            due: due(job, id, &self.profiles),
+            due: due(job, id, longest),
             step: Reverse(id.step),
         };
-        self.queue.insert((key, id));
         self.place_wanted = true;
         self.ready.insert(
             id,
@@ -160,44 +143,33 @@
                 spec: Arc::clone(&job.spec),
                 queue: Arc::clone(&job.queue),
                 accepted: job.accepted,
-                remaining: chain_from(job, usize::from(id.step), &self.profiles),
+                remaining: chains[usize::from(id.step)],
                 waiting,
             },
         );
     }
 }
 
-/// When a job should be done: its objective counted from its hand-in or its due time.
-fn due(job: &Job, id: StepId, profiles: &Profiles) -> Timestamp {
+/// When a job should be done: its objective counted from its hand-in or its due time. `chain` is
+/// the longest chain of work through its steps.
+fn due(job: &Job, id: StepId, chain: Duration) -> Timestamp {
     let begun = job
         .spec
         .timetable
         .map_or(job.accepted, |t| t.due(id.occurrence));
-    begun + job.queue.slo + longest_chain(job, profiles).mul_f64(job.queue.stretch)
+    begun + job.queue.slo + chain.mul_f64(job.queue.stretch)
 }
 
-/// Expected run time of a step and of the longest chain of steps that wait for it.
-fn chain_from(job: &Job, step: usize, profiles: &Profiles) -> Duration {
-    let spec = &job.spec;
-    let mut chains = vec![Duration::ZERO; spec.steps.len()];
-    for (i, s) in spec.steps.iter().enumerate().rev() {
-        chains[i] += profiles.expected(&job.queue.name, s.estimate);
-        for before in &s.after {
+/// Expected run time of each step and of the longest chain of steps that wait for it.
+fn chains(job: &Job, profiles: &Profiles) -> Vec<Duration> {
+    let steps = &job.spec.steps;
+    let mut chains = vec![Duration::ZERO; steps.len()];
+    for (i, step) in steps.iter().enumerate().rev() {
+        chains[i] += profiles.expected(&job.queue.name, step.estimate);
+        for before in &step.after {
             let before = usize::from(*before);
             chains[before] = chains[before].max(chains[i]);
         }
     }
-    chains[step]
-}
-
-/// Longest chain of expected run times through the steps.
-fn longest_chain(job: &Job, profiles: &Profiles) -> Duration {
-    let spec = &job.spec;
-    let mut ends: Vec<Duration> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let after = step.after.iter().filter_map(|s| ends.get(usize::from(*s)));
-        let begin = after.max().copied().unwrap_or_default();
-        ends.push(begin + profiles.expected(&job.queue.name, step.estimate));
-    }
-    ends.into_iter().max().unwrap_or_default()
+    chains
 }
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -5,9 +5,10 @@
 use compact_str::CompactString;
 
 use crate::batch::model::{
-    Checkpoint, Grouping, Lifetime, MinionNumber, Queue, Room, RunNumber, StepSpec,
+    Checkpoint, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec,
 };
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,7 +46,7 @@
     pub(super) minion: MinionNumber,
     pub(super) state: RunState,
     pub(super) stop: StopState,
-    pub(super) need: Room,
+    pub(super) need: Resources,
     pub(super) fills: u32,
     pub(super) serves: bool,
     /// On the minion's clock: the latest start that was sent is not begun after this.
@@ -53,8 +54,6 @@
     /// Starts sent.
     pub(super) tries: u32,
     pub(super) proposed: Timestamp,
-    pub(super) percent: u32,
-    pub(super) load: u32,
     pub(super) checkpoint: Checkpoint,
     /// Its queue.
     pub(super) queue: CompactString,
@@ -88,8 +87,6 @@
             deadline: Duration::ZERO,
             tries: 0,
             proposed: now,
-            percent: 0,
-            load: 0,
             estimate: if checkpoint.is_empty() && spec.lifetime == Lifetime::Finite {
                 spec.estimate
             } else {
@@ -112,8 +109,8 @@
 }
 
 /// Room that a task takes of its minion; the processor time of one that fills is not granted.
-pub(super) fn charged(spec: &StepSpec) -> Room {
-    Room {
+pub(super) fn charged(spec: &StepSpec) -> Resources {
+    Resources {
         millicores: if spec.fills { 0 } else { spec.need.millicores },
         ..spec.need
     }
--- a/src/batch/driver.rs
+++ b/src/batch/driver.rs
@@ -32,15 +32,6 @@
         run: RunNumber,
         token: Term,
     ) -> impl Future<Output = Answer> + Send;
-    /// Sets the share at which a run works.
-    fn pace(
-        &self,
-        to: &Target,
-        task: TaskId,
-        run: RunNumber,
-        percent: u8,
-        token: Term,
-    ) -> impl Future<Output = Answer> + Send;
     /// Renews the lease and asks for the lists.
     fn hold(&self, to: &Target, order: &HoldOrder) -> impl Future<Output = HoldAnswer> + Send;
 }
@@ -58,12 +49,6 @@
         MinionOrder::Stop { task, run, token } => {
             MinionAnswer::Order(minions.stop(to, *task, *run, *token).await)
         }
-        MinionOrder::Pace {
-            task,
-            run,
-            percent,
-            token,
-        } => MinionAnswer::Order(minions.pace(to, *task, *run, *percent, *token).await),
         MinionOrder::Hold(order) => MinionAnswer::Hold(minions.hold(to, order).await),
     }
 }
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -158,7 +158,7 @@
         // An equal or lower version is acknowledged and changes nothing: the same order sent
         // again after a lost answer must not be refused, and other content under a version that
         // is held must never come into force.
-        if self.config.as_ref().is_none_or(|c| version > c.version) {
+        if self.is_newer(version) {
             self.config = Some(StoredConfig {
                 version,
                 document: document.clone(),
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -2,7 +2,7 @@
 
 use super::records::{StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
-use crate::batch::model::{JobId, JobState, MinionNumber, StepId, TaskId};
+use crate::batch::model::{ConfigVersion, JobId, JobState, MinionNumber, StepId, TaskId};
 
 impl Job {
     pub(super) fn step_mut(&mut self, task: TaskId) -> Option<&mut StepRecord> {
@@ -37,6 +37,12 @@
 }
 
 impl Ledger {
+    /// Whether a configuration of this version would come in force.
+    pub fn is_newer(&self, version: ConfigVersion) -> bool {
+        let held = self.config.as_ref();
+        held.is_none_or(|held| version > held.version)
+    }
+
     /// A job's state; `None` when no such job is known.
     pub fn job_state(&self, id: JobId) -> Option<JobState> {
         self.jobs.get(&id).map(|job| job.state)
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -7,8 +7,6 @@
 use std::time::Duration;
 
 use slog::{Logger, info};
-use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -200,10 +198,7 @@
     }
 
     async fn connect(&mut self, addr: SocketAddr) -> Result<(FrameReader, FrameWriter, bool)> {
-        let stream = TcpStream::connect(addr)
-            .await
-            .map_err(|e| Error::caused(Step::Connect, "opening a connection", e).with_peer(addr))?;
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(PONG_TIMEOUT * 2));
+        let stream = wire::dial(addr, PONG_TIMEOUT * 2).await?;
         let (mut reader, mut writer) = wire::split_client(stream, &self.keys).await?;
         writer.write(&Up::Hello(self.calls.zone.clone())).await?;
         match reader.read::<Down>().await? {
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -2,20 +2,16 @@
 //! leads, the dispatcher.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply};
+use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply, RETRY_AFTER};
 use super::dispatch::{Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind};
 use super::ledger::{Command, Ledger, Reply};
-use super::model::{ConfigVersion, JobId, JobSpec, MinionNumber, MinionReport, StepId};
+use super::model::{ConfigVersion, JobId, MinionNumber, MinionReport, StepId};
 use crate::error::Result;
 use crate::ids::{LogIndex, MinionId, Term, Timestamp};
-use crate::replication::StateMachine;
-
-/// Longest time for which a caller whose request cannot be served now is asked to stay away.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+use crate::replication::{StateMachine, monotonic_now, unix_now};
 
 /// The replicated ledger and the volatile state of its leader.
 pub struct Machine {
@@ -82,10 +78,11 @@
             .filter(|j| j.queue.host == queue.host && j.queue.prefix == queue.prefix);
         match call.action {
             ClientAction::Submit(_) if known.is_some() => Admission::Answer(ClientReply::Accepted),
-            ClientAction::Submit(spec) => {
-                let queue = Arc::new(queue.clone());
-                self.submit(job, queue, spec)
-            }
+            ClientAction::Submit(spec) => Admission::Propose(Command::Submit {
+                job,
+                queue: Arc::new(queue.clone()),
+                spec,
+            }),
             ClientAction::State => Admission::Answer(match known {
                 Some(known) => ClientReply::State(known.state),
                 None => ClientReply::Gone,
@@ -99,10 +96,6 @@
         }
     }
 
-    fn submit(&self, job: JobId, queue: Arc<super::model::Queue>, spec: Arc<JobSpec>) -> Admission {
-        Admission::Propose(Command::Submit { job, queue, spec })
-    }
-
     /// The configuration in force, as its operator sent it.
     pub(crate) fn config_document(&self) -> OperatorReply {
         match &self.ledger.config {
@@ -113,10 +106,7 @@
 
     /// Whether a configuration of this version would change anything.
     pub(crate) fn is_newer(&self, version: ConfigVersion) -> bool {
-        self.ledger
-            .config
-            .as_ref()
-            .is_none_or(|c| version > c.version)
+        self.ledger.is_newer(version)
     }
 
     /// Takes a minion's report.
@@ -175,12 +165,6 @@
     digits.then(|| JobId::from_str_radix(text, 16).ok())?
 }
 
-fn unix_now() -> Timestamp {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
-
 impl StateMachine for Machine {
     type Reply = Reply;
 
@@ -193,8 +177,7 @@
         let fresh = self.lead.is_some() && self.is_fresh(&command);
         let reply = self.ledger.apply(at, &command);
         if let Some(lead) = &mut self.lead {
-            let now = crate::replication::monotonic_now();
-            lead.applied(now, &self.ledger, &command, fresh);
+            lead.applied(monotonic_now(), &self.ledger, &command, fresh);
         }
         reply
     }
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -2,12 +2,14 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{MinionId, RackName, ServiceName, ZoneName};
+use crate::resources::Resources;
 
 /// Number under which a caller hands a job in; the idempotency key of the hand-in.
 pub type JobId = u64;
@@ -31,6 +33,28 @@
     pub step: u16,
 }
 
+impl StepId {
+    /// All steps that a job can have.
+    pub fn all_of(job: JobId) -> RangeInclusive<Self> {
+        let id = |occurrence, step| Self {
+            job,
+            occurrence,
+            step,
+        };
+        id(0, 0)..=id(u32::MAX, u16::MAX)
+    }
+
+    /// One of its tasks.
+    pub fn task(self, index: u32) -> TaskId {
+        TaskId { step: self, index }
+    }
+
+    /// All tasks that it can have.
+    pub fn tasks(self) -> RangeInclusive<TaskId> {
+        self.task(0)..=self.task(u32::MAX)
+    }
+}
+
 /// One task of a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskId {
@@ -52,42 +76,6 @@
     }
 }
 
-/// Amounts of what a minion has and a task needs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Room {
-    /// Thousandths of a core.
-    pub millicores: u32,
-    /// Memory in MB.
-    pub memory_mb: u32,
-    /// Accelerators.
-    pub accelerators: u32,
-}
-
-impl Room {
-    /// Whether `need` fits into this much.
-    pub fn holds(&self, need: &Self) -> bool {
-        self.millicores >= need.millicores
-            && self.memory_mb >= need.memory_mb
-            && self.accelerators >= need.accelerators
-    }
-
-    /// Adds another amount.
-    pub fn add(&mut self, other: &Self) {
-        self.millicores += other.millicores;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
-    }
-
-    /// What is left of this after taking `used` away; never below zero.
-    pub fn minus(&self, used: &Self) -> Self {
-        Self {
-            millicores: self.millicores.saturating_sub(used.millicores),
-            memory_mb: self.memory_mb.saturating_sub(used.memory_mb),
-            accelerators: self.accelerators.saturating_sub(used.accelerators),
-        }
-    }
-}
-
 /// How the tasks of a step relate to time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lifetime {
@@ -114,7 +102,7 @@
     /// Number of tasks.
     pub count: u32,
     /// What each task takes of its minion.
-    pub need: Room,
+    pub need: Resources,
     /// Declared run time of a task; often far off.
     pub estimate: Duration,
     /// Earlier steps that must be done first.
@@ -292,7 +280,7 @@
     /// Its availability zone.
     pub zone: ZoneName,
     /// What it has.
-    pub capacity: Room,
+    pub capacity: Resources,
     /// Its kind and its rack, and what else it carries.
     pub labels: Vec<CompactString>,
     /// Whether it takes work.
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -10,8 +10,8 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
-use super::agents::Agents;
-use super::calls::{Call, CallReply, ClientReply, Down, OperatorReply, Up};
+use super::agents::{AgentId, Agents};
+use super::calls::{Call, CallReply, ClientReply, Down, OperatorReply, RETRY_AFTER, Up};
 use super::ledger::{Command, Reply};
 use super::link::{LeaderLink, NoAnswer};
 use super::machine::{Admission, Machine};
@@ -27,8 +27,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Time for a peer to take what it is sent, after which it counts as gone.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
-/// What a caller is told when this replica takes no more commands at the moment.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Answers calls on the state that this replica holds.
 #[derive(Clone)]
@@ -179,6 +177,18 @@
         done
     }
 
+    async fn add_agent(
+        &self,
+        id: AgentId,
+        tx: &mpsc::UnboundedSender<Down>,
+        zone: &ZoneName,
+        own: bool,
+    ) {
+        self.agents.add(id, tx.clone(), zone.clone(), own);
+        let agents = self.agents.count();
+        self.replica.inform(move |m, _| m.set_agents(agents)).await;
+    }
+
     async fn read_all(
         &self,
         mut reader: FrameReader,
@@ -213,9 +223,7 @@
                     Some(Up::Hello(named)) => {
                         zone = named;
                         if last.0 {
-                            self.agents.add(id, tx.clone(), zone.clone(), own);
-                            let agents = self.agents.count();
-                            self.replica.inform(move |m, _| m.set_agents(agents)).await;
+                            self.add_agent(id, tx, &zone, own).await;
                         }
                     }
                     Some(Up::Done(answers)) => {
@@ -238,9 +246,7 @@
                     if next != last {
                         let _ = tx.send(message);
                         if next.0 && !last.0 {
-                            self.agents.add(id, tx.clone(), zone.clone(), own);
-                            let agents = self.agents.count();
-                            self.replica.inform(move |m, _| m.set_agents(agents)).await;
+                            self.add_agent(id, tx, &zone, own).await;
                         }
                         last = next;
                     }
--- a/src/entry/link_connection.rs
+++ b/src/entry/link_connection.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -13,13 +12,13 @@
 use crate::error::{Error, Result, Step};
 use crate::wire::{
     Answer, Call, CallId, CellKeys, EntryHello, Feed, FrameReader, FrameWriter, FromControl,
-    ToControl, split_client,
+    ToControl, dial, split_client,
 };
 
 /// Time for connecting and for the handshake together.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which sent bytes may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time without any word after a call before the connection counts as silent.
 const SILENCE: Duration = Duration::from_millis(1500);
 /// Time between two looks at deadlines and silence.
@@ -47,20 +46,6 @@
     heard: Instant,
 }
 
-/// Opens a TCP connection that fails when sent bytes stay unacknowledged.
-///
-/// Something between the two ends may forget a connection without telling either. Sends then
-/// vanish, and the default timeout is many minutes.
-pub(super) async fn dial(addr: SocketAddr) -> Result<TcpStream> {
-    let failed = |e| Error::caused(Step::Connect, "opening a connection", e).with_peer(addr);
-    let stream = TcpStream::connect(addr).await.map_err(failed)?;
-    let socket = socket2::SockRef::from(&stream);
-    socket
-        .set_tcp_user_timeout(Some(USER_TIMEOUT))
-        .map_err(failed)?;
-    Ok(stream)
-}
-
 impl Connection {
     pub(super) async fn open(
         addr: SocketAddr,
@@ -68,7 +53,7 @@
         hello: &EntryHello,
     ) -> Result<Self> {
         let open = async {
-            let (reader, mut writer) = split_client(dial(addr).await?, keys).await?;
+            let (reader, mut writer) = split_client(dial(addr, USER_TIMEOUT).await?, keys).await?;
             writer.write(&ToControl::Hello(hello.clone())).await?;
             Ok((reader, writer))
         };
--- a/src/entry/peer_dialer.rs
+++ b/src/entry/peer_dialer.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::entry::core::{Core, Start};
-use crate::entry::link_connection::dial;
+use crate::entry::link_connection::USER_TIMEOUT;
 use crate::entry::peer_message::{
     AnswerHead, Outbox, PeerMessage, RequestHead, StreamId, first_piece, write_messages,
 };
@@ -21,7 +21,7 @@
 use crate::error::{Error, Result, Step};
 use crate::ids::{EntryId, ProcessId};
 use crate::routing::{AttemptEnd, AttemptId, Event};
-use crate::wire::{CellKeys, FrameReader, PeerEntry, split_client};
+use crate::wire::{CellKeys, FrameReader, PeerEntry, dial, split_client};
 
 /// Time for connecting and for the handshake together.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -282,7 +282,7 @@
 
 async fn connection(core: &Arc<Core>, peer: &EntryId, addr: SocketAddr) -> Result<()> {
     let links = &core.peers;
-    let connect = async { split_client(dial(addr).await?, &links.keys).await };
+    let connect = async { split_client(dial(addr, USER_TIMEOUT).await?, &links.keys).await };
     let late = |_| Error::new(Step::Connect, "no answer in time").with_peer(addr);
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
     let (mut reader, writer) = connected.map_err(late)??;
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -9,7 +9,7 @@
     BANDS, Ending, Job, JobIx, Place, Run, RunRef, Task, Worker, WorkerIx, saturating_add,
     saturating_sub,
 };
-use super::{rules, search};
+use super::rules;
 use crate::ids::{JobName, RackName, TaskIndex, Timestamp, WorkerId, ZoneName};
 use crate::resources::Resources;
 use crate::workload::{JobSpec, RunEnd, Spread, TaskId, TaskRun, WorkerSpec};
@@ -179,7 +179,7 @@
         let room = (worker.open() && worker.hold.is_none()).then(|| worker.room());
         // Quick work may use room that is held for ordinary work.
         let slots = if worker.open() && self.quick_shape != Resources::ZERO {
-            search::times(&self.quick_shape, &worker.room())
+            self.quick_shape.times_in(&worker.room())
         } else {
             0
         };
--- a/src/placement/headroom.rs
+++ b/src/placement/headroom.rs
@@ -11,7 +11,6 @@
 use super::cell::Cell;
 use super::records::{JobIx, larger, saturating_add, saturating_sub};
 use super::scheduler::Scheduler;
-use super::search;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
 use crate::workload::{Band, JobSpec, WorkClass};
@@ -147,7 +146,7 @@
             accelerators: 0,
             ..*grant
         };
-        let takes = u64::from(search::times(shape, &one).max(1)) * u64::from(n);
+        let takes = u64::from(shape.times_in(&one).max(1)) * u64::from(n);
         self.cell.quick_slots < kept + takes
     }
 
--- a/src/placement/reservations.rs
+++ b/src/placement/reservations.rs
@@ -242,11 +242,11 @@
             .collect();
         ends.sort_unstable_by_key(|&(at, _)| at);
         let mut room = worker.room();
-        let mut fitted = search::times(need, &room);
+        let mut fitted = need.times_in(&room);
         places.extend((0..fitted).map(|_| (now, ix)));
         for (at, granted) in ends {
             room = saturating_add(&room, &granted);
-            let fits = search::times(need, &room);
+            let fits = need.times_in(&room);
             places.extend((fitted..fits).map(|_| (at, ix)));
             fitted = fitted.max(fits);
         }
--- a/src/placement/search.rs
+++ b/src/placement/search.rs
@@ -234,14 +234,14 @@
             let class = &cell.index.classes[class as usize];
             if ask.need.fits_in(&class.ceiling) {
                 let members = class.members.iter();
-                open.extend(members.map(|&ix| (ix, times(&ask.need, &cell.worker(ix).room()))));
+                open.extend(members.map(|&ix| (ix, ask.need.times_in(&cell.worker(ix).room()))));
             }
         }
     }
     for &ix in held {
         let worker = cell.worker(ix);
         if worker.open() && fits(cell, ask, worker) && ask.may_use_held(worker) {
-            open.push((ix, times(&ask.need, &worker.room())));
+            open.push((ix, ask.need.times_in(&worker.room())));
         }
     }
     open.retain(|&(_, n)| n > 0);
@@ -269,20 +269,12 @@
     Some(picks)
 }
 
-/// How many times a need fits into a room.
-pub(crate) fn times(need: &Resources, room: &Resources) -> u32 {
-    let part = |need: u32, room: u32| room.checked_div(need).unwrap_or(u32::MAX);
-    part(need.millicores, room.millicores)
-        .min(part(need.memory_mb, room.memory_mb))
-        .min(part(need.accelerators, room.accelerators))
-}
-
 /// How many tasks of the job all suitable workers could hold when empty.
 pub(crate) fn largest_gang(cell: &Cell, spec: &JobSpec, need: &Resources) -> u64 {
     let groups = cell.index.groups.iter();
     groups
         .filter(|g| group_suits(spec, need, g))
-        .map(|g| u64::from(g.peak) * u64::from(times(need, &g.capacity)))
+        .map(|g| u64::from(g.peak) * u64::from(need.times_in(&g.capacity)))
         .sum()
 }
 
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -7,14 +7,14 @@
 use tokio::sync::{mpsc, watch};
 
 use super::client::Client;
-use super::entry::{bind, farewell, open_cell_keys, run_daemon, serve_metrics, wait_for_end};
+use super::daemon::{bind, farewell, open_cell_keys, run_daemon, serve_metrics, wait_for_end};
 use super::http;
-use super::minions::{MinionCalls, PolicyCalls};
+use super::minions::{self, MinionCalls};
 use super::operator::ControlFront;
 use super::settings::Boot;
 use crate::batch::agents::Agents;
 use crate::batch::driver;
-use crate::batch::link::{Calls, LeaderLink};
+use crate::batch::link::LeaderLink;
 use crate::batch::machine::Machine;
 use crate::batch::model::Limits;
 use crate::batch::server::{CallServer, ToLeader};
@@ -80,14 +80,7 @@
         agents.clone(),
         log.clone(),
     ));
-    let calls_out = Calls {
-        minions: MinionCalls(client.clone()),
-        policy: PolicyCalls {
-            client,
-            addr: boot.policy,
-        },
-        zone: boot.zone.clone(),
-    };
+    let calls_out = minions::calls(&boot, client);
     let link = LeaderLink::start(boot.seed_calls(), keys.clone(), calls_out, log.clone());
     let server = CallServer::new(replica.clone(), keys, agents, boot.ip, log.clone());
     tokio::spawn(server.clone().serve(calls));
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -13,7 +13,7 @@
 use super::http::{Handler, Reply, body_refused, come_back, empty, json, read_body, refused, text};
 use super::jobs::{self, PendingBody};
 use super::settings::METRICS_PATH;
-use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply};
+use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply, RETRY_AFTER};
 use crate::batch::link::{LeaderLink, NoAnswer};
 use crate::batch::machine::parse_job_id;
 use crate::batch::model::Limits;
@@ -28,8 +28,6 @@
 /// How long a request waits for a leader to be found before it is refused: most changes of leader
 /// are over by then, and the caller still has time to try elsewhere.
 const LEADER_WAIT: Duration = Duration::from_millis(1000);
-/// When to come back after that.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Answers callers.
 #[derive(Clone)]
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -6,7 +6,8 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::batch::model::{Grouping, JobSpec, JobState, Lifetime, Room, StepSpec, Timetable};
+use crate::batch::model::{Grouping, JobSpec, JobState, Lifetime, StepSpec, Timetable};
+use crate::resources::Resources;
 
 /// Longest payload in bytes, as the contract has it.
 const MAX_PAYLOAD: usize = 4000;
@@ -115,7 +116,7 @@
     let text = |text: CompactString| (!text.is_empty()).then_some(text);
     Ok(StepSpec {
         count: body.count,
-        need: Room {
+        need: Resources {
             millicores: body.cpu,
             memory_mb: body.mem_mb,
             accelerators: body.gpu,
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -8,14 +8,17 @@
 use serde::{Deserialize, Serialize};
 
 use super::client::{Client, Failure};
+use super::settings::Boot;
 use crate::batch::dispatch::{
     Advice, AdviceQuestion, Answer, HoldAnswer, HoldOrder, ListedEnd, ListedRun, Listing, Silence,
     StartOrder, StartRefusal, Target,
 };
 use crate::batch::driver::{Minions, Policy};
+use crate::batch::link::Calls;
 use crate::batch::machine::parse_job_id;
-use crate::batch::model::{EndKind, MinionReport, Readiness, Room, RunNumber, StepId, TaskId};
+use crate::batch::model::{EndKind, MinionReport, Readiness, RunNumber, StepId, TaskId};
 use crate::ids::Term;
+use crate::resources::Resources;
 
 /// Time for an order to be answered: a round trip across zones takes 2 ms and a minion answers
 /// at once. Orders are idempotent, so the next try may as well begin while this one is slow.
@@ -45,14 +48,6 @@
     fencing_token: Term,
 }
 
-#[derive(Serialize)]
-struct PaceBody {
-    task: String,
-    run: RunNumber,
-    percent: u8,
-    fencing_token: Term,
-}
-
 #[derive(Serialize)]
 struct HoldBody {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -166,23 +161,6 @@
         self.order(to, "/yuccahold/run-stop", &body).await
     }
 
-    async fn pace(
-        &self,
-        to: &Target,
-        task: TaskId,
-        run: RunNumber,
-        percent: u8,
-        token: Term,
-    ) -> Answer {
-        let body = PaceBody {
-            task: task.to_string(),
-            run,
-            percent,
-            fencing_token: token,
-        };
-        self.order(to, "/yuccahold/pace", &body).await
-    }
-
     async fn hold(&self, to: &Target, order: &HoldOrder) -> HoldAnswer {
         let body = HoldBody {
             deadline_ms: order.deadline.map(whole_ms),
@@ -265,11 +243,23 @@
     span.as_millis() as u64
 }
 
+/// What a daemon on the platform can do for a leader.
+pub(super) fn calls(boot: &Boot, client: Client) -> Calls<MinionCalls, PolicyCalls> {
+    Calls {
+        minions: MinionCalls(client.clone()),
+        policy: PolicyCalls {
+            client,
+            addr: boot.policy,
+        },
+        zone: boot.zone.clone(),
+    }
+}
+
 /// Asks the policy service.
 #[derive(Clone)]
 pub(super) struct PolicyCalls {
-    pub(super) client: Client,
-    pub(super) addr: Option<SocketAddr>,
+    client: Client,
+    addr: Option<SocketAddr>,
 }
 
 impl Policy for PolicyCalls {
@@ -337,7 +327,7 @@
         service: report.service,
         addr: report.addr,
         zone: report.zone,
-        capacity: Room {
+        capacity: Resources {
             millicores: report.capacity.cpu,
             memory_mb: report.capacity.mem_mb,
             accelerators: report.capacity.gpu,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod config;
 mod control;
+mod daemon;
 mod entry;
 mod front;
 mod http;
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -9,7 +9,7 @@
 
 use super::http::{Handler, Reply, body_refused, come_back, document, empty, read_body, refused};
 use super::{config, minions};
-use crate::batch::calls::{Call, CallReply, OperatorReply};
+use crate::batch::calls::{Call, CallReply, OperatorReply, RETRY_AFTER};
 use crate::batch::link::NoAnswer;
 use crate::batch::server::ToLeader;
 
@@ -18,8 +18,6 @@
 const MAX_BODY: usize = 4 * 1024 * 1024;
 /// Callers go on to another daemon after a second.
 const CALL_TIME: Duration = Duration::from_millis(900);
-/// When an operator may come back.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Answers operators and minions.
 #[derive(Clone)]
--- a/src/replication/core/membership.rs
+++ b/src/replication/core/membership.rs
@@ -49,16 +49,18 @@
         self.voters.keys().chain(self.learners.keys()).copied()
     }
 
+    fn all(&self) -> impl Iterator<Item = &Member> + '_ {
+        self.voters.values().chain(self.learners.values())
+    }
+
     /// Addresses at which the members answer calls.
     pub fn call_addrs(&self) -> Vec<SocketAddr> {
-        let members = self.voters.values().chain(self.learners.values());
-        members.map(|m| m.call_addr).collect()
+        self.all().map(|m| m.call_addr).collect()
     }
 
     /// Addresses at which other replicas reach the members.
     pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
-        let members = self.voters.values().chain(self.learners.values());
-        members.map(|m| m.addr).collect()
+        self.all().map(|m| m.addr).collect()
     }
 
     /// Votes that make a majority.
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -11,4 +11,4 @@
     SaveSnapshot, Snapshot,
 };
 pub use machine::{ProposeError, ReadError, ReplicaStatus, Role, StateMachine};
-pub use runtime::{Formation, Replica, ReplicaConfig, ReplicaHandle, monotonic_now};
+pub use runtime::{Formation, Replica, ReplicaConfig, ReplicaHandle, monotonic_now, unix_now};
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -7,7 +7,7 @@
 
 use super::disk::DiskQueue;
 use super::messages::{
-    DiskNews, FromPeer, HandOver, Inform, Leased, Local, Propose, Read, ReadJob, Stop, Tick,
+    Confirmation, DiskNews, FromPeer, HandOver, Inform, Local, Propose, Read, ReadJob, Stop, Tick,
 };
 use super::peers::PeerQueue;
 use super::{monotonic_now, unix_now};
@@ -146,13 +146,17 @@
     fn run_reads(&mut self, through: ReadId) {
         let later = self.reads.split_off(&(through + 1));
         for (_, job) in std::mem::replace(&mut self.reads, later) {
-            // Read anew for each: this thread may have been paused since the confirmation.
-            let now = monotonic_now();
-            if self.core.is_confirmed(now) {
-                job(Ok((&mut self.machine, now)));
-            } else {
-                job(Err(self.not_leading()));
-            }
+            self.run_if_confirmed(job);
+        }
+    }
+
+    fn run_if_confirmed(&mut self, job: ReadJob<M>) {
+        // Read now: this thread may have been paused since the confirmation.
+        let now = monotonic_now();
+        if self.core.is_confirmed(now) {
+            job(Ok((&mut self.machine, now)));
+        } else {
+            job(Err(self.not_leading()));
         }
     }
 
@@ -246,12 +250,18 @@
 impl<M: StateMachine> Handler<Read<M>> for Control<M> {
     type Return = ();
 
-    async fn handle(&mut self, Read(job): Read<M>, _: &mut Context<Self>) {
-        match self.core.read(monotonic_now()) {
-            Ok(id) => {
-                self.reads.insert(id, job);
+    async fn handle(&mut self, Read { by, job }: Read<M>, _: &mut Context<Self>) {
+        match by {
+            Confirmation::Round => match self.core.read(monotonic_now()) {
+                Ok(id) => {
+                    self.reads.insert(id, job);
+                }
+                Err(_) => job(Err(self.not_leading())),
+            },
+            Confirmation::Lease => {
+                self.run_if_confirmed(job);
+                self.led_since_tick = true;
             }
-            Err(_) => job(Err(self.not_leading())),
         }
     }
 }
@@ -264,21 +274,6 @@
     }
 }
 
-impl<M: StateMachine> Handler<Leased<M>> for Control<M> {
-    type Return = ();
-
-    async fn handle(&mut self, Leased(job): Leased<M>, _: &mut Context<Self>) {
-        // Read now: this thread may have been paused since the message was sent.
-        let now = monotonic_now();
-        if !self.core.is_confirmed(now) {
-            job(Err(self.not_leading()));
-            return;
-        }
-        job(Ok((&mut self.machine, now)));
-        self.led_since_tick = true;
-    }
-}
-
 impl<M: StateMachine> Handler<Inform<M>> for Control<M> {
     type Return = ();
 
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -11,7 +11,7 @@
 
 use super::config::{Formation, ReplicaConfig};
 use super::control::{self, Control};
-use super::messages::{HandOver, Inform, Leased, Local, Propose, Read, Stop, Tick};
+use super::messages::{Confirmation, HandOver, Inform, Local, Propose, Read, Stop, Tick};
 use super::{disk, monotonic_now, peers};
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
@@ -69,9 +69,12 @@
             .map_err(|e| Error::caused(Step::Listen, "reading the own address", e))?;
         let core_cfg = cfg.core(opened.id, addr);
         let mut found = opened.recovered;
-        let unused = found.hard == HardState::default() && found.entries.is_empty();
-        let first_start = unused && found.snapshot.index == 0;
-        if cfg.form == Formation::FormGroup || (cfg.form == Formation::FormOnce && first_start) {
+        let forms = match cfg.form {
+            Formation::FormGroup => true,
+            Formation::FormOnce => is_unused(&found),
+            Formation::Join | Formation::ForceGroupOfOne => false,
+        };
+        if forms {
             found = form_group(&mut store, &core_cfg, found, &cfg)?;
         }
         let mut core = Core::new(core_cfg, rand::random(), monotonic_now(), found);
@@ -82,6 +85,12 @@
     }
 }
 
+/// Whether a folder has never held a log.
+fn is_unused(found: &Recovered) -> bool {
+    let nothing = found.hard == HardState::default() && found.entries.is_empty();
+    nothing && found.snapshot.index == 0
+}
+
 /// Writes the first entry of a group of one.
 fn form_group(
     store: &mut Store<impl Files>,
@@ -89,8 +98,7 @@
     found: Recovered,
     cfg: &ReplicaConfig,
 ) -> Result<Recovered> {
-    let unused = found.hard == HardState::default() && found.entries.is_empty();
-    if !unused || found.snapshot.index > 0 {
+    if !is_unused(&found) {
         let message = "a group can only be formed on an empty folder; this one holds a replica";
         return Err(Error::new(Step::Storage, message).with_peer(cfg.data.display()));
     }
@@ -220,20 +228,7 @@
         &self,
         f: impl FnOnce(&mut M, Timestamp) -> R + Send + 'static,
     ) -> Result<R, ReadError> {
-        let (tx, rx) = oneshot::channel();
-        let job = move |access: Result<(&mut M, Timestamp), ReadError>| {
-            let _ = tx.send(access.map(|(machine, now)| f(machine, now)));
-        };
-        if self
-            .control
-            .send(Read(Box::new(job)))
-            .detach()
-            .await
-            .is_err()
-        {
-            return Err(ReadError::Stopping);
-        }
-        rx.await.unwrap_or(Err(ReadError::Stopping))
+        self.read_by(Confirmation::Round, f).await
     }
 
     /// Runs `f` on the state if a quorum's answers of the last moments still confirm that this
@@ -243,12 +238,27 @@
     pub async fn leased<R: Send + 'static>(
         &self,
         f: impl FnOnce(&mut M, Timestamp) -> R + Send + 'static,
+    ) -> Result<R, ReadError> {
+        self.read_by(Confirmation::Lease, f).await
+    }
+
+    async fn read_by<R: Send + 'static>(
+        &self,
+        by: Confirmation,
+        f: impl FnOnce(&mut M, Timestamp) -> R + Send + 'static,
     ) -> Result<R, ReadError> {
         let (tx, rx) = oneshot::channel();
         let job = move |access: Result<(&mut M, Timestamp), ReadError>| {
             let _ = tx.send(access.map(|(machine, now)| f(machine, now)));
         };
-        let sent = self.control.send(Leased(Box::new(job))).detach().await;
+        let sent = self
+            .control
+            .send(Read {
+                by,
+                job: Box::new(job),
+            })
+            .detach()
+            .await;
         if sent.is_err() {
             return Err(ReadError::Stopping);
         }
--- a/src/replication/runtime/messages.rs
+++ b/src/replication/runtime/messages.rs
@@ -16,11 +16,20 @@
 /// Work on the state, run once leadership is confirmed, or told why not.
 pub(super) type ReadJob<M> = Box<dyn FnOnce(Result<(&mut M, Timestamp), ReadError>) + Send>;
 
-/// A read under confirmed leadership.
-pub(super) struct Read<M>(pub(super) ReadJob<M>);
+/// How leadership is confirmed before a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Confirmation {
+    /// By a round of messages that begins after the read.
+    Round,
+    /// By the quorum's latest answers, while they still bind it.
+    Lease,
+}
 
-/// Work on the state of a leader whose leadership is confirmed at this moment, or told why not.
-pub(super) struct Leased<M>(pub(super) ReadJob<M>);
+/// A read under confirmed leadership.
+pub(super) struct Read<M> {
+    pub(super) by: Confirmation,
+    pub(super) job: ReadJob<M>,
+}
 
 /// What to do with the machine above the log, and when.
 pub(super) type News<M> = Box<dyn FnOnce(&mut M, Timestamp) + Send>;
--- a/src/replication/runtime/mod.rs
+++ b/src/replication/runtime/mod.rs
@@ -40,7 +40,8 @@
     )
 }
 
-fn unix_now() -> Timestamp {
+/// The time of day as this machine tells it.
+pub fn unix_now() -> Timestamp {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 use xtra::WeakAddress;
@@ -207,10 +207,7 @@
     }
 
     async fn connect(&self) -> Result<(FrameReader, FrameWriter)> {
-        let stream = TcpStream::connect(self.addr).await.map_err(|e| {
-            Error::caused(Step::Connect, "opening a connection", e).with_peer(self.addr)
-        })?;
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(self.patience * 2));
+        let stream = wire::dial(self.addr, self.patience * 2).await?;
         let (reader, mut writer) = wire::split_client(stream, &self.keys).await?;
         writer.write(&Forward::Hello(self.identity)).await?;
         Ok((reader, writer))
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -39,6 +39,32 @@
             && self.accelerators <= free.accelerators
     }
 
+    /// Says how many times this amount fits into a room; without end when it is nothing.
+    pub fn times_in(&self, room: &Self) -> u32 {
+        let part = |need: u32, room: u32| room.checked_div(need).unwrap_or(u32::MAX);
+        part(self.millicores, room.millicores)
+            .min(part(self.memory_mb, room.memory_mb))
+            .min(part(self.accelerators, room.accelerators))
+    }
+
+    /// Adds each unit, up to the largest amount there is.
+    pub const fn saturating_add(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Subtracts each unit, down to zero.
+    pub const fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_sub(other.millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
     /// Adds each unit, or nothing if one would overflow.
     pub fn checked_add(&self, other: &Self) -> Option<Self> {
         Some(Self {
--- a/src/wire/connection.rs
+++ b/src/wire/connection.rs
@@ -1,7 +1,10 @@
 //! One authenticated connection: the handshake, then length-prefixed frames with a tag each.
 
+use std::time::Duration;
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, ReadHalf, WriteHalf};
 use tokio::net::TcpStream;
 
@@ -41,6 +44,19 @@
     split_client(stream, keys).await
 }
 
+/// Opens a TCP connection that fails when sent bytes stay unacknowledged for `patience`.
+///
+/// Something between the two ends may forget a connection without telling either. Sends then
+/// vanish, and the default timeout is many minutes.
+pub(crate) async fn dial(addr: std::net::SocketAddr, patience: Duration) -> Result<TcpStream> {
+    let failed = |e| Error::caused(Step::Connect, "opening a connection", e).with_peer(addr);
+    let stream = TcpStream::connect(addr).await.map_err(failed)?;
+    SockRef::from(&stream)
+        .set_tcp_user_timeout(Some(patience))
+        .map_err(failed)?;
+    Ok(stream)
+}
+
 /// Checks a newly accepted connection for membership of the cell.
 pub async fn accept(stream: TcpStream, keys: &CellKeys) -> Result<(FrameReader, FrameWriter)> {
     split_server(stream, keys).await
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,6 +12,7 @@
     MinionAnnouncement, OwnedMinion, PeerEntry, Refusal, RefusalKind, RunUsage, StopKind, StopRun,
     StoredAnswer, ToControl, WorkerPoll, WorkerTasks,
 };
+pub(crate) use connection::dial;
 pub use connection::{FrameReader, FrameWriter, accept, connect, split_client, split_server};
 pub use delta::{DocumentDelta, FeedDelta, MapDelta};
 
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -3,9 +3,7 @@
 mod batch_world;
 
 use batch_world::{JOB, World, lasting, ms, queue, report};
-use yuccahold::batch::dispatch::{
-    Advice, AdviceQuestion, ListedEnd, ListedRun, Listing, Order, StartOrder,
-};
+use yuccahold::batch::dispatch::{Advice, AdviceQuestion, ListedRun, Listing, Order, StartOrder};
 use yuccahold::batch::ledger::Command;
 use yuccahold::batch::model::{AdviceTerms, EndKind, Queue, StepSpec};
 
@@ -83,22 +81,7 @@
     world.leader.left(world.now, &"i-0".into());
     let lost = starts.iter().position(|(m, _)| *m == 0).expect("one each");
     let (minion, order) = starts.remove(lost);
-    let ended = vec![ListedEnd {
-        number: 1,
-        task: order.task,
-        run: order.run,
-        kind: EndKind::Failed,
-        checkpoint: Default::default(),
-    }];
-    let clock = world.now;
-    world.listing(
-        minion,
-        Listing {
-            clock,
-            running: Vec::new(),
-            ended,
-        },
-    );
+    world.end(minion, 1, &order, EndKind::Failed);
     let mut restarted = Vec::new();
     for _ in 0..20 {
         let questions = take_questions(&mut world);
--- a/tests/batch_ledger.rs
+++ b/tests/batch_ledger.rs
@@ -50,22 +50,7 @@
 fn end_once(world: &mut World, number: u64, kind: EndKind) {
     let (minion, start) = world.start_all().pop().expect("a start");
     world.take_holds();
-    let end = ListedEnd {
-        number,
-        task: start.task,
-        run: start.run,
-        kind,
-        checkpoint: Default::default(),
-    };
-    let clock = world.now;
-    world.listing(
-        minion,
-        Listing {
-            clock,
-            running: Vec::new(),
-            ended: vec![end],
-        },
-    );
+    world.end(minion, number, &start, kind);
     // A minion on which two runs fail in a row gets no work for a second.
     world.pass(ms(9_000));
 }
--- a/tests/batch_placement.rs
+++ b/tests/batch_placement.rs
@@ -107,21 +107,7 @@
             world.now += ms(500 * factor);
             let (_, start) = starts.iter().find(|(m, _)| *m == minion).expect("one each");
             numbers[factor as usize] += 1;
-            let end = ListedEnd {
-                number: numbers[factor as usize],
-                task: start.task,
-                run: start.run,
-                kind: EndKind::Done,
-                checkpoint: Default::default(),
-            };
-            world.listing(
-                minion,
-                Listing {
-                    clock: world.now,
-                    running: Vec::new(),
-                    ended: vec![end],
-                },
-            );
+            world.end(minion, numbers[factor as usize], start, EndKind::Done);
         }
         world.pass(ms(100));
     }
@@ -152,22 +138,7 @@
         let (_, start) = world.start_all().pop().expect("there is room");
         world.take_holds();
         world.pass(ms(6_000));
-        let end = ListedEnd {
-            number,
-            task: start.task,
-            run: start.run,
-            kind: EndKind::Done,
-            checkpoint: Default::default(),
-        };
-        let clock = world.now;
-        world.listing(
-            minion,
-            Listing {
-                clock,
-                running: Vec::new(),
-                ended: vec![end],
-            },
-        );
+        world.end(minion, number, &start, EndKind::Done);
         world.pass(ms(100));
     }
     world.submit_to(101, plans(), vec![plan(12_000)]);
@@ -176,22 +147,7 @@
     world.pass(ms(4_000));
     world.submit_to(103, plans(), vec![plan(5_000)]);
     world.take_holds();
-    let end = ListedEnd {
-        number: 25,
-        task: running.task,
-        run: running.run,
-        kind: EndKind::Done,
-        checkpoint: Default::default(),
-    };
-    let clock = world.now;
-    world.listing(
-        minion,
-        Listing {
-            clock,
-            running: Vec::new(),
-            ended: vec![end],
-        },
-    );
+    world.end(minion, 25, &running, EndKind::Done);
     let next: Vec<_> = world
         .take_starts()
         .iter()
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -6,13 +6,15 @@
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{
-    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, Listing, MinionOrder, Order,
-    Silence, StartOrder,
+    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, ListedEnd, Listing, MinionOrder,
+    Order, Silence, StartOrder,
 };
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
 use yuccahold::batch::model::{
-    JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue, Readiness, Room, StepSpec, TaskId,
+    EndKind, JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue, Readiness, StepSpec,
+    TaskId,
 };
+use yuccahold::resources::Resources;
 
 pub const JOB: JobId = 0x5c0e_7a21_d94b_36f8;
 const UNIX: Duration = Duration::from_secs(1_700_000_000);
@@ -45,7 +47,7 @@
 pub fn step(count: u32, millicores: u32) -> StepSpec {
     StepSpec {
         count,
-        need: Room {
+        need: Resources {
             millicores,
             memory_mb: 100,
             accelerators: 0,
@@ -68,7 +70,7 @@
         service: "desk".into(),
         addr: ([10, 0, 0, 1], port).into(),
         zone: "mixco".into(),
-        capacity: Room {
+        capacity: Resources {
             millicores: 32_000,
             memory_mb: 64_000,
             accelerators: 0,
@@ -192,6 +194,26 @@
         self.decide();
     }
 
+    /// Answers the hold on the way with one end and nothing that runs.
+    pub fn end(&mut self, minion: MinionNumber, number: u64, run: &StartOrder, kind: EndKind) {
+        let ended = vec![ListedEnd {
+            number,
+            task: run.task,
+            run: run.run,
+            kind,
+            checkpoint: Default::default(),
+        }];
+        let clock = self.now;
+        self.listing(
+            minion,
+            Listing {
+                clock,
+                running: Vec::new(),
+                ended,
+            },
+        );
+    }
+
     /// The hold on the way brings no answer.
     pub fn silent_hold(&mut self, minion: MinionNumber) {
         let answer = HoldAnswer::Silent(Silence::Lost);
