Spread minions over all agents, name many prospects in a question, spare minions that do not answer

A step with one task left asked about two minions at a time. After a change of leader all 350 minions were called through the eight agents that had come first, over links of 2 Mbit/s: 4,578 starts in ten seconds brought no answer, many of them to minions that were cut off. Change: agents by rank of (minion, agent); questions of 30 to 100 minions by expected room; no new work for a minion with an unanswered order. Log lines leave in blocks of 4 KiB; notes on the cell, on waiting steps, on advice and preemption.

--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -4,7 +4,7 @@
 //! An agent owns nothing. Every order carries the leader's fencing token and is idempotent, so the
 //! death of an agent costs a repetition and no lease.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -49,8 +49,6 @@
 struct Pool {
     agents: BTreeMap<AgentId, Agent>,
     next_order: OrderNumber,
-    /// Agent of each minion, kept so that connections are used again.
-    chosen: HashMap<MinionNumber, AgentId>,
 }
 
 /// All agents of a leader; cheap to clone.
@@ -80,7 +78,6 @@
     /// Takes a connection away; gives what it left unanswered.
     pub(crate) fn remove(&self, id: AgentId) -> (Vec<Answered>, Vec<StepId>) {
         let mut pool = self.lock();
-        pool.chosen.retain(|_, agent| *agent != id);
         let Some(agent) = pool.agents.remove(&id) else {
             return Default::default();
         };
@@ -90,7 +87,7 @@
     }
 
     /// Hands an order to the minion's agent; gives it back when there is nobody.
-    pub(crate) fn send(
+    pub fn send(
         &self,
         now: Timestamp,
         batches: &mut Batches,
@@ -127,7 +124,7 @@
     }
 
     /// Sends what was gathered, one message an agent.
-    pub(crate) fn flush(&self, batches: Batches) {
+    pub fn flush(&self, batches: Batches) {
         let pool = self.lock();
         for (id, orders) in batches.0 {
             if let Some(agent) = pool.agents.get(&id) {
@@ -162,8 +159,7 @@
     pub(crate) fn expire(&self, now: Timestamp) -> Vec<Answered> {
         let mut pool = self.lock();
         let mut given_up = Vec::new();
-        let mut stuck = Vec::new();
-        for (id, agent) in &mut pool.agents {
+        for agent in pool.agents.values_mut() {
             let late: Vec<_> = agent
                 .open
                 .iter()
@@ -174,10 +170,8 @@
                 continue;
             }
             agent.rests_until = now + REST;
-            stuck.push(*id);
             given_up.extend(late.iter().filter_map(|n| agent.open.remove(n)));
         }
-        pool.chosen.retain(|_, agent| !stuck.contains(agent));
         given_up.into_iter().map(Sent::without_answer).collect()
     }
 
@@ -212,30 +206,32 @@
 }
 
 impl Pool {
-    /// The agent that calls a minion: one in its zone if there is any, the least busy at first
-    /// and then always the same, as long as it answers.
-    fn agent_of(&mut self, now: Timestamp, target: &Target) -> Option<AgentId> {
-        let fit = |agent: &Agent| !agent.own && now >= agent.rests_until;
-        if let Some(id) = self.chosen.get(&target.minion)
-            && self.agents.get(id).is_some_and(fit)
-        {
-            return Some(*id);
-        }
-        let mut load: HashMap<AgentId, usize> = HashMap::new();
-        for id in self.chosen.values() {
-            *load.entry(*id).or_default() += 1;
-        }
-        let (id, _) = self
-            .agents
-            .iter()
-            .filter(|(_, agent)| fit(agent))
-            .min_by_key(|(id, agent)| (agent.zone != target.zone, load.get(id).copied(), **id))?;
-        let id = *id;
-        self.chosen.insert(target.minion, id);
-        Some(id)
+    /// The agent that calls a minion: among those in its zone, if there are any, the one with the
+    /// highest rank for it.
+    ///
+    /// Ranks are drawn from the pair, so each agent that joins takes its share and no more. While
+    /// the first choice was kept, a new leader gave all of 350 minions to the eight agents that
+    /// found it first; their links of 2 Mbit/s were full, one start in five brought no answer in
+    /// time, and of the checks of these four seconds one in four was in time.
+    fn agent_of(&self, now: Timestamp, target: &Target) -> Option<AgentId> {
+        let fit = |agent: &&Agent| !agent.own && now >= agent.rests_until;
+        let all = self.agents.iter().filter(|(_, agent)| fit(agent));
+        let best = all.max_by_key(|(id, agent)| {
+            let rank = rank(target.minion, **id);
+            (agent.zone == target.zone, rank, **id)
+        });
+        best.map(|(id, _)| *id)
     }
 }
 
+/// A number drawn from a minion and an agent, by the mixing step of SplitMix64.
+fn rank(minion: MinionNumber, agent: AgentId) -> u64 {
+    let mut mixed = (u64::from(minion) << 32 ^ agent).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
+}
+
 impl Sent {
     fn without_answer(self) -> Answered {
         Answered {
@@ -249,4 +245,4 @@
 
 /// Orders gathered for each agent.
 #[derive(Default)]
-pub(crate) struct Batches(BTreeMap<AgentId, Vec<(OrderNumber, Target, MinionOrder)>>);
+pub struct Batches(BTreeMap<AgentId, Vec<(OrderNumber, Target, MinionOrder)>>);
--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -6,21 +6,37 @@
 
 use compact_str::CompactString;
 
+use super::minion::Minion;
 use super::order::{Advice, AdviceQuestion, Order};
 use super::run::charged;
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{AdviceTerms, JobId, MinionNumber, StepId};
+use crate::batch::note::Note;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
 
-/// Minions asked about in one question. The objective of a job allows for one call about this
-/// many a step, so asking for fewer gains nothing and asking for more is late.
-const ASK_AT_ONCE: usize = 30;
+/// Fewest minions named in a question, where there are as many. The objective of a job allows for
+/// one call about this many a step, so asking about fewer gains nothing.
+const FEWEST_ASKED: usize = 30;
+/// Most that the policy service takes in one question.
+const MOST_ASKED: usize = 100;
+/// Weights of a minion in a question. One that is known to be good gives a ticket for sure, others
+/// in one case of two: the users' policies let 0.35 and 0.7 of all minions run a step.
+const KNOWN_GOOD: u32 = 2;
+const UNKNOWN: u32 = 1;
+/// Weights of room that is there, of room that is expected within the life of a ticket, and of
+/// room that is not in sight.
+const ROOM_NOW: u32 = 4;
+const ROOM_SOON: u32 = 2;
+const ROOM_LATER: u32 = 1;
+/// How far ahead room counts as expected soon: the life of a ticket, as the users set it.
+const SOON: Duration = Duration::from_millis(2000);
+/// Age up to which the reckoning of rooms is used again. Every waiting step needs it, and it looks
+/// at all runs.
+const ROOMS_KEPT: Duration = Duration::from_millis(100);
 /// Most tasks that one minion is reckoned to hold; tasks that need nothing fit without end.
 const MOST_TASKS: u32 = 10_000;
-/// Minions asked about at most, where known ones need new tickets.
-const MOST_ASKED: usize = 40;
 /// A ticket is not used in the last part of its validity: the start may be tried again.
 const TICKET_RESERVE: Duration = Duration::from_millis(350);
 /// Pause after a question that brought nothing.
@@ -58,27 +74,54 @@
             .is_some_and(|(_, until)| now + TICKET_RESERVE < *until)
     }
 
+    /// Minions known to be allowed.
+    pub(super) fn good_count(&self) -> usize {
+        self.good.len()
+    }
+
+    /// Whether a question is on the way.
+    pub(super) fn is_asked(&self) -> bool {
+        self.asked.is_some()
+    }
+
     pub(super) fn forget_ticket(&mut self, minion: MinionNumber) {
         self.tickets.remove(&minion);
     }
 }
 
 impl Dispatcher {
-    /// What each minion could make room for, worked out once in a round: with hundreds of waiting
-    /// steps it would otherwise be most of the leader's work.
-    fn reaches(&mut self, priority: u32) -> Arc<BTreeMap<MinionNumber, Resources>> {
-        if let Some(known) = self.reaches.get(&priority) {
+    /// What each minion has room for, now and soon, for work of a priority.
+    fn rooms(&mut self, now: Timestamp, priority: u32) -> Rooms {
+        if let Some((at, known)) = self.rooms.get(&priority)
+            && now < *at + ROOMS_KEPT
+        {
             return Arc::clone(known);
         }
         let all = self
             .minions
             .values()
-            .map(|m| (m.number, self.reach(m, priority)));
-        let all: Arc<BTreeMap<_, _>> = Arc::new(all.collect());
-        self.reaches.insert(priority, Arc::clone(&all));
+            .map(|m| (m.number, self.room_of(m, now, priority)));
+        let all: Rooms = Arc::new(all.collect());
+        self.rooms.insert(priority, (now, Arc::clone(&all)));
         all
     }
 
+    fn room_of(&self, minion: &Minion, now: Timestamp, priority: u32) -> Room {
+        let mut room = Room {
+            now: minion.free(),
+            soon: minion.free(),
+        };
+        for run in minion.runs.iter().filter_map(|id| self.runs.get(id)) {
+            if run.is_leaving() || (run.yields && run.priority > priority) {
+                room.now = room.now.saturating_add(&run.need);
+                room.soon = room.soon.saturating_add(&run.need);
+            } else if run.expected_end().is_some_and(|end| end < now + SOON) {
+                room.soon = room.soon.saturating_add(&run.need);
+            }
+        }
+        room
+    }
+
     /// Asks about a step, if a question now could help to place its tasks.
     pub(super) fn ask(&mut self, now: Timestamp, id: StepId, step: &ReadyStep, terms: AdviceTerms) {
         let priority = step.queue.priority;
@@ -125,8 +168,11 @@
         }));
     }
 
-    /// Minions that a question about a step should name: known good ones whose tickets run out, as
-    /// many as the tasks need, then others.
+    /// Minions that a question about a step should name, best prospects first.
+    ///
+    /// A question costs as much as naming some 70 minions, so one that names few is dear: a step
+    /// with one task left asked about two minions at a time, other work took their room before
+    /// the answer came, and the task waited for 12 s in a cell that was four fifths full.
     fn whom_to_ask(
         &mut self,
         now: Timestamp,
@@ -134,62 +180,50 @@
         step: &ReadyStep,
         terms: AdviceTerms,
     ) -> Vec<MinionNumber> {
-        let urgent = step.queue.priority == 0;
-        let reaches = self.reaches(step.queue.priority);
+        let most = worth_asking(terms);
         // The next tickets should be there before the present ones are worth nothing.
-        let lead_time = terms.base + terms.per_minion * ASK_AT_ONCE as u32;
-        // In a full cell a step needs its tickets before room comes free: by the time a question
-        // is answered, shorter work has taken the room.
-        let full = self.full;
+        let lead_time = terms.base + terms.per_minion * most as u32;
+        let rooms = self.rooms(now, step.queue.priority);
         let Some(knowledge) = self.knowledge.get(&id) else {
             return Vec::new();
         };
         let spec = &step.spec.steps[usize::from(id.step)];
-        let mut known = Vec::new();
-        let mut unknown = Vec::new();
+        let need = charged(spec);
+        let urgent = step.queue.priority == 0;
+        let mut prospects = Vec::new();
         for minion in self.minions.values() {
             // A minion that already has its share of the step would be asked about in vain, and
             // could hide all others when few tasks are left.
             if !self.is_eligible(now, minion, id, step, spec)
                 || knowledge.bad.contains(&minion.number)
                 || knowledge.has_ticket(minion.number, now + lead_time)
+                || !need.fits_in(&minion.report.capacity)
             {
                 continue;
             }
-            let Some(reach) = reaches.get(&minion.number) else {
+            let Some(room) = rooms.get(&minion.number) else {
                 continue;
             };
-            let most = spec.max_per_minion.unwrap_or(u32::MAX);
-            let left = most.saturating_sub(self.of_step_on(minion, id));
-            let room = fits_times(reach, &charged(spec)).min(left);
-            if room == 0 && !full {
-                continue;
-            }
-            let list = if knowledge.good.contains(&minion.number) {
-                &mut known
-            } else {
-                &mut unknown
+            let share = spec.max_per_minion.unwrap_or(u32::MAX);
+            let share = share.saturating_sub(self.of_step_on(minion, id));
+            let places = fits_times(&room.now, &need).min(share);
+            let nearness = match places {
+                0 if need.fits_in(&room.soon) => ROOM_SOON,
+                0 => ROOM_LATER,
+                _ => ROOM_NOW,
             };
+            let known = knowledge.good.contains(&minion.number);
             let slowness = self.speeds.slowness(&minion.pace);
-            let preferred = urgent == (slowness <= Slowness::Usual);
-            list.push((preferred, room, minion.number));
-        }
-        known.sort_unstable_by(|a, b| b.cmp(a));
-        unknown.sort_unstable_by(|a, b| b.cmp(a));
-        let mut wanted: Vec<MinionNumber> = Vec::new();
-        let mut places = 0;
-        for (_, room, number) in &known {
-            if places >= 2 * step.waiting.len() as u32 || wanted.len() >= MOST_ASKED {
-                break;
-            }
-            places += room;
-            wanted.push(*number);
+            prospects.push(Prospect {
+                chance: nearness * if known { KNOWN_GOOD } else { UNKNOWN },
+                preferred: urgent == (slowness <= Slowness::Usual),
+                places,
+                minion: minion.number,
+                known,
+            });
         }
-        if places < step.waiting.len() as u32 {
-            let left = ASK_AT_ONCE.saturating_sub(wanted.len());
-            wanted.extend(unknown.iter().take(left).map(|(_, _, n)| *n));
-        }
-        wanted
+        prospects.sort_unstable_by(|a, b| b.cmp(a));
+        named(&prospects, step.waiting.len() as u32, most)
     }
 
     /// Forgets what is known of a job's steps, and the questions about them that are on the way:
@@ -217,13 +251,21 @@
             .get(&id)
             .and_then(|step| step.queue.advice)
             .map_or(Duration::ZERO, |terms| terms.validity);
+        let waiting = self.ready.get(&id).map_or(0, |step| step.waiting.len());
         let Some(knowledge) = self.knowledge.get_mut(&id) else {
             return;
         };
-        let Some((_, asked)) = knowledge.asked.take() else {
+        let Some((since, asked)) = knowledge.asked.take() else {
             return;
         };
         self.questions -= 1;
+        self.out.push(Order::Note(Box::new(Note::StepAdvised {
+            step: id,
+            waiting,
+            asked: asked.len(),
+            good: advice.as_ref().map(|a| a.good.len()),
+            took: now.saturating_sub(since),
+        })));
         let Some(advice) = advice else {
             knowledge.next_question = now + ASK_AGAIN;
             return;
@@ -247,6 +289,53 @@
     }
 }
 
+/// What one minion could take of a kind of work.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    /// Free, coming free, or taken by work that would yield.
+    now: Resources,
+    /// The same with what is expected to end within the life of a ticket.
+    soon: Resources,
+}
+
+/// Rooms of all minions.
+pub(super) type Rooms = Arc<BTreeMap<MinionNumber, Room>>;
+
+/// A minion that a question could name; the greatest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Prospect {
+    chance: u32,
+    preferred: bool,
+    places: u32,
+    minion: MinionNumber,
+    known: bool,
+}
+
+/// Most minions that a question should name: from there on it costs more than twice its fixed part.
+fn worth_asking(terms: AdviceTerms) -> usize {
+    if terms.per_minion.is_zero() {
+        return MOST_ASKED;
+    }
+    let even = terms.base.as_secs_f64() / terms.per_minion.as_secs_f64();
+    (even as usize).clamp(FEWEST_ASKED, MOST_ASKED)
+}
+
+/// As many of the best prospects as should bring twice the room that is wanted.
+fn named(prospects: &[Prospect], waiting: u32, most: usize) -> Vec<MinionNumber> {
+    let mut places = 0;
+    let mut names = Vec::new();
+    for prospect in prospects {
+        let enough = places >= 2 * KNOWN_GOOD * waiting;
+        if names.len() >= most || (enough && names.len() >= FEWEST_ASKED) {
+            break;
+        }
+        let weight = if prospect.known { KNOWN_GOOD } else { UNKNOWN };
+        places += prospect.places.min(waiting) * weight;
+        names.push(prospect.minion);
+    }
+    names
+}
+
 /// How many tasks of this need fit into a room, up to a number that no step reaches.
 pub(super) fn fits_times(room: &Resources, need: &Resources) -> u32 {
     need.times_in(room).min(MOST_TASKS)
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -184,6 +184,7 @@
             return;
         };
         let (Answer::Done { clock } | Answer::Refused { clock, .. }) = answer else {
+            minion.left_unanswered(sent);
             return;
         };
         if let Some(clock) = clock {
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -87,8 +87,8 @@
         let HoldState::Due(at) = minion.hold else {
             return false;
         };
-        let wanted =
-            minion.is_busy() || !minion.fenced || minion.leaving || minion.silent_calls > 0;
+        let unsure = !minion.fenced || minion.leaving || !minion.answers();
+        let wanted = minion.is_busy() || unsure;
         // An end that waits for agreement would be listed again at once.
         let agreeing = minion.fenced && minion.seen_end > minion.acked_end;
         let pause = if agreeing && !minion.runs.is_empty() {
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -67,6 +67,8 @@
     /// Calls in a row that brought no answer.
     pub(super) silent_calls: u32,
     pub(super) hold: HoldState,
+    /// When an order was sent that brought no answer; none once a later one has.
+    unanswered: Option<Timestamp>,
     /// Last end taken from its list.
     pub(super) seen_end: u64,
     /// Last end that is agreed.
@@ -104,6 +106,7 @@
             reported: now,
             silent_calls: 0,
             hold: HoldState::Due(now),
+            unanswered: None,
             seen_end: 0,
             acked_end: 0,
             used: Resources::default(),
@@ -142,6 +145,16 @@
         });
         self.heard = now;
         self.silent_calls = 0;
+        if self.unanswered.is_some_and(|since| sent >= since) {
+            self.unanswered = None;
+        }
+    }
+
+    /// Notes an order sent at `sent` that brought no answer. Until a later one does, the minion
+    /// gets no new work: a hold takes half a second and more to show that a minion is cut off, and
+    /// hundreds of tasks were placed on such minions meanwhile, each to wait for its four tries.
+    pub(super) fn left_unanswered(&mut self, sent: Timestamp) {
+        self.unanswered = self.unanswered.max(Some(sent));
     }
 
     /// Deadline that lies at least `span` ahead; none before the first reading of the clock.
@@ -170,9 +183,14 @@
         self.report.capacity.saturating_sub(&self.used)
     }
 
+    /// Whether its last order brought an answer.
+    pub(super) fn answers(&self) -> bool {
+        self.silent_calls == 0 && self.unanswered.is_none()
+    }
+
     /// Whether new work may be given to it now.
     pub(super) fn takes_work(&self, now: Timestamp) -> bool {
-        let sound = self.silent_calls == 0 && now >= self.avoid_until;
+        let sound = self.answers() && now >= self.avoid_until;
         self.fenced && !self.draining && !self.leaving && sound
     }
 
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod answers;
 mod applied;
+mod census;
 mod gangs;
 mod holds;
 mod minion;
@@ -19,7 +20,6 @@
 mod speed;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::ledger::{Batch, Ledger, TaskState};
@@ -27,7 +27,6 @@
 use super::note::Note;
 use crate::ids::{MinionId, Term, Timestamp};
 
-use crate::resources::Resources;
 use advice::Knowledge;
 use minion::{CLOCK_RATE, Minion};
 pub use order::{
@@ -70,8 +69,8 @@
     agents: usize,
     /// Runs that were told to stop and hold their room still.
     leaving: BTreeSet<TaskId>,
-    /// Room that minions could make, by priority of the work; of the present round.
-    reaches: HashMap<u32, Arc<BTreeMap<MinionNumber, Resources>>>,
+    /// Room of all minions by priority of the work, and when it was reckoned.
+    rooms: HashMap<u32, (Timestamp, advice::Rooms)>,
     /// Whether nearly all of the cell is given away, in the present round.
     full: bool,
     /// When room was last sought by stopping others.
@@ -86,6 +85,8 @@
     place_at: Timestamp,
     /// Occurrences that come due, by Unix time.
     timetable: BTreeSet<(Timestamp, JobId, u32)>,
+    /// When the state of the cell is told next.
+    census_at: Timestamp,
     /// Highest number, which is the least urgent, among the priorities seen so far.
     least_urgent: u32,
     /// Run times over all minions.
@@ -112,7 +113,7 @@
             questions: 0,
             agents: 1,
             leaving: BTreeSet::new(),
-            reaches: HashMap::new(),
+            rooms: HashMap::new(),
             full: false,
             room_sought: Timestamp::ZERO,
             batch: Batch::default(),
@@ -120,6 +121,7 @@
             place_wanted: true,
             place_at: now,
             timetable: BTreeSet::new(),
+            census_at: now,
             least_urgent: 0,
             speeds: speed::Common::default(),
             profiles: profile::Profiles::default(),
@@ -286,6 +288,7 @@
             self.place(now, unix, ledger);
         }
         self.send_stops(now);
+        self.take_census(now, unix);
         if may_propose { self.cut_batch() } else { None }
     }
 
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -26,7 +26,6 @@
     pub(super) fn place(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) {
         self.place_wanted = false;
         self.place_at = now + PLACE_AGAIN;
-        self.reaches.clear();
         self.full = self.is_full();
         let order = self.service_order(unix);
         let mut started = 0;
--- a/src/batch/dispatch/preempt.rs
+++ b/src/batch/dispatch/preempt.rs
@@ -7,6 +7,7 @@
 use super::run::{RunState, charged};
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{Grouping, MinionNumber, StepId, StepSpec, TaskId};
+use crate::batch::note::Note;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
 
@@ -61,7 +62,9 @@
                 }
             }
         }
-        for task in stops {
+        for (task, by) in stops {
+            let run = self.runs.get(&task).map_or(0, |r| r.run);
+            self.note(Note::RunPreempted { task, run, by });
             self.stop_run(now, task);
         }
     }
@@ -78,7 +81,7 @@
         step: &ReadyStep,
         spec: &StepSpec,
         coming: &mut HashMap<MinionNumber, Coming>,
-        stops: &mut Vec<TaskId>,
+        stops: &mut Vec<(TaskId, StepId)>,
     ) -> bool {
         let need = charged(spec);
         let mut best: Option<(u32, MinionNumber, Vec<TaskId>)> = None;
@@ -110,7 +113,7 @@
         there.promised = there.promised.saturating_add(&need);
         for victim in victims {
             there.room = there.room.saturating_add(&self.runs[&victim].need);
-            stops.push(victim);
+            stops.push((victim, id));
         }
         true
     }
@@ -123,7 +126,7 @@
         priority: u32,
         mut room: Resources,
         need: &Resources,
-        stops: &[TaskId],
+        stops: &[(TaskId, StepId)],
     ) -> Option<(u32, Vec<TaskId>)> {
         let mut yielding: Vec<_> = minion
             .runs
@@ -134,7 +137,7 @@
                     && run.priority > priority
                     && !run.is_leaving()
                     && matches!(run.state, RunState::Running(_))
-                    && !stops.contains(id)
+                    && !stops.iter().any(|(task, _)| task == *id)
             })
             .collect();
         yielding.sort_unstable_by_key(|(id, run)| {
@@ -152,18 +155,4 @@
         }
         need.fits_in(&room).then_some((cost, victims))
     }
-
-    /// Room that a minion could make for work of a priority: what is free, what is coming free and
-    /// what would yield.
-    pub(super) fn reach(&self, minion: &Minion, priority: u32) -> Resources {
-        let mut room = minion.free();
-        for id in &minion.runs {
-            if let Some(run) = self.runs.get(id)
-                && (run.is_leaving() || (run.yields && run.priority > priority))
-            {
-                room = room.saturating_add(&run.need);
-            }
-        }
-        room
-    }
 }
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// When it should end by its declared time; `None` when that is not known.
+    pub(super) fn expected_end(&self) -> Option<Timestamp> {
+        let known = !self.estimate.is_zero();
+        known.then(|| self.begun.unwrap_or(self.proposed) + self.estimate)
+    }
+
     /// Whether it was told to stop and its room will come free.
     pub(super) fn is_leaving(&self) -> bool {
         self.stop != StopState::No
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -4,8 +4,9 @@
 
 use compact_str::CompactString;
 
-use super::model::{ConfigVersion, EndKind, JobId, RunNumber, TaskId};
+use super::model::{ConfigVersion, EndKind, JobId, RunNumber, StepId, TaskId};
 use crate::ids::{MinionId, Term};
+use crate::resources::Resources;
 
 /// One decision, or one change of what the leader believes.
 #[derive(Clone, Debug, PartialEq)]
@@ -121,4 +122,60 @@
         /// Queues in it.
         queues: usize,
     },
+    /// What the policy service said about a step.
+    StepAdvised {
+        /// Step.
+        step: StepId,
+        /// Tasks that wait.
+        waiting: usize,
+        /// Minions asked about.
+        asked: usize,
+        /// Those that may run it; `None` when no answer came.
+        good: Option<usize>,
+        /// Since the question was handed out.
+        took: Duration,
+    },
+    /// A run is stopped to make room for more urgent work.
+    RunPreempted {
+        /// Task.
+        task: TaskId,
+        /// Run.
+        run: RunNumber,
+        /// The step that gets the room.
+        by: StepId,
+    },
+    /// A step still waits for minions.
+    StepWaits {
+        /// Step.
+        step: StepId,
+        /// Tasks that wait.
+        waiting: usize,
+        /// Since the job was accepted.
+        age: Duration,
+        /// Minions that the policy lets run it, as far as known.
+        good: usize,
+        /// Those with a valid ticket.
+        tickets: usize,
+        /// Those with a valid ticket and room.
+        room: usize,
+        /// Whether a question about it is on the way.
+        asked: bool,
+    },
+    /// The whole cell, as the leader counts it.
+    Cell {
+        /// Minions that take work.
+        minions: usize,
+        /// Room given away.
+        used: Resources,
+        /// Room of the minions that take work.
+        capacity: Resources,
+        /// Tasks that wait.
+        waiting: usize,
+        /// Steps that wait.
+        steps: usize,
+        /// Questions to the policy service on the way.
+        questions: usize,
+        /// Processes that ask them.
+        agents: usize,
+    },
 }
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -65,6 +65,39 @@
             config,
         } => info!(log, "leadership began"; "term" => term, "runs" => runs, "jobs" => jobs,
             "config" => config),
+        Note::StepAdvised {
+            step,
+            waiting,
+            asked,
+            good,
+            took,
+        } => info!(log, "step advised"; "step" => %step, "waiting" => waiting, "asked" => asked,
+            "good" => good, "took_ms" => ms(took)),
+        Note::RunPreempted { task, run, by } => info!(log, "run preempted";
+            "task" => %task, "run" => run, "by" => %by),
+        Note::StepWaits {
+            step,
+            waiting,
+            age,
+            good,
+            tickets,
+            room,
+            asked,
+        } => info!(log, "step waits"; "step" => %step, "waiting" => waiting,
+            "age_ms" => ms(age), "good" => good, "tickets" => tickets, "room" => room,
+            "asked" => asked),
+        Note::Cell {
+            minions,
+            used,
+            capacity,
+            waiting,
+            steps,
+            questions,
+            agents,
+        } => info!(log, "cell"; "minions" => minions, "used_millicores" => used.millicores,
+            "millicores" => capacity.millicores, "used_mb" => used.memory_mb,
+            "mb" => capacity.memory_mb, "waiting" => waiting, "steps" => steps,
+            "questions" => questions, "agents" => agents),
         Note::ConfigInForce { version, queues } => info!(log, "configuration in force";
             "version" => version, "queues" => queues),
     }
@@ -104,6 +137,27 @@
             counter!("yuccahold_batch_leads_total").increment(1);
             gauge!("yuccahold_batch_term").set(*term as f64);
         }
+        Note::StepAdvised { good, took, .. } => {
+            let answered = if good.is_some() { "yes" } else { "no" };
+            counter!("yuccahold_batch_questions_total", "answered" => answered).increment(1);
+            histogram!("yuccahold_batch_question_seconds").record(took.as_secs_f64());
+        }
+        Note::RunPreempted { .. } => {
+            counter!("yuccahold_batch_runs_preempted_total").increment(1);
+        }
+        Note::StepWaits { .. } => {}
+        Note::Cell {
+            minions,
+            used,
+            capacity,
+            waiting,
+            ..
+        } => {
+            gauge!("yuccahold_batch_minions").set(*minions as f64);
+            gauge!("yuccahold_batch_millicores_used").set(f64::from(used.millicores));
+            gauge!("yuccahold_batch_millicores").set(f64::from(capacity.millicores));
+            gauge!("yuccahold_batch_tasks_waiting").set(*waiting as f64);
+        }
         Note::ConfigInForce { version, .. } => {
             gauge!("yuccahold_batch_config_version").set(*version as f64);
         }
--- a/src/telemetry/stdout.rs
+++ b/src/telemetry/stdout.rs
@@ -13,6 +13,9 @@
 const CAPACITY: usize = 1024 * 1024;
 /// Time between two writes. Each wakes a thread and costs a system call, whatever its size.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
+/// Most bytes in one write, but for a single longer line. Readers that take a block a write cut
+/// what went past theirs: four in five lines of a busy second were missing.
+const BLOCK: usize = 4096;
 /// Longest line in bytes; one that is longer is cut by its serializer's caller, or dropped here.
 const MAX_LINE: usize = 16 * 1024;
 
@@ -112,9 +115,24 @@
             bytes.extend_from_slice(line.as_bytes());
         }
         // A reader that is gone must not end the daemon.
-        let _ = out.write_all(&bytes).and_then(|()| out.flush());
+        let _ = write_blocks(&mut out, &bytes);
         if closed {
             return;
         }
     }
 }
+
+/// Writes whole lines, as many in a block as fit.
+fn write_blocks(out: &mut impl Write, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let block = &bytes[..bytes.len().min(BLOCK)];
+        let line_end = |within: &[u8]| within.iter().rposition(|b| *b == b'\n');
+        let first_line = || bytes.iter().position(|b| *b == b'\n');
+        let end = line_end(block).or_else(first_line);
+        let end = end.map_or(bytes.len(), |at| at + 1);
+        out.write_all(&bytes[..end])?;
+        out.flush()?;
+        bytes = &bytes[end..];
+    }
+    Ok(())
+}
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -145,3 +145,26 @@
         .collect();
     assert_eq!(asked, [JOB]);
 }
+
+/// One task of a long step is left, and the cell is large and busy. A question costs as much as
+/// naming 70 minions. Naming just as many as the task needs would bring one ticket or none, whose
+/// room is gone by then, and the whole job would wait for its last task.
+#[test]
+fn a_step_with_one_task_left_asks_about_many_minions() {
+    let mut world = World::new();
+    for i in 0..60 {
+        world.join(&format!("i-{i}"), i);
+    }
+    world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
+    let question = take_questions(&mut world).remove(0);
+    assert_eq!(question.minions.len(), 30);
+
+    // None of those may run it, and the others have no room just now.
+    world.submit(JOB + 1, vec![lasting(60, 32_000)]);
+    world.start_all();
+    let nobody = Advice { good: Vec::new() };
+    world.leader.advised(world.now, question.step, Some(nobody));
+    world.pass(ms(300));
+    let question = take_questions(&mut world).remove(0);
+    assert_eq!(question.minions.len(), 30);
+}
--- /dev/null
+++ b/tests/batch_agents.rs
@@ -0,0 +1,94 @@
+//! Agents: who sends which orders on the leader's behalf.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use yuccahold::batch::agents::{AgentId, Agents, Batches};
+use yuccahold::batch::calls::Down;
+use yuccahold::batch::dispatch::{HoldOrder, MinionOrder, Target};
+
+const MINIONS: u32 = 350;
+const AGENTS: u64 = 35;
+
+fn target(minion: u32) -> Target {
+    Target {
+        minion,
+        id: format!("i-{minion}").into(),
+        addr: ([10, 0, 0, 1], 1000 + minion as u16).into(),
+        zone: "mixco".into(),
+    }
+}
+
+fn add(agents: &Agents, id: AgentId, zone: &str) -> UnboundedReceiver<Down> {
+    let (tx, rx) = unbounded_channel();
+    agents.add(id, tx, zone.into(), false);
+    rx
+}
+
+/// Holds every minion once; gives the number of orders of each agent.
+fn hold_all(
+    agents: &Agents,
+    channels: &mut BTreeMap<AgentId, UnboundedReceiver<Down>>,
+) -> BTreeMap<AgentId, usize> {
+    let hold = MinionOrder::Hold(HoldOrder {
+        deadline: None,
+        token: 1,
+        acked: 0,
+        wait: Duration::ZERO,
+    });
+    let mut batches = Batches::default();
+    for minion in 0..MINIONS {
+        let back = agents.send(
+            Duration::from_secs(1),
+            &mut batches,
+            target(minion),
+            hold.clone(),
+        );
+        assert_eq!(back, None);
+    }
+    agents.flush(batches);
+    let taken = channels.iter_mut().map(|(id, rx)| {
+        let orders = match rx.try_recv() {
+            Ok(Down::Orders(orders)) => orders.len(),
+            _ => 0,
+        };
+        (*id, orders)
+    });
+    taken.collect()
+}
+
+/// A leader that has just begun is found by a few agents first. They get all minions, as somebody
+/// has to call them. Once the others are there, each takes its share: agents that kept all orders
+/// would fill their links, and starts would bring no answer in time.
+#[test]
+fn agents_that_come_later_take_their_share() {
+    let agents = Agents::default();
+    let mut channels: BTreeMap<_, _> = (0..8).map(|id| (id, add(&agents, id, "mixco"))).collect();
+    let few = hold_all(&agents, &mut channels);
+    assert_eq!(few.values().sum::<usize>(), MINIONS as usize);
+    for id in 8..AGENTS {
+        channels.insert(id, add(&agents, id, "mixco"));
+    }
+    let all = hold_all(&agents, &mut channels);
+    assert_eq!(all.values().sum::<usize>(), MINIONS as usize);
+    // A fair share is ten; drawn ranks spread by a few.
+    let most = all.values().max().copied();
+    assert!(most <= Some(20), "{all:?}");
+}
+
+/// An agent in another zone is asked only while the minion's zone has none.
+#[test]
+fn agents_in_the_minions_zone_come_first() {
+    let agents = Agents::default();
+    let mut channels =
+        BTreeMap::from([(1, add(&agents, 1, "aarau")), (2, add(&agents, 2, "olten"))]);
+    let apart = hold_all(&agents, &mut channels);
+    channels.insert(3, add(&agents, 3, "mixco"));
+    let beside = hold_all(&agents, &mut channels);
+    assert_eq!(apart.values().sum::<usize>(), MINIONS as usize);
+    assert_eq!(
+        beside,
+        BTreeMap::from([(1, 0), (2, 0), (3, MINIONS as usize)])
+    );
+}
--- a/tests/batch_leases.rs
+++ b/tests/batch_leases.rs
@@ -2,7 +2,10 @@
 
 mod batch_world;
 
+use std::collections::BTreeSet;
+
 use batch_world::{JOB, World, lasting, ms, step};
+use yuccahold::batch::dispatch::{Answer, Silence};
 
 /// A minion falls silent and never comes back. The caller sees its lasting task gone; the leader
 /// keeps asking the minion. The questions must not grant further leases, or the leader would wait
@@ -51,3 +54,27 @@
     let again: Vec<_> = world.take_holds().iter().map(|(_, h)| h.wait).collect();
     assert_eq!((waits, again), (vec![ms(500)], vec![ms(0)]));
 }
+
+/// A minion is cut off and a start to it brings no answer; the hold on the way shows nothing for
+/// half a second yet. Tasks that come meanwhile must go elsewhere: each one given to the silent
+/// minion would be ordered four times and wait for its lease to end. Once the minion answers
+/// again it gets work as before.
+#[test]
+fn a_minion_with_an_unanswered_start_gets_no_further_work() {
+    let mut world = World::new();
+    let cut = world.join("i-cut", 1);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (_, lost) = world.take_starts().remove(0);
+    world.answer_start(cut, lost.task, lost.run, Answer::Silent(Silence::Lost));
+    world.take_starts();
+    let other = world.join("i-other", 2);
+    world.submit(JOB + 1, vec![step(8, 1_000)]);
+    let given: BTreeSet<_> = world.start_all().iter().map(|(m, _)| *m).collect();
+    assert_eq!(given, BTreeSet::from([other]));
+
+    let clock = Some(world.now);
+    world.answer_start(cut, lost.task, lost.run, Answer::Done { clock });
+    world.submit(JOB + 2, vec![step(1, 30_000)]);
+    let given: Vec<_> = world.take_starts().iter().map(|(m, _)| *m).collect();
+    assert_eq!(given, [cut]);
+}
