Look only at minions that need something; a bench of the leader's decisions

Change: one pass that picks the minions to be held or given up; the ends to acknowledge are kept as a set.

--- /dev/null
+++ b/benches/dispatch.rs
@@ -0,0 +1,390 @@
+//! Processor time of a leader's decisions: 350 minions, some 600 starts a second, a policy service
+//! that lets a step run on one minion in two, and minions that answer within 2 ms. Time is
+//! simulated; what is measured is the time that the dispatcher and the ledger take.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yuccahold::batch::dispatch::{
+    Advice, AdviceQuestion, Answer, DispatchConfig, Dispatcher, HoldAnswer, ListedEnd, ListedRun,
+    Listing, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder,
+};
+use yuccahold::batch::ledger::{Command, Ledger};
+use yuccahold::batch::model::{
+    AdviceTerms, EndKind, JobSpec, MinionReport, Queue, Readiness, StepSpec,
+};
+use yuccahold::resources::Resources;
+
+const MINIONS: u32 = 350;
+/// Simulated seconds before the measured ones.
+const WARM_UP: u64 = 10;
+/// Simulated seconds that are measured.
+const MEASURED: u64 = 20;
+/// Jobs a second: quick ones and long ones, as the users' larger cells have them.
+const QUICK: f64 = 32.0;
+const LONG: f64 = 4.2;
+const UNIX: Duration = Duration::from_secs(1_700_000_000);
+
+enum Event {
+    Arrival,
+    Started(u32, StartOrder, Duration),
+    Stopped(u32, OrderKind, Duration),
+    Ended(u32, StartOrder),
+    HoldOver(u32, u64),
+    Advised(AdviceQuestion),
+    Look,
+}
+
+#[derive(Default)]
+struct Minion {
+    running: BTreeMap<(u64, u32, u16, u32), StartOrder>,
+    ended: Vec<ListedEnd>,
+    last: u64,
+    /// The hold that waits, when it was sent, and up to which end it has seen.
+    hold: Option<(u64, Duration, u64)>,
+    holds: u64,
+}
+
+struct Cell {
+    now: Duration,
+    rng: ChaCha8Rng,
+    ledger: Ledger,
+    leader: Dispatcher,
+    minions: BTreeMap<u32, Minion>,
+    events: BinaryHeap<Reverse<(Duration, u64)>>,
+    pending: BTreeMap<u64, Event>,
+    next: u64,
+    jobs: u64,
+    spent: Duration,
+    starts: u64,
+    longest: Duration,
+}
+
+fn key(order: &StartOrder) -> (u64, u32, u16, u32) {
+    let step = order.task.step;
+    (step.job, step.occurrence, step.step, order.task.index)
+}
+
+fn queue(name: &str, priority: u32, terms: (u64, u64)) -> Queue {
+    Queue {
+        name: name.into(),
+        host: "example".into(),
+        prefix: format!("/{name}/").into(),
+        timeout: Duration::from_secs(3),
+        slo: Duration::from_millis(300),
+        stretch: 2.0,
+        priority,
+        service: "desk".into(),
+        attempts: 3,
+        advice: Some(AdviceTerms {
+            base: Duration::from_millis(terms.0),
+            per_minion: Duration::from_micros(terms.1),
+            validity: Duration::from_millis(2000),
+        }),
+    }
+}
+
+impl Cell {
+    fn new() -> Self {
+        let now = Duration::from_secs(3600);
+        let ledger = Ledger::default();
+        let cfg = DispatchConfig {
+            lease_max: Duration::from_secs(10),
+        };
+        let leader = Dispatcher::new(cfg, 1, &ledger, now);
+        let mut cell = Self {
+            now,
+            rng: ChaCha8Rng::seed_from_u64(7),
+            ledger,
+            leader,
+            minions: BTreeMap::new(),
+            events: BinaryHeap::new(),
+            pending: BTreeMap::new(),
+            next: 0,
+            jobs: 0,
+            spent: Duration::ZERO,
+            starts: 0,
+            longest: Duration::ZERO,
+        };
+        cell.leader.set_agents(36);
+        for i in 0..MINIONS {
+            cell.leader.report(now, report(i));
+        }
+        cell.decide();
+        cell.at(Duration::ZERO, Event::Arrival);
+        cell.at(Duration::ZERO, Event::Look);
+        cell
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.next += 1;
+        self.events.push(Reverse((self.now + after, self.next)));
+        self.pending.insert(self.next, event);
+    }
+
+    fn run_until(&mut self, end: Duration) {
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            self.now = at;
+            if let Some(event) = self.pending.remove(&number) {
+                self.handle(event);
+            }
+            if at >= end {
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Look => {
+                self.at(Duration::from_millis(20), Event::Look);
+                self.decide();
+            }
+            Event::Arrival => {
+                let gap = 1.0 / (QUICK + LONG);
+                let gap = gap * self.rng.random_range(0.2..1.8);
+                self.at(Duration::from_secs_f64(gap), Event::Arrival);
+                self.submit();
+                self.decide();
+            }
+            Event::Started(number, order, sent) => {
+                let clock = Some(self.now);
+                let answer = MinionAnswer::Order(Answer::Done { clock });
+                let kind = OrderKind::Start(order.task, order.run);
+                self.answered(number, kind, sent, answer);
+            }
+            Event::Stopped(number, kind, sent) => {
+                let clock = Some(self.now);
+                let answer = MinionAnswer::Order(Answer::Done { clock });
+                self.answered(number, kind, sent, answer);
+            }
+            Event::Ended(number, order) => self.end(number, &order, EndKind::Done),
+            Event::HoldOver(number, hold) => {
+                let waits = self.minions.get(&number).and_then(|m| m.hold);
+                if waits.is_some_and(|(waiting, ..)| waiting == hold) {
+                    self.answer_hold(number);
+                }
+            }
+            Event::Advised(question) => {
+                let good = question.minions.iter().filter(|id| {
+                    let drawn = id.bytes().fold(question.step.job, |h, b| {
+                        (h ^ u64::from(b)).wrapping_mul(0x100_0000_01B3)
+                    });
+                    drawn >> 40 & 1 == 0
+                });
+                let good = good.map(|id| (id.clone(), "ticket".into())).collect();
+                let began = Instant::now();
+                let advice = Some(Advice { good });
+                self.leader.advised(self.now, question.step, advice);
+                self.spent += began.elapsed();
+                self.decide();
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        self.jobs += 1;
+        let quick = self.rng.random_bool(QUICK / (QUICK + LONG));
+        let steps = if quick {
+            vec![step(10, 4_500, 16_000, 800), step(6, 4_500, 16_000, 800)]
+        } else {
+            vec![
+                step(21, 9_000, 33_000, 3_800),
+                step(21, 9_000, 33_000, 3_800),
+            ]
+        };
+        let mut steps = steps;
+        steps[1].after = vec![0];
+        let queue = if quick {
+            queue("checks", 0, (32, 455))
+        } else {
+            queue("reviews", 2, (494, 7_150))
+        };
+        let command = Command::Submit {
+            job: self.jobs,
+            queue: Arc::new(queue),
+            spec: Arc::new(JobSpec {
+                payload: "x".repeat(1200).into(),
+                steps,
+                timetable: None,
+            }),
+        };
+        self.apply(&command);
+    }
+
+    fn apply(&mut self, command: &Command) {
+        let began = Instant::now();
+        self.ledger.apply(UNIX + self.now, command);
+        self.leader.applied(self.now, &self.ledger, command, true);
+        self.spent += began.elapsed();
+    }
+
+    fn decide(&mut self) {
+        loop {
+            let began = Instant::now();
+            let batch = self.leader.decide(self.now, UNIX + self.now, &self.ledger);
+            let orders = self.leader.take_orders();
+            let took = began.elapsed();
+            self.spent += took;
+            self.longest = self.longest.max(took);
+            for order in orders {
+                self.carry_out(order);
+            }
+            let Some(batch) = batch else { return };
+            self.apply(&Command::Batch(batch));
+        }
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        let trip = Duration::from_millis(2);
+        match order {
+            Order::Note(_) => {}
+            Order::Advise(question) => self.at(question.cost, Event::Advised(question)),
+            Order::Minion(target, MinionOrder::Start(start)) => {
+                self.starts += 1;
+                let estimate = if start.task.step.job.is_multiple_of(9) {
+                    3.8
+                } else {
+                    0.8
+                };
+                let length = Duration::from_secs_f64(estimate * self.rng.random_range(0.5..1.6));
+                let minion = self.minions.entry(target.minion).or_default();
+                minion.running.insert(key(&start), (*start).clone());
+                let sent = self.now;
+                self.at(trip, Event::Started(target.minion, (*start).clone(), sent));
+                self.at(length, Event::Ended(target.minion, *start));
+            }
+            Order::Minion(target, MinionOrder::Stop { task, run, .. }) => {
+                let running = self.minions.entry(target.minion).or_default();
+                let running = running.running.values();
+                let stopped = running
+                    .clone()
+                    .find(|r| r.task == task && r.run == run)
+                    .cloned();
+                let sent = self.now;
+                self.at(
+                    trip,
+                    Event::Stopped(target.minion, OrderKind::Stop(task, run), sent),
+                );
+                if let Some(order) = stopped {
+                    self.end(target.minion, &order, EndKind::Stopped);
+                }
+            }
+            Order::Minion(target, MinionOrder::Hold(hold)) => {
+                let minion = self.minions.entry(target.minion).or_default();
+                minion.ended.retain(|end| end.number > hold.acked);
+                minion.holds += 1;
+                let number = minion.holds;
+                minion.hold = Some((number, self.now, hold.acked));
+                let wait = if minion.ended.is_empty() {
+                    hold.wait
+                } else {
+                    trip
+                };
+                self.at(wait.max(trip), Event::HoldOver(target.minion, number));
+            }
+        }
+    }
+
+    fn end(&mut self, number: u32, order: &StartOrder, kind: EndKind) {
+        let minion = self.minions.entry(number).or_default();
+        if minion.running.remove(&key(order)).is_none() {
+            return;
+        }
+        minion.last += 1;
+        minion.ended.push(ListedEnd {
+            number: minion.last,
+            task: order.task,
+            run: order.run,
+            kind,
+            checkpoint: Default::default(),
+        });
+        if minion.hold.is_some() {
+            self.answer_hold(number);
+        }
+    }
+
+    fn answer_hold(&mut self, number: u32) {
+        let Some(minion) = self.minions.get_mut(&number) else {
+            return;
+        };
+        let Some((_, sent, _)) = minion.hold.take() else {
+            return;
+        };
+        let running = minion.running.values().map(|order| ListedRun {
+            task: order.task,
+            run: order.run,
+            checkpoint: Default::default(),
+            percent: 50,
+            load: 0,
+        });
+        let listing = Listing {
+            clock: self.now,
+            running: running.collect(),
+            ended: minion.ended.clone(),
+        };
+        let answer = MinionAnswer::Hold(HoldAnswer::Listing(listing));
+        self.answered(number, OrderKind::Hold, sent, answer);
+    }
+
+    fn answered(&mut self, number: u32, kind: OrderKind, sent: Duration, answer: MinionAnswer) {
+        let began = Instant::now();
+        self.leader
+            .answered(self.now, number, &kind, sent, answer, &self.ledger);
+        self.spent += began.elapsed();
+        self.decide();
+    }
+}
+
+fn step(count: u32, millicores: u32, memory_mb: u32, ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        need: Resources {
+            millicores,
+            memory_mb,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(ms),
+        ..StepSpec::default()
+    }
+}
+
+fn report(i: u32) -> MinionReport {
+    MinionReport {
+        id: format!("i-{i}").into(),
+        service: "desk".into(),
+        addr: ([10, 0, (i / 200) as u8, (i % 200) as u8], 8000).into(),
+        zone: "mixco".into(),
+        capacity: Resources {
+            millicores: 32_000,
+            memory_mb: 131_072,
+            accelerators: 0,
+        },
+        labels: vec!["a".into(), format!("r1-{}", i / 12).into()],
+        readiness: Readiness::Ready,
+        clock: Duration::ZERO,
+        sequence: 1,
+    }
+}
+
+fn main() {
+    let mut cell = Cell::new();
+    cell.run_until(Duration::from_secs(3600 + WARM_UP));
+    let (spent, starts, jobs) = (cell.spent, cell.starts, cell.jobs);
+    cell.longest = Duration::ZERO;
+    cell.run_until(Duration::from_secs(3600 + WARM_UP + MEASURED));
+    let spent = (cell.spent - spent).as_secs_f64();
+    let starts = cell.starts - starts;
+    println!(
+        "{MINIONS} minions, {:.0} jobs/s, {:.0} starts/s: {:.4} cores, {:.0} us a start, longest decision {:.2} ms",
+        (cell.jobs - jobs) as f64 / MEASURED as f64,
+        starts as f64 / MEASURED as f64,
+        spent / MEASURED as f64,
+        spent * 1e6 / starts as f64,
+        cell.longest.as_secs_f64() * 1e3,
+    );
+}
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -40,8 +40,10 @@
 impl Dispatcher {
     /// Sends the holds that are due and gives up on minions whose lease is over.
     pub(super) fn tend_minions(&mut self, now: Timestamp) {
-        let numbers: Vec<_> = self.minions.keys().copied().collect();
-        for number in numbers {
+        // Few of them need anything at a time, and this is asked after every answer.
+        let due = self.minions.values().filter(|m| m.needs_tending(now));
+        let due: Vec<_> = due.map(|m| m.number).collect();
+        for number in due {
             self.end_lapsed(number, now);
             self.hold_if_due(number, now);
         }
@@ -87,8 +89,6 @@
         let HoldState::Due(at) = minion.hold else {
             return false;
         };
-        let unsure = !minion.fenced || minion.leaving || !minion.answers();
-        let wanted = minion.is_busy() || unsure;
         // An end that waits for agreement would be listed again at once.
         let agreeing = minion.fenced && minion.seen_end > minion.acked_end;
         let pause = if agreeing && !minion.runs.is_empty() {
@@ -96,7 +96,7 @@
         } else {
             Duration::ZERO
         };
-        wanted && now >= at + pause
+        minion.wants_hold() && now >= at + pause
     }
 
     fn has_short_runs(&self, number: MinionNumber) -> bool {
@@ -193,6 +193,7 @@
             return;
         }
         minion.seen_end = end.number;
+        self.unacknowledged.insert(number);
         if minion
             .strays
             .remove(&(end.task, end.run))
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -183,6 +183,17 @@
         self.report.capacity.saturating_sub(&self.used)
     }
 
+    /// Whether it should be held at all.
+    pub(super) fn wants_hold(&self) -> bool {
+        self.is_busy() || !self.fenced || self.leaving || !self.answers()
+    }
+
+    /// Whether a hold may be due, or it may have to be given up.
+    pub(super) fn needs_tending(&self, now: Timestamp) -> bool {
+        let due = matches!(self.hold, HoldState::Due(at) if now >= at);
+        self.silent_calls > 0 || (due && self.wants_hold())
+    }
+
     /// Whether its last order brought an answer.
     pub(super) fn answers(&self) -> bool {
         self.silent_calls == 0 && self.unanswered.is_none()
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -79,6 +79,8 @@
     room_sought: Timestamp,
     /// What the next batch will hold.
     batch: Batch,
+    /// Minions with ends that are taken and not acknowledged.
+    unacknowledged: BTreeSet<MinionNumber>,
     /// Ends taken from minions, by batch on its way; they are acknowledged once it is agreed.
     batches: std::collections::VecDeque<Vec<(MinionNumber, u64)>>,
     /// Something that placement depends on has changed.
@@ -120,6 +122,7 @@
             full: false,
             room_sought: Timestamp::ZERO,
             batch: Batch::default(),
+            unacknowledged: BTreeSet::new(),
             batches: Default::default(),
             place_wanted: true,
             place_at: now,
@@ -298,9 +301,9 @@
     fn cut_batch(&mut self) -> Option<Batch> {
         let batch = std::mem::take(&mut self.batch);
         let seen = self
-            .minions
-            .values()
-            .filter(|m| m.seen_end > m.acked_end)
+            .unacknowledged
+            .iter()
+            .filter_map(|number| self.minions.get(number))
             .map(|m| (m.number, m.seen_end))
             .collect();
         if batch.is_empty() {
@@ -319,7 +322,11 @@
         for (number, end) in seen {
             if let Some(minion) = self.minions.get_mut(&number) {
                 minion.acked_end = minion.acked_end.max(end);
+                if minion.acked_end < minion.seen_end {
+                    continue;
+                }
             }
+            self.unacknowledged.remove(&number);
         }
     }
 
