A soak of the real programs on the platform; a wiped replica takes the place of its former self

A replica lost its disk and was back within 50 ms, before its former self counted as silent. Below the target of five voters it was promoted as a fourth, and the dead one was never removed, as nobody was left to replace it. The next loss stopped the group: no configuration was acknowledged for 60 s. Ruled out: lost state; both live replicas held the whole log and lacked one vote of three. Change: a learner at a voter's address is not promoted; lost voters are removed before the group is filled up.

--- a/src/replication/core/membership.rs
+++ b/src/replication/core/membership.rs
@@ -82,6 +82,12 @@
             .unwrap_or_default()
     }
 
+    /// Whether a voter is reached at this address. A learner there has taken its place, on a disk
+    /// that was wiped.
+    fn votes_at(&self, addr: SocketAddr) -> bool {
+        self.voters.values().any(|m| m.addr == addr)
+    }
+
     fn voters_in(&self, zone: &ZoneName) -> usize {
         self.voters.values().filter(|m| m.zone == *zone).count()
     }
@@ -114,17 +120,25 @@
         .iter()
         .filter(|(id, _)| health(**id).caught_up && health(**id).active)
         .collect();
+    let without = |id: ReplicaId| {
+        let mut next = members.clone();
+        next.voters.remove(&id);
+        Some(next).filter(|next| has_live_quorum(next, leader, &health))
+    };
+    let surplus = members.voters.len() > target;
+    if let Some(id) = lost_voter(members, leader, surplus, &ready, &health) {
+        return without(id);
+    }
     if members.voters.len() < target
-        && let Some((id, _)) = ready.iter().min_by_key(|(_, m)| members.voters_in(&m.zone))
+        && let Some((id, _)) = ready
+            .iter()
+            .filter(|(_, m)| !members.votes_at(m.addr))
+            .min_by_key(|(_, m)| members.voters_in(&m.zone))
     {
         return promoted(members, **id).filter(|next| has_live_quorum(next, leader, &health));
     }
-    let surplus = members.voters.len() > target;
-    let leaver = voter_to_remove(members, leader, surplus, &ready, &health);
-    if let Some(id) = leaver {
-        let mut next = members.clone();
-        next.voters.remove(&id);
-        return Some(next).filter(|next| has_live_quorum(next, leader, &health));
+    if let Some(id) = voter_to_spare(members, leader, surplus, &ready, &health) {
+        return without(id);
     }
     let lost = members.learners.keys().find(|id| health(**id).gone)?;
     let mut next = members.clone();
@@ -139,22 +153,37 @@
     Some(next)
 }
 
-fn voter_to_remove(
+/// A voter that is lost while another member can take its place.
+///
+/// This comes before filling up to the target, and a newcomer on a wiped disk is not promoted
+/// beside its former self: where fewer machines exist than the target, the group would then need
+/// three of four, one of which is gone for good, and the next loss would stop it.
+fn lost_voter(
     members: &Membership,
     leader: ReplicaId,
     surplus: bool,
     ready: &[(&ReplicaId, &Member)],
     health: &impl Fn(ReplicaId) -> Health,
 ) -> Option<ReplicaId> {
-    let mut others = members.voters.iter().filter(|(id, _)| **id != leader);
     let replaceable = |id: ReplicaId, member: &Member| {
         let wiped = !health(id).active && ready.iter().any(|(_, m)| m.addr == member.addr);
         (health(id).gone && (surplus || !ready.is_empty())) || wiped
     };
-    if let Some((id, _)) = others.clone().find(|(id, m)| replaceable(**id, m)) {
-        return Some(*id);
-    }
-    // Nobody is lost: what follows only tidies up, and waits until all voters are well.
+    let mut others = members.voters.iter().filter(|(id, _)| **id != leader);
+    let lost = others.find(|(id, m)| replaceable(**id, m));
+    lost.map(|(id, _)| *id)
+}
+
+/// A voter that the group can do without, or that another in a less crowded zone should replace.
+/// This only tidies up, and waits until all voters are well.
+fn voter_to_spare(
+    members: &Membership,
+    leader: ReplicaId,
+    surplus: bool,
+    ready: &[(&ReplicaId, &Member)],
+    health: &impl Fn(ReplicaId) -> Health,
+) -> Option<ReplicaId> {
+    let mut others = members.voters.iter().filter(|(id, _)| **id != leader);
     if others.clone().any(|(id, _)| !health(*id).active) {
         return None;
     }
--- /dev/null
+++ b/tests/platform_cell/book.rs
@@ -0,0 +1,152 @@
+//! What callers and minions have seen, and the promises that it must keep.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// What one task takes of its minion.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    pub millicores: u32,
+    pub memory_mb: u32,
+}
+
+/// Room of every minion.
+pub const CAPACITY: Need = Need {
+    millicores: 8_000,
+    memory_mb: 8_000,
+};
+/// Failed runs after which a task has failed, as the configuration says.
+pub const ATTEMPTS: u32 = 6;
+
+#[derive(Default)]
+struct Pages {
+    /// Runs on minions that are up: task to run and minion.
+    running: BTreeMap<String, (u32, String)>,
+    used: BTreeMap<String, Need>,
+    /// Tasks whose end as done was acknowledged to its minion.
+    done: BTreeSet<String>,
+    failures: BTreeMap<String, u32>,
+    starts: u64,
+    /// Jobs whose every hand-in was refused as not run.
+    refused: BTreeSet<String>,
+    accepted: BTreeSet<String>,
+    cancelled: BTreeSet<String>,
+    broken: Vec<String>,
+}
+
+/// Shared record of one soak.
+#[derive(Clone, Default)]
+pub struct Book(Arc<Mutex<Pages>>);
+
+fn job_of(task: &str) -> &str {
+    task.split('.').next().unwrap_or(task)
+}
+
+impl Book {
+    fn lock(&self) -> MutexGuard<'_, Pages> {
+        self.0.lock().expect("no holder panics")
+    }
+
+    /// A minion has begun a run.
+    pub fn started(&self, task: &str, run: u32, minion: &str, need: Need) {
+        let mut pages = self.lock();
+        pages.starts += 1;
+        if let Some((other_run, other)) = pages.running.get(task).cloned() {
+            pages.broken.push(format!(
+                "TWICE {task}: run {run} on {minion} beside run {other_run} on {other}"
+            ));
+        }
+        if pages.done.contains(task) {
+            let text = format!("TWICE {task}: run {run} on {minion} after it was done");
+            pages.broken.push(text);
+        }
+        if pages.refused.contains(job_of(task)) {
+            let text = format!("REFUSED {task}: run {run} though its job was refused");
+            pages.broken.push(text);
+        }
+        pages
+            .running
+            .insert(task.to_owned(), (run, minion.to_owned()));
+        let used = pages.used.entry(minion.to_owned()).or_default();
+        used.millicores += need.millicores;
+        used.memory_mb += need.memory_mb;
+        if used.millicores > CAPACITY.millicores || used.memory_mb > CAPACITY.memory_mb {
+            let text = format!("LIMIT {minion}: {used:?} with run {run} of {task}");
+            pages.broken.push(text);
+        }
+    }
+
+    /// A run is over on its minion, however it ended.
+    pub fn over(&self, task: &str, minion: &str, need: Need, failed: bool) {
+        let mut pages = self.lock();
+        if pages.running.get(task).is_some_and(|(_, m)| m == minion) {
+            pages.running.remove(task);
+        }
+        if let Some(used) = pages.used.get_mut(minion) {
+            used.millicores -= need.millicores;
+            used.memory_mb -= need.memory_mb;
+        }
+        if failed {
+            *pages.failures.entry(task.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// An end as done was acknowledged to its minion.
+    pub fn noted_done(&self, task: &str) {
+        self.lock().done.insert(task.to_owned());
+    }
+
+    pub fn accepted(&self, job: &str) {
+        self.lock().accepted.insert(job.to_owned());
+    }
+
+    pub fn refused(&self, job: &str) {
+        let mut pages = self.lock();
+        let runs = pages.running.keys().any(|task| job_of(task) == job);
+        if runs {
+            pages.broken.push(format!("REFUSED {job}: it runs already"));
+        }
+        pages.refused.insert(job.to_owned());
+    }
+
+    pub fn cancelled(&self, job: &str) {
+        self.lock().cancelled.insert(job.to_owned());
+    }
+
+    pub fn broke(&self, what: String) {
+        self.lock().broken.push(what);
+    }
+
+    /// Accepted jobs that nobody has cancelled.
+    pub fn owed(&self) -> Vec<String> {
+        let pages = self.lock();
+        pages
+            .accepted
+            .difference(&pages.cancelled)
+            .cloned()
+            .collect()
+    }
+
+    /// Whether some task of a job has failed as often as is allowed.
+    pub fn may_have_failed(&self, job: &str) -> bool {
+        let pages = self.lock();
+        let mut failures = pages.failures.iter();
+        failures.any(|(task, n)| job_of(task) == job && *n >= ATTEMPTS)
+    }
+
+    /// Tasks that run now.
+    pub fn running(&self) -> usize {
+        self.lock().running.len()
+    }
+
+    /// Starts, jobs accepted and jobs cancelled.
+    pub fn counts(&self) -> (u64, usize, usize) {
+        let pages = self.lock();
+        (pages.starts, pages.accepted.len(), pages.cancelled.len())
+    }
+
+    /// Promises that were broken so far.
+    pub fn broken(&self) -> Vec<String> {
+        self.lock().broken.clone()
+    }
+}
