--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::calls::{Call, CallNumber, CallReply, Down, OrderNumber, Up};
+use super::calls::{Call, CallNumber, CallReply, Down, OrderNumber, RETRY_AFTER, Up};
 use super::dispatch::MinionAnswer;
 use super::driver::{Minions, Policy, send_order};
 use super::watch::{Elected, Members, watch};
@@ -33,6 +33,26 @@
 /// Time for that sign.
 const PONG_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a call waits for a leader to be found, counted from when the last one was lost: nearly
+/// all changes of leader are over by then. Later calls are refused at once, as they would wait in
+/// vain while their callers could be told to come back.
+const LEADER_WAIT: Duration = Duration::from_secs(1);
+/// Longest time after which a caller is told to come back; the longest outages of all control
+/// hosts at once are about twice as long.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+
+/// How long a call may wait for a leader when there has been none for `absent`.
+pub fn leader_wait(absent: Duration) -> Duration {
+    LEADER_WAIT.saturating_sub(absent)
+}
+
+/// When a caller should come back that found no leader for `absent`: an outage that has lasted for
+/// some time will last about as long again. A caller that is told to come back each second uses up
+/// its tries before an outage of four seconds is over.
+pub fn retry_after(absent: Duration) -> Duration {
+    absent.clamp(RETRY_AFTER, LONGEST_RETRY)
+}
+
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoAnswer {
@@ -63,6 +83,8 @@
 pub struct LeaderLink {
     current: watch::Receiver<Option<mpsc::UnboundedSender<Outgoing>>>,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    /// When the last leader was lost; at first when the search began.
+    lost: Arc<Mutex<Instant>>,
 }
 
 impl LeaderLink {
@@ -75,6 +97,7 @@
     ) -> Self {
         let (tx, current) = watch::channel(None);
         let seeds = Arc::new(Mutex::new(seeds));
+        let lost = Arc::new(Mutex::new(Instant::now()));
         let (members, known_members) = watch::channel(Members::default());
         let (elected_tx, elected) = watch::channel(None);
         tokio::spawn(watch(known_members, keys.clone(), elected_tx));
@@ -87,10 +110,15 @@
             keys,
             calls,
             current: tx,
+            lost: Arc::clone(&lost),
             log,
         };
         tokio::spawn(search.run());
-        Self { current, seeds }
+        Self {
+            current,
+            seeds,
+            lost,
+        }
     }
 
     /// Takes new seeds into use at the next search.
@@ -103,6 +131,12 @@
         self.current.borrow().is_some()
     }
 
+    /// How long there has been no leader; `None` while one is connected.
+    pub fn absent(&self, now: Instant) -> Option<Duration> {
+        let lost = *self.lost.lock().expect("no holder panics");
+        (!self.is_connected()).then(|| now.saturating_duration_since(lost))
+    }
+
     /// Calls the leader, whoever it is, until it answers or the deadline passes.
     ///
     /// Every call is idempotent: a job by its id, a configuration by its version, a report by its
@@ -164,6 +198,7 @@
     keys: CellKeys,
     calls: Calls<M, P>,
     current: watch::Sender<Option<mpsc::UnboundedSender<Outgoing>>>,
+    lost: Arc<Mutex<Instant>>,
     log: Logger,
 }
 
@@ -201,6 +236,7 @@
                 .send_modify(|members| members.leader = Some(addr));
             info!(self.log, "leader found"; "leader" => %addr, "term" => self.term);
             let why = self.serve(reader, writer).await;
+            *self.lost.lock().expect("no holder panics") = Instant::now();
             self.current.send_replace(None);
             self.members.send_modify(|members| members.leader = None);
             let why = why.map_or_else(|e| e.to_string(), |()| "it no longer leads".to_owned());
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -13,8 +13,8 @@
 use super::http::{Handler, Reply, body_refused, come_back, empty, json, read_body, refused, text};
 use super::jobs::{self, PendingBody};
 use super::settings::METRICS_PATH;
-use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply, RETRY_AFTER};
-use crate::batch::link::{LeaderLink, NoAnswer};
+use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply};
+use crate::batch::link::{LeaderLink, NoAnswer, leader_wait, retry_after};
 use crate::batch::machine::parse_job_id;
 use crate::batch::model::Limits;
 use crate::telemetry::MetricsPage;
@@ -25,9 +25,6 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 /// Part of the caller's time that is left for the answer's way back.
 const ANSWER_RESERVE: Duration = Duration::from_millis(100);
-/// How long a request waits for a leader to be found before it is refused: most changes of leader
-/// are over by then, and the caller still has time to try elsewhere.
-const LEADER_WAIT: Duration = Duration::from_millis(1000);
 
 /// Answers callers.
 #[derive(Clone)]
@@ -68,11 +65,8 @@
         let call = ClientCall { host, path, action };
         let path = call.path.clone();
         let patience = patience.saturating_sub(ANSWER_RESERVE);
-        let patience = if self.link.is_connected() {
-            patience
-        } else {
-            patience.min(LEADER_WAIT)
-        };
+        let absent = self.link.absent(received);
+        let patience = absent.map_or(patience, |absent| patience.min(leader_wait(absent)));
         let reply = self
             .link
             .call(Call::Client(call), received + patience)
@@ -85,7 +79,8 @@
             info!(self.log, "request answered"; "path" => path.as_str(),
                 "outcome" => outcome, "took_ms" => took.as_millis() as u64);
         }
-        to_http(reply)
+        let absent = self.link.absent(Instant::now());
+        to_http(reply, retry_after(absent.unwrap_or_default()))
     }
 }
 
@@ -102,7 +97,8 @@
     }
 }
 
-fn to_http(reply: Result<CallReply, NoAnswer>) -> Reply {
+/// `retry` is when callers may come back that found no leader.
+fn to_http(reply: Result<CallReply, NoAnswer>, retry: Duration) -> Reply {
     let unavailable = |after| {
         come_back(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -128,7 +124,7 @@
             ClientReply::InDoubt => in_doubt(),
         },
         Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) | Err(NoAnswer::NotSent) => {
-            unavailable(RETRY_AFTER)
+            unavailable(retry)
         }
         Err(NoAnswer::InDoubt) => in_doubt(),
     }
