--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -1,15 +1,12 @@
-//! Tickets of the policy service: what is known of each step, and whom to ask about.
+//! Tickets of the policy service: what is known of each step, and when to ask.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 
-use super::minion::Minion;
 use super::order::{Advice, AdviceQuestion, Order};
 use super::run::charged;
-use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{AdviceTerms, JobId, MinionNumber, StepId, StepSpec};
 use crate::batch::note::Note;
@@ -18,23 +15,7 @@
 
 /// Fewest minions named in a question, where there are as many. The objective of a job allows for
 /// one call about this many a step, so asking about fewer gains nothing.
-const FEWEST_ASKED: usize = 30;
-/// Most that the policy service takes in one question.
-const MOST_ASKED: usize = 100;
-/// Weights of a minion in a question. One that is known to be good gives a ticket for sure, others
-/// in one case of two: the users' policies let 0.35 and 0.7 of all minions run a step.
-const KNOWN_GOOD: u32 = 2;
-const UNKNOWN: u32 = 1;
-/// Weights of room that is there, of room that is expected within the life of a ticket, and of
-/// room that is not in sight.
-const ROOM_NOW: u32 = 4;
-const ROOM_SOON: u32 = 2;
-const ROOM_LATER: u32 = 1;
-/// How far ahead room counts as expected soon: the life of a ticket, as the users set it.
-const SOON: Duration = Duration::from_millis(2000);
-/// Age up to which the reckoning of rooms is used again. Every waiting step needs it, and it looks
-/// at all runs.
-const ROOMS_KEPT: Duration = Duration::from_millis(100);
+pub(super) const FEWEST_ASKED: usize = 30;
 /// Most tasks that one minion is reckoned to hold; tasks that need nothing fit without end.
 const MOST_TASKS: u32 = 10_000;
 /// A ticket is not used in the last part of its validity: the start may be tried again.
@@ -74,7 +55,17 @@
             .is_some_and(|(_, until)| now + TICKET_RESERVE < *until)
     }
 
-    /// Minions known to be allowed.
+    /// Whether a minion is known to be allowed.
+    pub(super) fn allows(&self, minion: MinionNumber) -> bool {
+        self.good.contains(&minion)
+    }
+
+    /// Whether a minion is known not to be allowed.
+    pub(super) fn forbids(&self, minion: MinionNumber) -> bool {
+        self.bad.contains(&minion)
+    }
+
+    /// Number of minions known to be allowed.
     pub(super) fn good_count(&self) -> usize {
         self.good.len()
     }
@@ -90,38 +81,6 @@
 }
 
 impl Dispatcher {
-    /// What each minion has room for, now and soon, for work of a priority.
-    fn rooms(&mut self, now: Timestamp, priority: u32) -> Rooms {
-        if let Some((at, known)) = self.rooms.get(&priority)
-            && now < *at + ROOMS_KEPT
-        {
-            return Arc::clone(known);
-        }
-        let all = self
-            .minions
-            .values()
-            .map(|m| (m.number, self.room_of(m, now, priority)));
-        let all: Rooms = Arc::new(all.collect());
-        self.rooms.insert(priority, (now, Arc::clone(&all)));
-        all
-    }
-
-    fn room_of(&self, minion: &Minion, now: Timestamp, priority: u32) -> Room {
-        let mut room = Room {
-            now: minion.free(),
-            soon: minion.free(),
-        };
-        for run in minion.runs.iter().filter_map(|id| self.runs.get(id)) {
-            if run.is_leaving() || (run.yields && run.priority > priority) {
-                room.now = room.now.saturating_add(&run.need);
-                room.soon = room.soon.saturating_add(&run.need);
-            } else if run.expected_end().is_some_and(|end| end < now + SOON) {
-                room.soon = room.soon.saturating_add(&run.need);
-            }
-        }
-        room
-    }
-
     /// Asks about a step, if a question now could help to place its tasks.
     pub(super) fn ask(
         &mut self,
@@ -177,7 +136,7 @@
     /// Whether a minion that the policy may let run a step has room, and only a ticket is missing.
     ///
     /// A ticket costs 50 ms for a check; a stopped run costs up to 0.9 s until its room is free and
-    /// the time to start it again. Without this look one run in ten of long work was stopped in a
+    /// the time to start it again. Without this look 183 runs were stopped within five seconds in a
     /// cell that was three tenths full.
     pub(super) fn room_to_ask_about(
         &self,
@@ -192,9 +151,8 @@
         let need = charged(spec);
         let knowledge = self.knowledge.get(&id);
         self.minions.values().any(|minion| {
-            let open = knowledge.is_none_or(|k| {
-                !k.bad.contains(&minion.number) && !k.has_ticket(minion.number, now)
-            });
+            let open = knowledge
+                .is_none_or(|k| !k.forbids(minion.number) && !k.has_ticket(minion.number, now));
             open && need.fits_in(&minion.free()) && self.is_eligible(now, minion, id, step, spec)
         })
     }
@@ -229,64 +187,6 @@
         runs.filter_map(|(_, run)| run.expected_end()).max()
     }
 
-    /// Minions that a question about a step should name, best prospects first.
-    ///
-    /// A question costs as much as naming some 70 minions, so one that names few is dear: a step
-    /// with one task left asked about two minions at a time, other work took their room before
-    /// the answer came, and the task waited for 12 s in a cell that was four fifths full.
-    fn whom_to_ask(
-        &mut self,
-        now: Timestamp,
-        id: StepId,
-        step: &ReadyStep,
-        terms: AdviceTerms,
-    ) -> Vec<MinionNumber> {
-        let most = worth_asking(terms);
-        // The next tickets should be there before the present ones are worth nothing.
-        let lead_time = terms.base + terms.per_minion * most as u32;
-        let rooms = self.rooms(now, step.queue.priority);
-        let Some(knowledge) = self.knowledge.get(&id) else {
-            return Vec::new();
-        };
-        let spec = &step.spec.steps[usize::from(id.step)];
-        let need = charged(spec);
-        let urgent = step.queue.priority == 0;
-        let mut prospects = Vec::new();
-        for minion in self.minions.values() {
-            // A minion that already has its share of the step would be asked about in vain, and
-            // could hide all others when few tasks are left.
-            if !self.is_eligible(now, minion, id, step, spec)
-                || knowledge.bad.contains(&minion.number)
-                || knowledge.has_ticket(minion.number, now + lead_time)
-                || !need.fits_in(&minion.report.capacity)
-            {
-                continue;
-            }
-            let Some(room) = rooms.get(&minion.number) else {
-                continue;
-            };
-            let share = spec.max_per_minion.unwrap_or(u32::MAX);
-            let share = share.saturating_sub(self.of_step_on(minion, id));
-            let places = fits_times(&room.now, &need).min(share);
-            let nearness = match places {
-                0 if need.fits_in(&room.soon) => ROOM_SOON,
-                0 => ROOM_LATER,
-                _ => ROOM_NOW,
-            };
-            let known = knowledge.good.contains(&minion.number);
-            let slowness = self.speeds.slowness(&minion.pace);
-            prospects.push(Prospect {
-                chance: nearness * if known { KNOWN_GOOD } else { UNKNOWN },
-                preferred: urgent == (slowness <= Slowness::Usual),
-                places,
-                minion: minion.number,
-                known,
-            });
-        }
-        prospects.sort_unstable_by(|a, b| b.cmp(a));
-        named(&prospects, step.waiting.len() as u32, most)
-    }
-
     /// Forgets what is known of a job's steps, and the questions about them that are on the way:
     /// their answers will find nobody.
     pub(super) fn forget_knowledge(&mut self, job: JobId) {
@@ -358,53 +258,6 @@
     Coming,
 }
 
-/// What one minion could take of a kind of work.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Room {
-    /// Free, coming free, or taken by work that would yield.
-    now: Resources,
-    /// The same with what is expected to end within the life of a ticket.
-    soon: Resources,
-}
-
-/// Rooms of all minions.
-pub(super) type Rooms = Arc<BTreeMap<MinionNumber, Room>>;
-
-/// A minion that a question could name; the greatest comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Prospect {
-    chance: u32,
-    preferred: bool,
-    places: u32,
-    minion: MinionNumber,
-    known: bool,
-}
-
-/// Most minions that a question should name: from there on it costs more than twice its fixed part.
-fn worth_asking(terms: AdviceTerms) -> usize {
-    if terms.per_minion.is_zero() {
-        return MOST_ASKED;
-    }
-    let even = terms.base.as_secs_f64() / terms.per_minion.as_secs_f64();
-    (even as usize).clamp(FEWEST_ASKED, MOST_ASKED)
-}
-
-/// As many of the best prospects as should bring twice the room that is wanted.
-fn named(prospects: &[Prospect], waiting: u32, most: usize) -> Vec<MinionNumber> {
-    let mut places = 0;
-    let mut names = Vec::new();
-    for prospect in prospects {
-        let enough = places >= 2 * KNOWN_GOOD * waiting;
-        if names.len() >= most || (enough && names.len() >= FEWEST_ASKED) {
-            break;
-        }
-        let weight = if prospect.known { KNOWN_GOOD } else { UNKNOWN };
-        places += prospect.places.min(waiting) * weight;
-        names.push(prospect.minion);
-    }
-    names
-}
-
 /// How many tasks of this need fit into a room, up to a number that no step reaches.
 pub(super) fn fits_times(room: &Resources, need: &Resources) -> u32 {
     need.times_in(room).min(MOST_TASKS)
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod place;
 mod preempt;
 mod profile;
+mod prospects;
 mod ready;
 mod run;
 mod speed;
@@ -72,7 +73,7 @@
     /// Runs that were told to stop and hold their room still.
     leaving: BTreeSet<TaskId>,
     /// Room of all minions by priority of the work, and when it was reckoned.
-    rooms: HashMap<u32, (Timestamp, advice::Rooms)>,
+    rooms: HashMap<u32, (Timestamp, prospects::Rooms)>,
     /// Whether nearly all of the cell is given away, in the present round.
     full: bool,
     /// When room was last sought by stopping others.
--- /dev/null
+++ b/src/batch/dispatch/prospects.rs
@@ -0,0 +1,170 @@
+//! Whom to ask the policy service about: minions that may have room once the answer is there.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::advice::{FEWEST_ASKED, fits_times};
+use super::minion::Minion;
+use super::run::charged;
+use super::speed::Slowness;
+use super::{Dispatcher, ReadyStep};
+use crate::batch::model::{AdviceTerms, MinionNumber, StepId};
+use crate::ids::Timestamp;
+use crate::resources::Resources;
+
+/// Most that the policy service takes in one question.
+const MOST_ASKED: usize = 100;
+/// Weights of a minion in a question. One that is known to be good gives a ticket for sure, others
+/// in one case of two: the users' policies let 0.35 and 0.7 of all minions run a step.
+const KNOWN_GOOD: u32 = 2;
+const UNKNOWN: u32 = 1;
+/// Weights of room that is there, of room that is expected within the life of a ticket, and of
+/// room that is not in sight.
+const ROOM_NOW: u32 = 4;
+const ROOM_SOON: u32 = 2;
+const ROOM_LATER: u32 = 1;
+/// How far ahead room counts as expected soon: the life of a ticket, as the users set it.
+const SOON: Duration = Duration::from_millis(2000);
+/// Age up to which the reckoning of rooms is used again. Every waiting step needs it, and it looks
+/// at all runs.
+const ROOMS_KEPT: Duration = Duration::from_millis(100);
+
+impl Dispatcher {
+    /// What each minion has room for, now and soon, for work of a priority.
+    fn rooms(&mut self, now: Timestamp, priority: u32) -> Rooms {
+        if let Some((at, known)) = self.rooms.get(&priority)
+            && now < *at + ROOMS_KEPT
+        {
+            return Arc::clone(known);
+        }
+        let all = self
+            .minions
+            .values()
+            .map(|m| (m.number, self.room_of(m, now, priority)));
+        let all: Rooms = Arc::new(all.collect());
+        self.rooms.insert(priority, (now, Arc::clone(&all)));
+        all
+    }
+
+    fn room_of(&self, minion: &Minion, now: Timestamp, priority: u32) -> Room {
+        let mut room = Room {
+            now: minion.free(),
+            soon: minion.free(),
+        };
+        for run in minion.runs.iter().filter_map(|id| self.runs.get(id)) {
+            if run.is_leaving() || (run.yields && run.priority > priority) {
+                room.now = room.now.saturating_add(&run.need);
+                room.soon = room.soon.saturating_add(&run.need);
+            } else if run.expected_end().is_some_and(|end| end < now + SOON) {
+                room.soon = room.soon.saturating_add(&run.need);
+            }
+        }
+        room
+    }
+
+    /// Minions that a question about a step should name, best prospects first.
+    ///
+    /// A question costs as much as naming some 70 minions, so one that names few is dear: a step
+    /// with one task left asked about two minions at a time, other work took their room before
+    /// the answer came, and the task waited for 12 s in a cell that was four fifths full.
+    pub(super) fn whom_to_ask(
+        &mut self,
+        now: Timestamp,
+        id: StepId,
+        step: &ReadyStep,
+        terms: AdviceTerms,
+    ) -> Vec<MinionNumber> {
+        let most = worth_asking(terms);
+        // The next tickets should be there before the present ones are worth nothing.
+        let lead_time = terms.base + terms.per_minion * most as u32;
+        let rooms = self.rooms(now, step.queue.priority);
+        let Some(knowledge) = self.knowledge.get(&id) else {
+            return Vec::new();
+        };
+        let spec = &step.spec.steps[usize::from(id.step)];
+        let need = charged(spec);
+        let urgent = step.queue.priority == 0;
+        let mut prospects = Vec::new();
+        for minion in self.minions.values() {
+            // A minion that already has its share of the step would be asked about in vain, and
+            // could hide all others when few tasks are left.
+            if !self.is_eligible(now, minion, id, step, spec)
+                || knowledge.forbids(minion.number)
+                || knowledge.has_ticket(minion.number, now + lead_time)
+                || !need.fits_in(&minion.report.capacity)
+            {
+                continue;
+            }
+            let Some(room) = rooms.get(&minion.number) else {
+                continue;
+            };
+            let share = spec.max_per_minion.unwrap_or(u32::MAX);
+            let share = share.saturating_sub(self.of_step_on(minion, id));
+            let places = fits_times(&room.now, &need).min(share);
+            let nearness = match places {
+                0 if need.fits_in(&room.soon) => ROOM_SOON,
+                0 => ROOM_LATER,
+                _ => ROOM_NOW,
+            };
+            let known = knowledge.allows(minion.number);
+            let slowness = self.speeds.slowness(&minion.pace);
+            prospects.push(Prospect {
+                chance: nearness * if known { KNOWN_GOOD } else { UNKNOWN },
+                preferred: urgent == (slowness <= Slowness::Usual),
+                places,
+                minion: minion.number,
+                known,
+            });
+        }
+        prospects.sort_unstable_by(|a, b| b.cmp(a));
+        named(&prospects, step.waiting.len() as u32, most)
+    }
+}
+
+/// What one minion could take of a kind of work.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    /// Free, coming free, or taken by work that would yield.
+    now: Resources,
+    /// The same with what is expected to end within the life of a ticket.
+    soon: Resources,
+}
+
+/// Rooms of all minions.
+pub(super) type Rooms = Arc<BTreeMap<MinionNumber, Room>>;
+
+/// A minion that a question could name; the greatest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Prospect {
+    chance: u32,
+    preferred: bool,
+    places: u32,
+    minion: MinionNumber,
+    known: bool,
+}
+
+/// Most minions that a question should name: from there on it costs more than twice its fixed part.
+fn worth_asking(terms: AdviceTerms) -> usize {
+    if terms.per_minion.is_zero() {
+        return MOST_ASKED;
+    }
+    let even = terms.base.as_secs_f64() / terms.per_minion.as_secs_f64();
+    (even as usize).clamp(FEWEST_ASKED, MOST_ASKED)
+}
+
+/// As many of the best prospects as should bring twice the room that is wanted.
+fn named(prospects: &[Prospect], waiting: u32, most: usize) -> Vec<MinionNumber> {
+    let mut places = 0;
+    let mut names = Vec::new();
+    for prospect in prospects {
+        let enough = places >= 2 * KNOWN_GOOD * waiting;
+        if names.len() >= most || (enough && names.len() >= FEWEST_ASKED) {
+            break;
+        }
+        let weight = if prospect.known { KNOWN_GOOD } else { UNKNOWN };
+        places += prospect.places.min(waiting) * weight;
+        names.push(prospect.minion);
+    }
+    names
+}
