One walk over a job's steps for both questions about them

Cause: reading the change again: ready_steps and coming_steps were the same loop with another test, is_ready and is_coming the same fold; the once-a-second telling worked out the ticketed minions of a step twice; two tests started a link by the same lines.

--- a/src/batch/dispatch/census.rs
+++ b/src/batch/dispatch/census.rs
@@ -51,18 +51,16 @@
         let spec = &step.spec.steps[usize::from(id.step)];
         let need = charged(spec);
         let knowledge = self.knowledge.get(&id);
-        let suitable = || {
-            self.candidates(id, step)
-                .into_iter()
-                .filter(|m| self.suits(now, m, id, step, spec))
-        };
+        let mut suitable = self.candidates(id, step);
+        suitable.retain(|m| self.suits(now, m, id, step, spec));
+        let with_room = suitable.iter().filter(|m| need.fits_in(&m.free()));
         Note::StepWaits {
             step: id,
             waiting: step.waiting.len(),
             age,
             good: knowledge.map_or(0, |k| k.good_count()),
-            tickets: suitable().count(),
-            room: suitable().filter(|m| need.fits_in(&m.free())).count(),
+            tickets: suitable.len(),
+            room: with_room.count(),
             asked: knowledge.is_some_and(|k| k.is_asked()),
         }
     }
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -1,8 +1,8 @@
 //! Queries: what is read from the ledger.
 
-use super::records::{StepRecord, TaskRecord, TaskState};
+use super::records::{Occurrence, StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
-use crate::batch::model::{ConfigVersion, JobId, JobState, MinionNumber, StepId, TaskId};
+use crate::batch::model::{ConfigVersion, JobId, JobState, MinionNumber, StepId, StepSpec, TaskId};
 
 impl Job {
     pub(super) fn step_mut(&mut self, task: TaskId) -> Option<&mut StepRecord> {
@@ -72,34 +72,32 @@
 
     /// Steps whose turn has come and that are not done, of open jobs.
     pub fn ready_steps(&self, id: JobId) -> Vec<StepId> {
-        let Some(job) = self.jobs.get(&id).filter(|job| !job.state.is_final()) else {
-            return Vec::new();
-        };
-        let mut ready = Vec::new();
-        for (k, occurrence) in &job.occurrences {
-            for (s, spec) in job.spec.steps.iter().enumerate() {
-                if occurrence.steps[s].open > 0 && occurrence.is_ready(spec) {
-                    ready.push(StepId {
-                        job: id,
-                        occurrence: *k,
-                        step: s as u16,
-                    });
-                }
-            }
-        }
-        ready
+        self.steps_where(id, |occurrence, s, spec| {
+            occurrence.steps[s].open > 0 && occurrence.is_ready(spec)
+        })
     }
 
     /// Steps that wait only for tasks which are all under way, of an open job.
     pub fn coming_steps(&self, id: JobId) -> Vec<StepId> {
+        self.steps_where(id, |occurrence, _, spec| {
+            !occurrence.is_ready(spec) && occurrence.is_coming(spec)
+        })
+    }
+
+    /// Steps of an open job, by their occurrence, position and declaration.
+    fn steps_where(
+        &self,
+        id: JobId,
+        wanted: impl Fn(&Occurrence, usize, &StepSpec) -> bool,
+    ) -> Vec<StepId> {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.state.is_final()) else {
             return Vec::new();
         };
-        let mut coming = Vec::new();
+        let mut steps = Vec::new();
         for (k, occurrence) in &job.occurrences {
             for (s, spec) in job.spec.steps.iter().enumerate() {
-                if !occurrence.is_ready(spec) && occurrence.is_coming(spec) {
-                    coming.push(StepId {
+                if wanted(occurrence, s, spec) {
+                    steps.push(StepId {
                         job: id,
                         occurrence: *k,
                         step: s as u16,
@@ -107,6 +105,6 @@
                 }
             }
         }
-        coming
+        steps
     }
 }
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -122,21 +122,17 @@
 impl Occurrence {
     /// Whether all steps that this one waits for are done.
     pub fn is_ready(&self, spec: &StepSpec) -> bool {
-        let done = |step: &u16| {
-            self.steps
-                .get(usize::from(*step))
-                .is_some_and(|s| s.open == 0)
-        };
-        spec.after.iter().all(done)
+        self.all_before(spec, |step| step.open == 0)
     }
 
     /// Whether every task of the steps that this one waits for has been started or is done.
     pub fn is_coming(&self, spec: &StepSpec) -> bool {
-        let begun = |step: &u16| {
-            self.steps
-                .get(usize::from(*step))
-                .is_some_and(|s| s.tasks.iter().all(|t| t.state != TaskState::Waiting))
-        };
-        spec.after.iter().all(begun)
+        let begun = |task: &TaskRecord| task.state != TaskState::Waiting;
+        self.all_before(spec, |step| step.tasks.iter().all(begun))
+    }
+
+    fn all_before(&self, spec: &StepSpec, holds: impl Fn(&StepRecord) -> bool) -> bool {
+        let step = |number: &u16| self.steps.get(usize::from(*number));
+        spec.after.iter().all(|s| step(s).is_some_and(&holds))
     }
 }
--- a/tests/batch_link.rs
+++ b/tests/batch_link.rs
@@ -111,6 +111,16 @@
     }
 }
 
+fn link_from(seed: SocketAddr) -> LeaderLink {
+    let calls = Calls {
+        minions: Nobody,
+        policy: Nobody,
+        zone: "mixco".into(),
+    };
+    let log = Logger::root(Discard, o!());
+    LeaderLink::start(vec![seed], keys(), calls, log)
+}
+
 fn lead(here: bool, term: Term, leader: SocketAddr, members: &[SocketAddr]) -> Down {
     Down::Lead {
         here,
@@ -130,13 +140,7 @@
     let mut follower = Control::start(Health::Alive).await;
     let mut next = Control::start(Health::Alive).await;
     let members = [frozen.addr, follower.addr];
-    let calls = Calls {
-        minions: Nobody,
-        policy: Nobody,
-        zone: "mixco".into(),
-    };
-    let log = Logger::root(Discard, o!());
-    let link = LeaderLink::start(vec![frozen.addr], keys(), calls, log);
+    let link = link_from(frozen.addr);
     let greeting = lead(true, 1, frozen.addr, &members);
     let _open = frozen.connection().await.send(greeting);
     assert!(matches!(frozen.hears().await, Up::Hello(_)));
@@ -168,13 +172,7 @@
     let mut behind = Control::start(Health::Alive).await;
     let mut earlier = Control::start(Health::Alive).await;
     let members = [leader.addr, behind.addr];
-    let calls = Calls {
-        minions: Nobody,
-        policy: Nobody,
-        zone: "mixco".into(),
-    };
-    let log = Logger::root(Discard, o!());
-    let link = LeaderLink::start(vec![leader.addr], keys(), calls, log);
+    let link = link_from(leader.addr);
     let at_leader = leader.connection().await;
     let _ = at_leader.send(lead(true, 5, leader.addr, &members));
     assert!(matches!(leader.hears().await, Up::Hello(_)));
