Keep the room that preemption makes, and room for what waits

Cause: make_room kept its promises for one round only and place knew nothing of them.

Ruled out: tickets (the waiting step held four valid ones), a shortage of room (the cell was 80% given away), the order of service.

Change: waiting tasks and gangs claim room in the order of service; claims are reckoned anew in each round. What comes later may use kept room only if it ends before the claim's start or fits beside it. Runs are stopped only where that lets the job be done in time and waiting would not, and a run that has just gone on from saved progress is spared. Ends are reckoned from the progress that minions list. Mechanisms can be named for switching off.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use yuccahold::batch::dispatch::{
     Advice, AdviceQuestion, Answer, DispatchConfig, Dispatcher, HoldAnswer, ListedEnd, ListedRun,
-    Listing, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder,
+    Listing, Mechanisms, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder,
 };
 use yuccahold::batch::ledger::{Command, Ledger};
 use yuccahold::batch::model::{
@@ -94,6 +94,9 @@
         let ledger = Ledger::default();
         let cfg = DispatchConfig {
             lease_max: Duration::from_secs(10),
+            stop_time: Duration::from_millis(900),
+            restore_time: Duration::from_millis(100),
+            mechanisms: Mechanisms::default(),
         };
         let leader = Dispatcher::new(cfg, 1, &ledger, now);
         let mut cell = Self {
--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -172,7 +172,7 @@
             if known.is_some_and(|k| k.tickets.keys().any(|m| k.has_ticket(*m, answered))) {
                 continue;
             }
-            if self.begins(*id, step).is_some_and(|at| at < answered) {
+            if self.begins(now, *id, step).is_some_and(|at| at < answered) {
                 self.ask(now, *id, step, terms, Turn::Coming);
             }
         }
@@ -180,11 +180,11 @@
     }
 
     /// When the last task that a step waits for should end; `None` when that is not known.
-    fn begins(&self, id: StepId, step: &ReadyStep) -> Option<Timestamp> {
+    fn begins(&self, now: Timestamp, id: StepId, step: &ReadyStep) -> Option<Timestamp> {
         let spec = &step.spec.steps[usize::from(id.step)];
         let before = spec.after.iter().map(|step| StepId { step: *step, ..id });
         let runs = before.flat_map(|id| self.runs.range(id.tasks()));
-        runs.filter_map(|(_, run)| run.expected_end()).max()
+        runs.filter_map(|(_, run)| run.expected_end(now)).max()
     }
 
     /// Forgets what is known of a job's steps, and the questions about them that are on the way:
--- /dev/null
+++ b/src/batch/dispatch/forecast.rs
@@ -0,0 +1,120 @@
+//! When runs should end, and when a minion should have room.
+
+use std::time::Duration;
+
+use super::Dispatcher;
+use super::mechanisms::Mechanism;
+use super::minion::Minion;
+use super::run::{Run, RunState, StopState};
+use crate::ids::Timestamp;
+use crate::resources::Resources;
+
+/// A run that took longer than expected is expected to go on for this part of what it took.
+const LATE_PART: u32 = 4;
+/// Share of a run's work, in percent, that must lie between two listings before the rest of its
+/// time is reckoned from them: the share is listed in whole percents, so this is right to a fifth.
+const ENOUGH_PROGRESS: u32 = 5;
+
+/// Progress of a run as its minion lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Progress {
+    from: (Timestamp, u32),
+    to: (Timestamp, u32),
+}
+
+impl Progress {
+    /// Progress that was `percent` at `at`.
+    pub(super) fn begun(at: Timestamp, percent: u32) -> Self {
+        Self {
+            from: (at, percent),
+            to: (at, percent),
+        }
+    }
+
+    /// Takes a listing in.
+    pub(super) fn take(&mut self, now: Timestamp, percent: u32) {
+        if percent > self.to.1 {
+            self.to = (now, percent);
+        }
+    }
+
+    /// When all of the work should be done; `None` while too little was seen.
+    pub(super) fn end(&self) -> Option<Timestamp> {
+        let done = self.to.1.saturating_sub(self.from.1);
+        if done < ENOUGH_PROGRESS {
+            return None;
+        }
+        let each = self.to.0.saturating_sub(self.from.0) / done;
+        Some(self.to.0 + each * 100_u32.saturating_sub(self.to.1))
+    }
+}
+
+impl Run {
+    /// When it should end; `None` when that cannot be told.
+    pub(super) fn expected_end(&self, now: Timestamp) -> Option<Timestamp> {
+        let begun = self.begun.unwrap_or(self.proposed);
+        let declared = (!self.expected.is_zero()).then(|| begun + self.expected);
+        let end = self.progress.and_then(|p| p.end()).or(declared)?;
+        if end > now {
+            return Some(end);
+        }
+        Some(now + now.saturating_sub(begun) / LATE_PART)
+    }
+}
+
+impl Dispatcher {
+    /// When the room of a run should come free; `None` when that cannot be told.
+    pub(super) fn release(&self, now: Timestamp, run: &Run) -> Option<Timestamp> {
+        if run.state == RunState::Ending {
+            return None;
+        }
+        match run.stop {
+            StopState::No => run.expected_end(now),
+            StopState::Due(_) | StopState::Sent => Some(now + self.cfg.stop_time),
+            StopState::Confirmed(at) => Some((at + self.cfg.stop_time).max(now)),
+        }
+    }
+
+    /// What a minion's runs give back, in the order of their expected ends.
+    pub(super) fn releases(&self, now: Timestamp, minion: &Minion) -> Vec<(Timestamp, Resources)> {
+        let runs = minion.runs.iter().filter_map(|id| self.runs.get(id));
+        let mut releases: Vec<_> = runs
+            .filter_map(|run| Some((self.release(now, run)?, run.need)))
+            .collect();
+        releases.sort_unstable_by_key(|(at, _)| *at);
+        releases
+    }
+
+    /// When `wanted` should fit on a minion; `None` when it never will.
+    pub(super) fn fits_from(
+        &self,
+        now: Timestamp,
+        minion: &Minion,
+        wanted: &Resources,
+    ) -> Option<Timestamp> {
+        let mut room = minion.free();
+        if wanted.fits_in(&room) {
+            return Some(now);
+        }
+        for (at, freed) in self.releases(now, minion) {
+            room = room.saturating_add(&freed);
+            if wanted.fits_in(&room) {
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    /// Run time to reckon with for a task of a queue.
+    pub(super) fn expected_time(
+        &self,
+        queue: &compact_str::CompactString,
+        declared: Duration,
+    ) -> Duration {
+        if self.cfg.mechanisms.has(Mechanism::LearntTimes) {
+            self.profiles.expected(queue, declared)
+        } else {
+            declared
+        }
+    }
+}
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::mechanisms::Mechanism;
 use super::minion::HoldState;
 use super::order::{HoldAnswer, HoldOrder, ListedEnd, Listing, MinionOrder, Order};
 use super::run::{RunState, StopState};
@@ -217,7 +218,9 @@
                         .begun
                         .map_or(Duration::ZERO, |at| now.saturating_sub(at));
                     self.profiles.learn(&run.queue, run.estimate, seen);
-                    self.speeds.learn(&mut minion.pace, run.estimate, seen);
+                    if self.cfg.mechanisms.has(Mechanism::LearntSpeeds) {
+                        self.speeds.learn(&mut minion.pace, run.estimate, seen);
+                    }
                 }
                 EndKind::Failed => minion.failed(now),
                 _ => {}
@@ -281,6 +284,9 @@
             if !listed.checkpoint.is_empty() {
                 run.checkpoint = listed.checkpoint.clone();
             }
+            if run.ends && self.cfg.mechanisms.has(Mechanism::Progress) {
+                run.take_progress(now, listed.percent);
+            }
             return;
         }
         self.stop_stray(now, number, listed.task, listed.run, ledger);
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -8,12 +8,14 @@
 mod answers;
 mod applied;
 mod census;
+mod claims;
+mod forecast;
 mod gangs;
 mod holds;
+mod mechanisms;
 mod minion;
 mod order;
 mod place;
-mod preempt;
 mod profile;
 mod prospects;
 mod ready;
@@ -29,6 +31,7 @@
 use crate::ids::{MinionId, Term, Timestamp};
 
 use advice::Knowledge;
+pub use mechanisms::{Mechanism, Mechanisms};
 use minion::{CLOCK_RATE, Minion};
 pub use order::{
     Advice, AdviceQuestion, Answer, ConfigOrder, HoldAnswer, HoldOrder, ListedEnd, ListedRun,
@@ -50,6 +53,12 @@
 pub struct DispatchConfig {
     /// Longest lease a minion takes.
     pub lease_max: Duration,
+    /// Longest time that a stopped run goes on.
+    pub stop_time: Duration,
+    /// Time that a run needs to go on from saved progress.
+    pub restore_time: Duration,
+    /// Mechanisms in use.
+    pub mechanisms: Mechanisms,
 }
 
 /// The leader's volatile state.
@@ -76,8 +85,8 @@
     rooms: HashMap<u32, (Timestamp, prospects::Rooms)>,
     /// Whether nearly all of the cell is given away, in the present round.
     full: bool,
-    /// When room was last sought by stopping others.
-    room_sought: Timestamp,
+    /// Room kept for tasks that wait, in the present round.
+    claims: claims::Claims,
     /// What the next batch will hold.
     batch: Batch,
     /// Minions with ends that are taken and not acknowledged.
@@ -121,7 +130,7 @@
             leaving: BTreeSet::new(),
             rooms: HashMap::new(),
             full: false,
-            room_sought: Timestamp::ZERO,
+            claims: claims::Claims::default(),
             batch: Batch::default(),
             unacknowledged: BTreeSet::new(),
             batches: Default::default(),
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use super::advice::{Knowledge, Turn};
+use super::claims::Claims;
+use super::mechanisms::Mechanism;
 use super::minion::Minion;
 use super::run::{Run, charged};
 use super::speed::Slowness;
@@ -27,6 +29,7 @@
         self.place_wanted = false;
         self.place_at = now + PLACE_AGAIN;
         self.full = self.is_full();
+        self.claims = Claims::default();
         let order = self.service_order(unix);
         let mut started = 0;
         for id in &order {
@@ -38,15 +41,17 @@
             let Some(step) = self.ready.remove(&id) else {
                 continue;
             };
-            started += self.place_step(now, id, step, ledger);
+            started += self.place_step(now, unix, id, step, ledger);
+        }
+        if self.cfg.mechanisms.has(Mechanism::AskAhead) {
+            self.ask_ahead(now);
         }
-        self.make_room(now, unix, &order);
-        self.ask_ahead(now);
     }
 
     fn place_step(
         &mut self,
         now: Timestamp,
+        unix: Timestamp,
         id: StepId,
         mut step: ReadyStep,
         ledger: &Ledger,
@@ -65,6 +70,7 @@
         if let Some(terms) = step.queue.advice {
             self.ask(now, id, &step, terms, Turn::Now);
         }
+        self.claim_room(now, unix, id, &step);
         self.ready.insert(id, step);
         placed
     }
@@ -132,9 +138,17 @@
     ) -> bool {
         need.fits_in(&minion.free())
             && (!spec.fills || minion.filling + spec.need.millicores <= minion.free().millicores)
+            && (self.claims.is_open(minion.number)
+                || self.leaves_claims(now, minion, need, self.run_time(step, spec)))
             && self.suits(now, minion, id, step, spec)
     }
 
+    /// Expected run time of a step's tasks; `None` for those that last.
+    fn run_time(&self, step: &ReadyStep, spec: &StepSpec) -> Option<Duration> {
+        let ends = spec.lifetime == Lifetime::Finite;
+        ends.then(|| self.expected_time(&step.queue.name, spec.estimate))
+    }
+
     /// Whether a minion may run tasks of a step at all now, its room aside.
     pub(super) fn suits(
         &self,
@@ -256,7 +270,8 @@
             minion: number,
         });
         let checkpoint = record.checkpoint.clone();
-        let run = Run::new(run, number, (spec, &step.queue), checkpoint, now);
+        let mut run = Run::new(run, number, (spec, &step.queue), checkpoint, now);
+        run.expected = self.expected_time(&step.queue.name, run.estimate);
         self.add_run(task, run);
     }
 }
--- a/src/batch/dispatch/prospects.rs
+++ b/src/batch/dispatch/prospects.rs
@@ -56,7 +56,7 @@
             if run.is_leaving() || (run.yields && run.priority > priority) {
                 room.now = room.now.saturating_add(&run.need);
                 room.soon = room.soon.saturating_add(&run.need);
-            } else if run.expected_end().is_some_and(|end| end < now + SOON) {
+            } else if run.expected_end(now).is_some_and(|end| end < now + SOON) {
                 room.soon = room.soon.saturating_add(&run.need);
             }
         }
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::profile::Profiles;
+use super::mechanisms::Mechanism;
 use crate::batch::ledger::{Job, Ledger, TaskState};
 use crate::batch::model::{Grouping, JobSpec, Lifetime, Queue, StepId};
 use crate::ids::Timestamp;
@@ -47,6 +47,11 @@
         self.key.class > 0 && self.lateness(unix) > 0
     }
 
+    /// Whether a job that ends earns nothing more.
+    pub(super) fn is_worthless(&self, unix: Timestamp) -> bool {
+        self.key.class > 0 && self.lateness(unix) >= WORTHLESS
+    }
+
     /// Levels of priority lost by being late.
     fn lateness(&self, unix: Timestamp) -> u32 {
         let objective = self.key.due.saturating_sub(self.accepted);
@@ -82,7 +87,7 @@
             .iter()
             .map(|(id, step)| {
                 let mut key = step.key;
-                if key.class > 0 {
+                if key.class > 0 && self.cfg.mechanisms.has(Mechanism::Lateness) {
                     key.priority += step.lateness(unix);
                 }
                 (key, *id)
@@ -140,10 +145,24 @@
         self.ready.insert(id, step);
     }
 
+    /// Expected run time of each step and of the longest chain of steps that wait for it.
+    fn chains(&self, job: &Job) -> Vec<Duration> {
+        let steps = &job.spec.steps;
+        let mut chains = vec![Duration::ZERO; steps.len()];
+        for (i, step) in steps.iter().enumerate().rev() {
+            chains[i] += self.expected_time(&job.queue.name, step.estimate);
+            for before in &step.after {
+                let before = usize::from(*before);
+                chains[before] = chains[before].max(chains[i]);
+            }
+        }
+        chains
+    }
+
     fn ready_step(&self, job: &Job, id: StepId, waiting: Vec<u32>) -> ReadyStep {
         let spec = &job.spec.steps[usize::from(id.step)];
         let lasting = spec.lifetime == Lifetime::Lasting;
-        let chains = chains(job, &self.profiles);
+        let chains = self.chains(job);
         let longest = chains.iter().max().copied().unwrap_or_default();
         let key = OrderKey {
             class: u8::from(!lasting),
@@ -171,17 +190,3 @@
         .map_or(job.accepted, |t| t.due(id.occurrence));
     begun + job.queue.slo + chain.mul_f64(job.queue.stretch)
 }
-
-/// Expected run time of each step and of the longest chain of steps that wait for it.
-fn chains(job: &Job, profiles: &Profiles) -> Vec<Duration> {
-    let steps = &job.spec.steps;
-    let mut chains = vec![Duration::ZERO; steps.len()];
-    for (i, step) in steps.iter().enumerate().rev() {
-        chains[i] += profiles.expected(&job.queue.name, step.estimate);
-        for before in &step.after {
-            let before = usize::from(*before);
-            chains[before] = chains[before].max(chains[i]);
-        }
-    }
-    chains
-}
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use super::forecast::Progress;
 use crate::batch::model::{
     Checkpoint, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec,
 };
@@ -55,14 +56,22 @@
     pub(super) tries: u32,
     pub(super) proposed: Timestamp,
     pub(super) checkpoint: Checkpoint,
+    /// Whether it goes on from saved progress.
+    pub(super) resumed: bool,
     /// Its queue.
     pub(super) queue: CompactString,
     /// Priority of its queue; 0 comes first.
     pub(super) priority: u32,
     /// Declared run time; zero when it goes on from saved progress or lasts.
     pub(super) estimate: Duration,
+    /// Run time to reckon with; zero when it goes on from saved progress or lasts.
+    pub(super) expected: Duration,
+    /// Progress since its minion first listed it.
+    pub(super) progress: Option<Progress>,
     /// When its minion confirmed the start.
     pub(super) begun: Option<Timestamp>,
+    /// Whether it ends by itself.
+    pub(super) ends: bool,
     /// Whether stopping it throws nothing away.
     pub(super) yields: bool,
 }
@@ -92,20 +101,26 @@
             } else {
                 Duration::ZERO
             },
+            expected: Duration::ZERO,
+            progress: None,
             begun: None,
+            resumed: !checkpoint.is_empty(),
             checkpoint,
             queue: queue.name.clone(),
             priority: queue.priority,
+            ends: spec.lifetime == Lifetime::Finite,
             yields: spec.saves_progress
                 && spec.lifetime == Lifetime::Finite
                 && spec.grouping == Grouping::Single,
         }
     }
 
-    /// When it should end by its declared time; `None` when that is not known.
-    pub(super) fn expected_end(&self) -> Option<Timestamp> {
-        let known = !self.estimate.is_zero();
-        known.then(|| self.begun.unwrap_or(self.proposed) + self.estimate)
+    /// Takes the share of its work that its minion lists as done, in percent.
+    pub(super) fn take_progress(&mut self, now: Timestamp, percent: u32) {
+        let from_the_start = self.begun.filter(|_| !self.resumed);
+        let (at, from) = from_the_start.map_or((now, percent), |begun| (begun, 0));
+        let progress = self.progress.get_or_insert(Progress::begun(at, from));
+        progress.take(now, percent);
     }
 
     /// Whether it was told to stop and its room will come free.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use crate::batch::dispatch::DispatchConfig;
+use crate::batch::dispatch::{DispatchConfig, Mechanisms};
 use crate::ids::ZoneName;
 
 /// Environment variable that names the file.
@@ -177,6 +177,9 @@
             grace: r.span("bounds.grace_s", SECOND),
             dispatch: DispatchConfig {
                 lease_max: r.span("bounds.hold_max_ms", MILLISECOND),
+                stop_time: r.span("bounds.stop_ms", MILLISECOND),
+                restore_time: r.span("bounds.restore_ms", MILLISECOND),
+                mechanisms: Mechanisms::default(),
             },
         };
         if r.problems.is_empty() {
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -47,6 +47,14 @@
             .min(part(self.accelerators, room.accelerators))
     }
 
+    /// The largest part that this amount takes of any unit of a capacity.
+    pub fn dominant_share(&self, capacity: &Self) -> f64 {
+        let share = |need: u32, all: u32| f64::from(need) / f64::from(all.max(1));
+        share(self.millicores, capacity.millicores)
+            .max(share(self.memory_mb, capacity.memory_mb))
+            .max(share(self.accelerators, capacity.accelerators))
+    }
+
     /// Adds each unit, up to the largest amount there is.
     pub const fn saturating_add(&self, other: &Self) -> Self {
         Self {
--- /dev/null
+++ b/tests/batch_claims.rs
@@ -0,0 +1,217 @@
+//! Room kept for large tasks and gangs, and what is stopped for them.
+
+mod batch_world;
+
+use batch_world::{World, ms, queue, report, step};
+use yuccahold::batch::dispatch::{ListedEnd, ListedRun, Listing, StartOrder};
+use yuccahold::batch::model::{
+    EndKind, Grouping, JobId, MinionNumber, MinionReport, Queue, StepId, StepSpec,
+};
+use yuccahold::resources::Resources;
+
+const ACCELERATORS: u32 = 8;
+
+fn machine(id: &str, port: u16) -> MinionReport {
+    MinionReport {
+        capacity: Resources::new(64, 128_000, ACCELERATORS),
+        ..report(id, port)
+    }
+}
+
+fn renders() -> Queue {
+    Queue {
+        name: "renders".into(),
+        prefix: "/renders/".into(),
+        priority: 1,
+        slo: ms(1_000),
+        stretch: 2.2,
+        ..queue()
+    }
+}
+
+fn overlays() -> Queue {
+    Queue {
+        name: "overlays".into(),
+        prefix: "/overlays/".into(),
+        priority: 2,
+        slo: ms(3_000),
+        stretch: 4.0,
+        ..queue()
+    }
+}
+
+fn on_accelerators(count: u32, accelerators: u32, lasts: u64) -> StepSpec {
+    StepSpec {
+        need: Resources::new(4, 10_000, accelerators),
+        estimate: ms(lasts),
+        saves_progress: true,
+        ..step(count, 0)
+    }
+}
+
+/// Ends of the given runs, all on one minion, in the order given.
+fn ends(runs: &[(JobId, u32, u32)], from: u64, kind: EndKind) -> Vec<ListedEnd> {
+    let end = |(i, (job, index, run)): (usize, &(JobId, u32, u32))| ListedEnd {
+        number: from + i as u64,
+        task: StepId {
+            job: *job,
+            occurrence: 0,
+            step: 0,
+        }
+        .task(*index),
+        run: *run,
+        kind,
+        checkpoint: "saved".into(),
+    };
+    runs.iter().enumerate().map(end).collect()
+}
+
+/// Runs with run number 1 of a job, as their minion lists them.
+fn running(job: JobId, indices: impl IntoIterator<Item = u32>) -> Vec<ListedRun> {
+    let listed = |index| ListedRun {
+        task: StepId {
+            job,
+            occurrence: 0,
+            step: 0,
+        }
+        .task(index),
+        run: 1,
+        checkpoint: "saved".into(),
+        percent: 0,
+        load: 0,
+    };
+    indices.into_iter().map(listed).collect()
+}
+
+fn listing(
+    world: &mut World,
+    minion: MinionNumber,
+    running: Vec<ListedRun>,
+    ended: Vec<ListedEnd>,
+) {
+    world.take_holds();
+    let clock = world.now;
+    world.listing(
+        minion,
+        Listing {
+            clock,
+            running,
+            ended,
+        },
+    );
+}
+
+fn jobs_of(starts: &[(MinionNumber, StartOrder)]) -> Vec<JobId> {
+    starts
+        .iter()
+        .map(|(_, start)| start.task.step.job)
+        .collect()
+}
+
+/// One minion is full of small overlays when a render comes that needs all of it. The overlays
+/// would go on for so long that the render would be late, so they are stopped. Their room comes
+/// free one by one; each stopped overlay waits to go on and would fit there. The room is kept until
+/// it is whole: the render starts, and no overlay is stopped twice.
+#[test]
+fn the_room_made_by_stopping_small_runs_is_kept_until_it_is_whole() {
+    let mut world = World::new();
+    let minion = world.join_as(machine("i-1", 1));
+    world.submit_to(1, overlays(), vec![on_accelerators(8, 1, 20_000)]);
+    assert_eq!(world.start_all().len(), 8);
+    world.pass(ms(3_000));
+    world.submit_to(2, renders(), vec![on_accelerators(1, 8, 4_000)]);
+    let stops = world.take_stops();
+    assert_eq!(stops.len(), 8);
+    for (i, (_, task, run)) in stops.iter().enumerate() {
+        let one = ends(&[(1, task.index, *run)], i as u64 + 1, EndKind::Stopped);
+        let left = stops[i + 1..].iter().map(|(_, task, _)| task.index);
+        listing(&mut world, minion, running(1, left), one);
+        let started = jobs_of(&world.start_all());
+        let expected: &[JobId] = if i == 7 { &[2] } else { &[] };
+        assert_eq!(started, expected, "after {} ends", i + 1);
+        world.pass(ms(20));
+        assert_eq!(world.take_stops().len(), 0);
+    }
+}
+
+/// The same, but the render declares so long a time that it would be late even if it began as soon
+/// as the overlays were stopped. Stopping them would throw time away and gain nothing.
+#[test]
+fn nothing_is_stopped_for_work_that_would_be_late_all_the_same() {
+    let mut world = World::new();
+    world.join_as(machine("i-1", 1));
+    world.submit_to(1, overlays(), vec![on_accelerators(8, 1, 20_000)]);
+    world.start_all();
+    world.pass(ms(3_000));
+    let hurried = Queue {
+        slo: ms(0),
+        stretch: 0.85,
+        ..renders()
+    };
+    world.submit_to(2, hurried, vec![on_accelerators(1, 8, 4_000)]);
+    world.pass(ms(100));
+    assert_eq!(world.take_stops().len(), 0);
+}
+
+/// The overlays end so soon that the render can wait for them and still be in time.
+#[test]
+fn nothing_is_stopped_where_waiting_is_soon_enough() {
+    let mut world = World::new();
+    world.join_as(machine("i-1", 1));
+    world.submit_to(1, overlays(), vec![on_accelerators(8, 1, 5_000)]);
+    world.start_all();
+    world.pass(ms(3_000));
+    world.submit_to(2, renders(), vec![on_accelerators(1, 8, 4_000)]);
+    world.pass(ms(100));
+    assert_eq!(world.take_stops().len(), 0);
+}
+
+/// A render waits for the whole of a minion on which one long run is left. Overlays go on coming.
+/// Those that would end before the long run does use the idle rest; longer ones wait, as each of
+/// them would put the render off again.
+#[test]
+fn kept_room_is_used_by_work_that_ends_in_time() {
+    let mut world = World::new();
+    world.join_as(machine("i-1", 1));
+    world.submit_to(1, renders(), vec![on_accelerators(1, 4, 6_000)]);
+    world.start_all();
+    world.submit_to(2, renders(), vec![on_accelerators(1, 8, 4_000)]);
+    world.submit_to(3, overlays(), vec![on_accelerators(2, 1, 20_000)]);
+    world.submit_to(4, overlays(), vec![on_accelerators(2, 1, 3_000)]);
+    assert_eq!(jobs_of(&world.start_all()), [4, 4]);
+}
+
+/// A gang of two needs both minions whole; each is held by a run that ends at a time of its own.
+/// The one that comes free first is kept, or small work would take it before the other is free.
+#[test]
+fn room_is_kept_for_all_members_of_a_gang() {
+    let mut world = World::new();
+    let first = world.join_as(machine("i-1", 1));
+    world.join_as(machine("i-2", 2));
+    world.submit_to(1, renders(), vec![on_accelerators(1, 8, 2_000)]);
+    let early = world.start_all();
+    world.submit_to(2, renders(), vec![on_accelerators(1, 8, 5_000)]);
+    world.start_all();
+    let gang = StepSpec {
+        grouping: Grouping::Gang,
+        ..on_accelerators(2, 8, 4_000)
+    };
+    world.submit_to(3, renders(), vec![gang]);
+    world.submit_to(4, overlays(), vec![on_accelerators(4, 1, 20_000)]);
+    world.pass(ms(2_000));
+    assert_eq!(early[0].0, first);
+    let done = ends(&[(1, 0, 1)], 1, EndKind::Done);
+    listing(&mut world, first, Vec::new(), done);
+    assert_eq!(jobs_of(&world.start_all()), [] as [JobId; 0]);
+}
+
+/// A step that no minion can ever hold keeps no room from others.
+#[test]
+fn a_task_larger_than_every_minion_keeps_no_room() {
+    let mut world = World::new();
+    world.join_as(machine("i-1", 1));
+    world.submit_to(1, renders(), vec![on_accelerators(1, 9, 4_000)]);
+    world.submit_to(2, overlays(), vec![on_accelerators(8, 1, 20_000)]);
+    assert_eq!(world.start_all().len(), 8);
+    assert_eq!(world.take_stops().len(), 0);
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{
-    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, ListedEnd, Listing, MinionOrder,
-    Order, Silence, StartOrder,
+    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, ListedEnd, Listing, Mechanisms,
+    MinionOrder, Order, Silence, StartOrder,
 };
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
 use yuccahold::batch::model::{
@@ -26,6 +26,9 @@
 pub fn config() -> DispatchConfig {
     DispatchConfig {
         lease_max: ms(6000),
+        stop_time: ms(400),
+        restore_time: ms(100),
+        mechanisms: Mechanisms::default(),
     }
 }
 
