Reckon objectives from what steps show, and from all that they allow for

Learnt means came only after 20 ends and were lost with each leader.

Change: a step's time is what its own ended tasks took; until a queue's runs are known, no task is taken for shorter than the geometric mean of what its queue declares, which a new leader reads from the ledger; the objective counts waves of wide steps, failed runs and one question a step.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -30,6 +30,9 @@
                         queue: queue.name.clone(),
                         unstarted: ledger.unstarted.len(),
                     });
+                    if let Some(job) = ledger.jobs.get(job) {
+                        self.profiles.declared(job);
+                    }
                     self.dirty_jobs.insert(*job);
                     self.schedule_next(ledger, *job);
                 }
@@ -109,6 +112,7 @@
             age: ledger.clock.saturating_sub(job.accepted),
         });
         self.forget_knowledge(id);
+        self.observed.retain(|step, _| step.job != id);
         let steps = StepId::all_of(id);
         let all = *steps.start().tasks().start()..=*steps.end().tasks().end();
         let tasks: Vec<_> = self.runs.range(all).map(|(id, _)| *id).collect();
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -218,6 +218,9 @@
                         .begun
                         .map_or(Duration::ZERO, |at| now.saturating_sub(at));
                     self.profiles.learn(&run.queue, run.estimate, seen);
+                    if !run.resumed && !seen.is_zero() {
+                        self.observed.entry(end.task.step).or_default().learn(seen);
+                    }
                     if self.cfg.mechanisms.has(Mechanism::LearntSpeeds) {
                         self.speeds.learn(&mut minion.pace, run.estimate, seen);
                     }
--- a/src/batch/dispatch/mechanisms.rs
+++ b/src/batch/dispatch/mechanisms.rs
@@ -18,6 +18,8 @@
     LearntSpeeds,
     /// Run times seen in each queue in place of rough declared ones.
     LearntTimes,
+    /// Objectives that allow for waves, failed runs and questions to the policy service.
+    Allowances,
     /// The rest of a run's time reckoned from the progress that its minion lists.
     Progress,
     /// The minion on which least of the scarce resources is left over.
@@ -28,13 +30,14 @@
 
 impl Mechanism {
     /// All of them, in the order of the settings page.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Claims,
         Self::Backfill,
         Self::Preemption,
         Self::Lateness,
         Self::LearntSpeeds,
         Self::LearntTimes,
+        Self::Allowances,
         Self::Progress,
         Self::TightFit,
         Self::AskAhead,
@@ -49,6 +52,7 @@
             Self::Lateness => "lateness",
             Self::LearntSpeeds => "learnt-speeds",
             Self::LearntTimes => "learnt-times",
+            Self::Allowances => "allowances",
             Self::Progress => "progress",
             Self::TightFit => "tight-fit",
             Self::AskAhead => "ask-ahead",
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod holds;
 mod mechanisms;
 mod minion;
+mod objective;
 mod order;
 mod place;
 mod profile;
@@ -107,6 +108,10 @@
     speeds: speed::Common,
     /// Run times of each queue.
     profiles: profile::Profiles,
+    /// Run times seen in steps of open jobs.
+    observed: HashMap<StepId, objective::Observed>,
+    /// Room of each service.
+    capacities: objective::Capacities,
     out: Vec<Order>,
 }
 
@@ -141,6 +146,8 @@
             least_urgent: 0,
             speeds: speed::Common::default(),
             profiles: profile::Profiles::default(),
+            observed: HashMap::new(),
+            capacities: objective::Capacities::default(),
             out: Vec::new(),
         };
         let assumed = now + d.cfg.lease_max.mul_f64(1.0 / CLOCK_RATE) + LEASE_MARGIN;
@@ -150,6 +157,9 @@
             minion.assumed_until = assumed;
             d.add_minion(minion);
         }
+        for job in ledger.jobs.values() {
+            d.profiles.declared(job);
+        }
         for id in ledger.jobs.keys() {
             d.restore_job(ledger, *id, now);
         }
@@ -297,6 +307,7 @@
     /// Decides what is due; gives what should be proposed to the log. `unix` is the time of day.
     pub fn decide(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) -> Option<Batch> {
         self.begin_due_occurrences(unix);
+        self.renew_capacities(now);
         self.renew_ready(ledger);
         self.tend_minions(now);
         let may_propose = self.batches.len() < MAX_BATCHES;
--- a/src/batch/dispatch/profile.rs
+++ b/src/batch/dispatch/profile.rs
@@ -5,6 +5,9 @@
 
 use compact_str::CompactString;
 
+use crate::batch::ledger::Job;
+use crate::batch::model::Lifetime;
+
 /// Weight of a new run in a queue's means.
 const WEIGHT: f64 = 0.02;
 /// Runs before a queue's means are believed.
@@ -19,6 +22,18 @@
     mean: f64,
     error: f64,
     runs: u32,
+    /// Mean logarithm of the declared times, in seconds.
+    declared: f64,
+    jobs: u32,
+}
+
+impl Profile {
+    fn usual_declared(&self) -> Duration {
+        if self.jobs == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(self.declared.exp())
+    }
 }
 
 /// What is known of all queues.
@@ -39,16 +54,27 @@
         profile.error += ((seen / declared).ln().abs() - profile.error) * weight;
     }
 
+    /// Takes in what a job declares.
+    pub(super) fn declared(&mut self, job: &Job) {
+        let steps = job.spec.steps.iter();
+        for step in steps.filter(|s| s.lifetime == Lifetime::Finite && !s.estimate.is_zero()) {
+            let profile = self.0.entry(job.queue.name.clone()).or_default();
+            profile.jobs += 1;
+            let weight = WEIGHT.max(1.0 / f64::from(profile.jobs));
+            profile.declared += (step.estimate.as_secs_f64().ln() - profile.declared) * weight;
+        }
+    }
+
     /// Run time to reckon with for a task that declares `declared`.
     ///
     /// A job whose time is declared far too short would look late as soon as it is handed in, fall
     /// behind all others and never be served. Where declared times are rough, no task is taken for
-    /// shorter than its queue's mean.
+    /// shorter than its queue's mean. Until enough runs were seen, as after a change of leader,
+    /// the mean of what the queue's jobs declare stands in for it.
     pub(super) fn expected(&self, queue: &CompactString, declared: Duration) -> Duration {
         match self.0.get(queue) {
-            Some(p) if p.runs >= ENOUGH && p.error > ROUGH => {
-                declared.max(Duration::from_secs_f64(p.mean))
-            }
+            Some(p) if p.runs < ENOUGH => declared.max(p.usual_declared()),
+            Some(p) if p.error > ROUGH => declared.max(Duration::from_secs_f64(p.mean)),
             _ => declared,
         }
     }
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -145,29 +145,14 @@
         self.ready.insert(id, step);
     }
 
-    /// Expected run time of each step and of the longest chain of steps that wait for it.
-    fn chains(&self, job: &Job) -> Vec<Duration> {
-        let steps = &job.spec.steps;
-        let mut chains = vec![Duration::ZERO; steps.len()];
-        for (i, step) in steps.iter().enumerate().rev() {
-            chains[i] += self.expected_time(&job.queue.name, step.estimate);
-            for before in &step.after {
-                let before = usize::from(*before);
-                chains[before] = chains[before].max(chains[i]);
-            }
-        }
-        chains
-    }
-
     fn ready_step(&self, job: &Job, id: StepId, waiting: Vec<u32>) -> ReadyStep {
         let spec = &job.spec.steps[usize::from(id.step)];
         let lasting = spec.lifetime == Lifetime::Lasting;
-        let chains = self.chains(job);
-        let longest = chains.iter().max().copied().unwrap_or_default();
+        let times = self.times(job, id.occurrence, id.job);
         let key = OrderKey {
             class: u8::from(!lasting),
             priority: job.queue.priority,
-            due: due(job, id, longest),
+            due: due(job, id, times.allowed),
             step: Reverse(id.step),
         };
         ReadyStep {
@@ -175,7 +160,7 @@
             spec: Arc::clone(&job.spec),
             queue: Arc::clone(&job.queue),
             accepted: job.accepted,
-            remaining: chains[usize::from(id.step)],
+            remaining: times.remaining[usize::from(id.step)],
             waiting,
         }
     }
