Know what a job's tasks took before their room is given away; tests of fit and switches

Cause: the test of a job judged by its own tasks showed it: the room that an end freed was given away in the same round, in the order as it was before the end was learnt from. Change: a job with tasks waiting is looked at again at once.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -238,6 +238,11 @@
                     self.profiles.learn(&run.queue, run.estimate, seen);
                     if !run.resumed && !seen.is_zero() {
                         self.observed.entry(end.task.step).or_default().learn(seen);
+                        // The room that comes free is given away in this very round, in an order
+                        // that should know of it.
+                        if self.ready.contains_key(&end.task.step) {
+                            self.dirty_jobs.insert(end.task.step.job);
+                        }
                     }
                     if self.cfg.mechanisms.has(Mechanism::LearntSpeeds) {
                         self.speeds.learn(&mut minion.pace, run.estimate, seen);
--- a/src/batch/dispatch/mechanisms.rs
+++ b/src/batch/dispatch/mechanisms.rs
@@ -29,7 +29,7 @@
 }
 
 impl Mechanism {
-    /// All of them, in the order of the settings page.
+    /// All of them, in the order of the operators' page.
     pub const ALL: [Self; 10] = [
         Self::Claims,
         Self::Backfill,
--- a/src/bin/control.rs
+++ b/src/bin/control.rs
@@ -22,7 +22,7 @@
       --log-level LEVEL     error, warning, info, debug or trace [default: info]
       --platform            take the settings from the platform's file and serve its contract
       --without NAMES       after --platform: decide without these mechanisms, named with commas;
-                            docs/SETTINGS.md lists them
+                            docs/OPERATIONS.md lists them
   -h, --help                print this
   -V, --version             print the version
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,7 +15,7 @@
 mod settings;
 
 pub use config::decode as decode_config;
-pub use control::run as run_control;
+pub use control::{parse_args as parse_control_args, run as run_control};
 pub use entry::run as run_entry;
 pub use jobs::decode as decode_job;
 pub use minions::{decode_advice, decode_listing, decode_report};
--- a/tests/batch_claims.rs
+++ b/tests/batch_claims.rs
@@ -216,3 +216,52 @@
     assert_eq!(world.start_all().len(), 8);
     assert_eq!(world.take_stops().len(), 0);
 }
+
+/// Two minions have room for an overlay: one with many processors and half of its accelerators given
+/// away, the other with few processors and all accelerators free. Accelerators are what this service
+/// runs short of, so the overlay goes to the first one and a render of eight still finds a whole
+/// minion.
+#[test]
+fn a_small_task_leaves_the_minion_with_all_accelerators_whole() {
+    let mut world = World::new();
+    world.join_as(machine("i-1", 1));
+    world.submit_to(1, renders(), vec![on_accelerators(1, 4, 10_000)]);
+    world.start_all();
+    let whole = world.join_as(MinionReport {
+        capacity: Resources::new(16, 128_000, ACCELERATORS),
+        ..machine("i-2", 2)
+    });
+    world.submit_to(2, overlays(), vec![on_accelerators(1, 1, 10_000)]);
+    world.start_all();
+    world.submit_to(3, renders(), vec![on_accelerators(1, 8, 4_000)]);
+    let starts = world.start_all();
+    let given: Vec<_> = starts.iter().map(|(m, s)| (*m, s.task.step.job)).collect();
+    assert_eq!(given, [(whole, 3)]);
+}
+
+/// The same for the members of a gang: they share the minion that is begun already.
+#[test]
+fn a_gang_leaves_the_minion_with_all_accelerators_whole() {
+    let mut world = World::new();
+    let whole = world.join_as(machine("i-1", 1));
+    let begun = world.join_as(machine("i-2", 2));
+    let fixed = StepSpec {
+        label: Some("b".into()),
+        ..on_accelerators(1, 2, 10_000)
+    };
+    let labelled = MinionReport {
+        labels: vec!["b".into(), "r1-2".into()],
+        sequence: 2,
+        ..machine("i-2", 2)
+    };
+    world.leader.report(world.now, labelled);
+    world.submit_to(1, renders(), vec![fixed]);
+    world.start_all();
+    let gang = StepSpec {
+        grouping: Grouping::Gang,
+        ..on_accelerators(3, 2, 4_000)
+    };
+    world.submit_to(2, renders(), vec![gang]);
+    let given: Vec<_> = world.start_all().iter().map(|(m, _)| *m).collect();
+    assert_eq!((given, whole != begun), (vec![begun; 3], true));
+}
--- a/tests/batch_placement.rs
+++ b/tests/batch_placement.rs
@@ -156,3 +156,73 @@
         .collect();
     assert_eq!(next, [102]);
 }
+
+/// Declared times of plans are rough. One declares seven times what all of them take. By its own
+/// word it would be due long after the plans that come behind it, and wait for as long as new ones
+/// come; it is served in its turn.
+#[test]
+fn a_job_that_declares_far_too_much_is_not_put_behind_all_others() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    let plan = |declared| StepSpec {
+        estimate: ms(declared),
+        ..step(1, 32_000)
+    };
+    for (i, declared) in [600, 12_000, 900, 10_000]
+        .iter()
+        .cycle()
+        .take(24)
+        .enumerate()
+    {
+        let number = i as u64 + 1;
+        world.submit_to(number, plans(), vec![plan(*declared)]);
+        let (_, start) = world.start_all().pop().expect("there is room");
+        world.take_holds();
+        world.pass(ms(6_000));
+        world.end(minion, number, &start, EndKind::Done);
+        world.pass(ms(100));
+    }
+    world.submit_to(101, plans(), vec![plan(6_000)]);
+    let (_, running) = world.start_all().pop().expect("there is room");
+    world.submit_to(102, plans(), vec![plan(43_000)]);
+    world.pass(ms(2_000));
+    world.submit_to(103, plans(), vec![plan(3_000)]);
+    world.take_holds();
+    world.end(minion, 25, &running, EndKind::Done);
+    let started: Vec<_> = world
+        .take_starts()
+        .iter()
+        .map(|(_, s)| s.task.step.job)
+        .collect();
+    assert_eq!(started, [102]);
+}
+
+/// A job of two tasks declares a tenth of what they take, and there is room for one at a time. After
+/// the first has ended the other is known to take as long, so the job is not late by its own word
+/// and goes before a plan that was handed in later.
+#[test]
+fn a_job_is_judged_by_what_its_own_tasks_took() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    let long = StepSpec {
+        estimate: ms(600),
+        ..step(2, 32_000)
+    };
+    world.submit_to(1, plans(), vec![long]);
+    let (_, first) = world.start_all().pop().expect("there is room");
+    world.pass(ms(5_900));
+    let later = StepSpec {
+        estimate: ms(30_000),
+        ..step(1, 32_000)
+    };
+    world.submit_to(2, plans(), vec![later]);
+    world.take_holds();
+    world.pass(ms(100));
+    world.end(minion, 1, &first, EndKind::Done);
+    let started: Vec<_> = world
+        .take_starts()
+        .iter()
+        .map(|(_, s)| s.task.step.job)
+        .collect();
+    assert_eq!(started, [1]);
+}
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use yuccahold::platform::{
     Boot, decode_advice, decode_config, decode_job, decode_listing, decode_report,
+    parse_control_args,
 };
 
 const JOB: &str = r#"{"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"est_ms":900,
@@ -177,3 +178,20 @@
     let none = BOOT.replace("seeds=10.1.0.15:8166,10.2.0.32:8166", "seeds=nowhere");
     assert!(Boot::parse(&none).is_err());
 }
+
+/// Mechanisms are switched off by name; an unknown one or another argument refuses the start.
+#[rstest]
+#[case::none(&[], Some(""))]
+#[case::two(&["--without", "claims,preemption"], Some("claims preemption"))]
+#[case::joined(&["--without=tight-fit"], Some("tight-fit"))]
+#[case::unknown(&["--without", "luck"], None)]
+#[case::no_names(&["--without"], None)]
+#[case::another_argument(&["--with", "claims"], None)]
+fn mechanisms_are_switched_off_by_name(#[case] args: &[&str], #[case] off: Option<&str>) {
+    let parsed = parse_control_args(args.iter().map(Into::into)).ok();
+    let names = parsed.map(|m| {
+        let names: Vec<_> = m.off().map(|m| m.as_str()).collect();
+        names.join(" ")
+    });
+    assert_eq!(names.as_deref(), off);
+}
