--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -98,7 +98,8 @@
             agents,
         } => info!(log, "cell"; "minions" => minions, "used_millicores" => used.millicores,
             "millicores" => capacity.millicores, "used_mb" => used.memory_mb,
-            "mb" => capacity.memory_mb, "waiting" => waiting, "steps" => steps,
+            "mb" => capacity.memory_mb, "used_accelerators" => used.accelerators,
+            "accelerators" => capacity.accelerators, "waiting" => waiting, "steps" => steps,
             "questions" => questions, "agents" => agents),
         Note::ConfigInForce { version, queues } => info!(log, "configuration in force";
             "version" => version, "queues" => queues),
