--- a/tests/batch_placement.rs
+++ b/tests/batch_placement.rs
@@ -4,7 +4,7 @@
 
 use batch_world::{World, ms, queue, step};
 use yuccahold::batch::dispatch::{ListedEnd, Listing};
-use yuccahold::batch::model::{EndKind, Queue, StepSpec};
+use yuccahold::batch::model::{EndKind, MinionNumber, Queue, StepSpec};
 
 fn plans() -> Queue {
     Queue {
@@ -117,17 +117,18 @@
     assert_eq!(chosen, [fast]);
 }
 
-/// Declared times of plans are rough: most take six seconds, whatever they declare. One that
-/// declares a tenth of that would be late by its own word a second after it is handed in. It must
-/// not fall behind the plans that came after it, or it would wait for as long as new ones come.
-#[test]
-fn a_job_that_declares_far_too_little_is_not_taken_for_late() {
-    let mut world = World::new();
-    let minion = world.join("i-1", 1);
-    let plan = |declared| StepSpec {
+/// A plan that takes a whole minion.
+fn plan(declared: u64) -> StepSpec {
+    StepSpec {
         estimate: ms(declared),
         ..step(1, 32_000)
-    };
+    }
+}
+
+/// A minion on which 24 plans were run: each took six seconds, whatever it had declared.
+fn plans_of_six_seconds() -> (World, MinionNumber) {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
     for (i, declared) in [600, 12_000, 900, 10_000]
         .iter()
         .cycle()
@@ -142,6 +143,15 @@
         world.end(minion, number, &start, EndKind::Done);
         world.pass(ms(100));
     }
+    (world, minion)
+}
+
+/// Declared times of plans are rough: most take six seconds, whatever they declare. One that
+/// declares a tenth of that would be late by its own word a second after it is handed in. It must
+/// not fall behind the plans that came after it, or it would wait for as long as new ones come.
+#[test]
+fn a_job_that_declares_far_too_little_is_not_taken_for_late() {
+    let (mut world, minion) = plans_of_six_seconds();
     world.submit_to(101, plans(), vec![plan(12_000)]);
     let (_, running) = world.start_all().pop().expect("there is room");
     world.submit_to(102, plans(), vec![plan(600)]);
@@ -162,26 +172,7 @@
 /// come; it is served in its turn.
 #[test]
 fn a_job_that_declares_far_too_much_is_not_put_behind_all_others() {
-    let mut world = World::new();
-    let minion = world.join("i-1", 1);
-    let plan = |declared| StepSpec {
-        estimate: ms(declared),
-        ..step(1, 32_000)
-    };
-    for (i, declared) in [600, 12_000, 900, 10_000]
-        .iter()
-        .cycle()
-        .take(24)
-        .enumerate()
-    {
-        let number = i as u64 + 1;
-        world.submit_to(number, plans(), vec![plan(*declared)]);
-        let (_, start) = world.start_all().pop().expect("there is room");
-        world.take_holds();
-        world.pass(ms(6_000));
-        world.end(minion, number, &start, EndKind::Done);
-        world.pass(ms(100));
-    }
+    let (mut world, minion) = plans_of_six_seconds();
     world.submit_to(101, plans(), vec![plan(6_000)]);
     let (_, running) = world.start_all().pop().expect("there is room");
     world.submit_to(102, plans(), vec![plan(43_000)]);
