Cheaper claims: releases of a minion kept for 50 ms, rounds spaced in a crowded cell

Change: releases are kept until the minion's runs change, for 50 ms at most; claims look only at minions known to be allowed; with 16 claims or more the next round waits 10 ms.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -55,6 +55,11 @@
             .is_some_and(|(_, until)| now + TICKET_RESERVE < *until)
     }
 
+    /// Minions known to be allowed.
+    pub(super) fn good(&self) -> impl Iterator<Item = MinionNumber> + '_ {
+        self.good.iter().copied()
+    }
+
     /// Whether a minion is known to be allowed.
     pub(super) fn allows(&self, minion: MinionNumber) -> bool {
         self.good.contains(&minion)
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -260,7 +260,9 @@
             && run.stop == StopState::No
         {
             run.stop = StopState::Due(now);
+            let minion = run.minion;
             self.leaving.insert(id);
+            self.forget_releases(minion);
         }
     }
 }
--- a/src/batch/dispatch/claims.rs
+++ b/src/batch/dispatch/claims.rs
@@ -21,6 +21,9 @@
 /// behind this many, a task's turn comes later than estimates of run times reach.
 const MAX_CLAIMS: usize = 64;
 
+/// Claims from which on rounds are spaced: each costs a look at the minions that may take its task.
+const MANY: usize = 16;
+
 /// Room of one minion that is kept from all that come later in the order of service.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
@@ -68,6 +71,11 @@
         claims.filter(|claim| claim.step == step).count() as u32
     }
 
+    /// Whether so many tasks wait that rounds should be spaced.
+    pub(super) fn are_many(&self) -> bool {
+        self.count >= MANY
+    }
+
     /// Whether nothing is kept on a minion.
     pub(super) fn is_open(&self, minion: MinionNumber) -> bool {
         self.on(minion).is_empty()
@@ -125,15 +133,18 @@
         let Some(last) = claims.iter().map(|claim| claim.starts).max() else {
             return true;
         };
+        let kept = self.claims.total(minion.number);
+        if kept.saturating_add(need).fits_in(&minion.free()) {
+            return true;
+        }
         let ends = lasts.map(|lasts| now + lasts);
         let in_time = |end| claims.iter().all(|claim| end <= claim.starts);
         if self.cfg.mechanisms.has(Mechanism::Backfill) && ends.is_some_and(in_time) {
             return true;
         }
-        let freed = self.releases(now, minion).into_iter();
-        let by_then = freed.take_while(|(at, _)| *at <= last);
-        let room = by_then.fold(minion.free(), |room, (_, need)| room.saturating_add(&need));
-        let kept = self.claims.total(minion.number);
+        let releases = self.releases(now, minion);
+        let by_then = releases.iter().take_while(|(at, _)| *at <= last);
+        let room = by_then.fold(minion.free(), |room, (_, need)| room.saturating_add(need));
         kept.saturating_add(need).fits_in(&room)
     }
 
@@ -239,7 +250,7 @@
     /// The place that costs least, then the earliest.
     fn best_place(&self, waiting: Waiting, taken: &[Place], means: Means) -> Option<Place> {
         let mut best: Option<Place> = None;
-        for minion in self.minions.values() {
+        for minion in self.known_good(waiting.id, waiting.step) {
             if !self.may_ever_run(minion, waiting) {
                 continue;
             }
@@ -261,12 +272,9 @@
     /// Whether a minion could run one more task of a step, its present room and tickets aside.
     fn may_ever_run(&self, minion: &Minion, waiting: Waiting) -> bool {
         let Waiting { now, id, step, .. } = waiting;
-        let known = self.knowledge.get(&id);
-        let allowed = step.queue.advice.is_none() || known.is_some_and(|k| k.allows(minion.number));
         let most = waiting.spec.max_per_minion.unwrap_or(u32::MAX);
         let own = || self.of_step_on(minion, id) + self.claims.of_step_on(minion.number, id);
-        allowed
-            && waiting.need.fits_in(&minion.report.capacity)
+        waiting.need.fits_in(&minion.report.capacity)
             && self.is_eligible(now, minion, id, step, waiting.spec)
             && own() < most
     }
--- a/src/batch/dispatch/forecast.rs
+++ b/src/batch/dispatch/forecast.rs
@@ -1,11 +1,13 @@
 //! When runs should end, and when a minion should have room.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::Dispatcher;
 use super::mechanisms::Mechanism;
 use super::minion::Minion;
 use super::run::{Run, RunState, StopState};
+use crate::batch::model::MinionNumber;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
 
@@ -15,6 +17,13 @@
 /// time is reckoned from them: the share is listed in whole percents, so this is right to a fifth.
 const ENOUGH_PROGRESS: u32 = 5;
 
+/// Age up to which a minion's expected releases are used again while its runs stay the same: a
+/// tenth of what the shortest work of the users leaves to spare.
+const RELEASES_KEPT: Duration = Duration::from_millis(50);
+
+/// Room that comes free on a minion, by time.
+pub(super) type Releases = Arc<[(Timestamp, Resources)]>;
+
 /// Progress of a run as its minion lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Progress {
@@ -76,7 +85,27 @@
     }
 
     /// What a minion's runs give back, in the order of their expected ends.
-    pub(super) fn releases(&self, now: Timestamp, minion: &Minion) -> Vec<(Timestamp, Resources)> {
+    ///
+    /// Each waiting step asks for it on each minion that it may use. Reckoned anew each time, it
+    /// took the leader of 350 minions and 730 starts a second more than a core.
+    pub(super) fn releases(&self, now: Timestamp, minion: &Minion) -> Releases {
+        let mut known = self.releases.borrow_mut();
+        if let Some((at, releases)) = known.get(&minion.number)
+            && now < *at + RELEASES_KEPT
+        {
+            return Arc::clone(releases);
+        }
+        let releases: Releases = self.reckon_releases(now, minion).into();
+        known.insert(minion.number, (now, Arc::clone(&releases)));
+        releases
+    }
+
+    /// Has a minion's releases reckoned anew when they are next asked for.
+    pub(super) fn forget_releases(&self, minion: MinionNumber) {
+        self.releases.borrow_mut().remove(&minion);
+    }
+
+    fn reckon_releases(&self, now: Timestamp, minion: &Minion) -> Vec<(Timestamp, Resources)> {
         let runs = minion.runs.iter().filter_map(|id| self.runs.get(id));
         let mut releases: Vec<_> = runs
             .filter_map(|run| Some((self.release(now, run)?, run.need)))
@@ -96,10 +125,10 @@
         if wanted.fits_in(&room) {
             return Some(now);
         }
-        for (at, freed) in self.releases(now, minion) {
-            room = room.saturating_add(&freed);
+        for (at, freed) in self.releases(now, minion).iter() {
+            room = room.saturating_add(freed);
             if wanted.fits_in(&room) {
-                return Some(at);
+                return Some((*at).max(now));
             }
         }
         None
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -463,6 +463,7 @@
         if let Some(minion) = self.minions.remove(&number) {
             self.by_id.remove(&minion.report.id);
             self.unacknowledged.remove(&number);
+            self.forget_releases(number);
         }
         self.batch.gone.push(number);
     }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -24,6 +24,7 @@
 mod scarcity;
 mod speed;
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -89,6 +90,8 @@
     rooms: HashMap<u32, (Timestamp, prospects::Rooms)>,
     /// How full each service is, in the present round.
     levels: scarcity::Levels,
+    /// What minions' runs should give back, and when that was reckoned.
+    releases: RefCell<HashMap<MinionNumber, (Timestamp, forecast::Releases)>>,
     /// Room kept for tasks that wait, in the present round.
     claims: claims::Claims,
     /// What the next batch will hold.
@@ -101,6 +104,8 @@
     unreadable_told: Option<Timestamp>,
     /// Something that placement depends on has changed.
     place_wanted: bool,
+    /// When placement may be tried again because something changed.
+    place_not_before: Timestamp,
     /// When placement should be tried again although nothing changed.
     place_at: Timestamp,
     /// Occurrences that come due, by Unix time.
@@ -141,12 +146,14 @@
             leaving: BTreeSet::new(),
             rooms: HashMap::new(),
             levels: scarcity::Levels::new(),
+            releases: RefCell::new(HashMap::new()),
             claims: claims::Claims::default(),
             batch: Batch::default(),
             unacknowledged: BTreeSet::new(),
             batches: Default::default(),
             unreadable_told: None,
             place_wanted: true,
+            place_not_before: now,
             place_at: now,
             timetable: BTreeSet::new(),
             census_at: now,
@@ -239,6 +246,7 @@
     }
 
     fn add_run(&mut self, id: TaskId, run: Run) {
+        self.forget_releases(run.minion);
         if let Some(minion) = self.minions.get_mut(&run.minion) {
             minion.used = minion.used.saturating_add(&run.need);
             minion.filling += run.fills;
@@ -262,6 +270,7 @@
     }
 
     fn free_room(&mut self, id: TaskId, run: &Run) {
+        self.forget_releases(run.minion);
         if let Some(minion) = self.minions.get_mut(&run.minion)
             && minion.runs.remove(&id)
         {
@@ -334,7 +343,8 @@
         self.renew_ready(ledger);
         self.tend_minions(now);
         let may_propose = self.batches.len() < MAX_BATCHES;
-        if may_propose && (self.place_wanted || now >= self.place_at) {
+        let wanted = self.place_wanted && now >= self.place_not_before;
+        if may_propose && (wanted || now >= self.place_at) {
             self.place(now, unix, ledger);
         }
         self.send_stops(now);
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -18,6 +18,9 @@
 
 /// Pause between two rounds when nothing has changed: tickets and pauses run out meanwhile.
 const PLACE_AGAIN: Duration = Duration::from_millis(100);
+/// Pause between two rounds while many tasks wait: ends come every millisecond or two then, and a
+/// hundredth of a second is little against the time that tasks wait.
+const CROWDED_PAUSE: Duration = Duration::from_millis(10);
 /// Most starts decided in one round, so that one round never holds the control thread long.
 const MAX_STARTS: usize = 256;
 
@@ -53,6 +56,9 @@
         if self.cfg.mechanisms.has(Mechanism::AskAhead) {
             self.ask_ahead(now);
         }
+        if self.claims.are_many() {
+            self.place_not_before = now + CROWDED_PAUSE;
+        }
     }
 
     fn place_step(
@@ -133,6 +139,17 @@
             .collect()
     }
 
+    /// Minions that the policy lets run a step, as far as is known, with a ticket or without.
+    pub(super) fn known_good(&self, id: StepId, step: &ReadyStep) -> Vec<&Minion> {
+        if step.queue.advice.is_none() {
+            return self.minions.values().collect();
+        }
+        let known = self.knowledge.get(&id).into_iter();
+        let good = known.flat_map(Knowledge::good);
+        good.filter_map(|number| self.minions.get(&number))
+            .collect()
+    }
+
     /// Whether a minion may be given one more task of a step now.
     pub(super) fn may_run(
         &self,
