One copy of what the claims wrote again, and less work in a round

Cause, from reading the change once more: saturating sums of resources stood in placement/ and in Resources; the rule for runs past their expected end stood in placement/reservations.rs and in dispatch/forecast.rs; shares of a capacity stood in Resources and in scarcity.rs; candidates() and known_good() were one function with two lists. A round searched all places by waiting a second time when stopping others did not help, and reckoned a run time (two logarithms) for each minion with a claim; each job's end walked the observed times of all steps.

Ruled out: sharing capacities() and levels(), as one counts all minions and the other those that take work; one reader for typed and for unreadable rows, as it would slow down each hold.

Change: Resources::saturating_add and saturating_sub, Resources::shares, placement::end_from_now and listed_minions() serve all; what was found by waiting is put back; the run time is reckoned only where the claim's start decides; observed times are removed by range. Display of Mechanism was dead.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::ready::remove_job;
 use super::run::RunState;
 use super::{Dispatcher, JobId, StepId, TaskId};
 use crate::batch::ledger::{Batch, Command, Ledger, TaskState};
@@ -113,7 +114,7 @@
             age: ledger.clock.saturating_sub(job.accepted),
         });
         self.forget_knowledge(id);
-        self.observed.retain(|step, _| step.job != id);
+        remove_job(&mut self.observed, id);
         let steps = StepId::all_of(id);
         let all = *steps.start().tasks().start()..=*steps.end().tasks().end();
         let tasks: Vec<_> = self.runs.range(all).map(|(id, _)| *id).collect();
--- a/src/batch/dispatch/claims.rs
+++ b/src/batch/dispatch/claims.rs
@@ -6,13 +6,13 @@
 //! what is known by then; nothing has to be given back, so none can leak.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
+use super::advice::Knowledge;
 use super::mechanisms::Mechanism;
 use super::minion::Minion;
 use super::run::{Run, RunState, charged};
 use super::{Dispatcher, ReadyStep};
-use crate::batch::model::{Grouping, MinionNumber, StepId, StepSpec, TaskId};
+use crate::batch::model::{Grouping, Lifetime, MinionNumber, StepId, StepSpec, TaskId};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
@@ -41,8 +41,13 @@
 }
 
 impl Claims {
-    fn add(&mut self, minion: MinionNumber, claim: Claim) {
-        self.by_minion.entry(minion).or_default().push(claim);
+    fn add(&mut self, waiting: Waiting, place: &Place) {
+        let claim = Claim {
+            step: waiting.id,
+            need: waiting.need,
+            starts: place.starts,
+        };
+        self.by_minion.entry(place.minion).or_default().push(claim);
         self.count += 1;
     }
 
@@ -121,13 +126,13 @@
 
 impl Dispatcher {
     /// Whether one more task may take room of a minion without delaying those that it is kept for.
-    /// `lasts` is the task's expected run time, if it ends.
     pub(super) fn leaves_claims(
         &self,
         now: Timestamp,
         minion: &Minion,
+        step: &ReadyStep,
+        spec: &StepSpec,
         need: &Resources,
-        lasts: Option<Duration>,
     ) -> bool {
         let claims = self.claims.on(minion.number);
         let Some(last) = claims.iter().map(|claim| claim.starts).max() else {
@@ -137,9 +142,12 @@
         if kept.saturating_add(need).fits_in(&minion.free()) {
             return true;
         }
-        let ends = lasts.map(|lasts| now + lasts);
         let in_time = |end| claims.iter().all(|claim| end <= claim.starts);
-        if self.cfg.mechanisms.has(Mechanism::Backfill) && ends.is_some_and(in_time) {
+        let ends = || now + self.expected_time(&step.queue.name, spec.estimate);
+        if spec.lifetime == Lifetime::Finite
+            && self.cfg.mechanisms.has(Mechanism::Backfill)
+            && in_time(ends())
+        {
             return true;
         }
         let releases = self.releases(now, minion);
@@ -191,7 +199,8 @@
         if waited.as_deref().is_some_and(|p| waiting.is_in_time(p)) || !self.may_stop_for(waiting) {
             return waited.is_some();
         }
-        self.claims.take_back(waited.as_deref().unwrap_or_default());
+        let waited = waited.unwrap_or_default();
+        self.claims.take_back(&waited);
         if let Some(places) = self.places(waiting, size, Means::Stopping) {
             if waiting.is_in_time(&places) {
                 self.stop_victims(waiting, places);
@@ -200,7 +209,10 @@
             self.claims.take_back(&places);
         }
         // Room is kept all the same: late work goes on when its turn comes.
-        self.places(waiting, size, Means::Waiting).is_some()
+        for place in &waited {
+            self.claims.add(waiting, place);
+        }
+        !waited.is_empty()
     }
 
     /// A job that is late already earns no more than the work that would yield.
@@ -236,12 +248,7 @@
                 self.claims.take_back(&places);
                 return None;
             };
-            let claim = Claim {
-                step: waiting.id,
-                need: waiting.need,
-                starts: place.starts,
-            };
-            self.claims.add(place.minion, claim);
+            self.claims.add(waiting, &place);
             places.push(place);
         }
         Some(places)
@@ -250,7 +257,7 @@
     /// The place that costs least, then the earliest.
     fn best_place(&self, waiting: Waiting, taken: &[Place], means: Means) -> Option<Place> {
         let mut best: Option<Place> = None;
-        for minion in self.known_good(waiting.id, waiting.step) {
+        for minion in self.listed_minions(waiting.id, waiting.step, Knowledge::good) {
             if !self.may_ever_run(minion, waiting) {
                 continue;
             }
--- a/src/batch/dispatch/forecast.rs
+++ b/src/batch/dispatch/forecast.rs
@@ -9,10 +9,9 @@
 use super::run::{Run, RunState, StopState};
 use crate::batch::model::MinionNumber;
 use crate::ids::Timestamp;
+use crate::placement::end_from_now;
 use crate::resources::Resources;
 
-/// A run that took longer than expected is expected to go on for this part of what it took.
-const LATE_PART: u32 = 4;
 /// Share of a run's work, in percent, that must lie between two listings before the rest of its
 /// time is reckoned from them: the share is listed in whole percents, so this is right to a fifth.
 const ENOUGH_PROGRESS: u32 = 5;
@@ -64,10 +63,7 @@
         let begun = self.begun.unwrap_or(self.proposed);
         let declared = (!self.expected.is_zero()).then(|| begun + self.expected);
         let end = self.progress.and_then(|p| p.end()).or(declared)?;
-        if end > now {
-            return Some(end);
-        }
-        Some(now + now.saturating_sub(begun) / LATE_PART)
+        Some(end_from_now(now, begun, end))
     }
 }
 
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -193,11 +193,11 @@
     }
 
     fn note_unreadable(&mut self, now: Timestamp, number: MinionNumber, rows: u32) {
-        let since = self.unreadable_told.replace(now);
-        if since.is_some_and(|at| now < at + UNREADABLE_TOLD) {
-            self.unreadable_told = since;
+        let told = self.unreadable_told;
+        if told.is_some_and(|at| now < at + UNREADABLE_TOLD) {
             return;
         }
+        self.unreadable_told = Some(now);
         if let Some(minion) = self.minions.get(&number) {
             let minion = minion.report.id.clone();
             self.note(Note::RowsUnreadable { minion, rows });
--- a/src/batch/dispatch/mechanisms.rs
+++ b/src/batch/dispatch/mechanisms.rs
@@ -1,7 +1,6 @@
 //! Mechanisms of decision that an operator can switch off by name.
 
 use std::collections::BTreeSet;
-use std::fmt;
 
 /// One mechanism.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,12 +59,6 @@
     }
 }
 
-impl fmt::Display for Mechanism {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
 /// The mechanisms that are in use.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Mechanisms {
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -119,7 +119,7 @@
     /// Run times of each queue.
     profiles: profile::Profiles,
     /// Run times seen in steps of open jobs.
-    observed: HashMap<StepId, objective::Observed>,
+    observed: BTreeMap<StepId, objective::Observed>,
     /// Room of each service.
     capacities: objective::Capacities,
     out: Vec<Order>,
@@ -160,7 +160,7 @@
             least_urgent: 0,
             speeds: speed::Common::default(),
             profiles: profile::Profiles::default(),
-            observed: HashMap::new(),
+            observed: BTreeMap::new(),
             capacities: objective::Capacities::default(),
             out: Vec::new(),
         };
@@ -237,12 +237,11 @@
 
     /// Takes the services of a configuration that has come in force.
     fn set_services(&mut self, config: &Configuration) {
-        self.services = Some(services_of(config));
-        let mut minions = std::mem::take(&mut self.minions);
-        for minion in minions.values_mut() {
-            minion.foreign = self.is_foreign(&minion.report.service);
+        let services = services_of(config);
+        for minion in self.minions.values_mut() {
+            minion.foreign = !services.contains(&minion.report.service);
         }
-        self.minions = minions;
+        self.services = Some(services);
     }
 
     fn add_run(&mut self, id: TaskId, run: Run) {
--- a/src/batch/dispatch/objective.rs
+++ b/src/batch/dispatch/objective.rs
@@ -72,21 +72,15 @@
         };
     }
 
-    /// Times to reckon with for an occurrence of a job.
-    pub(super) fn times(
-        &self,
-        job: &Job,
-        occurrence: u32,
-        id: crate::batch::model::JobId,
-    ) -> Times {
+    /// Times to reckon with for the occurrence of a job that a step belongs to.
+    pub(super) fn times(&self, job: &Job, id: StepId) -> Times {
         let steps = &job.spec.steps;
         let mut remaining = vec![Duration::ZERO; steps.len()];
         let mut allowed = vec![Duration::ZERO; steps.len()];
         for (i, step) in steps.iter().enumerate().rev() {
             let step_id = StepId {
-                job: id,
-                occurrence,
                 step: i as u16,
+                ..id
             };
             let takes = self.step_time(job, step_id, step);
             remaining[i] += takes;
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -129,24 +129,22 @@
     /// Minions that the policy may let run a step. Where there is a policy, few have a ticket, and
     /// the others need no look.
     pub(super) fn candidates(&self, id: StepId, step: &ReadyStep) -> Vec<&Minion> {
-        if step.queue.advice.is_none() {
-            return self.minions.values().collect();
-        }
-        let known = self.knowledge.get(&id).into_iter();
-        let ticketed = known.flat_map(Knowledge::ticketed);
-        ticketed
-            .filter_map(|number| self.minions.get(&number))
-            .collect()
+        self.listed_minions(id, step, Knowledge::ticketed)
     }
 
-    /// Minions that the policy lets run a step, as far as is known, with a ticket or without.
-    pub(super) fn known_good(&self, id: StepId, step: &ReadyStep) -> Vec<&Minion> {
+    /// Minions of a list in what is known of the policy for a step; all where there is no policy.
+    pub(super) fn listed_minions<'a, I: Iterator<Item = MinionNumber> + 'a>(
+        &'a self,
+        id: StepId,
+        step: &ReadyStep,
+        list: impl Fn(&'a Knowledge) -> I,
+    ) -> Vec<&'a Minion> {
         if step.queue.advice.is_none() {
             return self.minions.values().collect();
         }
-        let known = self.knowledge.get(&id).into_iter();
-        let good = known.flat_map(Knowledge::good);
-        good.filter_map(|number| self.minions.get(&number))
+        let listed = self.knowledge.get(&id).into_iter().flat_map(list);
+        listed
+            .filter_map(|number| self.minions.get(&number))
             .collect()
     }
 
@@ -162,17 +160,10 @@
     ) -> bool {
         need.fits_in(&minion.free())
             && (!spec.fills || minion.filling + spec.need.millicores <= minion.free().millicores)
-            && (self.claims.is_open(minion.number)
-                || self.leaves_claims(now, minion, need, self.run_time(step, spec)))
+            && self.leaves_claims(now, minion, step, spec, need)
             && self.suits(now, minion, id, step, spec)
     }
 
-    /// Expected run time of a step's tasks; `None` for those that last.
-    fn run_time(&self, step: &ReadyStep, spec: &StepSpec) -> Option<Duration> {
-        let ends = spec.lifetime == Lifetime::Finite;
-        ends.then(|| self.expected_time(&step.queue.name, spec.estimate))
-    }
-
     /// Whether a minion may run tasks of a step at all now, its room aside.
     pub(super) fn suits(
         &self,
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -1,13 +1,14 @@
 //! Steps with tasks that wait, in the order in which they are served.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::Dispatcher;
 use super::mechanisms::Mechanism;
 use crate::batch::ledger::{Job, Ledger, TaskState};
-use crate::batch::model::{Grouping, JobSpec, Lifetime, Queue, StepId};
+use crate::batch::model::{Grouping, JobId, JobSpec, Lifetime, Queue, StepId};
 use crate::ids::Timestamp;
 
 /// Place in the order of service; the least comes first.
@@ -117,13 +118,7 @@
 
     fn forget_ready(&mut self, job: u64) {
         for steps in [&mut self.ready, &mut self.coming] {
-            let known: Vec<_> = steps
-                .range(StepId::all_of(job))
-                .map(|(id, _)| *id)
-                .collect();
-            for id in known {
-                steps.remove(&id);
-            }
+            remove_job(steps, job);
         }
     }
 
@@ -148,7 +143,7 @@
     fn ready_step(&self, job: &Job, id: StepId, waiting: Vec<u32>) -> ReadyStep {
         let spec = &job.spec.steps[usize::from(id.step)];
         let lasting = spec.lifetime == Lifetime::Lasting;
-        let times = self.times(job, id.occurrence, id.job);
+        let times = self.times(job, id);
         let key = OrderKey {
             class: u8::from(!lasting),
             priority: job.queue.priority,
@@ -166,6 +161,17 @@
     }
 }
 
+/// Takes a job's steps out of a map.
+pub(super) fn remove_job<T>(steps: &mut BTreeMap<StepId, T>, job: JobId) {
+    let known: Vec<_> = steps
+        .range(StepId::all_of(job))
+        .map(|(id, _)| *id)
+        .collect();
+    for id in known {
+        steps.remove(&id);
+    }
+}
+
 /// When a job should be done: its objective counted from its hand-in or its due time. `chain` is
 /// the longest chain of work through its steps.
 fn due(job: &Job, id: StepId, chain: Duration) -> Timestamp {
--- a/src/batch/dispatch/scarcity.rs
+++ b/src/batch/dispatch/scarcity.rs
@@ -24,7 +24,7 @@
 impl Level {
     /// Share given away of each resource: processors, memory, accelerators.
     fn shares(&self) -> [f64; 3] {
-        parts(&self.used, &self.capacity)
+        self.used.shares(&self.capacity)
     }
 
     /// Whether hardly anything is left of a resource.
@@ -35,22 +35,13 @@
     /// What a leftover is worth: each resource by how much of it is given away. Where accelerators
     /// are short, spare processors beside none are no loss, and the other way round.
     pub(super) fn weigh(&self, left: &Resources) -> u32 {
-        let left = parts(left, &self.capacity);
+        let left = left.shares(&self.capacity);
         let weighed = left.into_iter().zip(self.shares());
         let sum: f64 = weighed.map(|(left, share)| left * share * share).sum();
         (sum * f64::from(self.minions) * PARTS) as u32
     }
 }
 
-fn parts(some: &Resources, all: &Resources) -> [f64; 3] {
-    let part = |some: u32, all: u32| f64::from(some) / f64::from(all.max(1));
-    [
-        part(some.millicores, all.millicores),
-        part(some.memory_mb, all.memory_mb),
-        part(some.accelerators, all.accelerators),
-    ]
-}
-
 /// Rooms of all services in the present round.
 pub(super) type Levels = HashMap<ServiceName, Level>;
 
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -5,10 +5,7 @@
 
 use super::classes::{ClassIndex, Slot};
 use super::interface::{RestoredTask, TaskState};
-use super::records::{
-    BANDS, Ending, Job, JobIx, Place, Run, RunRef, Task, Worker, WorkerIx, saturating_add,
-    saturating_sub,
-};
+use super::records::{BANDS, Ending, Job, JobIx, Place, Run, RunRef, Task, Worker, WorkerIx};
 use super::rules;
 use crate::ids::{JobName, RackName, TaskIndex, Timestamp, WorkerId, ZoneName};
 use crate::resources::Resources;
@@ -89,7 +86,7 @@
             return ix;
         }
         let id = spec.id.clone();
-        self.total = saturating_add(&self.total, &spec.capacity);
+        self.total = self.total.saturating_add(&spec.capacity);
         let worker = Worker {
             up: true,
             free: spec.capacity,
@@ -125,11 +122,11 @@
         let granted = self.granted_on(ix);
         let worker = self.workers[ix as usize].as_mut().expect("live worker");
         if worker.up {
-            self.total = saturating_sub(&self.total, &worker.spec.capacity);
+            self.total = self.total.saturating_sub(&worker.spec.capacity);
         }
-        self.total = saturating_add(&self.total, &spec.capacity);
+        self.total = self.total.saturating_add(&spec.capacity);
         worker.up = true;
-        worker.free = saturating_sub(&spec.capacity, &granted);
+        worker.free = spec.capacity.saturating_sub(&granted);
         worker.spec = spec;
         worker.zone = zone;
         worker.rack = rack;
@@ -139,9 +136,7 @@
     fn granted_on(&self, ix: WorkerIx) -> Resources {
         let runs = self.worker(ix).runs.iter();
         runs.filter_map(|r| self.job(r.job).tasks[r.index as usize].run())
-            .fold(Resources::ZERO, |sum, run| {
-                saturating_add(&sum, &run.granted)
-            })
+            .fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.granted))
     }
 
     /// Takes a worker out; its runs are reported one by one.
@@ -150,7 +145,7 @@
         let worker = self.workers[ix as usize].as_mut().expect("live worker");
         if worker.up {
             worker.up = false;
-            self.total = saturating_sub(&self.total, &worker.spec.capacity);
+            self.total = self.total.saturating_sub(&worker.spec.capacity);
         }
         worker.hold = None;
         self.reindex(ix);
@@ -355,13 +350,13 @@
             throttled: false,
             version: job.version,
         });
-        worker.free = saturating_sub(&worker.free, &granted);
+        worker.free = worker.free.saturating_sub(&granted);
         worker.runs.push(r);
         if rules::preemptible(&job.spec) {
             let band = &mut worker.preemptible[job.spec.band as usize];
-            *band = saturating_add(band, &granted);
+            *band = band.saturating_add(&granted);
         }
-        self.used = saturating_add(&self.used, &granted);
+        self.used = self.used.saturating_add(&granted);
         self.reindex(worker_ix);
     }
 
@@ -391,12 +386,12 @@
             }
         }
         worker.runs.retain(|other| *other != r);
-        worker.overuse = saturating_sub(&worker.overuse, &run.over);
+        worker.overuse = worker.overuse.saturating_sub(&run.over);
         if rules::preemptible(&job.spec) {
             let band = &mut worker.preemptible[job.spec.band as usize];
-            *band = saturating_sub(band, &run.granted);
+            *band = band.saturating_sub(&run.granted);
         }
-        self.used = saturating_sub(&self.used, &run.granted);
+        self.used = self.used.saturating_sub(&run.granted);
         self.refill(run.worker);
         Some(run)
     }
@@ -404,7 +399,7 @@
     fn refill(&mut self, ix: WorkerIx) {
         let granted = self.granted_on(ix);
         let worker = self.worker_mut(ix);
-        worker.free = saturating_sub(&worker.spec.capacity, &granted);
+        worker.free = worker.spec.capacity.saturating_sub(&granted);
         self.reindex(ix);
         self.forget_worker_if_empty(ix);
     }
@@ -470,7 +465,7 @@
         let before = std::mem::replace(&mut run.over, over);
         let ix = run.worker;
         let worker = self.worker_mut(ix);
-        worker.overuse = saturating_add(&saturating_sub(&worker.overuse, &before), &over);
+        worker.overuse = worker.overuse.saturating_sub(&before).saturating_add(&over);
         self.reindex(ix);
     }
 
--- a/src/placement/estimates.rs
+++ b/src/placement/estimates.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::records::{WorkerIx, larger, saturating_sub};
+use super::records::{WorkerIx, larger};
 use crate::ids::{KindName, Timestamp};
 use crate::resources::Resources;
 use crate::workload::JobSpec;
@@ -93,7 +93,7 @@
         let Some(kind) = self.kinds.get(&spec.kind) else {
             return spec.need;
         };
-        let above = saturating_sub(&kind.peak, &spec.need);
+        let above = kind.peak.saturating_sub(&spec.need);
         if above.millicores == 0 && above.memory_mb == 0 {
             return spec.need;
         }
--- a/src/placement/faults.rs
+++ b/src/placement/faults.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use super::interface::{Decision, StopReason};
-use super::records::{Ending, FailedTask, Quarantine, Run, RunRef, WorkerIx, saturating_sub};
+use super::records::{Ending, FailedTask, Quarantine, Run, RunRef, WorkerIx};
 use super::scheduler::Scheduler;
 use super::{rules, search};
 use crate::ids::Timestamp;
@@ -246,7 +246,7 @@
             accelerators: 0,
         };
         self.estimates.used(&spec.kind, held.worker, &used, now);
-        let over = saturating_sub(&used, &held.granted);
+        let over = used.saturating_sub(&held.granted);
         self.cell.set_over(r, over);
         if over == Resources::ZERO || held.ending != Ending::No {
             return;
--- a/src/placement/headroom.rs
+++ b/src/placement/headroom.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::cell::Cell;
-use super::records::{JobIx, larger, saturating_add, saturating_sub};
+use super::records::{JobIx, larger};
 use super::scheduler::Scheduler;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
@@ -47,7 +47,7 @@
         if !Self::is_quick(spec) {
             return;
         }
-        self.used = saturating_add(&self.used, granted);
+        self.used = self.used.saturating_add(granted);
         self.peak = larger(&self.peak, &self.used);
         let new = (f64::from(granted.millicores), f64::from(granted.memory_mb));
         let (cores, memory) = self.mean.unwrap_or(new);
@@ -60,7 +60,7 @@
 
     pub(crate) fn ended(&mut self, spec: &JobSpec, granted: &Resources) {
         if Self::is_quick(spec) {
-            self.used = saturating_sub(&self.used, granted);
+            self.used = self.used.saturating_sub(granted);
         }
     }
 
@@ -108,7 +108,7 @@
             millicores: (whole(self.peak.millicores) * whole(MARGIN_PERCENT) / 100) as u32,
             ..self.peak
         };
-        let wanted = saturating_sub(&peak, &self.used);
+        let wanted = peak.saturating_sub(&self.used);
         let cores = whole(wanted.millicores).div_ceil(per_slot);
         cores.min(most)
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -25,5 +25,6 @@
 
 pub use baseline::{FirstFit, RandomOfK};
 pub use interface::{Decision, Event, Placer, RestoredTask, StopReason, TaskState};
+pub(crate) use reservations::end_from_now;
 pub use rules::{long_running, may_start_again, preemptible};
 pub use scheduler::Scheduler;
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::interface::{Decision, StopReason};
-use super::records::{Ending, JobIx, Place, RunRef, Worker, WorkerIx, saturating_add};
+use super::records::{Ending, JobIx, Place, RunRef, Worker, WorkerIx};
 use super::scheduler::Scheduler;
 use super::search::Ask;
 use super::teams::TeamIx;
@@ -181,7 +181,7 @@
             }
             let job = self.cell.job(r.job);
             let run = job.tasks[r.index as usize].run()?;
-            room = saturating_add(&room, &run.granted);
+            room = room.saturating_add(&run.granted);
             cost.0 += usize::from(job.spec.class == WorkClass::Gang);
             cost.1 = cost.1.max(job.spec.band);
             cost.2 += usize::from(!job.spec.checkpoint);
@@ -296,6 +296,6 @@
 fn could_fit(worker: &Worker, claimant: &Claimant) -> bool {
     let bands = claimant.band as usize + usize::from(claimant.may_reclaim);
     let sums = worker.preemptible[..bands].iter();
-    let room = sums.fold(worker.room(), |room, sum| saturating_add(&room, sum));
+    let room = sums.fold(worker.room(), |room, sum| room.saturating_add(sum));
     claimant.need.fits_in(&room)
 }
--- a/src/placement/records.rs
+++ b/src/placement/records.rs
@@ -82,7 +82,7 @@
 impl Worker {
     /// Room for a new task: never more than what is not granted.
     pub(crate) fn room(&self) -> Resources {
-        saturating_sub(&self.free, &self.overuse)
+        self.free.saturating_sub(&self.overuse)
     }
 
     /// Says whether ordinary work may start here.
@@ -100,24 +100,6 @@
     }
 }
 
-/// Subtracts each unit, stopping at zero.
-pub(crate) fn saturating_sub(a: &Resources, b: &Resources) -> Resources {
-    Resources {
-        millicores: a.millicores.saturating_sub(b.millicores),
-        memory_mb: a.memory_mb.saturating_sub(b.memory_mb),
-        accelerators: a.accelerators.saturating_sub(b.accelerators),
-    }
-}
-
-/// Adds each unit, stopping at the largest number.
-pub(crate) fn saturating_add(a: &Resources, b: &Resources) -> Resources {
-    Resources {
-        millicores: a.millicores.saturating_add(b.millicores),
-        memory_mb: a.memory_mb.saturating_add(b.memory_mb),
-        accelerators: a.accelerators.saturating_add(b.accelerators),
-    }
-}
-
 /// Takes the larger of each unit.
 pub(crate) fn larger(a: &Resources, b: &Resources) -> Resources {
     Resources {
--- a/src/placement/reservations.rs
+++ b/src/placement/reservations.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::queues::QueueIx;
-use super::records::{Hold, JobIx, RunRef, Worker, WorkerIx, saturating_add};
+use super::records::{Hold, JobIx, RunRef, Worker, WorkerIx};
 use super::scheduler::Scheduler;
 use super::search;
 use crate::ids::Timestamp;
@@ -245,7 +245,7 @@
         let mut fitted = need.times_in(&room);
         places.extend((0..fitted).map(|_| (now, ix)));
         for (at, granted) in ends {
-            room = saturating_add(&room, &granted);
+            room = room.saturating_add(&granted);
             let fits = need.times_in(&room);
             places.extend((fitted..fits).map(|_| (at, ix)));
             fitted = fitted.max(fits);
@@ -261,9 +261,15 @@
         }
         let takes = self.expected_run_time(r.job);
         let end = run.since.saturating_add(takes);
-        // A run that took longer than expected is expected to go on for a part of what it took.
-        let ran = now.saturating_sub(run.since);
-        let late = now + ran / LATE_PART;
-        Some((if end > now { end } else { late }, run.granted))
+        Some((end_from_now(now, run.since, end), run.granted))
     }
 }
+
+/// When a run that began at `since` and was expected to end at `end` is expected to end now: one
+/// that took longer than that goes on for a part of what it took.
+pub(crate) fn end_from_now(now: Timestamp, since: Timestamp, end: Timestamp) -> Timestamp {
+    if end > now {
+        return end;
+    }
+    now + now.saturating_sub(since) / LATE_PART
+}
--- a/src/placement/search.rs
+++ b/src/placement/search.rs
@@ -4,7 +4,7 @@
 
 use super::cell::Cell;
 use super::classes::{Class, Group, GroupIx};
-use super::records::{JobIx, Worker, WorkerIx, saturating_sub};
+use super::records::{JobIx, Worker, WorkerIx};
 use crate::ids::{AcceleratorName, Timestamp, ZoneName};
 use crate::resources::Resources;
 use crate::workload::{Band, JobSpec, Spread};
@@ -184,7 +184,7 @@
 /// Cost of a place: the room left over, and how unevenly it is left over, so that neither
 /// processors nor memory are stranded.
 fn cost(need: &Resources, room: &Resources, group: &Group) -> u32 {
-    let left = saturating_sub(room, need);
+    let left = room.saturating_sub(need);
     let part = |n: u32, all: u32| u64::from(n) * SCALE / u64::from(all.max(1));
     let cores = part(left.millicores, group.capacity.millicores);
     let memory = part(left.memory_mb, group.capacity.memory_mb);
--- a/src/placement/teams.rs
+++ b/src/placement/teams.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::records::{saturating_add, saturating_sub};
 use crate::document::Team;
 use crate::ids::{TeamName, Timestamp};
 use crate::resources::Resources;
@@ -81,19 +80,19 @@
 
     pub(crate) fn charge(&mut self, ix: TeamIx, granted: &Resources) {
         let team = &mut self.all[ix as usize];
-        team.used = saturating_add(&team.used, granted);
+        team.used = team.used.saturating_add(granted);
         team.short_since = None;
     }
 
     pub(crate) fn refund(&mut self, ix: TeamIx, granted: &Resources) {
         let team = &mut self.all[ix as usize];
-        team.used = saturating_sub(&team.used, granted);
+        team.used = team.used.saturating_sub(granted);
     }
 
     /// The team's place if it were granted `more`.
     pub(crate) fn standing(&self, ix: TeamIx, more: &Resources, total: &Resources) -> Standing {
         let team = &self.all[ix as usize];
-        let used = saturating_add(&team.used, more);
+        let used = team.used.saturating_add(more);
         Standing {
             borrowing: !used.fits_in(&team.quota),
             share: share(&team.used, team.weight, total),
@@ -103,7 +102,7 @@
     /// Says whether the team keeps its whole quota when `less` is taken from it.
     pub(crate) fn over_quota_by(&self, ix: TeamIx, less: &Resources) -> bool {
         let team = &self.all[ix as usize];
-        let left = saturating_sub(&team.used, less);
+        let left = team.used.saturating_sub(less);
         let over = |used: u32, left: u32, quota: u32| used > quota && left >= quota;
         over(team.used.millicores, left.millicores, team.quota.millicores)
             || over(team.used.memory_mb, left.memory_mb, team.quota.memory_mb)
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -47,12 +47,19 @@
             .min(part(self.accelerators, room.accelerators))
     }
 
+    /// The part that this amount takes of each unit of a capacity: processors, memory, accelerators.
+    pub fn shares(&self, capacity: &Self) -> [f64; 3] {
+        let share = |some: u32, all: u32| f64::from(some) / f64::from(all.max(1));
+        [
+            share(self.millicores, capacity.millicores),
+            share(self.memory_mb, capacity.memory_mb),
+            share(self.accelerators, capacity.accelerators),
+        ]
+    }
+
     /// The largest part that this amount takes of any unit of a capacity.
     pub fn dominant_share(&self, capacity: &Self) -> f64 {
-        let share = |need: u32, all: u32| f64::from(need) / f64::from(all.max(1));
-        share(self.millicores, capacity.millicores)
-            .max(share(self.memory_mb, capacity.memory_mb))
-            .max(share(self.accelerators, capacity.accelerators))
+        self.shares(capacity).into_iter().fold(0.0, f64::max)
     }
 
     /// Adds each unit, up to the largest amount there is.
