--- a/src/replication/core/election.rs
+++ b/src/replication/core/election.rs
@@ -1,6 +1,6 @@
 //! Elections: pre-vote, votes, and giving leadership up.
 
-use super::{Body, Core, HardState, Message, Role};
+use super::{Body, Core, HardState, Message, PRE_VOTE_PAUSE, Role};
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
 
 impl Core {
@@ -61,7 +61,7 @@
         self.leader = None;
         self.votes.clear();
         self.votes.insert(self.cfg.id);
-        self.ask_again_soon(now);
+        self.ask_within(now, PRE_VOTE_PAUSE);
         if self.members.is_quorum(self.votes.iter().copied()) {
             self.stand(now, false);
             return;
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -12,6 +12,7 @@
 mod progress;
 
 use std::collections::{BTreeSet, VecDeque};
+use std::ops::Range;
 use std::sync::Arc;
 
 use rand::{RngExt, SeedableRng};
@@ -101,9 +102,21 @@
     DiskFull,
 }
 
+/// Pause before a pre-vote after word from a leader or from a candidate, in election timeouts: the
+/// others may grant one after a whole timeout, and candidates should not ask all at once.
+const ELECTION_PAUSE: Range<f64> = 1.0..2.0;
 /// Pause between two pre-votes, in election timeouts: a round trip and a sync take a tenth of one,
 /// and two candidates that ask at once should differ by more.
-const PRE_VOTE_PAUSE: std::ops::Range<f64> = 0.15..0.4;
+///
+/// Replicas that have just started refuse for one election timeout, as they don't know what they
+/// heard before. After a loss of power they start one after the other, so the first pre-votes come
+/// too early; with a whole timeout between two, leadership began 0.9 s after the third of five had
+/// started. A pre-vote changes no term, so asking often is safe.
+const PRE_VOTE_PAUSE: Range<f64> = 0.15..0.4;
+/// Pause before the first pre-vote after a start, in election timeouts: soon after the others may
+/// grant one, if they started at about the same time. Where a leader is at work, it is heard long
+/// before.
+const FIRST_PRE_VOTE: Range<f64> = 1.075..1.2;
 
 /// One replica.
 pub(crate) struct Core {
@@ -176,7 +189,7 @@
             core.effects.push(Effect::Restore(snapshot));
         }
         core.role = core.resting_role();
-        core.ask_once_trusted(now);
+        core.ask_within(now, FIRST_PRE_VOTE);
         if core.members.voters.len() == 1 && core.is_voter() {
             core.election_at = now;
         }
@@ -347,26 +360,12 @@
     }
 
     fn postpone_election(&mut self, now: Timestamp) {
-        let span = self.cfg.election_timeout;
-        let random = span.mul_f64(self.rng.random_range(0.0..1.0));
-        self.election_at = now + span + random;
+        self.ask_within(now, ELECTION_PAUSE);
     }
 
-    /// Sets the time of the next pre-vote after one that may be refused.
-    ///
-    /// Replicas that have just started refuse for one election timeout, as they don't know what
-    /// they heard before. After a loss of power they start one after the other, so the first
-    /// pre-votes come too early; with a whole timeout between two, leadership began 0.9 s after
-    /// the third of five had started. A pre-vote changes no term, so asking often is safe.
-    fn ask_again_soon(&mut self, now: Timestamp) {
-        let part = self.rng.random_range(PRE_VOTE_PAUSE);
-        self.election_at = now + self.cfg.election_timeout.mul_f64(part);
-    }
-
-    /// Sets the first pre-vote after a start: soon after the others may grant one, if they
-    /// started at about the same time. Where a leader is at work, it is heard long before.
-    fn ask_once_trusted(&mut self, now: Timestamp) {
-        let part = 1.0 + self.rng.random_range(PRE_VOTE_PAUSE) / 2.0;
+    /// Sets the time of the next pre-vote to a random one in a range of election timeouts.
+    fn ask_within(&mut self, now: Timestamp, timeouts: Range<f64>) {
+        let part = self.rng.random_range(timeouts);
         self.election_at = now + self.cfg.election_timeout.mul_f64(part);
     }
 
--- a/tests/batch_claims.rs
+++ b/tests/batch_claims.rs
@@ -3,9 +3,9 @@
 mod batch_world;
 
 use batch_world::{World, ms, queue, report, step};
-use yuccahold::batch::dispatch::{ListedEnd, ListedRun, Listing, StartOrder};
+use yuccahold::batch::dispatch::{ListedEnd, ListedRun, StartOrder};
 use yuccahold::batch::model::{
-    EndKind, Grouping, JobId, MinionNumber, MinionReport, Queue, StepId, StepSpec,
+    EndKind, Grouping, JobId, MinionNumber, MinionReport, Queue, StepId, StepSpec, TaskId,
 };
 use yuccahold::resources::Resources;
 
@@ -49,16 +49,21 @@
     }
 }
 
+/// A task of the only step of a job that runs once.
+fn task(job: JobId, index: u32) -> TaskId {
+    let step = StepId {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(index)
+}
+
 /// Ends of the given runs, all on one minion, in the order given.
 fn ends(runs: &[(JobId, u32, u32)], from: u64, kind: EndKind) -> Vec<ListedEnd> {
     let end = |(i, (job, index, run)): (usize, &(JobId, u32, u32))| ListedEnd {
         number: from + i as u64,
-        task: StepId {
-            job: *job,
-            occurrence: 0,
-            step: 0,
-        }
-        .task(*index),
+        task: task(*job, *index),
         run: *run,
         kind,
         checkpoint: "saved".into(),
@@ -69,12 +74,7 @@
 /// Runs with run number 1 of a job, as their minion lists them.
 fn running(job: JobId, indices: impl IntoIterator<Item = u32>) -> Vec<ListedRun> {
     let listed = |index| ListedRun {
-        task: StepId {
-            job,
-            occurrence: 0,
-            step: 0,
-        }
-        .task(index),
+        task: task(job, index),
         run: 1,
         checkpoint: "saved".into(),
         percent: 0,
@@ -83,25 +83,6 @@
     indices.into_iter().map(listed).collect()
 }
 
-fn listing(
-    world: &mut World,
-    minion: MinionNumber,
-    running: Vec<ListedRun>,
-    ended: Vec<ListedEnd>,
-) {
-    world.take_holds();
-    let clock = world.now;
-    world.listing(
-        minion,
-        Listing {
-            clock,
-            running,
-            ended,
-            unreadable: 0,
-        },
-    );
-}
-
 fn jobs_of(starts: &[(MinionNumber, StartOrder)]) -> Vec<JobId> {
     starts
         .iter()
@@ -126,7 +107,7 @@
     for (i, (_, task, run)) in stops.iter().enumerate() {
         let one = ends(&[(1, task.index, *run)], i as u64 + 1, EndKind::Stopped);
         let left = stops[i + 1..].iter().map(|(_, task, _)| task.index);
-        listing(&mut world, minion, running(1, left), one);
+        world.list(minion, running(1, left), one);
         let started = jobs_of(&world.start_all());
         let expected: &[JobId] = if i == 7 { &[2] } else { &[] };
         assert_eq!(started, expected, "after {} ends", i + 1);
@@ -202,7 +183,7 @@
     world.pass(ms(2_000));
     assert_eq!(early[0].0, first);
     let done = ends(&[(1, 0, 1)], 1, EndKind::Done);
-    listing(&mut world, first, Vec::new(), done);
+    world.list(first, Vec::new(), done);
     assert_eq!(jobs_of(&world.start_all()), [] as [JobId; 0]);
 }
 
--- a/tests/batch_placement.rs
+++ b/tests/batch_placement.rs
@@ -3,7 +3,7 @@
 mod batch_world;
 
 use batch_world::{World, ms, queue, step};
-use yuccahold::batch::dispatch::{ListedEnd, Listing};
+use yuccahold::batch::dispatch::ListedEnd;
 use yuccahold::batch::model::{EndKind, MinionNumber, Queue, StepSpec};
 
 fn plans() -> Queue {
@@ -44,21 +44,16 @@
     assert_eq!((stopped, world.take_starts().len()), (vec![1], 0));
 
     let (_, task, run) = stops[0];
-    world.take_holds();
-    world.listing(
+    world.list(
         minion,
-        Listing {
-            clock: world.now,
-            running: Vec::new(),
-            ended: vec![ListedEnd {
-                number: 1,
-                task,
-                run,
-                kind: EndKind::Stopped,
-                checkpoint: "saved".into(),
-            }],
-            unreadable: 0,
-        },
+        Vec::new(),
+        vec![ListedEnd {
+            number: 1,
+            task,
+            run,
+            kind: EndKind::Stopped,
+            checkpoint: "saved".into(),
+        }],
     );
     let started: Vec<_> = world
         .take_starts()
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{
-    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, ListedEnd, Listing, Mechanisms,
-    MinionOrder, Order, Silence, StartOrder,
+    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, ListedEnd, ListedRun, Listing,
+    Mechanisms, MinionOrder, Order, Silence, StartOrder,
 };
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
 use yuccahold::batch::model::{
@@ -197,6 +197,19 @@
         self.decide();
     }
 
+    /// Answers the hold on the way with what runs and what ended, by the minion's clock of now.
+    pub fn list(&mut self, minion: MinionNumber, running: Vec<ListedRun>, ended: Vec<ListedEnd>) {
+        self.take_holds();
+        let clock = self.now;
+        let listing = Listing {
+            clock,
+            running,
+            ended,
+            unreadable: 0,
+        };
+        self.listing(minion, listing);
+    }
+
     /// Answers the hold on the way with one end and nothing that runs.
     pub fn end(&mut self, minion: MinionNumber, number: u64, run: &StartOrder, kind: EndKind) {
         let ended = vec![ListedEnd {
