Tell when a minion says that it ends, and what calls to a silent one bring

The logs of the incident could not tell whether the leader had heard of the end of a minion, nor whether its calls to that minion were refused or brought nothing. An operator saw "minion silent" and, up to 12 s later, "minion gone".

"minion left" is written when the word of the end arrives, "minion silent" says what the call brought, and "minion gone" how long the minion had not been heard. A histogram counts the latter where runs ended with the minion. No decision is changed.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -91,7 +91,7 @@
     ) {
         self.take_clock(now, number, sent, &answer);
         if answer == Answer::OtherIncarnation {
-            self.minion_gone(number, "another incarnation answers");
+            self.minion_gone(now, number, "another incarnation answers");
             return;
         }
         let Some(run) = self.runs.get_mut(&id) else {
@@ -203,7 +203,7 @@
     ) {
         self.take_clock(now, number, sent, &answer);
         if answer == Answer::OtherIncarnation {
-            self.minion_gone(number, "another incarnation answers");
+            self.minion_gone(now, number, "another incarnation answers");
             return;
         }
         let Some(run) = self.runs.get_mut(&id) else {
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -137,7 +137,9 @@
                 minion.hold = HoldState::Due(now + pause);
                 self.take_listing(now, number, sent, listing, ledger);
             }
-            HoldAnswer::OtherIncarnation => self.minion_gone(number, "another incarnation answers"),
+            HoldAnswer::OtherIncarnation => {
+                self.minion_gone(now, number, "another incarnation answers")
+            }
             HoldAnswer::Refused | HoldAnswer::Silent(_) => {
                 minion.silent_calls += 1;
                 // The first try follows at once, over another connection.
@@ -146,6 +148,7 @@
                 if minion.silent_calls == 1 {
                     let note = Note::MinionSilent {
                         minion: minion.report.id.clone(),
+                        brought: answer.as_str(),
                         heard: now.saturating_sub(minion.heard),
                         runs: minion.runs.len(),
                     };
@@ -153,7 +156,7 @@
                 }
                 let refused = matches!(answer, HoldAnswer::Silent(super::order::Silence::Refused));
                 if self.minions[&number].leaving && refused {
-                    self.minion_gone(number, "it left and nobody listens there");
+                    self.minion_gone(now, number, "it left and nobody listens there");
                 }
             }
         }
@@ -422,7 +425,7 @@
         let idle = minion.runs.is_empty() && minion.strays.is_empty();
         let unheard = now > minion.reported + FORGET_AFTER;
         if idle && (unheard || minion.leaving) && minion.lease_over(now) {
-            self.minion_gone(number, "silent and idle");
+            self.minion_gone(now, number, "silent and idle");
             return;
         }
         if idle || !minion.lease_over(now) {
@@ -432,6 +435,7 @@
         let note = Note::MinionGone {
             minion: minion.report.id.clone(),
             why: "its lease is over",
+            heard: now.saturating_sub(minion.heard),
             runs: tasks.len(),
         };
         self.note(note);
@@ -445,7 +449,7 @@
     }
 
     /// An incarnation is gone for good, and all that ran there with it.
-    pub(super) fn minion_gone(&mut self, number: MinionNumber, why: &'static str) {
+    pub(super) fn minion_gone(&mut self, now: Timestamp, number: MinionNumber, why: &'static str) {
         let Some(minion) = self.minions.get(&number) else {
             return;
         };
@@ -454,6 +458,7 @@
         let note = Note::MinionGone {
             minion: minion.report.id.clone(),
             why,
+            heard: now.saturating_sub(heard),
             runs: tasks.len(),
         };
         self.note(note);
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -333,6 +333,11 @@
         minion.leaving = true;
         minion.draining = true;
         minion.look_at_once(now);
+        let note = Note::MinionLeft {
+            minion: id.clone(),
+            runs: minion.runs.len(),
+        };
+        self.note(note);
     }
 
     /// Decides what is due; gives what should be proposed to the log. `unix` is the time of day.
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -261,6 +261,19 @@
     Silent(Silence),
 }
 
+impl HoldAnswer {
+    /// Name in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Listing(_) => "lists",
+            Self::Refused => "a refusal",
+            Self::OtherIncarnation => "another incarnation",
+            Self::Silent(Silence::Refused) => "a refused connection",
+            Self::Silent(Silence::Lost) => "nothing",
+        }
+    }
+}
+
 /// A configuration as an operator sends it, with its meaning.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigOrder {
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -86,10 +86,19 @@
         /// Number of the report that said so.
         sequence: u64,
     },
+    /// A minion has said that it ends now.
+    MinionLeft {
+        /// Incarnation.
+        minion: MinionId,
+        /// Runs that are not known to be over.
+        runs: usize,
+    },
     /// A minion does not answer.
     MinionSilent {
         /// Incarnation.
         minion: MinionId,
+        /// What the call brought.
+        brought: &'static str,
         /// Since its last answer.
         heard: Duration,
         /// Runs that may go on there.
@@ -101,6 +110,8 @@
         minion: MinionId,
         /// What shows it.
         why: &'static str,
+        /// Since its last answer.
+        heard: Duration,
         /// Runs that ended with it.
         runs: usize,
     },
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -50,14 +50,22 @@
         Note::MinionJoined { minion } => info!(log, "minion joined"; "minion" => minion.as_str()),
         Note::MinionDraining { minion, sequence } => info!(log, "minion draining";
             "minion" => minion.as_str(), "sequence" => sequence),
+        Note::MinionLeft { minion, runs } => info!(log, "minion left";
+            "minion" => minion.as_str(), "runs" => runs),
         Note::MinionSilent {
             minion,
+            brought,
             heard,
             runs,
-        } => info!(log, "minion silent"; "minion" => minion.as_str(), "heard_ms" => ms(heard),
-            "runs" => runs),
-        Note::MinionGone { minion, why, runs } => info!(log, "minion gone";
-            "minion" => minion.as_str(), "why" => why, "runs" => runs),
+        } => info!(log, "minion silent"; "minion" => minion.as_str(), "brought" => brought,
+            "heard_ms" => ms(heard), "runs" => runs),
+        Note::MinionGone {
+            minion,
+            why,
+            heard,
+            runs,
+        } => info!(log, "minion gone"; "minion" => minion.as_str(), "why" => why,
+            "heard_ms" => ms(heard), "runs" => runs),
         Note::RowsUnreadable { minion, rows } => warn!(log, "rows cannot be read";
             "minion" => minion.as_str(), "rows" => rows),
         Note::LeadBegan {
@@ -134,8 +142,14 @@
         Note::MinionDraining { .. } => {
             counter!("yuccahold_batch_minions_draining_total").increment(1);
         }
+        Note::MinionLeft { .. } => counter!("yuccahold_batch_minions_left_total").increment(1),
         Note::MinionSilent { .. } => counter!("yuccahold_batch_minions_silent_total").increment(1),
-        Note::MinionGone { .. } => counter!("yuccahold_batch_minions_gone_total").increment(1),
+        Note::MinionGone { heard, runs, .. } => {
+            counter!("yuccahold_batch_minions_gone_total").increment(1);
+            if *runs > 0 {
+                histogram!("yuccahold_batch_minion_gone_seconds").record(heard.as_secs_f64());
+            }
+        }
         Note::LeadBegan { term, .. } => {
             counter!("yuccahold_batch_leads_total").increment(1);
             gauge!("yuccahold_batch_term").set(*term as f64);
