--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -19,7 +19,7 @@
 pub const JOB: JobId = 0x5c0e_7a21_d94b_36f8;
 const UNIX: Duration = Duration::from_secs(1_700_000_000);
 
-pub fn ms(ms: u64) -> Duration {
+pub const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -87,6 +87,7 @@
 
 /// One leader; its log agrees at once.
 pub struct World {
+    cfg: DispatchConfig,
     pub now: Duration,
     pub ledger: Ledger,
     pub leader: Dispatcher,
@@ -95,10 +96,15 @@
 
 impl World {
     pub fn new() -> Self {
+        Self::with(config())
+    }
+
+    pub fn with(cfg: DispatchConfig) -> Self {
         let now = Duration::from_secs(3600);
         let ledger = Ledger::default();
-        let leader = Dispatcher::new(config(), 1, &ledger, now);
+        let leader = Dispatcher::new(cfg.clone(), 1, &ledger, now);
         Self {
+            cfg,
             now,
             ledger,
             leader,
@@ -108,7 +114,7 @@
 
     /// Another leader takes over, with what the ledger holds and nothing else.
     pub fn new_leader(&mut self, term: u64) {
-        self.leader = Dispatcher::new(config(), term, &self.ledger, self.now);
+        self.leader = Dispatcher::new(self.cfg.clone(), term, &self.ledger, self.now);
         self.orders.clear();
         self.decide();
     }
