Believe a minion that says that it ends, once it answers no more

Callers saw lasting tasks without a run for more than 11 s while minions were replaced, with room for them and nothing else wrong.

Cause: a minion that ends says so, and the leader then looks for proof. A refused connection was the only proof it took, and hosts refuse connections for about 50 ms after the end; then they take no notice of them.

Ruled out: lost questions to the policy service and room given to others.

A call that was sent after the time that a stop takes, counted from the word, and brings nothing, now shows the end as well. A minion that still works answers it, and keeps its tasks.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::mechanisms::Mechanism;
-use super::minion::HoldState;
+use super::minion::{HoldState, Presence};
 use super::order::{HoldAnswer, HoldOrder, ListedEnd, Listing, MinionOrder, Order};
 use super::run::{RunState, StopState};
 use super::{Dispatcher, charged};
@@ -33,6 +33,8 @@
 const GATHER: Duration = Duration::from_millis(15);
 /// Ends a minion lists at most; with as many, runs it does not list may be among the rest.
 const ENDS_LISTED: usize = 500;
+/// Pause between two looks at a minion that still answers although its end was told of.
+const LEAVING_PAUSE: Duration = Duration::from_millis(100);
 /// A silent minion that is idle and sends no report for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Pause between two lines about rows that could not be read: a foreign row stays listed.
@@ -69,7 +71,8 @@
             .filter(|_| minion.silent_calls == 0);
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(now);
-        let wait = if minion.fenced && minion.silent_calls == 0 && !minion.leaving {
+        let here = minion.presence == Presence::Here;
+        let wait = if minion.fenced && minion.silent_calls == 0 && here {
             if short { HOLD_WAIT_SHORT } else { HOLD_WAIT }
         } else {
             Duration::ZERO
@@ -129,10 +132,10 @@
         };
         match answer {
             HoldAnswer::Listing(listing) => {
-                let pause = if listing.ended.is_empty() {
-                    Duration::ZERO
-                } else {
-                    GATHER
+                let pause = match (minion.presence, listing.ended.is_empty()) {
+                    (Presence::Here, true) => Duration::ZERO,
+                    (Presence::Here, false) => GATHER,
+                    _ => LEAVING_PAUSE,
                 };
                 minion.hold = HoldState::Due(now + pause);
                 self.take_listing(now, number, sent, listing, ledger);
@@ -154,9 +157,11 @@
                     };
                     self.note(note);
                 }
-                let refused = matches!(answer, HoldAnswer::Silent(super::order::Silence::Refused));
-                if self.minions[&number].leaving && refused {
-                    self.minion_gone(now, number, "it left and nobody listens there");
+                let minion = &self.minions[&number];
+                if let HoldAnswer::Silent(silence) = answer
+                    && let Some(why) = minion.shows_end(sent, silence, self.cfg.stop_time)
+                {
+                    self.minion_gone(now, number, why);
                 }
             }
         }
@@ -423,8 +428,9 @@
             return;
         }
         let idle = minion.runs.is_empty() && minion.strays.is_empty();
+        let ends = minion.presence != Presence::Here;
         let unheard = now > minion.reported + FORGET_AFTER;
-        if idle && (unheard || minion.leaving) && minion.lease_over(now) {
+        if idle && (unheard || ends) && minion.lease_over(now) {
             self.minion_gone(now, number, "silent and idle");
             return;
         }
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::order::Target;
+use super::order::{Silence, Target};
 use super::speed::Pace;
 use crate::batch::model::{MinionNumber, MinionReport, Readiness, RunNumber, TaskId};
 use crate::ids::Timestamp;
@@ -46,6 +46,17 @@
     Waiting(Timestamp),
 }
 
+/// What is known of a minion's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Presence {
+    /// Nothing.
+    Here,
+    /// Another one reported from its address then.
+    Displaced(Timestamp),
+    /// It said then that it ends.
+    Left(Timestamp),
+}
+
 /// One incarnation of a minion.
 #[derive(Debug)]
 pub(super) struct Minion {
@@ -55,8 +66,7 @@
     pub(super) draining: bool,
     /// No configured service is its own: it may be no minion at all, and gets no calls.
     pub(super) foreign: bool,
-    /// It said that it ends, or another one was seen in its place.
-    pub(super) leaving: bool,
+    pub(super) presence: Presence,
     /// It has answered a hold under this leader's token: orders of earlier leaders do nothing.
     pub(super) fenced: bool,
     /// Our time at which a lease granted by an earlier leader is over for sure.
@@ -100,7 +110,7 @@
             report,
             rack: 0,
             foreign: false,
-            leaving: false,
+            presence: Presence::Here,
             fenced: false,
             assumed_until: Timestamp::ZERO,
             lease: Duration::ZERO,
@@ -132,6 +142,46 @@
         }
     }
 
+    /// Notes that another incarnation reports from its address.
+    pub(super) fn displaced(&mut self, now: Timestamp) {
+        if self.presence == Presence::Here {
+            self.presence = Presence::Displaced(now);
+        }
+        self.look_at_once(now);
+    }
+
+    /// Notes its word that it ends.
+    pub(super) fn left(&mut self, now: Timestamp) {
+        if !matches!(self.presence, Presence::Left(_)) {
+            self.presence = Presence::Left(now);
+        }
+        self.draining = true;
+        self.look_at_once(now);
+    }
+
+    /// What shows that it has ended, when a call sent at `sent` brought no answer. What runs there
+    /// may go on for `stop_time` after its word.
+    ///
+    /// Its host refuses connections for some 50 ms after the end and then takes no notice of them.
+    /// While only a refusal was believed, a call that came later left the leader waiting for the
+    /// end of the lease, and lasting tasks were away for more than 11 s. A call that was sent when
+    /// all must be over and brings nothing says as much: a minion that still works answers it.
+    pub(super) fn shows_end(
+        &self,
+        sent: Timestamp,
+        silence: Silence,
+        stop_time: Duration,
+    ) -> Option<&'static str> {
+        match (self.presence, silence) {
+            (Presence::Here, _) => None,
+            (_, Silence::Refused) => Some("it left and nobody listens there"),
+            (Presence::Left(at), Silence::Lost) if sent >= at + stop_time => {
+                Some("it left and answers no more")
+            }
+            _ => None,
+        }
+    }
+
     /// Has the next hold leave now, if none is on the way.
     pub(super) fn look_at_once(&mut self, now: Timestamp) {
         if let HoldState::Due(at) = &mut self.hold {
@@ -188,7 +238,7 @@
 
     /// Whether it should be held at all.
     pub(super) fn wants_hold(&self) -> bool {
-        let in_doubt = !self.fenced || self.leaving || !self.answers();
+        let in_doubt = !self.fenced || self.presence != Presence::Here || !self.answers();
         self.is_busy() || (in_doubt && !self.foreign)
     }
 
@@ -206,7 +256,8 @@
     /// Whether new work may be given to it now.
     pub(super) fn takes_work(&self, now: Timestamp) -> bool {
         let sound = self.answers() && now >= self.avoid_until;
-        self.fenced && !self.draining && !self.leaving && !self.foreign && sound
+        let stays = !self.draining && self.presence == Presence::Here;
+        self.fenced && stays && !self.foreign && sound
     }
 
     /// Notes a failed run or a refusal. A minion on which several in a row fail gets no work for
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -293,8 +293,7 @@
         // Whoever was known at this address may be gone: a call shows it.
         let at_same_addr = |m: &&mut Minion| m.report.addr == report.addr;
         for old in self.minions.values_mut().filter(at_same_addr) {
-            old.leaving = true;
-            old.look_at_once(now);
+            old.displaced(now);
         }
         self.note(Note::MinionJoined {
             minion: report.id.clone(),
@@ -330,9 +329,7 @@
         let Some(minion) = self.by_id.get(id).and_then(|n| self.minions.get_mut(n)) else {
             return;
         };
-        minion.leaving = true;
-        minion.draining = true;
-        minion.look_at_once(now);
+        minion.left(now);
         let note = Note::MinionLeft {
             minion: id.clone(),
             runs: minion.runs.len(),
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -122,3 +122,29 @@
     let away = away(&mut world, minion);
     assert!(away < LONGEST_ABSENCE / 3, "away for {away:?}");
 }
+
+/// The same minion says that it ends and then goes on answering for a while. As long as it does, its
+/// task may still be at work there: a second run elsewhere would do the work twice.
+#[test]
+fn a_minion_that_still_answers_after_its_word_keeps_its_tasks() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    world.leader.report(world.now, draining("i-1", 1));
+    works(&mut world, minion, &start, ms(3_000));
+    world.leader.left(world.now, &"i-1".into());
+    works(&mut world, minion, &start, ms(5_000));
+    assert_eq!(world.take_starts(), []);
+}
+
+/// Calls that were sent before the word, or while the task may still be coming to its end, say
+/// nothing of the time after it.
+#[test]
+fn an_early_call_that_brings_nothing_is_no_proof_of_an_end() {
+    let (mut world, minion, _) = world_with_a_lasting_task();
+    world.leader.report(world.now, draining("i-1", 1));
+    world.leader.left(world.now, &"i-1".into());
+    let just_before_the_end = world.now + ms(899);
+    lose(&mut world, minion, just_before_the_end);
+    assert_eq!(world.take_starts(), []);
+    lose(&mut world, minion, just_before_the_end + ms(1));
+    assert_eq!(world.take_starts().len(), 1);
+}
