A minion that answers is not passed over for a late report from its address

Callers saw nothing but a smaller cell: a report of an incarnation that had crashed, held up on its way, came from the address of the one that had taken its place. The one at work counted as leaving from then on, got no work for the rest of the leader's term, and was asked again without a pause.

Cause: an incarnation was marked as leaving when another one reported from its address, and nothing took the mark back. Calls name the incarnation they are meant for, so an answer to a call sent after that report proves that the one asked is there; it takes the mark back. The test found the minion without work before.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -179,6 +179,7 @@
             return;
         };
         minion.read_clock(listing.clock, sent, now);
+        minion.answers_itself(sent);
         let first_word = !minion.fenced;
         minion.fenced = true;
         if first_word {
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -150,6 +150,16 @@
         self.look_at_once(now);
     }
 
+    /// Notes that it answered a call sent at `sent`: whoever reported from its address is not there.
+    ///
+    /// A late report of an incarnation that crashed may come from the address of the one that took
+    /// its place, which was passed over for good by it.
+    pub(super) fn answers_itself(&mut self, sent: Timestamp) {
+        if matches!(self.presence, Presence::Displaced(at) if sent >= at) {
+            self.presence = Presence::Here;
+        }
+    }
+
     /// Notes its word that it ends.
     pub(super) fn left(&mut self, now: Timestamp) {
         if !matches!(self.presence, Presence::Left(_)) {
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -148,3 +148,22 @@
     lose(&mut world, minion, just_before_the_end + ms(1));
     assert_eq!(world.take_starts().len(), 1);
 }
+
+/// A late report of an incarnation that crashed comes from the address of the one that took its
+/// place. The one at work is looked at, answers, and must go on getting work: it was once passed
+/// over for good, and asked again without a pause.
+#[test]
+fn a_minion_that_answers_is_not_displaced_by_a_late_report() {
+    let mut world = World::with(long_leases());
+    let minion = world.join("i-2", 1);
+    world.leader.report(world.now, report("i-1", 1));
+    world.decide();
+    for (to, _) in world.take_holds() {
+        if to == minion {
+            world.list(minion, Vec::new(), Vec::new());
+        }
+    }
+    world.submit(JOB, vec![lasting(1, 1_000)]);
+    let given: Vec<_> = world.take_starts().iter().map(|(to, _)| *to).collect();
+    assert_eq!(given, [minion]);
+}
