Reckon a lease from the least that its minion's clock may show

Callers saw the tasks of a minion that crashed without a word away for up to 12 s, where leases last 10 s.

Cause: a hold waits up to 2 s for an end, so its answer leaves the minion's clock uncertain by 2 s. The next lease was reckoned from the most that the clock may show, 11.8 s ahead; the minion shortens that to its longest lease, but the leader waits for all of it before it starts the tasks elsewhere.

Reckoned from the least, the lease ends when the leader thinks it does.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -67,7 +67,7 @@
         // A silent minion is asked without a further lease: each one might reach it late, and its
         // tasks could never be started elsewhere while the leader kept asking.
         let deadline = minion
-            .deadline(now, lease)
+            .lease_deadline(now, lease)
             .filter(|_| minion.silent_calls == 0);
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(now);
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -227,6 +227,16 @@
         Some(Duration::from_millis(exact.as_millis() as u64))
     }
 
+    /// Deadline of a lease of at most `span` from now; none before the first reading of the clock.
+    ///
+    /// Reckoned from the least that the clock may show. An answer that waited 2 s for an end leaves
+    /// the clock uncertain by as much; reckoned from the most, a lease of 10 s was waited for 12 s
+    /// after its minion had crashed.
+    pub(super) fn lease_deadline(&self, now: Timestamp, span: Duration) -> Option<Duration> {
+        let least = self.clock?.earliest(now) + span;
+        Some(Duration::from_millis(least.as_millis() as u64))
+    }
+
     /// Whether the minion's clock has passed `deadline` for sure.
     pub(super) fn is_past(&self, deadline: Duration, now: Timestamp) -> bool {
         self.clock.is_some_and(|c| c.earliest(now) > deadline)
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -167,3 +167,13 @@
     let given: Vec<_> = world.take_starts().iter().map(|(to, _)| *to).collect();
     assert_eq!(given, [minion]);
 }
+
+/// A minion crashes without a word. Its tasks may go on until its lease is over, and no longer: the
+/// time that its last answer had waited for an end was counted on top of the lease.
+#[test]
+fn a_lasting_task_is_away_no_longer_than_the_lease_of_a_minion_that_crashed() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    works(&mut world, minion, &start, ms(4_100));
+    let away = away(&mut world, minion);
+    assert!(away < ms(10_300), "away for {away:?}");
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -119,6 +119,17 @@
         self.decide();
     }
 
+    /// Answers the first hold of a leader to a minion on which nothing runs.
+    pub fn answer_first_hold_of(&mut self, id: &str) {
+        let number = self.ledger.minion_number(&id.into()).expect("it joined");
+        let clock = self.now;
+        let listing = Listing {
+            clock,
+            ..Listing::default()
+        };
+        self.listing(number, listing);
+    }
+
     pub fn unix(&self) -> Duration {
         UNIX + self.now
     }
@@ -183,13 +194,7 @@
         self.leader.report(self.now, report);
         self.decide();
         let number = self.ledger.minion_number(&id).expect("it joined");
-        self.listing(
-            number,
-            Listing {
-                clock: self.now,
-                ..Listing::default()
-            },
-        );
+        self.answer_first_hold_of(&id);
         number
     }
 
