Shorter leases for minions that have said that they leave

Callers would see lasting tasks away for ten seconds and more when their minion left as announced but its last word found no daemon: the word is sent once, and nothing else tells of the end.

A minion that has said that it leaves now gets leases of 4 s.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -24,6 +24,10 @@
 const SHORT_RUN: Duration = Duration::from_millis(3000);
 /// Part of the longest lease that is left out, for clocks read a round trip ago.
 const LEASE_RESERVE: Duration = Duration::from_millis(200);
+/// Lease of a minion that has said that it leaves. Its end is near, and its last word may be lost
+/// with a leader or find none; its lasting tasks were then away for the whole of a lease of 10 s.
+/// Two waits of a hold with time for a repetition: shorter leases would run out while it works.
+const LEAVING_LEASE: Duration = Duration::from_secs(4);
 /// Pause before the next try at a minion that did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause.
@@ -55,12 +59,12 @@
     }
 
     fn hold_if_due(&mut self, number: MinionNumber, now: Timestamp) {
-        let lease = self.cfg.lease_max - LEASE_RESERVE;
         let token = self.term;
         if !self.hold_is_due(number, now) {
             return;
         }
         let short = self.has_short_runs(number);
+        let lease = self.lease_of(number);
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
@@ -88,6 +92,14 @@
             .push(Order::Minion(target, MinionOrder::Hold(order)));
     }
 
+    fn lease_of(&self, number: MinionNumber) -> Duration {
+        let longest = self.cfg.lease_max - LEASE_RESERVE;
+        match self.minions.get(&number) {
+            Some(minion) if minion.draining => longest.min(LEAVING_LEASE),
+            _ => longest,
+        }
+    }
+
     fn hold_is_due(&self, number: MinionNumber, now: Timestamp) -> bool {
         let Some(minion) = self.minions.get(&number) else {
             return false;
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -177,3 +177,13 @@
     let away = away(&mut world, minion);
     assert!(away < ms(10_300), "away for {away:?}");
 }
+
+/// The same, but the word never arrives: all daemons that the minion tried were restarting.
+#[test]
+fn a_lasting_task_is_back_in_time_when_its_minion_left_without_a_word() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    world.leader.report(world.now, draining("i-1", 1));
+    works(&mut world, minion, &start, ms(9_500));
+    let away = away(&mut world, minion);
+    assert!(away < LONGEST_ABSENCE * 2 / 3, "away for {away:?}");
+}
