A new leader knows that minions which left had short leases

Callers would see lasting tasks away for more than ten seconds when the leader fails at the moment at which a minion says that it ends: the word is lost with the leader, and its successor knows nothing of the minion's lease.

Each replica now remembers when it learnt that a minion leaves. From then on an earlier leader gave it short leases only, so the successor waits for what was given before, or for a short lease from its own beginning, whichever ends later. A replica that does not know, as after a restore, assumes the longest lease as before.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -27,7 +27,7 @@
 /// Lease of a minion that has said that it leaves. Its end is near, and its last word may be lost
 /// with a leader or find none; its lasting tasks were then away for the whole of a lease of 10 s.
 /// Two waits of a hold with time for a repetition: shorter leases would run out while it works.
-const LEAVING_LEASE: Duration = Duration::from_secs(4);
+pub(super) const LEAVING_LEASE: Duration = Duration::from_secs(4);
 /// Pause before the next try at a minion that did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -186,6 +186,23 @@
         d
     }
 
+    /// Takes from when on minions are known to leave, by this replica's clock.
+    ///
+    /// An earlier leader that was told so gave them short leases from then on; only what it gave
+    /// before can last longer. Without this a new leader takes the longest lease for each silent
+    /// minion, and tasks of one whose last word was lost with the leader are away for all of it.
+    pub fn assume_leaving(&mut self, now: Timestamp, since: &BTreeMap<MinionNumber, Timestamp>) {
+        let over = |from: Timestamp, lease: Duration| from + lease.mul_f64(1.0 / CLOCK_RATE);
+        for (number, told) in since {
+            if let Some(minion) = self.minions.get_mut(number) {
+                let before = over(*told, self.cfg.lease_max);
+                let after = over(now, holds::LEAVING_LEASE);
+                let assumed = before.max(after) + LEASE_MARGIN;
+                minion.assumed_until = minion.assumed_until.min(assumed);
+            }
+        }
+    }
+
     fn restore_job(&mut self, ledger: &Ledger, id: JobId, now: Timestamp) {
         let job = &ledger.jobs[&id];
         let stop = if job.state.is_final() {
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -1,13 +1,14 @@
 //! The state machine above the replicated log: the ledger, and beside it, only while this replica
 //! leads, the dispatcher.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply, RETRY_AFTER};
 use super::dispatch::{Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind};
-use super::ledger::{Command, Ledger, Reply};
+use super::ledger::{Batch, Command, Ledger, Reply};
 use super::model::{ConfigVersion, JobId, MinionNumber, MinionReport, StepId};
 use crate::error::Result;
 use crate::ids::{LogIndex, MinionId, Term, Timestamp};
@@ -19,6 +20,9 @@
     cfg: DispatchConfig,
     term: Term,
     lead: Option<Dispatcher>,
+    /// When this replica learnt that a minion leaves, by its own steady clock. Not part of the
+    /// replicated state: a replica that does not know assumes the longest lease.
+    leaving_since: BTreeMap<MinionNumber, Timestamp>,
     /// Processes that can send orders and ask questions for the leader.
     agents: usize,
     /// Orders leave through here; the receiver is bounded by what the dispatcher keeps in flight.
@@ -50,6 +54,7 @@
             cfg,
             term: 0,
             lead: None,
+            leaving_since: BTreeMap::new(),
             agents: 0,
             orders,
         }
@@ -145,6 +150,15 @@
         }
     }
 
+    fn note_leaving(&mut self, now: Timestamp, batch: &Batch) {
+        for number in &batch.draining {
+            self.leaving_since.entry(*number).or_insert(now);
+        }
+        for number in &batch.gone {
+            self.leaving_since.remove(number);
+        }
+    }
+
     /// Whether a command changes anything; told to the dispatcher after it is applied.
     fn is_fresh(&self, command: &Command) -> bool {
         match command {
@@ -176,6 +190,9 @@
         };
         let fresh = self.lead.is_some() && self.is_fresh(&command);
         let reply = self.ledger.apply(at, &command);
+        if let Command::Batch(batch) = &command {
+            self.note_leaving(monotonic_now(), batch);
+        }
         if let Some(lead) = &mut self.lead {
             lead.applied(monotonic_now(), &self.ledger, &command, fresh);
         }
@@ -189,6 +206,7 @@
     fn leadership_changed(&mut self, leading: bool, now: Timestamp) {
         self.lead = leading.then(|| {
             let mut lead = Dispatcher::new(self.cfg.clone(), self.term, &self.ledger, now);
+            lead.assume_leaving(now, &self.leaving_since);
             lead.set_agents(self.agents);
             lead
         });
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -187,3 +187,18 @@
     let away = away(&mut world, minion);
     assert!(away < LONGEST_ABSENCE * 2 / 3, "away for {away:?}");
 }
+
+/// The same departure, but the word of the end is lost with the leader that had it: the next one has
+/// never heard from the minion and cannot know how long its lease is. It took the longest for it,
+/// and the task was away for more than ten seconds.
+#[test]
+fn a_lasting_task_is_back_in_time_when_the_word_of_the_end_is_lost_with_the_leader() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    world.leader.report(world.now, draining("i-1", 1));
+    works(&mut world, minion, &start, ms(9_500));
+    world.leader.left(world.now, &"i-1".into());
+    world.new_leader(2);
+    world.answer_first_hold_of("i-2");
+    let away = away(&mut world, minion);
+    assert!(away < LONGEST_ABSENCE * 2 / 3, "away for {away:?}");
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,6 +89,7 @@
 /// One leader; its log agrees at once.
 pub struct World {
     cfg: DispatchConfig,
+    leaving_since: BTreeMap<MinionNumber, Duration>,
     pub now: Duration,
     pub ledger: Ledger,
     pub leader: Dispatcher,
@@ -105,6 +107,7 @@
         let leader = Dispatcher::new(cfg.clone(), 1, &ledger, now);
         Self {
             cfg,
+            leaving_since: BTreeMap::new(),
             now,
             ledger,
             leader,
@@ -115,6 +118,7 @@
     /// Another leader takes over, with what the ledger holds and nothing else.
     pub fn new_leader(&mut self, term: u64) {
         self.leader = Dispatcher::new(self.cfg.clone(), term, &self.ledger, self.now);
+        self.leader.assume_leaving(self.now, &self.leaving_since);
         self.orders.clear();
         self.decide();
     }
@@ -141,6 +145,10 @@
         };
         let at = self.unix();
         self.ledger.apply(at, command);
+        if let Command::Batch(batch) = command {
+            let told = batch.draining.iter().map(|number| (*number, self.now));
+            self.leaving_since.extend(told);
+        }
         self.leader.applied(self.now, &self.ledger, command, fresh);
     }
 
