An answer of the policy service is matched to its question, not to its step

Cause: a question that brings no answer for 4 s is given up and another one asked, with other minions. Answers were matched by the step alone, so a late answer to the first was taken for one to the second, and all minions that only the second names counted as forbidden for good. With enough of them nobody was left to ask. Questions now carry a number, and an answer to one that was given up is dropped.

Ruled out: room, which was there for the whole gang.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -174,7 +174,7 @@
             }
             Event::Advised(question) => {
                 let good = question.minions.iter().filter(|id| {
-                    let drawn = id.bytes().fold(question.step.job, |h, b| {
+                    let drawn = id.bytes().fold(question.id.step.job, |h, b| {
                         (h ^ u64::from(b)).wrapping_mul(0x100_0000_01B3)
                     });
                     drawn >> 40 & 1 == 0
@@ -182,7 +182,7 @@
                 let good = good.map(|id| (id.clone(), "ticket".into())).collect();
                 let began = Instant::now();
                 let advice = Some(Advice { good });
-                self.leader.advised(self.now, question.step, advice);
+                self.leader.advised(self.now, question.id, advice);
                 self.spent += began.elapsed();
                 self.decide();
             }
--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -11,9 +11,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::calls::{Down, OrderNumber};
-use super::dispatch::{AdviceQuestion, MinionAnswer, MinionOrder, OrderKind, Target};
+use super::dispatch::{AdviceQuestion, MinionAnswer, MinionOrder, OrderKind, QuestionId, Target};
 use super::machine::Answered;
-use super::model::{MinionNumber, StepId};
+use super::model::MinionNumber;
 use crate::ids::{Timestamp, ZoneName};
 
 /// Number of an agent's connection.
@@ -42,7 +42,7 @@
     rests_until: Timestamp,
     /// Expected time of all questions that it has not answered.
     backlog: Duration,
-    questions: Vec<(StepId, Duration)>,
+    questions: Vec<(QuestionId, Duration)>,
 }
 
 #[derive(Default)]
@@ -76,13 +76,13 @@
     }
 
     /// Takes a connection away; gives what it left unanswered.
-    pub(crate) fn remove(&self, id: AgentId) -> (Vec<Answered>, Vec<StepId>) {
+    pub(crate) fn remove(&self, id: AgentId) -> (Vec<Answered>, Vec<QuestionId>) {
         let mut pool = self.lock();
         let Some(agent) = pool.agents.remove(&id) else {
             return Default::default();
         };
         let open = agent.open.into_values().map(Sent::without_answer);
-        let questions = agent.questions.into_iter().map(|(step, _)| step);
+        let questions = agent.questions.into_iter().map(|(question, _)| question);
         (open.collect(), questions.collect())
     }
 
@@ -184,17 +184,17 @@
             return false;
         };
         agent.backlog += question.cost;
-        agent.questions.push((question.step, question.cost));
+        agent.questions.push((question.id, question.cost));
         agent.tx.send(Down::Advise(question)).is_ok()
     }
 
     /// Notes that a question is answered.
-    pub fn answered(&self, id: AgentId, step: StepId) {
+    pub fn answered(&self, id: AgentId, question: QuestionId) {
         let mut pool = self.lock();
         let Some(agent) = pool.agents.get_mut(&id) else {
             return;
         };
-        if let Some(i) = agent.questions.iter().position(|(s, _)| *s == step) {
+        if let Some(i) = agent.questions.iter().position(|(q, _)| *q == question) {
             let (_, cost) = agent.questions.swap_remove(i);
             agent.backlog -= cost;
         }
--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -8,8 +8,10 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::dispatch::{Advice, AdviceQuestion, ConfigOrder, MinionAnswer, MinionOrder, Target};
-use super::model::{JobSpec, JobState, MinionReport, StepId};
+use super::dispatch::{
+    Advice, AdviceQuestion, ConfigOrder, MinionAnswer, MinionOrder, QuestionId, Target,
+};
+use super::model::{JobSpec, JobState, MinionReport};
 use crate::ids::{MinionId, Term, ZoneName};
 
 /// When a caller may come back whose request cannot be served at the moment. A leader that is lost
@@ -114,7 +116,7 @@
     /// A call.
     Call(CallNumber, Call),
     /// Answer to a question that was passed on; `None` when none came.
-    Advised(StepId, Option<Advice>),
+    Advised(QuestionId, Option<Advice>),
     /// Asks whether the connection stands.
     Ping(u64),
 }
--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 
-use super::order::{Advice, AdviceQuestion, Order};
+use super::order::{Advice, AdviceQuestion, Order, QuestionId};
 use super::run::charged;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{AdviceTerms, JobId, MinionNumber, StepId, StepSpec};
@@ -27,6 +27,14 @@
 /// A question that is not answered after this long is taken as lost.
 const QUESTION_LOST: Duration = Duration::from_secs(4);
 
+/// A question on the way.
+#[derive(Clone, Debug)]
+struct Asked {
+    number: u64,
+    at: Timestamp,
+    minions: Vec<MinionNumber>,
+}
+
 /// What is known of the policy for one step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Knowledge {
@@ -35,7 +43,7 @@
     /// Minions that may not.
     bad: BTreeSet<MinionNumber>,
     tickets: BTreeMap<MinionNumber, (CompactString, Timestamp)>,
-    asked: Option<(Timestamp, Vec<MinionNumber>)>,
+    asked: Option<Asked>,
     next_question: Timestamp,
 }
 
@@ -105,8 +113,8 @@
             return;
         }
         let entry = self.knowledge.entry(id).or_default();
-        if let Some((at, _)) = &entry.asked {
-            if now < *at + QUESTION_LOST {
+        if let Some(asked) = &entry.asked {
+            if now < asked.at + QUESTION_LOST {
                 return;
             }
             entry.asked = None;
@@ -127,12 +135,18 @@
             .filter_map(|n| self.minions.get(n).map(|m| m.report.id.clone()))
             .collect::<Vec<_>>();
         let cost = terms.base + terms.per_minion * minions.len() as u32;
+        self.last_question += 1;
+        let number = self.last_question;
         if let Some(knowledge) = self.knowledge.get_mut(&id) {
-            knowledge.asked = Some((now, wanted));
+            knowledge.asked = Some(Asked {
+                number,
+                at: now,
+                minions: wanted,
+            });
         }
         self.questions += 1;
         self.out.push(Order::Advise(AdviceQuestion {
-            step: id,
+            id: QuestionId { step: id, number },
             minions,
             cost,
         }));
@@ -211,7 +225,12 @@
     }
 
     /// Takes the answer to a question; `None` when none came.
-    pub fn advised(&mut self, now: Timestamp, id: StepId, advice: Option<Advice>) {
+    ///
+    /// An answer to a question that was given up is not taken for one to the next: minions that
+    /// only the next one names would count as forbidden for good. With askers cut off for four
+    /// seconds, a gang of 45 in a cell that was half empty was never asked about again.
+    pub fn advised(&mut self, now: Timestamp, question: QuestionId, advice: Option<Advice>) {
+        let id = question.step;
         let step = self.ready.get(&id).or_else(|| self.coming.get(&id));
         let validity = step
             .and_then(|step| step.queue.advice)
@@ -220,16 +239,17 @@
         let Some(knowledge) = self.knowledge.get_mut(&id) else {
             return;
         };
-        let Some((since, asked)) = knowledge.asked.take() else {
+        let matches = |asked: &mut Asked| asked.number == question.number;
+        let Some(asked) = knowledge.asked.take_if(matches) else {
             return;
         };
         self.questions -= 1;
         self.out.push(Order::Note(Box::new(Note::StepAdvised {
             step: id,
             waiting,
-            asked: asked.len(),
+            asked: asked.minions.len(),
             good: advice.as_ref().map(|a| a.good.len()),
-            took: now.saturating_sub(since),
+            took: now.saturating_sub(asked.at),
         })));
         let Some(advice) = advice else {
             knowledge.next_question = now + ASK_AGAIN;
@@ -246,7 +266,7 @@
         let before = knowledge.bad.len();
         knowledge
             .bad
-            .extend(asked.iter().filter(|n| !good.contains(n)));
+            .extend(asked.minions.iter().filter(|n| !good.contains(n)));
         if good.is_empty() && knowledge.bad.len() == before {
             knowledge.next_question = now + ASK_AGAIN;
         }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -38,8 +38,8 @@
 use minion::{CLOCK_RATE, Minion};
 pub use order::{
     Advice, AdviceQuestion, Answer, ConfigOrder, HoldAnswer, HoldOrder, ListedEnd, ListedRun,
-    Listing, MinionAnswer, MinionOrder, Order, OrderKind, Silence, StartOrder, StartRefusal,
-    Target,
+    Listing, MinionAnswer, MinionOrder, Order, OrderKind, QuestionId, Silence, StartOrder,
+    StartRefusal, Target,
 };
 use ready::ReadyStep;
 use run::{Run, RunState, StopState, charged};
@@ -82,6 +82,8 @@
     knowledge: HashMap<StepId, Knowledge>,
     /// Questions on the way to the policy service.
     questions: usize,
+    /// Questions sent so far.
+    last_question: u64,
     /// Processes that can ask.
     agents: usize,
     /// Runs that were told to stop and hold their room still.
@@ -142,6 +144,7 @@
             dirty_jobs: BTreeSet::new(),
             knowledge: HashMap::new(),
             questions: 0,
+            last_question: 0,
             agents: 1,
             leaving: BTreeSet::new(),
             rooms: HashMap::new(),
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -126,11 +126,20 @@
     Note(Box<Note>),
 }
 
+/// Which question to the policy service an answer belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuestionId {
+    /// The step.
+    pub step: StepId,
+    /// Number of the question, from 1 under each leader.
+    pub number: u64,
+}
+
 /// A question to the policy service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceQuestion {
-    /// The step.
-    pub step: StepId,
+    /// Which one it is.
+    pub id: QuestionId,
     /// Incarnations asked about.
     pub minions: Vec<MinionId>,
     /// Expected time of the answer, for sharing questions among askers.
--- a/src/batch/driver.rs
+++ b/src/batch/driver.rs
@@ -88,15 +88,13 @@
 }
 
 fn ask(question: AdviceQuestion, agents: &Agents, replica: &ReplicaHandle<Machine>) {
-    let step = question.step;
+    let id = question.id;
     if agents.ask(question) {
         return;
     }
     let replica = replica.clone();
     tokio::spawn(async move {
-        replica
-            .inform(move |m, now| m.advised(now, step, None))
-            .await;
+        replica.inform(move |m, now| m.advised(now, id, None)).await;
     });
 }
 
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -379,7 +379,7 @@
                             let (policy, ups) = (self.calls.policy.clone(), ups.clone());
                             tokio::spawn(async move {
                                 let advice = policy.advise(&question).await;
-                                let _ = ups.send(Up::Advised(question.step, advice));
+                                let _ = ups.send(Up::Advised(question.id, advice));
                             });
                         }
                         Some(Down::Orders(orders)) => {
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -7,9 +7,11 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply, RETRY_AFTER};
-use super::dispatch::{Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind};
+use super::dispatch::{
+    Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind, QuestionId,
+};
 use super::ledger::{Batch, Command, Ledger, Reply};
-use super::model::{ConfigVersion, JobId, MinionNumber, MinionReport, StepId};
+use super::model::{ConfigVersion, JobId, MinionNumber, MinionReport};
 use crate::error::Result;
 use crate::ids::{LogIndex, MinionId, Term, Timestamp};
 use crate::replication::{StateMachine, monotonic_now, unix_now};
@@ -144,9 +146,9 @@
         }
     }
 
-    pub(crate) fn advised(&mut self, now: Timestamp, step: StepId, advice: Option<Advice>) {
+    pub(crate) fn advised(&mut self, now: Timestamp, question: QuestionId, advice: Option<Advice>) {
         if let Some(lead) = &mut self.lead {
-            lead.advised(now, step, advice);
+            lead.advised(now, question, advice);
         }
     }
 
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -167,8 +167,8 @@
         let lost = self.replica.inform(move |m, now| {
             m.set_agents(agents);
             m.answered(now, orders);
-            for step in questions {
-                m.advised(now, step, None);
+            for question in questions {
+                m.advised(now, question, None);
             }
         });
         lost.await;
@@ -231,9 +231,9 @@
                         let answers = self.agents.done(id, answers);
                         self.replica.inform(move |m, now| m.answered(now, answers)).await;
                     }
-                    Some(Up::Advised(step, advice)) => {
-                        self.agents.answered(id, step);
-                        self.replica.inform(move |m, now| m.advised(now, step, advice)).await;
+                    Some(Up::Advised(question, advice)) => {
+                        self.agents.answered(id, question);
+                        self.replica.inform(move |m, now| m.advised(now, question, advice)).await;
                     }
                     Some(Up::Ping(number)) => {
                         let _ = tx.send(Down::Pong(number));
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -287,7 +287,7 @@
 impl Policy for PolicyCalls {
     async fn advise(&self, question: &AdviceQuestion) -> Option<Advice> {
         let body = AdviseBody {
-            step: question.step.to_string(),
+            step: question.id.step.to_string(),
             workers: &question.minions,
         };
         let timeout = question.cost + ADVICE_TIMEOUT;
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -39,7 +39,7 @@
     let advice = Advice {
         good: good.collect(),
     };
-    world.leader.advised(world.now, question.step, Some(advice));
+    world.leader.advised(world.now, question.id, Some(advice));
     world.decide();
 }
 
@@ -142,7 +142,7 @@
     world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
     let asked: Vec<_> = take_questions(&mut world)
         .iter()
-        .map(|question| question.step.job)
+        .map(|question| question.id.step.job)
         .collect();
     assert_eq!(asked, [JOB]);
 }
@@ -164,7 +164,7 @@
     world.submit(JOB + 1, vec![lasting(60, 32_000)]);
     world.start_all();
     let nobody = Advice { good: Vec::new() };
-    world.leader.advised(world.now, question.step, Some(nobody));
+    world.leader.advised(world.now, question.id, Some(nobody));
     world.pass(ms(300));
     let question = take_questions(&mut world).remove(0);
     assert_eq!(question.minions.len(), 30);
@@ -196,16 +196,42 @@
     world.join("i-free", 2);
     allow(&mut world, &question);
     world.pass(ms(200));
-    let asked: Vec<_> = take_questions(&mut world)
-        .into_iter()
-        .map(|q| q.minions)
-        .collect();
+    let questions = take_questions(&mut world);
+    let asked: Vec<_> = questions.iter().map(|q| q.minions.clone()).collect();
     assert_eq!(asked, [["i-free"]]);
     assert_eq!(world.take_stops().len(), 0);
 
     let nobody = Advice { good: Vec::new() };
-    let step = question.step;
-    world.leader.advised(world.now, step, Some(nobody));
+    let latest = questions[0].id;
+    world.leader.advised(world.now, latest, Some(nobody));
     world.pass(ms(100));
     assert_eq!(world.take_stops().len(), 1);
 }
+
+/// A question is not answered for four seconds, since its asker is cut off, so another one names
+/// other minions. Then the answer to the first one comes. Taken for an answer to the second, it
+/// would say that none of the minions named there may run the step: they would never be asked about
+/// again, and the job would wait for ever in an empty cell.
+#[test]
+fn a_late_answer_is_not_taken_for_one_to_a_later_question() {
+    let mut world = World::new();
+    for i in 0..30 {
+        world.join(&format!("i-{i}"), i);
+    }
+    world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
+    let first = take_questions(&mut world).remove(0);
+    // The minions named there get other work, and others join.
+    world.submit(JOB + 1, vec![lasting(30, 32_000)]);
+    world.start_all();
+    for i in 30..60 {
+        world.join(&format!("i-{i}"), i);
+    }
+    world.pass(ms(4_100));
+    let second = take_questions(&mut world).remove(0);
+    assert!(second.minions.iter().all(|m| !first.minions.contains(m)));
+
+    allow(&mut world, &first);
+    allow(&mut world, &second);
+    let started = world.start_all();
+    assert_eq!(started.len(), 1);
+}
