A lease that an earlier leader gave counts to its end

A task could run twice: found in review, not seen by callers. A leader gives a lease of 10 s and fails. Its successor is told that the minion leaves and gives a lease of 4 s; the minion answers, is cut off, and works on for as long as the first leader let it. The successor started its tasks elsewhere after the 4 s.

Cause: once a minion had answered, what an earlier leader may have given it was forgotten. Until leaving minions got shorter leases, the successor's own lease always lasted longer than that. It now waits for both.

--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -246,10 +246,11 @@
     ///
     /// A silent minion may run on until its lease ends. Starting its tasks elsewhere before that
     /// would run them twice. Deadlines are absolute on its own clock, so orders that are carried
-    /// out late add nothing; only the clock's slowest rate has to be allowed for.
+    /// out late add nothing; only the clock's slowest rate has to be allowed for. Leases are never
+    /// shortened, so one that an earlier leader gave counts also when a later one gave a shorter.
     pub(super) fn lease_over(&self, now: Timestamp) -> bool {
         let own = self.lease.is_zero() || self.is_past(self.lease, now);
-        own && (self.fenced || now > self.assumed_until)
+        own && now > self.assumed_until
     }
 
     pub(super) fn free(&self) -> Resources {
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -202,3 +202,20 @@
     let away = away(&mut world, minion);
     assert!(away < LONGEST_ABSENCE * 2 / 3, "away for {away:?}");
 }
+
+/// A minion's lease of 10 s was given by a leader that has failed. It says to the next one that it
+/// leaves, answers twice, gets a short lease, and is cut off. It works on for as long as the first
+/// leader let it: its task, started elsewhere once the short lease is over, would run twice.
+#[test]
+fn a_short_lease_does_not_end_the_longer_one_of_an_earlier_leader() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    works(&mut world, minion, &start, ms(3_000));
+    let last_grant = world.now;
+    world.new_leader(2);
+    world.answer_first_hold_of("i-2");
+    world.leader.report(world.now, draining("i-1", 1));
+    works(&mut world, minion, &start, ms(200));
+    let before = world.now - last_grant;
+    let after = away(&mut world, minion);
+    assert!(before + after >= ms(9_800), "started after {after:?}");
+}
