Holds to a minion that leaves wait for the shorter time

Found in review: one lost hold let everything lapse on a minion that leaves. Its lease is 4 s, a hold waits 2 s for an end, a lost answer shows after up to 3 s, and the repetition grants nothing, so the lease of the hold before ran out first. With the shorter wait of 0.5 s more than 1 s of the lease is left when the next one is granted; the test showed nothing left before.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -26,7 +26,8 @@
 const LEASE_RESERVE: Duration = Duration::from_millis(200);
 /// Lease of a minion that has said that it leaves. Its end is near, and its last word may be lost
 /// with a leader or find none; its lasting tasks were then away for the whole of a lease of 10 s.
-/// Two waits of a hold with time for a repetition: shorter leases would run out while it works.
+/// A lost answer shows after up to 1.5 s, and its repetition grants nothing, so holds to such minions
+/// wait for the shorter time: with waits of 2 s one lost hold let everything there lapse.
 pub(super) const LEAVING_LEASE: Duration = Duration::from_secs(4);
 /// Pause before the next try at a minion that did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -63,7 +64,7 @@
         if !self.hold_is_due(number, now) {
             return;
         }
-        let short = self.has_short_runs(number);
+        let short = self.wants_short_wait(number);
         let lease = self.lease_of(number);
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
@@ -117,17 +118,15 @@
         minion.wants_hold() && now >= at + pause
     }
 
-    fn has_short_runs(&self, number: MinionNumber) -> bool {
+    fn wants_short_wait(&self, number: MinionNumber) -> bool {
         let Some(minion) = self.minions.get(&number) else {
             return false;
         };
         let short = |run: &super::run::Run| {
             !run.estimate.is_zero() && run.estimate <= SHORT_RUN || run.is_leaving()
         };
-        minion
-            .runs
-            .iter()
-            .any(|id| self.runs.get(id).is_some_and(short))
+        let mut runs = minion.runs.iter().filter_map(|id| self.runs.get(id));
+        minion.draining || runs.any(short)
     }
 
     /// Takes the answer to the hold that was sent at `sent`.
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -6,7 +6,7 @@
 
 use batch_world::{JOB, World, config, lasting, ms, report};
 use yuccahold::batch::dispatch::{
-    DispatchConfig, HoldAnswer, ListedRun, Listing, Silence, StartOrder,
+    DispatchConfig, HoldAnswer, HoldOrder, ListedRun, Listing, Silence, StartOrder,
 };
 use yuccahold::batch::model::{MinionNumber, MinionReport, Readiness};
 
@@ -15,6 +15,9 @@
 /// Time between two looks at the leader.
 const TICK: Duration = ms(10);
 
+/// Time beyond a hold's wait until the process that should have sent it counts as stuck.
+const STUCK_AGENT: Duration = ms(1_000);
+
 /// A lasting task may be away for nine seconds in all, six of them before anybody looks.
 const LONGEST_ABSENCE: Duration = ms(9_000);
 
@@ -45,6 +48,16 @@
     (world, first, start)
 }
 
+fn running(start: &StartOrder) -> ListedRun {
+    ListedRun {
+        task: start.task,
+        run: start.run,
+        checkpoint: Default::default(),
+        percent: 100,
+        load: 0,
+    }
+}
+
 /// Lets time pass while a minion answers each hold after its wait.
 fn works(world: &mut World, minion: MinionNumber, start: &StartOrder, span: Duration) {
     let until = world.now + span;
@@ -58,13 +71,7 @@
         if let Some((sent, _)) = due.take_if(|(_, at)| *at <= world.now) {
             let listing = Listing {
                 clock: world.now,
-                running: vec![ListedRun {
-                    task: start.task,
-                    run: start.run,
-                    checkpoint: Default::default(),
-                    percent: 100,
-                    load: 0,
-                }],
+                running: vec![running(start)],
                 ..Listing::default()
             };
             let answer = HoldAnswer::Listing(listing);
@@ -219,3 +226,32 @@
     let after = away(&mut world, minion);
     assert!(before + after >= ms(9_800), "started after {after:?}");
 }
+
+/// One hold to a minion that leaves is lost, and that shows only after 1.5 s, since the process that
+/// sent it is stuck. The minion answers the next one: what runs there must not have lapsed meanwhile.
+#[test]
+fn one_lost_hold_lets_nothing_lapse_on_a_minion_that_leaves() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    world.leader.report(world.now, draining("i-1", 1));
+    works(&mut world, minion, &start, ms(12_000));
+    world.list(minion, vec![running(&start)], Vec::new());
+    let carried_out = hold_to(&mut world, minion);
+    let lease_ends = carried_out.deadline.expect("the minion answers");
+    world.pass(carried_out.wait);
+    world.list(minion, vec![running(&start)], Vec::new());
+    let lost = hold_to(&mut world, minion);
+    world.pass(lost.wait + STUCK_AGENT);
+    world.silent_hold(minion);
+    world.list(minion, vec![running(&start)], Vec::new());
+    let next = hold_to(&mut world, minion);
+    assert!(next.deadline.is_some());
+    let left = lease_ends.saturating_sub(world.now);
+    assert!(left > ms(1_000), "{left:?} left of the lease");
+}
+
+/// The hold that has just left for a minion.
+fn hold_to(world: &mut World, minion: MinionNumber) -> HoldOrder {
+    let holds = world.take_holds();
+    let to_it = holds.into_iter().rfind(|(to, _)| *to == minion);
+    to_it.expect("a hold is on the way").1
+}
