A call that was not made is no proof that a minion has ended

Found in review, not seen by callers: a minion that has said that it ends, and works on for a while, would have its tasks started a second time elsewhere when the process that calls it was killed or stuck, or one connection was reset.

Cause: orders that an agent did not carry out were told as if the minion had not answered. They are told apart now and prove nothing, and of calls that bring nothing the second in a row counts.

--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -110,7 +110,7 @@
         let sent = Sent {
             minion: target.minion,
             order: order.kind(),
-            unanswered: order.unanswered(),
+            unanswered: order.not_called(),
             sent: now,
             until: now + wait + ANSWER_TIME,
         };
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -175,7 +175,8 @@
     /// Its host refuses connections for some 50 ms after the end and then takes no notice of them.
     /// While only a refusal was believed, a call that came later left the leader waiting for the
     /// end of the lease, and lasting tasks were away for more than 11 s. A call that was sent when
-    /// all must be over and brings nothing says as much: a minion that still works answers it.
+    /// all must be over and brings nothing says as much: a minion that still works answers it. One
+    /// reset connection is no such call, so the second in a row counts.
     pub(super) fn shows_end(
         &self,
         sent: Timestamp,
@@ -185,7 +186,9 @@
         match (self.presence, silence) {
             (Presence::Here, _) => None,
             (_, Silence::Refused) => Some("it left and nobody listens there"),
-            (Presence::Left(at), Silence::Lost) if sent >= at + stop_time => {
+            (Presence::Left(at), Silence::Lost)
+                if sent >= at + stop_time && self.silent_calls > 1 =>
+            {
                 Some("it left and answers no more")
             }
             _ => None,
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -84,11 +84,11 @@
 }
 
 impl MinionOrder {
-    /// The answer that stands for none.
-    pub fn unanswered(&self) -> MinionAnswer {
+    /// The answer that stands for none of a process that should have called.
+    pub fn not_called(&self) -> MinionAnswer {
         match self {
-            Self::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(Silence::Lost)),
-            _ => MinionAnswer::Order(Answer::Silent(Silence::Lost)),
+            Self::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(Silence::NotCalled)),
+            _ => MinionAnswer::Order(Answer::Silent(Silence::NotCalled)),
         }
     }
 }
@@ -160,6 +160,8 @@
     Refused,
     /// Nothing came in time, or the connection broke.
     Lost,
+    /// The process that should have called is stuck or gone: this says nothing of the minion.
+    NotCalled,
 }
 
 /// Why a minion did not start a run.
@@ -279,6 +281,7 @@
             Self::OtherIncarnation => "another incarnation",
             Self::Silent(Silence::Refused) => "a refused connection",
             Self::Silent(Silence::Lost) => "nothing",
+            Self::Silent(Silence::NotCalled) => "no call",
         }
     }
 }
