The word of a minion's end is agreed as its leaving

Found in review: where the report that a minion leaves is lost and only its last word arrives, the leader marked it as leaving for itself alone, and the next leader gave it work. The mark now goes into the ledger with the next batch. The test found the minion with a new task before.

--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -349,6 +349,9 @@
         let Some(minion) = self.by_id.get(id).and_then(|n| self.minions.get_mut(n)) else {
             return;
         };
+        if !minion.draining {
+            self.batch.draining.push(minion.number);
+        }
         minion.left(now);
         let note = Note::MinionLeft {
             minion: id.clone(),
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -282,3 +282,18 @@
     let to_it = holds.into_iter().rfind(|(to, _)| *to == minion);
     to_it.expect("a hold is on the way").1
 }
+
+/// The report that the minion leaves is lost as well; its word of the end is all that arrives, and
+/// the leader fails right after it has passed that on. The next one hears from the minion once more
+/// and must not give it work.
+#[test]
+fn the_word_of_the_end_is_passed_on_to_the_next_leader() {
+    let mut world = World::with(long_leases());
+    world.join("i-1", 1);
+    world.leader.left(world.now, &"i-1".into());
+    world.decide();
+    world.new_leader(2);
+    world.answer_first_hold_of("i-1");
+    world.submit(JOB, vec![lasting(1, 1_000)]);
+    assert_eq!(world.take_starts(), []);
+}
