An answer to a hold of an earlier term does not count for the present one

Found in review, not seen: a replica that leads, loses the lead and leads again could take a late answer from its first term as a sign that the minion knows its present token. An order of the leader between the two, carried out late, would then run a task that had been settled as never started. Answers to holds sent before the term began are dropped; the next hold tells what runs.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -138,6 +138,11 @@
         answer: HoldAnswer,
         ledger: &Ledger,
     ) {
+        // An answer to a hold of an earlier term of this replica does not show that the minion knows
+        // the present one: an order of a leader between the two could still be carried out.
+        if sent < self.began {
+            return;
+        }
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -68,6 +68,7 @@
 pub struct Dispatcher {
     cfg: DispatchConfig,
     term: Term,
+    began: Timestamp,
     minions: BTreeMap<MinionNumber, Minion>,
     by_id: HashMap<MinionId, MinionNumber>,
     racks: HashMap<String, usize>,
@@ -133,6 +134,7 @@
         let mut d = Self {
             cfg,
             term,
+            began: now,
             minions: BTreeMap::new(),
             by_id: HashMap::new(),
             racks: HashMap::new(),
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -297,3 +297,27 @@
     world.submit(JOB, vec![lasting(1, 1_000)]);
     assert_eq!(world.take_starts(), []);
 }
+
+/// A replica leads, loses the lead, and leads again. Then the answer to a hold of its first term
+/// comes. The minion may not have seen the present term: an order of the leader in between could
+/// still be carried out there, so the minion must not count as held.
+#[test]
+fn an_answer_to_a_hold_of_an_earlier_term_does_not_fence_its_minion() {
+    let mut world = World::with(long_leases());
+    let minion = world.join("i-1", 1);
+    let first_term = world.now;
+    world.pass(ms(1_000));
+    world.new_leader(3);
+    let clock = world.now;
+    let listing = Listing {
+        clock,
+        ..Listing::default()
+    };
+    let (now, ledger) = (world.now, &world.ledger);
+    let answer = HoldAnswer::Listing(listing);
+    world.leader.held(now, minion, first_term, answer, ledger);
+    world.submit(JOB, vec![lasting(1, 1_000)]);
+    assert_eq!(world.take_starts(), []);
+    world.answer_first_hold_of("i-1");
+    assert_eq!(world.take_starts().len(), 1);
+}
