Lost questions to the policy service are given up whoever asked them

Found in review, not yet seen by callers: four questions that are lost together stopped all placing of queues with a policy, but for the most urgent, until a job ended or the leader changed.

Cause: only so many questions may be on the way, and a step gave up its own lost question only when it could ask again, which that very bound forbade. A step that was placed meanwhile never gave its question up. Questions are now kept in the order in which they were sent, and those without an answer for 4 s are given up first. The test asks four, loses them, and saw no further question before.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -88,6 +88,12 @@
         self.asked.is_some()
     }
 
+    /// Takes a question back if it is the one on the way.
+    fn take_asked(&mut self, question: QuestionId) -> Option<Asked> {
+        let matches = |asked: &mut Asked| asked.number == question.number;
+        self.asked.take_if(matches)
+    }
+
     pub(super) fn forget_ticket(&mut self, minion: MinionNumber) {
         self.tickets.remove(&minion);
     }
@@ -109,18 +115,12 @@
             (_, Turn::Now) => self.agents * 2 / 3,
             (_, Turn::Coming) => self.agents / 3,
         };
+        self.give_up_lost_questions(now);
         if self.questions >= most.max(1) {
             return;
         }
         let entry = self.knowledge.entry(id).or_default();
-        if let Some(asked) = &entry.asked {
-            if now < asked.at + QUESTION_LOST {
-                return;
-            }
-            entry.asked = None;
-            self.questions -= 1;
-        }
-        if now < entry.next_question {
+        if entry.is_asked() || now < entry.next_question {
             return;
         }
         let wanted = self.whom_to_ask(now, id, step, terms);
@@ -145,13 +145,31 @@
             });
         }
         self.questions += 1;
+        let question = QuestionId { step: id, number };
+        self.asked.push_back((now, question));
         self.out.push(Order::Advise(AdviceQuestion {
-            id: QuestionId { step: id, number },
+            id: question,
             minions,
             cost,
         }));
     }
 
+    /// Takes questions that were not answered in time as lost, whoever asked them.
+    ///
+    /// While each step gave up only its own, and only when it could ask again, questions that were
+    /// lost together used up all that may be on the way: no step with a policy was placed any more.
+    fn give_up_lost_questions(&mut self, now: Timestamp) {
+        while let Some((at, question)) = self.asked.front().copied()
+            && now >= at + QUESTION_LOST
+        {
+            self.asked.pop_front();
+            let knowledge = self.knowledge.get_mut(&question.step);
+            if knowledge.is_some_and(|k| k.take_asked(question).is_some()) {
+                self.questions -= 1;
+            }
+        }
+    }
+
     /// Whether a minion that the policy may let run a step has room, and only a ticket is missing.
     ///
     /// A ticket costs 50 ms for a check; a stopped run costs up to 0.9 s until its room is free and
@@ -239,8 +257,7 @@
         let Some(knowledge) = self.knowledge.get_mut(&id) else {
             return;
         };
-        let matches = |asked: &mut Asked| asked.number == question.number;
-        let Some(asked) = knowledge.asked.take_if(matches) else {
+        let Some(asked) = knowledge.take_asked(question) else {
             return;
         };
         self.questions -= 1;
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -25,7 +25,7 @@
 mod speed;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use super::ledger::{Batch, Ledger, TaskState};
@@ -83,6 +83,8 @@
     knowledge: HashMap<StepId, Knowledge>,
     /// Questions on the way to the policy service.
     questions: usize,
+    /// Questions in the order in which they were sent, with those that are answered by now.
+    asked: VecDeque<(Timestamp, QuestionId)>,
     /// Questions sent so far.
     last_question: u64,
     /// Processes that can ask.
@@ -102,7 +104,7 @@
     /// Minions with ends that are taken and not acknowledged.
     unacknowledged: BTreeSet<MinionNumber>,
     /// Ends taken from minions, by batch on its way; they are acknowledged once it is agreed.
-    batches: std::collections::VecDeque<Vec<(MinionNumber, u64)>>,
+    batches: VecDeque<Vec<(MinionNumber, u64)>>,
     /// When a line about unreadable rows was last written.
     unreadable_told: Option<Timestamp>,
     /// Something that placement depends on has changed.
@@ -146,6 +148,7 @@
             dirty_jobs: BTreeSet::new(),
             knowledge: HashMap::new(),
             questions: 0,
+            asked: VecDeque::new(),
             last_question: 0,
             agents: 1,
             leaving: BTreeSet::new(),
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -235,3 +235,28 @@
     let started = world.start_all();
     assert_eq!(started.len(), 1);
 }
+
+/// Four questions are lost together, as all askers are cut off, and that is as many as may be on the
+/// way at once. They must not count as on the way for good: no step would be asked about again, and
+/// jobs with room for them would wait until the next change of leader.
+#[test]
+fn questions_that_are_lost_together_are_asked_again() {
+    let mut world = World::new();
+    world.leader.set_agents(7);
+    for i in 0..8 {
+        world.join(&format!("i-{i}"), i);
+    }
+    let queue = Queue {
+        priority: 1,
+        ..advised_queue()
+    };
+    for job in JOB..JOB + 4 {
+        world.submit_to(job, queue.clone(), vec![lasting(1, 1_000)]);
+        world.pass(ms(200));
+    }
+    assert_eq!(take_questions(&mut world).len(), 4);
+    for _ in 0..50 {
+        world.pass(ms(100));
+    }
+    assert!(!take_questions(&mut world).is_empty());
+}
