--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
-use super::mechanisms::Mechanism;
+use super::Dispatcher;
 use super::minion::{HoldState, Presence};
-use super::order::{HoldAnswer, HoldOrder, ListedEnd, Listing, MinionOrder, Order};
-use super::run::{RunState, StopState};
-use super::{Dispatcher, charged};
-use crate::batch::ledger::{End, Ledger};
-use crate::batch::model::{EndKind, MinionNumber, RunNumber, TaskId};
+use super::order::{HoldAnswer, HoldOrder, MinionOrder, Order};
+use crate::batch::ledger::Ledger;
+use crate::batch::model::{EndKind, MinionNumber};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
@@ -36,16 +34,10 @@
 /// Pause between an answer with ends and the next hold: ends that come close together share one
 /// look, and the ones just listed are agreed by then and can be acknowledged with it.
 const GATHER: Duration = Duration::from_millis(15);
-/// Ends a minion lists at most; with as many, runs it does not list may be among the rest.
-const ENDS_LISTED: usize = 500;
 /// Pause between two looks at a minion that still answers although its end was told of.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
 /// A silent minion that is idle and sends no report for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
-/// Pause between two lines about rows that could not be read: a foreign row stays listed.
-const UNREADABLE_TOLD: Duration = Duration::from_secs(1);
-/// Pause between two orders to stop a run that is listed although nobody wants it.
-const STRAY_PAUSE: Duration = Duration::from_secs(1);
 
 impl Dispatcher {
     /// Sends the holds that are due and gives up on minions whose lease is over.
@@ -183,259 +175,6 @@
         }
     }
 
-    fn take_listing(
-        &mut self,
-        now: Timestamp,
-        number: MinionNumber,
-        sent: Timestamp,
-        listing: Listing,
-        ledger: &Ledger,
-    ) {
-        let Some(minion) = self.minions.get_mut(&number) else {
-            return;
-        };
-        minion.read_clock(listing.clock, sent, now);
-        minion.answers_itself(sent);
-        let first_word = !minion.fenced;
-        minion.fenced = true;
-        if first_word {
-            self.place_wanted = true;
-        }
-        // An unreadable row may be any run. Taken for absent, it would be started a second time.
-        let whole = listing.ended.len() < ENDS_LISTED && listing.unreadable == 0;
-        if listing.unreadable > 0 {
-            self.note_unreadable(now, number, listing.unreadable);
-        }
-        for end in &listing.ended {
-            self.take_end(now, number, end);
-        }
-        for listed in &listing.running {
-            self.take_running(now, number, listed, ledger);
-        }
-        if whole {
-            self.reconcile(now, number, sent, &listing);
-        }
-    }
-
-    fn note_unreadable(&mut self, now: Timestamp, number: MinionNumber, rows: u32) {
-        let told = self.unreadable_told;
-        if told.is_some_and(|at| now < at + UNREADABLE_TOLD) {
-            return;
-        }
-        self.unreadable_told = Some(now);
-        if let Some(minion) = self.minions.get(&number) {
-            let minion = minion.report.id.clone();
-            self.note(Note::RowsUnreadable { minion, rows });
-        }
-    }
-
-    fn take_end(&mut self, now: Timestamp, number: MinionNumber, end: &ListedEnd) {
-        let Some(minion) = self.minions.get_mut(&number) else {
-            return;
-        };
-        if end.number <= minion.seen_end {
-            return;
-        }
-        minion.seen_end = end.number;
-        self.unacknowledged.insert(number);
-        if minion
-            .strays
-            .remove(&(end.task, end.run))
-            .is_some_and(|(room, _)| {
-                minion.used = minion.used.saturating_sub(&room);
-                true
-            })
-        {
-            self.place_wanted = true;
-        }
-        let ours = self
-            .runs
-            .get(&end.task)
-            .is_some_and(|r| r.run == end.run && r.minion == number);
-        if ours {
-            match end.kind {
-                EndKind::Done => {
-                    minion.succeeded();
-                    let run = &self.runs[&end.task];
-                    let seen = run
-                        .begun
-                        .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-                    self.profiles.learn(&run.queue, run.estimate, seen);
-                    if !run.resumed && !seen.is_zero() {
-                        self.observed.entry(end.task.step).or_default().learn(seen);
-                        // The room that comes free is given away in this very round, in an order
-                        // that should know of it.
-                        if self.ready.contains_key(&end.task.step) {
-                            self.dirty_jobs.insert(end.task.step.job);
-                        }
-                    }
-                    if self.cfg.mechanisms.has(Mechanism::LearntSpeeds) {
-                        self.speeds.learn(&mut minion.pace, run.estimate, seen);
-                    }
-                }
-                EndKind::Failed => minion.failed(now),
-                _ => {}
-            }
-            self.run_over(now, end.task, end.kind, end.checkpoint.clone());
-        }
-    }
-
-    /// The run of a task is over: frees its room and has its end agreed.
-    pub(super) fn run_over(
-        &mut self,
-        now: Timestamp,
-        task: TaskId,
-        kind: EndKind,
-        checkpoint: crate::batch::model::Checkpoint,
-    ) {
-        let Some(run) = self.runs.get_mut(&task) else {
-            return;
-        };
-        if run.state == RunState::Ending {
-            return;
-        }
-        run.state = RunState::Ending;
-        let checkpoint = if checkpoint.is_empty() {
-            std::mem::take(&mut run.checkpoint)
-        } else {
-            checkpoint
-        };
-        let run = run.clone();
-        self.free_room(task, &run);
-        let id = self.minions.get(&run.minion).map(|m| m.report.id.clone());
-        self.note(Note::RunEnded {
-            task,
-            run: run.run,
-            minion: id.unwrap_or_default(),
-            kind,
-            age: now.saturating_sub(run.proposed),
-        });
-        self.batch.ends.push(End {
-            task,
-            run: run.run,
-            kind,
-            checkpoint,
-        });
-    }
-
-    fn take_running(
-        &mut self,
-        now: Timestamp,
-        number: MinionNumber,
-        listed: &super::order::ListedRun,
-        ledger: &Ledger,
-    ) {
-        if let Some(run) = self.runs.get_mut(&listed.task)
-            && run.run == listed.run
-            && run.minion == number
-        {
-            if matches!(run.state, RunState::Starting | RunState::InDoubt) {
-                run.state = RunState::Running(now);
-            }
-            if !listed.checkpoint.is_empty() {
-                run.checkpoint = listed.checkpoint.clone();
-            }
-            if run.ends && self.cfg.mechanisms.has(Mechanism::Progress) {
-                run.take_progress(now, listed.percent);
-            }
-            return;
-        }
-        self.stop_stray(now, number, listed.task, listed.run, ledger);
-    }
-
-    /// Stops a run that no decision stands behind, and counts its room until it has ended.
-    fn stop_stray(
-        &mut self,
-        now: Timestamp,
-        number: MinionNumber,
-        task: TaskId,
-        run: RunNumber,
-        ledger: &Ledger,
-    ) {
-        let need = ledger
-            .jobs
-            .get(&task.step.job)
-            .and_then(|job| job.spec.steps.get(usize::from(task.step.step)))
-            .map_or_else(Resources::default, charged);
-        let token = self.term;
-        let Some(minion) = self.minions.get_mut(&number) else {
-            return;
-        };
-        let due = match minion.strays.get(&(task, run)) {
-            Some((_, told)) => now >= *told + STRAY_PAUSE,
-            None => {
-                minion.used = minion.used.saturating_add(&need);
-                true
-            }
-        };
-        if due {
-            minion.strays.insert((task, run), (need, now));
-            let target = minion.target();
-            let stop = MinionOrder::Stop { task, run, token };
-            self.out.push(Order::Minion(target, stop));
-        }
-    }
-
-    /// Settles runs that the minion lists neither as running nor as ended.
-    ///
-    /// Only runs whose start was answered before the hold left can be missed: an answer to a
-    /// hold may have been written before a start that was sent later was carried out. Runs in
-    /// doubt are settled once they can no longer begin: their deadline has passed, their stop was
-    /// confirmed, or they were ordered under a token that the minion refuses from now on.
-    fn reconcile(
-        &mut self,
-        now: Timestamp,
-        number: MinionNumber,
-        sent: Timestamp,
-        listing: &Listing,
-    ) {
-        let Some(minion) = self.minions.get(&number) else {
-            return;
-        };
-        let listed = |task: TaskId, run: RunNumber| {
-            listing
-                .running
-                .iter()
-                .any(|r| r.task == task && r.run == run)
-        };
-        let mut over = Vec::new();
-        for task in &minion.runs {
-            let Some(run) = self.runs.get(task) else {
-                continue;
-            };
-            if listed(*task, run.run) {
-                continue;
-            }
-            let stopped = matches!(run.stop, StopState::Confirmed(at) if at < sent);
-            let kind = match run.state {
-                RunState::Running(since) if since < sent => Some(EndKind::Lapsed),
-                RunState::InDoubt if run.tries == 0 => Some(EndKind::NeverStarted),
-                RunState::InDoubt if run.tries > 0 && listing.clock > run.deadline => {
-                    Some(EndKind::NeverStarted)
-                }
-                _ if stopped => Some(EndKind::NeverStarted),
-                _ => None,
-            };
-            if let Some(kind) = kind {
-                over.push((*task, kind));
-            }
-        }
-        for (task, kind) in over {
-            self.run_over(now, task, kind, Default::default());
-        }
-        if let Some(minion) = self.minions.get_mut(&number) {
-            // A stray that is neither running nor among the ends has ended before.
-            let strays = std::mem::take(&mut minion.strays);
-            for ((task, run), (room, told)) in strays {
-                if listed(task, run) || told >= sent {
-                    minion.strays.insert((task, run), (room, told));
-                } else {
-                    minion.used = minion.used.saturating_sub(&room);
-                }
-            }
-        }
-    }
-
     /// Ends all that ran on a silent minion once its lease is over for sure.
     fn end_lapsed(&mut self, number: MinionNumber, now: Timestamp) {
         let Some(minion) = self.minions.get(&number) else {
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod forecast;
 mod gangs;
 mod holds;
+mod listings;
 mod mechanisms;
 mod minion;
 mod objective;
