A lasting task that worked before it failed does not count against its minion

Found in review: a lasting task that fails once a minute by its own fault was away for 1, 2, 4 and then 8 s after each failure, where only one minion may run it.

Cause: failures in a row keep a minion from work for a time that doubles, and only a run that is done ends the row, which a lasting run never is. One that has worked for 5 s now clears its minion. A minion on which lasting tasks fail at once is avoided as before.

--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -16,6 +16,9 @@
 const ENDS_LISTED: usize = 500;
 /// Pause between two lines about rows that could not be read: a foreign row stays listed.
 const UNREADABLE_TOLD: Duration = Duration::from_secs(1);
+/// Time that a lasting run has to work for its minion to count as sound: a minion that fails all that
+/// it starts does so well before.
+const PROVED_SOUND: Duration = Duration::from_secs(5);
 /// Pause between two orders to stop a run that is listed although nobody wants it.
 const STRAY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -92,32 +95,50 @@
             .is_some_and(|r| r.run == end.run && r.minion == number);
         if ours {
             match end.kind {
-                EndKind::Done => {
-                    minion.succeeded();
-                    let run = &self.runs[&end.task];
-                    let seen = run
-                        .begun
-                        .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-                    self.profiles.learn(&run.queue, run.estimate, seen);
-                    if !run.resumed && !seen.is_zero() {
-                        self.observed.entry(end.task.step).or_default().learn(seen);
-                        // The room that comes free is given away in this very round, in an order
-                        // that should know of it.
-                        if self.ready.contains_key(&end.task.step) {
-                            self.dirty_jobs.insert(end.task.step.job);
-                        }
-                    }
-                    if self.cfg.mechanisms.has(Mechanism::LearntSpeeds) {
-                        self.speeds.learn(&mut minion.pace, run.estimate, seen);
-                    }
-                }
-                EndKind::Failed => minion.failed(now),
+                EndKind::Done => self.learn_from_done(now, number, end.task),
+                EndKind::Failed => self.learn_from_failed(now, number, end.task),
                 _ => {}
             }
             self.run_over(now, end.task, end.kind, end.checkpoint.clone());
         }
     }
 
+    fn learn_from_done(&mut self, now: Timestamp, number: MinionNumber, task: TaskId) {
+        let (Some(minion), Some(run)) = (self.minions.get_mut(&number), self.runs.get(&task))
+        else {
+            return;
+        };
+        minion.succeeded();
+        let seen = run.worked(now);
+        self.profiles.learn(&run.queue, run.estimate, seen);
+        if self.cfg.mechanisms.has(Mechanism::LearntSpeeds) {
+            self.speeds.learn(&mut minion.pace, run.estimate, seen);
+        }
+        if run.resumed || seen.is_zero() {
+            return;
+        }
+        self.observed.entry(task.step).or_default().learn(seen);
+        // The room that comes free is given away in this very round, in an order that should know
+        // of it.
+        if self.ready.contains_key(&task.step) {
+            self.dirty_jobs.insert(task.step.job);
+        }
+    }
+
+    /// A lasting run never ends well, so one that has worked for a while clears its minion as a
+    /// finished one does. Counted as failures they kept minions without work for 8 s after each.
+    fn learn_from_failed(&mut self, now: Timestamp, number: MinionNumber, task: TaskId) {
+        let (Some(minion), Some(run)) = (self.minions.get_mut(&number), self.runs.get(&task))
+        else {
+            return;
+        };
+        if !run.ends && run.worked(now) >= PROVED_SOUND {
+            minion.succeeded();
+        } else {
+            minion.failed(now);
+        }
+    }
+
     /// The run of a task is over: frees its room and has its end agreed.
     pub(super) fn run_over(
         &mut self,
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -123,6 +123,12 @@
         progress.take(now, percent);
     }
 
+    /// Time since its start was sent; zero when an earlier leader sent it.
+    pub(super) fn worked(&self, now: Timestamp) -> Duration {
+        let begun = self.begun;
+        begun.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
     /// Whether it was told to stop and its room will come free.
     pub(super) fn is_leaving(&self) -> bool {
         self.stop != StopState::No
--- a/tests/batch_placement.rs
+++ b/tests/batch_placement.rs
@@ -2,7 +2,7 @@
 
 mod batch_world;
 
-use batch_world::{World, ms, queue, step};
+use batch_world::{JOB, World, lasting, ms, queue, step};
 use yuccahold::batch::dispatch::ListedEnd;
 use yuccahold::batch::model::{EndKind, MinionNumber, Queue, StepSpec};
 
@@ -212,3 +212,37 @@
         .collect();
     assert_eq!(started, [1]);
 }
+
+/// A lasting task fails by its own fault once a minute, on the only minion that may run it. Each
+/// time it has worked, so the minion is sound and the task must be back at once. Its failures were
+/// added up for ever, as only a run that is done cleared them: from the third on the task was away
+/// for 2, 4 and then 8 s each time.
+#[test]
+fn a_lasting_task_that_worked_before_it_failed_is_back_at_once() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    world.submit(JOB, vec![lasting(1, 1_000)]);
+    for failure in 1..=5 {
+        let started = world.start_all();
+        assert_eq!(started.len(), 1, "after {failure} failures");
+        world.pass(ms(60_000));
+        world.end(minion, failure, &started[0].1, EndKind::Failed);
+        world.pass(ms(100));
+    }
+}
+
+/// The same task fails within a second each time: the minion fails all that it starts, and gets no
+/// work for a while.
+#[test]
+fn a_minion_on_which_lasting_tasks_fail_at_once_gets_no_work_for_a_while() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    world.submit(JOB, vec![lasting(1, 1_000)]);
+    for failure in 1..=2 {
+        let started = world.start_all();
+        world.pass(ms(500));
+        world.end(minion, failure, &started[0].1, EndKind::Failed);
+        world.pass(ms(100));
+    }
+    assert_eq!(world.take_starts(), []);
+}
