--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -148,3 +148,57 @@
     lose(&mut world, minion, just_before_the_end + ms(1));
     assert_eq!(world.take_starts().len(), 1);
 }
+
+/// A late report of an incarnation that crashed comes from the address of the one that took its
+/// place. The one at work is looked at, answers, and must go on getting work: it was once passed
+/// over for good, and asked again without a pause.
+#[test]
+fn a_minion_that_answers_is_not_displaced_by_a_late_report() {
+    let mut world = World::with(long_leases());
+    let minion = world.join("i-2", 1);
+    world.leader.report(world.now, report("i-1", 1));
+    world.decide();
+    for (to, _) in world.take_holds() {
+        if to == minion {
+            world.list(minion, Vec::new(), Vec::new());
+        }
+    }
+    world.submit(JOB, vec![lasting(1, 1_000)]);
+    let given: Vec<_> = world.take_starts().iter().map(|(to, _)| *to).collect();
+    assert_eq!(given, [minion]);
+}
+
+/// A minion crashes without a word. Its tasks may go on until its lease is over, and no longer: the
+/// time that its last answer had waited for an end was counted on top of the lease.
+#[test]
+fn a_lasting_task_is_away_no_longer_than_the_lease_of_a_minion_that_crashed() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    works(&mut world, minion, &start, ms(4_100));
+    let away = away(&mut world, minion);
+    assert!(away < ms(10_300), "away for {away:?}");
+}
+
+/// The same, but the word never arrives: all daemons that the minion tried were restarting.
+#[test]
+fn a_lasting_task_is_back_in_time_when_its_minion_left_without_a_word() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    world.leader.report(world.now, draining("i-1", 1));
+    works(&mut world, minion, &start, ms(9_500));
+    let away = away(&mut world, minion);
+    assert!(away < LONGEST_ABSENCE * 2 / 3, "away for {away:?}");
+}
+
+/// The same departure, but the word of the end is lost with the leader that had it: the next one has
+/// never heard from the minion and cannot know how long its lease is. It took the longest for it,
+/// and the task was away for more than ten seconds.
+#[test]
+fn a_lasting_task_is_back_in_time_when_the_word_of_the_end_is_lost_with_the_leader() {
+    let (mut world, minion, start) = world_with_a_lasting_task();
+    world.leader.report(world.now, draining("i-1", 1));
+    works(&mut world, minion, &start, ms(9_500));
+    world.leader.left(world.now, &"i-1".into());
+    world.new_leader(2);
+    world.answer_first_hold_of("i-2");
+    let away = away(&mut world, minion);
+    assert!(away < LONGEST_ABSENCE * 2 / 3, "away for {away:?}");
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,6 +89,7 @@
 /// One leader; its log agrees at once.
 pub struct World {
     cfg: DispatchConfig,
+    leaving_since: BTreeMap<MinionNumber, Duration>,
     pub now: Duration,
     pub ledger: Ledger,
     pub leader: Dispatcher,
@@ -105,6 +107,7 @@
         let leader = Dispatcher::new(cfg.clone(), 1, &ledger, now);
         Self {
             cfg,
+            leaving_since: BTreeMap::new(),
             now,
             ledger,
             leader,
@@ -115,10 +118,22 @@
     /// Another leader takes over, with what the ledger holds and nothing else.
     pub fn new_leader(&mut self, term: u64) {
         self.leader = Dispatcher::new(self.cfg.clone(), term, &self.ledger, self.now);
+        self.leader.assume_leaving(self.now, &self.leaving_since);
         self.orders.clear();
         self.decide();
     }
 
+    /// Answers the first hold of a leader to a minion on which nothing runs.
+    pub fn answer_first_hold_of(&mut self, id: &str) {
+        let number = self.ledger.minion_number(&id.into()).expect("it joined");
+        let clock = self.now;
+        let listing = Listing {
+            clock,
+            ..Listing::default()
+        };
+        self.listing(number, listing);
+    }
+
     pub fn unix(&self) -> Duration {
         UNIX + self.now
     }
@@ -130,6 +145,10 @@
         };
         let at = self.unix();
         self.ledger.apply(at, command);
+        if let Command::Batch(batch) = command {
+            let told = batch.draining.iter().map(|number| (*number, self.now));
+            self.leaving_since.extend(told);
+        }
         self.leader.applied(self.now, &self.ledger, command, fresh);
     }
 
@@ -183,13 +202,7 @@
         self.leader.report(self.now, report);
         self.decide();
         let number = self.ledger.minion_number(&id).expect("it joined");
-        self.listing(
-            number,
-            Listing {
-                clock: self.now,
-                ..Listing::default()
-            },
-        );
+        self.answer_first_hold_of(&id);
         number
     }
 
