--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod daemon;
+mod joined;
 mod net;
 
 use std::collections::BTreeMap;
@@ -248,25 +249,6 @@
         self.minions.insert(name.to_owned(), minion);
     }
 
-    /// Waits until entry hosts are ready and every worker and minion is known and owned.
-    pub async fn until_joined(&self) {
-        until("the entry hosts to be ready", async || {
-            let mut ready = true;
-            for entry in &self.entries {
-                ready &= self.is_ready(entry).await;
-            }
-            ready
-        })
-        .await;
-        until("workers and minions to join", async || {
-            let workers = self.table("workers").await.len();
-            let minions = self.table("minions").await;
-            let owned = minions.iter().filter(|row| !row["owner"].is_null()).count();
-            workers >= self.workers.len() && owned >= self.minions.len()
-        })
-        .await;
-    }
-
     pub async fn is_ready(&self, daemon: &Daemon) -> bool {
         let url = format!("http://{}/healthz/ready", daemon.http);
         let answer = self.client.get(url).timeout(Duration::from_secs(2)).send();
