Check the lease when a request's first byte goes to a minion

What callers saw: nothing yet. A request could reach a minion after the lease of the entry host that sent it, under an ownership that control may have given to another; the minion then has more in work than it takes.

Cause: an entry host checked its lease before it handed the request to its HTTP client. After that the client opened a connection, and two more tasks had to run before the first byte was written. A process that is paused there, or whose threads get no time, writes the request when it goes on, however late.

Shown by a test: the minion's queue of connections is full, so that the connection opens late; the threads that carry traffic stand still for 2 s, twice the lease, and control is cut off. Before, the request was sent under the old epoch; in both cases, for requests that may run twice and for such that must not. Now the connection closes with no byte sent, and the caller gets not-run.

Mend: requests to minions go over connections of our own (hyper's, as the HTTP client used), whose stream asks for the lease and the ownership at each write until the first one went through. A refusal there is proof that nothing was sent, so it counts as not run. Kept connections, their number, their idle time, the times for opening and for keep-alive and the header Accept are as they were. Probes go over the HTTP client as before.

Left: a pause between the check and the system call that follows it. Only a minion that checks the epoch closes that.

Not shown: that this is why an_owner_is_lost_with_requests_in_flight once saw 9 requests in work.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -32,8 +32,8 @@
 const BUSY_TICK: Duration = Duration::from_millis(5);
 /// Time between two looks at deadlines otherwise.
 const IDLE_TICK: Duration = Duration::from_millis(50);
-/// Time between two rounds of upkeep of the metrics.
-const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+/// Time between two rounds of upkeep of the metrics and of idle connections.
+const UPKEEP: Duration = Duration::from_secs(5);
 /// Time between two looks at whether a planned stop is complete.
 const STOP_POLL: Duration = Duration::from_millis(10);
 
@@ -260,7 +260,7 @@
         let load = core.load_changed.subscribe();
         let peers = tokio::spawn(peer_server::serve(self.peer, core.clone(), self.keys, load));
         let ticks = tokio::spawn(tick(core.clone()));
-        let upkeep = tokio::spawn(keep_up(context.metrics.clone()));
+        let upkeep = tokio::spawn(keep_up(context.metrics.clone(), core.clone()));
         let burn = tokio::spawn(hand_over(context.burn.clone(), context.link.clone()));
         let close = CancellationToken::new();
         let server = warp::serve(filter(context.clone()))
@@ -306,11 +306,13 @@
         .read(|router, _| router.live() == 0 && router.owned() == 0)
 }
 
-/// Folds in what histograms collected, so that they stay small when nobody reads the page.
-async fn keep_up(metrics: MetricsPage) {
+/// Folds in what histograms collected, so that they stay small when nobody reads the page, and
+/// closes connections that nobody uses.
+async fn keep_up(metrics: MetricsPage, core: Arc<Core>) {
     loop {
-        tokio::time::sleep(METRICS_UPKEEP).await;
+        tokio::time::sleep(UPKEEP).await;
         metrics.upkeep();
+        core.clients.close_idle();
     }
 }
 
--- a/src/entry/minion_client.rs
+++ b/src/entry/minion_client.rs
@@ -2,36 +2,31 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use http::header::{ACCEPT, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use serde::Deserialize;
 
 use crate::entry::core::{Core, Start};
+use crate::entry::http::with_query;
+use crate::entry::minion_connection::{CONNECT_TIMEOUT, Kept, USER_TIMEOUT, Unanswered, send};
 use crate::entry::reply::{DEADLINE, EPOCH, NOT_RUN, OUTCOME, REQUEST_ID, end_to_end};
 use crate::entry::work::WholeAnswer;
 use crate::ids::{MinionId, ProcessId};
 use crate::routing::{AttemptEnd, SlotReport, Target};
 
-/// Time for opening a connection to a minion.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for which sent bytes may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle time after which a connection is closed; below the usual keep-alive of servers.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Idle connections kept to one minion.
-const IDLE_PER_MINION: usize = 8;
-
-/// Clients by minion, each with its own connections.
+/// Kept connections by minion, and the client for probes.
 pub(super) struct MinionClients {
     process: ProcessId,
-    pooled: Mutex<HashMap<MinionId, reqwest::Client>>,
-    fresh: reqwest::Client,
+    kept: Mutex<HashMap<MinionId, Arc<Kept>>>,
+    probes: reqwest::Client,
 }
 
 /// What a minion that reports its slots says.
@@ -46,12 +41,12 @@
     pub(super) fn new(process: ProcessId) -> reqwest::Result<Self> {
         Ok(Self {
             process,
-            pooled: Mutex::default(),
-            fresh: builder().pool_max_idle_per_host(0).build()?,
+            kept: Mutex::default(),
+            probes: probing_client()?,
         })
     }
 
-    /// Closes the idle connections to a minion.
+    /// Closes the idle connections to a minion; those in use are not kept after their answer.
     pub(super) fn forget(&self, minion: &MinionId) {
         self.lock().remove(minion);
     }
@@ -61,28 +56,24 @@
         self.lock().retain(|id, _| keep(id));
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<MinionId, reqwest::Client>> {
-        self.pooled.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Closes connections that were idle for too long.
+    pub(super) fn close_idle(&self) {
+        self.lock().values().for_each(|kept| kept.close_idle());
     }
 
-    /// A client for one try. A request that must not run twice gets a connection of its own: on
-    /// a kept one that the minion just closed, it could not be told whether it ran.
-    fn client(&self, minion: &MinionId, idempotent: bool) -> reqwest::Client {
-        if !idempotent {
-            return self.fresh.clone();
-        }
-        let mut pooled = self.lock();
-        if let Some(client) = pooled.get(minion) {
-            return client.clone();
-        }
-        let built = builder().pool_max_idle_per_host(IDLE_PER_MINION).build();
-        let client = built.unwrap_or_else(|_| self.fresh.clone());
-        pooled.insert(minion.clone(), client.clone());
-        client
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<MinionId, Arc<Kept>>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The kept connections that a try may use. A request that must not run twice gets a
+    /// connection of its own: on a kept one that the minion just closed, it could not be told
+    /// whether it ran.
+    fn kept(&self, minion: &MinionId, idempotent: bool) -> Option<Arc<Kept>> {
+        idempotent.then(|| self.lock().entry(minion.clone()).or_default().clone())
     }
 
     /// Sends one try and reads its whole answer.
-    pub(super) async fn send(&self, core: &Core, start: &Start) -> End {
+    pub(super) async fn send(&self, core: &Arc<Core>, start: &Start) -> End {
         let Target::Minion {
             id,
             addr,
@@ -96,27 +87,21 @@
         let began = core.now();
         let left = core.left(start.until);
         let own_id = format!("{:x}-{}", self.process, start.attempt);
-        let request = self
-            .client(id, start.work.idempotent)
-            .request(
-                start.work.method.clone(),
-                format!("http://{addr}{}", start.work.path),
-            )
-            .headers(start.work.headers.clone())
-            .header(DEADLINE, left.as_millis().to_string())
-            .header(EPOCH, *epoch)
-            .header(REQUEST_ID, &own_id)
-            .body(start.work.body.clone());
-        // The lease is checked again at the last moment: this process may have been paused
-        // between the decision and here, and the minion may have another owner by now.
-        if !core.read(|router, now| router.may_use(now, id, *epoch)) {
-            return not_run(None, false);
-        }
-        let response = match tokio::time::timeout(left, request.send()).await {
+        let Some(request) = request(*addr, start, left, *epoch, &own_id) else {
+            return not_run(None, true);
+        };
+        // The lease is checked again before the first byte: this process may have been paused
+        // between the decision and there, and the minion may have another owner by now.
+        let (router, minion, epoch) = (core.clone(), id.clone(), *epoch);
+        let check = move || router.read(|router, now| router.may_use(now, &minion, epoch));
+        let kept = self.kept(id, start.work.idempotent);
+        let sending = send(*addr, kept.as_deref(), request, Arc::new(check));
+        let (connection, mut response) = match tokio::time::timeout(left, sending).await {
             Err(_) => return broken(true),
-            Ok(Err(e)) if e.is_connect() || e.is_builder() => return not_run(None, true),
-            Ok(Err(e)) => return broken(is_silence(&e)),
-            Ok(Ok(response)) => response,
+            Ok(Err(Unanswered::Unreachable)) => return not_run(None, true),
+            Ok(Err(Unanswered::Refused)) => return not_run(None, false),
+            Ok(Err(Unanswered::Broken(e))) => return broken(is_silence(&e)),
+            Ok(Ok(answered)) => answered,
         };
         if is_crossed(response.headers(), &own_id) {
             metrics::counter!("yuccahold_entry_crossed_answers_total").increment(1);
@@ -125,12 +110,15 @@
         let is_head = start.work.method == Method::HEAD;
         let (status, headers) = (response.status(), response.headers().clone());
         let left = core.left(start.until);
-        let body = read_whole(response, is_head, start.work.body_limit);
+        let body = read_whole(&mut response, is_head, start.work.body_limit);
         let body = match tokio::time::timeout(left, body).await {
             Err(_) => return broken(true),
             Ok(None) => return broken(false),
             Ok(Some(body)) => body,
         };
+        if let Some(kept) = kept {
+            kept.put(connection);
+        }
         if headers
             .get(OUTCOME)
             .is_some_and(|outcome| outcome == NOT_RUN)
@@ -151,7 +139,7 @@
 
     /// Asks a minion over a new connection what it has in work.
     pub(super) async fn probe(&self, addr: SocketAddr) -> Option<SlotReport> {
-        let request = self.fresh.get(format!("http://{addr}/slots")).send();
+        let request = self.probes.get(format!("http://{addr}/slots")).send();
         let response = tokio::time::timeout(PROBE_TIMEOUT, request)
             .await
             .ok()?
@@ -167,21 +155,51 @@
     }
 }
 
-fn builder() -> reqwest::ClientBuilder {
+fn probing_client() -> reqwest::Result<reqwest::Client> {
     reqwest::Client::builder()
         .no_proxy()
         .http1_only()
         .redirect(reqwest::redirect::Policy::none())
         .retry(reqwest::retry::never())
         .connect_timeout(CONNECT_TIMEOUT)
-        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(0)
         .tcp_nodelay(true)
         .tcp_user_timeout(USER_TIMEOUT)
+        .build()
+}
+
+/// A try's request as its minion gets it; none for a path that is no part of an address.
+fn request(
+    addr: SocketAddr,
+    start: &Start,
+    left: Duration,
+    epoch: u64,
+    own_id: &str,
+) -> Option<Request<Full<Bytes>>> {
+    let work = &start.work;
+    let url = reqwest::Url::parse(&format!("http://{addr}{}", work.path)).ok()?;
+    let path = with_query(url.path(), url.query().unwrap_or_default());
+    let request = Request::builder().method(work.method.clone()).uri(path);
+    let mut request = request.body(Full::new(work.body.clone())).ok()?;
+    let headers = request.headers_mut();
+    *headers = work.headers.clone();
+    headers
+        .entry(ACCEPT)
+        .or_insert(HeaderValue::from_static("*/*"));
+    headers.insert(HOST, HeaderValue::from_str(&addr.to_string()).ok()?);
+    headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+    headers.insert(EPOCH, HeaderValue::from(epoch));
+    headers.insert(REQUEST_ID, HeaderValue::from_str(own_id).ok()?);
+    Some(request)
 }
 
 /// Reads a body of at most `limit` bytes; none when it is cut, too long, or of a length that
 /// nothing states.
-async fn read_whole(mut response: reqwest::Response, is_head: bool, limit: usize) -> Option<Bytes> {
+async fn read_whole(
+    response: &mut Response<Incoming>,
+    is_head: bool,
+    limit: usize,
+) -> Option<Bytes> {
     let status = response.status();
     let empty = is_head || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
     if empty {
@@ -193,13 +211,16 @@
         metrics::counter!("yuccahold_entry_unsized_answers_total").increment(1);
         return None;
     }
-    let expected = response.content_length().unwrap_or(0);
+    let expected = response.body().size_hint().exact().unwrap_or(0);
     if expected > limit as u64 {
         metrics::counter!("yuccahold_entry_oversized_answers_total").increment(1);
         return None;
     }
     let mut body = BytesMut::with_capacity(expected as usize);
-    while let Some(chunk) = response.chunk().await.ok()? {
+    while let Some(frame) = response.frame().await {
+        let Ok(chunk) = frame.ok()?.into_data() else {
+            continue;
+        };
         if body.len() + chunk.len() > limit {
             metrics::counter!("yuccahold_entry_oversized_answers_total").increment(1);
             return None;
@@ -223,7 +244,7 @@
     status.is_server_error() && !about_request.contains(&status)
 }
 
-fn is_silence(error: &reqwest::Error) -> bool {
+fn is_silence(error: &hyper::Error) -> bool {
     let mut source = std::error::Error::source(error);
     while let Some(cause) = source {
         if let Some(io) = cause.downcast_ref::<std::io::Error>() {
@@ -231,7 +252,7 @@
         }
         source = cause.source();
     }
-    error.is_timeout()
+    false
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod link;
 mod link_connection;
 mod minion_client;
+mod minion_connection;
 mod peer_dialer;
 mod peer_message;
 mod peer_server;
--- a/tests/entry_faults.rs
+++ b/tests/entry_faults.rs
@@ -4,13 +4,20 @@
 #[allow(dead_code, reason = "each test file uses a part")]
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use rstest::rstest;
 use support::{Cell, TestEntry, document, outcome, settings, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use yuccahold::fault::{Direction, Fault, TcpProxy};
 use yuccahold::stand_in::MinionBehaviour;
 
+/// Time for which threads stand still: longer than the lease of 1 s, and than the second after
+/// which the system asks again for a connection that found a full queue.
+const STALL: Duration = Duration::from_secs(2);
+
 /// One entry host with one minion behind a proxy.
 async fn behind_proxy(behaviour: MinionBehaviour) -> (Cell, TcpProxy) {
     let mut cell = Cell::start(document(), 1, 0).await;
@@ -91,7 +98,7 @@
     // A minion sends one request's answer on another's connection. The number it carries is not
     // the one that was sent, so it is dropped and the outcome is unknown.
     let cell = Cell::start(document(), 1, 0).await;
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
@@ -184,3 +191,71 @@
     }
     assert!(done >= 8 && refused > 0, "{done} done, {refused} refused");
 }
+
+/// A listener whose queue is full, with what fills it: a further connection opens only once that
+/// one was accepted.
+async fn full_listener() -> (TcpListener, TcpStream) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, TcpStream::connect(addr).await.unwrap())
+}
+
+/// Whether someone waits for a connection to this address to open.
+fn is_opening(addr: SocketAddr) -> bool {
+    /// Word of the system's table for a connection that was asked for and not answered yet.
+    const SYN_SENT: &str = "02";
+    let SocketAddr::V4(v4) = addr else {
+        unreachable!("entry hosts under test use IPv4")
+    };
+    let host = u32::from_le_bytes(v4.ip().octets());
+    let to = format!("{host:08X}:{:04X}", v4.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    table.lines().any(|line| {
+        let fields = line.split_whitespace().skip(2).take(2);
+        fields.eq([to.as_str(), SYN_SENT])
+    })
+}
+
+#[rstest]
+#[case::once("false")]
+#[case::idempotent("true")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_opens_after_the_lease_carries_no_request(#[case] idempotent: &str) {
+    // An entry host decides for its minion within its lease, and stands still while the
+    // connection opens. Meanwhile control has not heard of it for longer than the lease and may
+    // have given the minion to another, which fills it. Awake again, it holds an open connection
+    // and the request: sending it would put one more in work than the minion takes.
+    let mut cell = Cell::start(document(), 0, 0).await;
+    let to_control = TcpProxy::start(cell.control.addr, 1).await.unwrap();
+    let entry = settings("entry-0", to_control.addr());
+    cell.entries.push(TestEntry::start(entry).await);
+    let (listener, filling) = full_listener().await;
+    let addr = listener.local_addr().unwrap();
+    let url = cell.url(0, "/v1/minions/minion-0");
+    let minion = serde_json::json!({"service": "desk", "addr": addr, "ttl_ms": 60_000});
+    let announced = cell.client.put(url).json(&minion).send().await.unwrap();
+    assert_eq!(announced.status(), 200);
+    cell.settled(1).await;
+    let url = cell.url(0, "/v1/services/desk/late");
+    let asked = cell.client.get(url);
+    let asked = asked.header("yuccahold-idempotent", idempotent).send();
+    let stalled = async {
+        while !is_opening(addr) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        cell.entries[0].stall(STALL);
+        to_control.apply(Fault::Silence(Direction::Both));
+        drop(filling);
+        let (_, _) = listener.accept().await.unwrap();
+        let (mut opened, _) = listener.accept().await.unwrap();
+        let mut sent = Vec::new();
+        let _ = opened.read_to_end(&mut sent).await;
+        sent
+    };
+    let (reply, sent) = tokio::join!(asked, stalled);
+    assert_eq!(String::from_utf8_lossy(&sent), "");
+    let reply = reply.unwrap();
+    assert_eq!((reply.status().as_u16(), outcome(&reply)), (504, "not-run"));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 pub mod fake_control;
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Barrier};
 use std::time::Duration;
 
 use tokio::runtime::{Builder, Runtime};
@@ -17,6 +18,8 @@
 
 /// Generous bound on anything that is waited for.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// Threads of each entry host's runtime.
+const TRAFFIC_THREADS: usize = 2;
 
 pub fn keys() -> CellKeys {
     CellKeys::new([CellKey::from_text("cell")]).unwrap()
@@ -68,7 +71,7 @@
 impl TestEntry {
     pub async fn start(settings: EntrySettings) -> Self {
         let runtime = Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(TRAFFIC_THREADS)
             .enable_all()
             .build()
             .unwrap();
@@ -82,6 +85,19 @@
         }
     }
 
+    /// Keeps all threads that carry traffic from running until the time has passed, as a busy
+    /// machine or a paused process would. The thread towards control runs on.
+    pub fn stall(&self, time: Duration) {
+        let all = Arc::new(Barrier::new(TRAFFIC_THREADS));
+        for _ in 0..TRAFFIC_THREADS {
+            let all = all.clone();
+            self.runtime.as_ref().unwrap().spawn(async move {
+                all.wait();
+                std::thread::sleep(time);
+            });
+        }
+    }
+
     /// Stops it as planned.
     pub async fn stop(mut self) {
         self.handle.take().unwrap().stop().await;
