A minion that fell silent stays with its owner until that one lets go

What callers saw: a minion could have up to twice its slots in work, after its announcements had stayed away for longer than they hold and it came back.

Cause: when an announcement lapsed, control forgot the minion at once, with its owner and its number of ownership. When the minion announced itself again, it was taken for a new one: any entry host could get it, with nothing said of an earlier owner, and began from zero while the old one's requests were in work. The old one could even start more until its feed came.

Shown by two tests that failed before: in the state, the minion was gone at once; with real processes, a minion with 8 of 8 slots in use fell silent for a moment, came back in the zone of another entry host, and had 16 in work.

Mend: a minion whose announcement lapsed and that has an owner is kept, told to the entry hosts as leaving and to be released, and forgotten once its owner has released it or was lost. If it announces itself before, it keeps its owner and number. That it is silent is held as an announcement that holds for no time, which no announcement taken in does, so the format of the state is as it was. An owner that has not yet learnt what an earlier one left there may release a silent minion: it may never answer.

Replicas of before and after this change apply the same command unlike: they must not be mixed in a group.

Left: a silent minion whose owner is lost too is forgotten with it, as before; when it comes back its new owner begins from zero.

Not shown: that this is why an_owner_is_lost_with_requests_in_flight once saw 9 requests in work. It fits: all minions of that test announce themselves through the entry host that is paused, wait 1.1 s for that to fail, and their announcements hold for 2 s.

--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -45,7 +45,7 @@
             addr: minion.announced.addr,
             slots: minion.announced.slots,
             owner: minion.owner.clone(),
-            leaving: minion.leaving,
+            leaving: minion.leaving || minion.is_silent(),
         });
         rows.collect()
     }
--- a/src/routing/minions.rs
+++ b/src/routing/minions.rs
@@ -159,7 +159,9 @@
                 epoch: minion.owned.epoch,
             });
         }
-        let drained = minion.owned.release && minion.in_use() == 0 && !minion.settling;
+        // A silent minion may never answer the probe that settles it, and gets no next owner.
+        let settled = !minion.settling || minion.owned.minion.ttl.is_zero();
+        let drained = minion.owned.release && minion.in_use() == 0 && settled;
         if drained && !minion.released {
             minion.released = true;
             out.push(Effect::Released(id.clone()));
--- a/src/state/commands/entries.rs
+++ b/src/state/commands/entries.rs
@@ -1,5 +1,7 @@
 //! Entry hosts, minions, and which entry host owns which minion.
 
+use std::time::Duration;
+
 use super::{Reply, refuse};
 use crate::ids::{EntryId, MinionId, ProcessId, ZoneName};
 use crate::state::Cell;
@@ -75,6 +77,13 @@
             minion.release = false;
             minion.lapsed = true;
         }
+        self.forget_silent();
+    }
+
+    /// Forgets silent minions that nobody uses any more.
+    fn forget_silent(&mut self) {
+        self.minions
+            .retain(|_, minion| minion.owner.is_some() || !minion.is_silent());
     }
 
     pub(super) fn announce_minion(&mut self, announced: MinionAnnouncement) -> Reply {
@@ -83,6 +92,10 @@
             // The owner carries on: it sees the new process or size in its feed.
             Some(minion) => {
                 minion.leaving = minion.leaving && minion.announced.process == announced.process;
+                if minion.is_silent() {
+                    let owner = minion.owner.as_ref().and_then(|id| self.entries.get(id));
+                    minion.release = owner.is_some_and(|entry| entry.leaving);
+                }
                 minion.announced = announced;
             }
             None => {
@@ -117,12 +130,24 @@
             .get(id)
             .is_some_and(|m| m.announced.process == process);
         if current {
-            self.minions.remove(id);
+            self.silence(id);
             self.feed_changed();
         }
         Reply::Ok
     }
 
+    /// Has the owner of a minion whose announcement lapsed let go of it first. Forgotten at once,
+    /// a minion that comes back would get another owner beside what the old one has in work.
+    fn silence(&mut self, id: &MinionId) {
+        match self.minions.get_mut(id) {
+            Some(minion) if minion.owner.is_some() => {
+                minion.announced.ttl = Duration::ZERO;
+                minion.release = true;
+            }
+            _ => drop(self.minions.remove(id)),
+        }
+    }
+
     pub(super) fn release_minions(&mut self, entry: &EntryId, minions: &[MinionId]) -> Reply {
         for id in minions {
             let Some(minion) = self.minions.get_mut(id) else {
@@ -134,6 +159,7 @@
                 minion.lapsed = false;
             }
         }
+        self.forget_silent();
         self.assign_owners();
         self.feed_changed();
         Reply::Ok
--- a/src/state/queries/feed.rs
+++ b/src/state/queries/feed.rs
@@ -29,7 +29,7 @@
                         minion: minion.announced.clone(),
                         owner: minion.owner.clone(),
                         epoch: minion.epoch,
-                        leaving: minion.leaving,
+                        leaving: minion.leaving || minion.is_silent(),
                         release: minion.release,
                         lapsed: minion.lapsed,
                     };
--- a/src/state/records.rs
+++ b/src/state/records.rs
@@ -171,6 +171,13 @@
     pub lapsed: bool,
 }
 
+impl MinionRecord {
+    /// Whether its announcement lapsed: it holds for no time, which none that is taken in does.
+    pub const fn is_silent(&self) -> bool {
+        self.announced.ttl.is_zero()
+    }
+}
+
 impl TaskRecord {
     /// Where the task runs, while it does.
     pub fn running(&self) -> Option<&RunningTask> {
--- a/tests/cell/joined.rs
+++ b/tests/cell/joined.rs
@@ -27,8 +27,13 @@
             workers >= self.workers.len() && owned >= self.minions.len()
         })
         .await;
+        let slots = u64::from(MinionOptions::default().slots) * self.minions.len() as u64;
+        self.until_known(slots).await;
+    }
+
+    /// Waits until every entry host knows just so many slots.
+    pub async fn until_known(&self, slots: u64) {
         until("every entry host to know all slots", async || {
-            let slots = u64::from(MinionOptions::default().slots) * self.minions.len() as u64;
             let mut known = true;
             for entry in &self.entries {
                 known &= self.known_slots(entry).await == Some(slots);
--- a/tests/process_entries.rs
+++ b/tests/process_entries.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use tokio::task::JoinHandle;
 use yuccahold::fault::{Direction, Fault};
-use yuccahold::stand_in::MinionBehaviour;
+use yuccahold::stand_in::{MinionBehaviour, MinionHandle, MinionOptions, start_minion};
 
 fn cell_of(entries: usize, minions: usize) -> Shape {
     Shape {
@@ -281,3 +281,63 @@
     let answers = callers.finish().await;
     check_answers(&env, &answers, false);
 }
+
+/// Announces a minion by hand.
+async fn announce(env: &TestEnv, minion: &MinionHandle, zone: &str, ttl: Duration) {
+    let url = format!("http://{}/v1/minions/quiet", env.entries[0].http);
+    let announcement = serde_json::json!({
+        "service": "massrechner",
+        "addr": minion.addr(),
+        "zone": zone,
+        "ttl_ms": ttl.as_millis() as u64,
+        "process": minion.process(),
+    });
+    let announced = env.client.put(url).json(&announcement).send().await;
+    assert_eq!(announced.unwrap().status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_minion_that_fell_silent_and_came_back_is_not_overfilled() {
+    // A minion's announcements stay away for a moment, as when the entry host that it announces
+    // to is paused, while its owner has all of its slots in use. It announces itself again, now
+    // nearer to another entry host. That one must not start from zero beside what is in work.
+    let mut env = TestEnv::start("fell-silent", cell_of(2, 0)).await;
+    let behaviour = MinionBehaviour {
+        service_time: Duration::from_millis(2500),
+        ..MinionBehaviour::default()
+    };
+    let options = MinionOptions {
+        behaviour,
+        ..MinionOptions::default()
+    };
+    let minion = start_minion(options).await.unwrap();
+    announce(&env, &minion, "bern-a", Duration::from_secs(1)).await;
+    env.until_known(8).await;
+    let asks = async {
+        let asks = (0..8).map(|_| env.ask(0, "/check", &[]));
+        futures::future::join_all(asks).await
+    };
+    let comes_back = async {
+        until("all slots to be in use", async || {
+            minion.counts().in_work == 8
+        })
+        .await;
+        until("it to count as silent", async || {
+            let rows = env.table("minions").await;
+            rows.first().is_none_or(|row| row["leaving"] == true)
+        })
+        .await;
+        announce(&env, &minion, "bern-b", Duration::from_secs(60)).await;
+        env.until_known(8).await;
+        let asks = (0..8).map(|_| env.ask(1, "/check", &[]));
+        futures::future::join_all(asks).await
+    };
+    let (first, second) = tokio::join!(asks, comes_back);
+    let answers = first.iter().chain(&second);
+    assert!(
+        answers.clone().all(|a| a.outcome == "done"),
+        "{first:?} {second:?}"
+    );
+    env.minions.insert("quiet".to_owned(), minion);
+    env.check();
+}
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -457,6 +457,35 @@
     assert_eq!(owner(&bench), (Some("e1".to_owned()), 3, false));
 }
 
+#[test]
+fn a_silent_minion_stays_with_its_owner_until_released() {
+    // A minion's announcement lapses while its owner may have requests there, and it announces
+    // itself again, nearer to another entry host. Its owner keeps it, under the same number of
+    // ownership. One that stays silent is forgotten once the owner has let go.
+    let mut bench = Bench::new();
+    bench.apply(Command::EntryUp(hello("e1")));
+    bench.apply(minion("m"));
+    bench.apply(minion("o"));
+    bench.apply(Command::EntryUp(hello("e2")));
+    let down = |minion: &str| Command::MinionDown {
+        minion: minion.into(),
+        process: 1,
+    };
+    bench.apply(down("m"));
+    let told = bench.cell.feed().minions["m"].clone();
+    assert!(told.leaving && told.release, "{told:?}");
+    bench.apply(minion("m"));
+    let told = bench.cell.feed().minions["m"].clone();
+    assert_eq!((told.owner.as_deref(), told.epoch), (Some("e1"), 1));
+    assert!(!told.leaving && !told.release, "{told:?}");
+    bench.apply(down("m"));
+    bench.apply(Command::ReleaseMinions {
+        entry: "e1".into(),
+        minions: vec!["m".into()],
+    });
+    assert!(!bench.cell.minions.contains_key("m"));
+}
+
 #[test]
 fn a_snapshot_holds_the_whole_state() {
     let mut bench = Bench::new();
