Give each cell of the entry hosts' tests a loopback address of its own

What was seen: a_request_is_answered_through_any_entry_host once found 21 keys that had run instead of 20. The extra key was not printed.

Cause, as far as shown: all cells of these tests, in one process and beside others, listened on 127.0.0.1. An entry host that dies gives its port back while minions of its cell still announce themselves there. As a trial, a stand-in minion was started on the port of another cell's dead entry host: it counted one more key, /v1/minions/minion-0, and answered 200. That the extra key seen was such a one is not shown: 40 runs of four of these tests with 1,000 ports to choose from, each in a network namespace of its own, all passed.

Mend: each cell draws an address from 127.128.0.0/9; its control, entry hosts and minions listen there. The checks are as they were. A new test, which failed before, holds that two cells share no address.

--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -203,3 +203,14 @@
     let ran = cell.check();
     assert!(ran.len() == 41 && ran.values().all(|n| *n == 1), "{ran:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_cells_share_no_address() {
+    // An entry host of one cell dies and gives its port back, while its minions still announce
+    // themselves there. A minion of another cell that got the port would count that as work.
+    let one = Cell::start(document(), 1, 1).await;
+    let other = Cell::start(document(), 1, 1).await;
+    let minion = other.minions[0].addr();
+    assert_ne!(one.entries[0].http_addr.ip(), minion.ip());
+    assert_eq!(other.entries[0].http_addr.ip(), minion.ip());
+}
--- a/tests/support/fake_control.rs
+++ b/tests/support/fake_control.rs
@@ -1,7 +1,7 @@
 //! A small control: one leader over real connections, with leases, ownership, keys and jobs.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -36,7 +36,7 @@
 }
 
 impl FakeControl {
-    pub async fn start(document: Document, keys: CellKeys, lease: Duration) -> Self {
+    pub async fn start(ip: IpAddr, document: Document, keys: CellKeys, lease: Duration) -> Self {
         let state = State {
             feed: Feed {
                 revision: 1,
@@ -51,7 +51,7 @@
             advertised: BTreeMap::new(),
         };
         let state = Arc::new(Mutex::new(state));
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind((ip, 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let feed = watch::Sender::new(0);
         let (shared, changes) = (state.clone(), feed.clone());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod fake_control;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Barrier};
 use std::time::Duration;
 
@@ -46,7 +46,7 @@
 }
 
 pub fn settings(id: &str, control: SocketAddr) -> EntrySettings {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let any = SocketAddr::new(control.ip(), 0);
     EntrySettings {
         id: id.into(),
         zone: "zone-a".into(),
@@ -110,22 +110,32 @@
     }
 }
 
+/// A loopback address for one cell. On a shared one, a minion could get the port that an entry
+/// host of another cell gave back, and count the announcements still sent there as work.
+fn own_ip() -> IpAddr {
+    let [a, b, c]: [u8; 3] = rand::random();
+    IpAddr::from([127, 128 | a, b, c])
+}
+
 /// A control with entry hosts and minions, all in this process.
 pub struct Cell {
     pub control: FakeControl,
     pub entries: Vec<TestEntry>,
     pub minions: Vec<MinionHandle>,
     pub client: reqwest::Client,
+    ip: IpAddr,
 }
 
 impl Cell {
     pub async fn start(document: Document, entries: usize, minions: usize) -> Self {
-        let control = FakeControl::start(document, keys(), Duration::from_secs(1)).await;
+        let ip = own_ip();
+        let control = FakeControl::start(ip, document, keys(), Duration::from_secs(1)).await;
         let mut cell = Self {
             control,
             entries: Vec::new(),
             minions: Vec::new(),
             client: reqwest::Client::builder().no_proxy().build().unwrap(),
+            ip,
         };
         for n in 0..entries {
             cell.add_entry(&format!("entry-{n}")).await;
@@ -157,6 +167,7 @@
         let options = MinionOptions {
             id: id.into(),
             service: "desk".into(),
+            listen: SocketAddr::new(self.ip, 0),
             entries: self.entries.iter().map(|e| e.http_addr).collect(),
             ttl: Duration::from_secs(2),
             behaviour,
