Batches that the log does not take are proposed again

Found in review: a leader whose log refuses two of its batches, as the disk is full for a moment or handing over its lead takes too long, proposed nothing more for as long as it led. Callers would see accepted jobs that never begin, and ended runs that stay under way.

Cause: a refused batch was dropped, while the dispatcher went on counting it as on its way and waits with the next one while two are. The log now gives refused commands back, and the machine hands them out again, oldest first, until they are taken or the lead is lost. With the giving back switched off the test sees no batch at all instead of three.

--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -22,6 +22,9 @@
     cfg: DispatchConfig,
     term: Term,
     lead: Option<Dispatcher>,
+    /// Batches of this leader that the log did not take, oldest first. Dropped, their ends would
+    /// never be agreed and their number would keep all later ones from being proposed.
+    not_taken: Vec<Vec<u8>>,
     /// When this replica learnt that a minion leaves, by its own steady clock. Not part of the
     /// replicated state: a replica that does not know assumes the longest lease.
     leaving_since: BTreeMap<MinionNumber, Timestamp>,
@@ -56,6 +59,7 @@
             cfg,
             term: 0,
             lead: None,
+            not_taken: Vec::new(),
             leaving_since: BTreeMap::new(),
             agents: 0,
             orders,
@@ -206,6 +210,7 @@
     }
 
     fn leadership_changed(&mut self, leading: bool, now: Timestamp) {
+        self.not_taken.clear();
         self.lead = leading.then(|| {
             let mut lead = Dispatcher::new(self.cfg.clone(), self.term, &self.ledger, now);
             lead.assume_leaving(now, &self.leaving_since);
@@ -223,11 +228,14 @@
             // The receiver lives as long as the process.
             let _ = self.orders.send(lead.take_orders());
         }
+        let mut commands = std::mem::take(&mut self.not_taken);
         let command = batch.map(Command::Batch);
-        command
-            .and_then(|c| c.to_bytes().ok())
-            .into_iter()
-            .collect()
+        commands.extend(command.and_then(|c| c.to_bytes().ok()));
+        commands
+    }
+
+    fn not_taken(&mut self, command: Vec<u8>) {
+        self.not_taken.push(command);
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -27,6 +27,10 @@
     /// own. Called after each batch of applied entries and on every tick.
     fn lead(&mut self, now: Timestamp) -> Vec<Vec<u8>>;
 
+    /// Gives back a command of `lead` that was not taken: the disk is full, or leadership is being
+    /// handed over. A machine that counts on its commands should give it again.
+    fn not_taken(&mut self, _command: Vec<u8>) {}
+
     /// Writes the whole state.
     fn snapshot(&self) -> Vec<u8>;
 
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -167,7 +167,10 @@
             return;
         }
         for command in self.machine.lead(now) {
-            let _ = self.core.propose(now, unix_now(), command);
+            let taken = self.core.propose(now, unix_now(), command.clone());
+            if taken.is_err() {
+                self.machine.not_taken(command);
+            }
         }
         self.core.replicate(now);
     }
--- /dev/null
+++ b/tests/batch_machine.rs
@@ -0,0 +1,107 @@
+//! The machine above the log while the log takes nothing from it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc::unbounded_channel;
+use yuccahold::batch::dispatch::{DispatchConfig, Mechanisms};
+use yuccahold::batch::ledger::Command;
+use yuccahold::batch::machine::Machine;
+use yuccahold::batch::model::{JobSpec, Queue, StepSpec, Timetable};
+use yuccahold::replication::StateMachine;
+
+const NOW: Duration = Duration::from_secs(3_600);
+const UNIX: Duration = Duration::from_secs(1_700_000_000);
+
+fn config() -> DispatchConfig {
+    DispatchConfig {
+        lease_max: Duration::from_secs(6),
+        stop_time: Duration::from_millis(400),
+        restore_time: Duration::from_millis(100),
+        mechanisms: Mechanisms::default(),
+    }
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "checks".into(),
+        host: "example".into(),
+        prefix: "/checks/".into(),
+        timeout: Duration::from_secs(3),
+        slo: Duration::from_millis(250),
+        stretch: 1.5,
+        priority: 0,
+        service: "desk".into(),
+        attempts: 3,
+        advice: None,
+    }
+}
+
+/// A job whose only occurrence has been due for long.
+fn due_job(job: u64) -> Vec<u8> {
+    let spec = JobSpec {
+        payload: "payload".into(),
+        steps: vec![StepSpec {
+            count: 1,
+            ..StepSpec::default()
+        }],
+        timetable: Some(Timetable {
+            occurrences: 1,
+            first: UNIX,
+            interval: Duration::from_secs(1),
+        }),
+    };
+    let submit = Command::Submit {
+        job,
+        queue: Arc::new(queue()),
+        spec: Arc::new(spec),
+    };
+    submit.to_bytes().unwrap()
+}
+
+/// The disk of a leader is full for a moment, and the log takes none of its batches. Callers see
+/// jobs that never begin, for as long as that leader lasts: the batches were dropped with all that
+/// they told, and as two of them counted as on their way no other was proposed any more.
+#[test]
+fn batches_that_the_log_did_not_take_are_proposed_again() {
+    let (orders, _kept) = unbounded_channel();
+    let mut machine = Machine::new(config(), orders);
+    machine.term_began(1);
+    machine.leadership_changed(true, NOW);
+    let mut refused = Vec::new();
+    for job in 1..=3 {
+        machine.apply(job, UNIX, &due_job(job));
+        refused = machine.lead(NOW);
+        for command in refused.clone() {
+            machine.not_taken(command);
+        }
+    }
+    assert_eq!(refused.len(), 2);
+    let mut index = 4;
+    loop {
+        let taken = machine.lead(NOW);
+        if taken.is_empty() {
+            break;
+        }
+        for command in taken {
+            machine.apply(index, UNIX, &command);
+            index += 1;
+        }
+    }
+    assert_eq!(index, 4 + 3, "one batch for each job");
+}
+
+/// The same, but the replica loses the lead: what it wanted to propose is of no use to the next one.
+#[test]
+fn batches_of_a_leader_are_dropped_with_its_lead() {
+    let (orders, _kept) = unbounded_channel();
+    let mut machine = Machine::new(config(), orders);
+    machine.term_began(1);
+    machine.leadership_changed(true, NOW);
+    machine.apply(1, UNIX, &due_job(1));
+    for command in machine.lead(NOW) {
+        machine.not_taken(command);
+    }
+    machine.leadership_changed(false, NOW);
+    assert_eq!(machine.lead(NOW), Vec::<Vec<u8>>::new());
+}
