Connections to control that fell silent are ended

Found in review: an entry host is lost for good, or its connection falls silent without a reset. Control kept the connection, and the leader went on giving it its share of the orders to minions and of the questions to the policy service. Each order was given up after 1 s, each question after 4 s, and callers saw late checks for as long as the leader led.

Cause: nothing read on control's side had a time limit, and a writer that gave up did not end its connection. A peer that says nothing for 5 s now counts as gone; healthy ones ask for a sign of life within 2 s. The handling of messages moved to a function of its own.

--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::agents::{AgentId, Agents};
 use super::calls::{Call, CallReply, ClientReply, Down, OperatorReply, RETRY_AFTER, Up};
@@ -27,6 +27,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Time for a peer to take what it is sent, after which it counts as gone.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Silence after which a peer counts as gone. A healthy one asks for a sign of life within 2 s when
+/// nothing else is said, and a hold that it sends on is answered within 2.3 s. A connection can fall
+/// silent without a reset, and its peer may be lost for good: orders to minions and questions went
+/// on being given to it, each to be lost.
+const PEER_SILENCE: Duration = Duration::from_secs(5);
 
 /// Answers calls on the state that this replica holds.
 #[derive(Clone)]
@@ -210,35 +215,28 @@
             }
         });
         let _reading = AbortOnDrop(reading);
+        let mut heard = Instant::now();
         loop {
             tokio::select! {
-                up = frames.recv() => match up {
-                    None => return Ok(()),
-                    Some(Up::Call(number, call)) => {
-                        let (server, tx) = (self.clone(), tx.clone());
-                        tokio::spawn(async move {
-                            let reply = server.answer(call).await;
-                            let _ = tx.send(Down::Reply(number, reply));
-                        });
-                    }
-                    Some(Up::Hello(named)) => {
-                        if last.0 {
-                            self.add_agent(id, tx, &named, own).await;
+                up = frames.recv() => {
+                    heard = Instant::now();
+                    match up {
+                        None => return Ok(()),
+                        Some(Up::Hello(named)) => {
+                            if last.0 {
+                                self.add_agent(id, tx, &named, own).await;
+                            }
+                            zone = Some(named);
                         }
-                        zone = Some(named);
-                    }
-                    Some(Up::Done(answers)) => {
-                        let answers = self.agents.done(id, answers);
-                        self.replica.inform(move |m, now| m.answered(now, answers)).await;
-                    }
-                    Some(Up::Advised(question, advice)) => {
-                        self.agents.answered(id, question);
-                        self.replica.inform(move |m, now| m.advised(now, question, advice)).await;
-                    }
-                    Some(Up::Ping(number)) => {
-                        let _ = tx.send(Down::Pong(number));
+                        Some(up) => self.take(id, tx, up).await,
                     }
-                },
+                }
+                () = sleep_until(heard + PEER_SILENCE) => {
+                    return Err(Error::new(Step::Transfer, "the connection fell silent"));
+                }
+                () = tx.closed() => {
+                    return Err(Error::new(Step::Transfer, "the peer does not read"));
+                }
                 changed = status.changed() => {
                     if changed.is_err() {
                         return Ok(());
@@ -258,6 +256,36 @@
             }
         }
     }
+
+    /// Takes a message of a peer that has said who it is.
+    async fn take(&self, id: AgentId, tx: &mpsc::UnboundedSender<Down>, up: Up) {
+        match up {
+            Up::Call(number, call) => {
+                let (server, tx) = (self.clone(), tx.clone());
+                tokio::spawn(async move {
+                    let reply = server.answer(call).await;
+                    let _ = tx.send(Down::Reply(number, reply));
+                });
+            }
+            Up::Done(answers) => {
+                let answers = self.agents.done(id, answers);
+                let told = self.replica.inform(move |m, now| m.answered(now, answers));
+                told.await;
+            }
+            Up::Advised(question, advice) => {
+                self.agents.answered(id, question);
+                let told = self
+                    .replica
+                    .inform(move |m, now| m.advised(now, question, advice));
+                told.await;
+            }
+            Up::Ping(number) => {
+                let _ = tx.send(Down::Pong(number));
+            }
+            // The caller takes it.
+            Up::Hello(_) => {}
+        }
+    }
 }
 
 type Known = (bool, Option<SocketAddr>, Vec<SocketAddr>);
