--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -2,8 +2,8 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, lasting, ms, queue, report, step};
-use yuccahold::batch::dispatch::{Advice, AdviceQuestion, ListedRun, Listing, Order, StartOrder};
+use batch_world::{JOB, World, lasting, listed, ms, queue, report, step};
+use yuccahold::batch::dispatch::{Advice, AdviceQuestion, Listing, Order, StartOrder};
 use yuccahold::batch::ledger::Command;
 use yuccahold::batch::model::{AdviceTerms, EndKind, Queue, StepSpec};
 
@@ -116,16 +116,6 @@
     }
 }
 
-fn listed(start: &StartOrder) -> ListedRun {
-    ListedRun {
-        task: start.task,
-        run: start.run,
-        checkpoint: Default::default(),
-        percent: 100,
-        load: 0,
-    }
-}
-
 /// Callers cancel jobs while the policy service is being asked about them. The answers come to
 /// nobody; they must not count as on the way for ever, or no step would be asked about any more
 /// and all work with a policy would stand still.
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use batch_world::{JOB, World, config, lasting, ms, report};
+use batch_world::{JOB, World, config, lasting, listed, ms, report};
 use yuccahold::batch::dispatch::{
-    DispatchConfig, HoldAnswer, HoldOrder, ListedRun, Listing, Silence, StartOrder,
+    DispatchConfig, HoldAnswer, HoldOrder, Listing, Silence, StartOrder,
 };
 use yuccahold::batch::model::{MinionNumber, MinionReport, Readiness};
 
@@ -48,16 +48,6 @@
     (world, first, start)
 }
 
-fn running(start: &StartOrder) -> ListedRun {
-    ListedRun {
-        task: start.task,
-        run: start.run,
-        checkpoint: Default::default(),
-        percent: 100,
-        load: 0,
-    }
-}
-
 /// Lets time pass while a minion answers each hold after its wait.
 fn works(world: &mut World, minion: MinionNumber, start: &StartOrder, span: Duration) {
     let until = world.now + span;
@@ -71,7 +61,7 @@
         if let Some((sent, _)) = due.take_if(|(_, at)| *at <= world.now) {
             let listing = Listing {
                 clock: world.now,
-                running: vec![running(start)],
+                running: vec![listed(start)],
                 ..Listing::default()
             };
             let answer = HoldAnswer::Listing(listing);
@@ -175,7 +165,7 @@
         unanswered(&mut world, minion, now, silence);
     }
     assert_eq!(world.take_starts(), []);
-    world.list(minion, vec![running(&start)], Vec::new());
+    world.list(minion, vec![listed(&start)], Vec::new());
     let now = world.now;
     lose(&mut world, minion, now);
     assert_eq!(world.take_starts(), []);
@@ -261,15 +251,15 @@
     let (mut world, minion, start) = world_with_a_lasting_task();
     world.leader.report(world.now, draining("i-1", 1));
     works(&mut world, minion, &start, ms(12_000));
-    world.list(minion, vec![running(&start)], Vec::new());
+    world.list(minion, vec![listed(&start)], Vec::new());
     let carried_out = hold_to(&mut world, minion);
     let lease_ends = carried_out.deadline.expect("the minion answers");
     world.pass(carried_out.wait);
-    world.list(minion, vec![running(&start)], Vec::new());
+    world.list(minion, vec![listed(&start)], Vec::new());
     let lost = hold_to(&mut world, minion);
     world.pass(lost.wait + STUCK_AGENT);
     world.silent_hold(minion);
-    world.list(minion, vec![running(&start)], Vec::new());
+    world.list(minion, vec![listed(&start)], Vec::new());
     let next = hold_to(&mut world, minion);
     assert!(next.deadline.is_some());
     let left = lease_ends.saturating_sub(world.now);
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -86,6 +86,17 @@
     }
 }
 
+/// A lasting run at work, as its minion lists it.
+pub fn listed(start: &StartOrder) -> ListedRun {
+    ListedRun {
+        task: start.task,
+        run: start.run,
+        checkpoint: Default::default(),
+        percent: 100,
+        load: 0,
+    }
+}
+
 /// One leader; its log agrees at once.
 pub struct World {
     cfg: DispatchConfig,
