--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -69,6 +69,7 @@
 pub struct Dispatcher {
     cfg: DispatchConfig,
     term: Term,
+    /// When this leader's term began here.
     began: Timestamp,
     minions: BTreeMap<MinionNumber, Minion>,
     by_id: HashMap<MinionId, MinionNumber>,
