Two test files use the harness's configuration and queue

batch_machine and batch_server had written the dispatcher's settings, and one of them the queue, once more with the same values. They call those of batch_world now. No assertion or bound changes; both binaries pass.

--- a/tests/batch_machine.rs
+++ b/tests/batch_machine.rs
@@ -1,42 +1,20 @@
 //! The machine above the log while the log takes nothing from it.
 
+mod batch_world;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use batch_world::{config, queue};
 use tokio::sync::mpsc::unbounded_channel;
-use yuccahold::batch::dispatch::{DispatchConfig, Mechanisms};
 use yuccahold::batch::ledger::Command;
 use yuccahold::batch::machine::Machine;
-use yuccahold::batch::model::{JobSpec, Queue, StepSpec, Timetable};
+use yuccahold::batch::model::{JobSpec, StepSpec, Timetable};
 use yuccahold::replication::StateMachine;
 
 const NOW: Duration = Duration::from_secs(3_600);
 const UNIX: Duration = Duration::from_secs(1_700_000_000);
 
-fn config() -> DispatchConfig {
-    DispatchConfig {
-        lease_max: Duration::from_secs(6),
-        stop_time: Duration::from_millis(400),
-        restore_time: Duration::from_millis(100),
-        mechanisms: Mechanisms::default(),
-    }
-}
-
-fn queue() -> Queue {
-    Queue {
-        name: "checks".into(),
-        host: "example".into(),
-        prefix: "/checks/".into(),
-        timeout: Duration::from_secs(3),
-        slo: Duration::from_millis(250),
-        stretch: 1.5,
-        priority: 0,
-        service: "desk".into(),
-        attempts: 3,
-        advice: None,
-    }
-}
-
 /// A job whose only occurrence has been due for long.
 fn due_job(job: u64) -> Vec<u8> {
     let spec = JobSpec {
--- a/tests/batch_server.rs
+++ b/tests/batch_server.rs
@@ -1,16 +1,18 @@
 //! The control daemon's side of connections that others keep to it.
 
+mod batch_world;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
+use batch_world::config;
 use slog::{Discard, Logger, o};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 use yuccahold::batch::agents::Agents;
 use yuccahold::batch::calls::{Down, Up};
-use yuccahold::batch::dispatch::{DispatchConfig, Mechanisms};
 use yuccahold::batch::machine::Machine;
 use yuccahold::batch::server::CallServer;
 use yuccahold::replication::{Formation, Replica, ReplicaConfig};
@@ -57,14 +59,8 @@
             form: Formation::FormOnce,
             on_disk_failure: |e| eprintln!("{e}"),
         };
-        let dispatch = DispatchConfig {
-            lease_max: Duration::from_secs(6),
-            stop_time: Duration::from_millis(400),
-            restore_time: Duration::from_millis(100),
-            mechanisms: Mechanisms::default(),
-        };
         let (orders, _) = mpsc::unbounded_channel();
-        let replica = Replica::start(cfg, Machine::new(dispatch, orders)).expect("it starts");
+        let replica = Replica::start(cfg, Machine::new(config(), orders)).expect("it starts");
         let agents = Agents::default();
         let log = Logger::root(Discard, o!());
         // Its own machine's agents send no orders; the peers of this test are others.
