A proposed batch is shared, not copied, for the case that it is refused

Since refused batches are given back, the control thread copied each one before it was proposed. The copy was of use only after a refusal. The bytes are counted references now, and turned back into a buffer when a batch is refused. No measurement was made; the tests of refused batches and of the replicas pass as they were.

--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use tokio::sync::{oneshot, watch};
 use xtra::{Actor, Context, Handler, Mailbox};
 
@@ -167,9 +168,11 @@
             return;
         }
         for command in self.machine.lead(now) {
+            // Shared, not copied: a refusal is rare, and a batch may hold hundreds of starts.
+            let command = Bytes::from(command);
             let taken = self.core.propose(now, unix_now(), command.clone());
             if taken.is_err() {
-                self.machine.not_taken(command);
+                self.machine.not_taken(command.into());
             }
         }
         self.core.replicate(now);
