--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -57,10 +57,15 @@
             return;
         }
         let short = self.wants_short_wait(number);
-        let lease = self.lease_of(number);
+        let longest = self.cfg.lease_max - LEASE_RESERVE;
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
+        let lease = if minion.draining {
+            longest.min(LEAVING_LEASE)
+        } else {
+            longest
+        };
         // A silent minion is asked without a further lease: each one might reach it late, and its
         // tasks could never be started elsewhere while the leader kept asking.
         let deadline = minion
@@ -85,14 +90,6 @@
             .push(Order::Minion(target, MinionOrder::Hold(order)));
     }
 
-    fn lease_of(&self, number: MinionNumber) -> Duration {
-        let longest = self.cfg.lease_max - LEASE_RESERVE;
-        match self.minions.get(&number) {
-            Some(minion) if minion.draining => longest.min(LEAVING_LEASE),
-            _ => longest,
-        }
-    }
-
     fn hold_is_due(&self, number: MinionNumber, now: Timestamp) -> bool {
         let Some(minion) = self.minions.get(&number) else {
             return false;
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -245,6 +245,10 @@
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
         self.ledger = Ledger::from_bytes(snapshot)?;
+        // A snapshot may pass over the batch that told that a minion is gone.
+        let known = &self.ledger.minions;
+        self.leaving_since
+            .retain(|number, _| known.contains_key(number));
         Ok(())
     }
 }
