Lasting tasks and steps that were passed over have questions of their own

Cause: questions to the policy service are counted together, and each step in the order of service may use what is left of them. Steps that come early and have no room ask again and again as their tickets run out, and less urgent queues may ask only while under two thirds of the askers are busy. A flood of either kind uses up all of it: whatever comes later is not asked about once.

Ruled out: that the questions were lost (all of them were answered), that the jobs had tickets and no room (they were never named in a question).

Now each kind counts for itself. Lasting tasks and steps that have gone for a second without a question, with room for it, have a quarter of the askers each beside the ordinary share, and the latter are asked about in the order in which they were last asked. No flood elsewhere can use these up; among themselves the first waits 1.25 s and one question, and the k-th for k questions divided by a quarter of the askers.

Tests, played on a leader with a policy service that answers one question of each asker at a time, 80 urgent jobs without room, 16 askers: ten late jobs were not asked about in 12 s before, and are all asked about within 3 s now.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use super::order::{Advice, AdviceQuestion, Order, QuestionId};
+use super::questions::Share;
 use super::run::charged;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{AdviceTerms, JobId, MinionNumber, StepId, StepSpec};
@@ -26,11 +27,17 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
 /// A question that is not answered after this long is taken as lost.
 const QUESTION_LOST: Duration = Duration::from_secs(4);
+/// Time for which a step may go without a question, with room for it, before it counts as passed
+/// over.
+const PASSED_OVER: Duration = Duration::from_secs(1);
+/// Pause between two searches for steps that were passed over.
+const PASSED_OVER_PAUSE: Duration = Duration::from_millis(250);
 
 /// A question on the way.
 #[derive(Clone, Debug)]
 struct Asked {
     number: u64,
+    share: Share,
     at: Timestamp,
     minions: Vec<MinionNumber>,
 }
@@ -44,6 +51,8 @@
     bad: BTreeSet<MinionNumber>,
     tickets: BTreeMap<MinionNumber, (CompactString, Timestamp)>,
     asked: Option<Asked>,
+    /// When the latest question was sent.
+    last_asked: Option<Timestamp>,
     next_question: Timestamp,
 }
 
@@ -109,16 +118,10 @@
         terms: AdviceTerms,
         turn: Turn,
     ) {
-        let most = match (step.queue.priority, turn) {
-            (0, Turn::Now) => self.agents * 2,
-            (0, Turn::Coming) => self.agents,
-            (_, Turn::Now) => self.agents * 2 / 3,
-            (_, Turn::Coming) => self.agents / 3,
-        };
         self.give_up_lost_questions(now);
-        if self.questions >= most.max(1) {
+        let Some(share) = self.share(step, turn) else {
             return;
-        }
+        };
         let entry = self.knowledge.entry(id).or_default();
         if entry.is_asked() || now < entry.next_question {
             return;
@@ -135,18 +138,16 @@
             .filter_map(|n| self.minions.get(n).map(|m| m.report.id.clone()))
             .collect::<Vec<_>>();
         let cost = terms.base + terms.per_minion * minions.len() as u32;
-        self.last_question += 1;
-        let number = self.last_question;
+        let question = self.questions.send(now, id, share);
         if let Some(knowledge) = self.knowledge.get_mut(&id) {
+            knowledge.last_asked = Some(now);
             knowledge.asked = Some(Asked {
-                number,
+                number: question.number,
+                share,
                 at: now,
                 minions: wanted,
             });
         }
-        self.questions += 1;
-        let question = QuestionId { step: id, number };
-        self.asked.push_back((now, question));
         self.out.push(Order::Advise(AdviceQuestion {
             id: question,
             minions,
@@ -154,18 +155,80 @@
         }));
     }
 
+    /// The share that a question about a step may be sent from; `None` while all are used up.
+    fn share(&self, step: &ReadyStep, turn: Turn) -> Option<Share> {
+        let ordinary = match (step.queue.priority, turn) {
+            (0, Turn::Coming) => self.agents,
+            (0, _) => self.agents * 2,
+            (_, Turn::Coming) => self.agents / 3,
+            (_, _) => self.agents * 2 / 3,
+        };
+        let own = match turn {
+            Turn::PassedOver => Some(Share::PassedOver),
+            Turn::Now if step.is_lasting() => Some(Share::Lasting),
+            _ => None,
+        };
+        let mut shares = std::iter::once(Share::Ordinary).chain(own);
+        shares.find(|share| self.questions.may_send(*share, self.agents, ordinary))
+    }
+
+    /// Asks about steps that have gone without a question for long although there is room for them,
+    /// the longest first.
+    ///
+    /// Answers an overload. Steps that come early in the order of service and find no room ask again
+    /// and again as their tickets run out, and took all questions that may be on the way: jobs that
+    /// were past their objective, and so came last, were never asked about and never started.
+    pub(super) fn ask_passed_over(&mut self, now: Timestamp) {
+        if now < self.passed_over_at {
+            return;
+        }
+        self.passed_over_at = now + PASSED_OVER_PAUSE;
+        let mut passed_over: Vec<_> = self
+            .ready
+            .iter()
+            .filter_map(|(id, step)| Some((self.unasked_since(*id, step)?, *id)))
+            .filter(|(since, _)| now >= *since + PASSED_OVER)
+            .collect();
+        passed_over.sort_unstable();
+        for (_, id) in passed_over {
+            let Some(step) = self.ready.get(&id) else {
+                continue;
+            };
+            if self.share(step, Turn::PassedOver).is_none() {
+                return;
+            }
+            let spec = &step.spec.steps[usize::from(id.step)];
+            if !self.room_to_ask_about(now, id, step, spec) {
+                continue;
+            }
+            if let Some(terms) = step.queue.advice
+                && let Some(step) = self.ready.remove(&id)
+            {
+                self.ask(now, id, &step, terms, Turn::PassedOver);
+                self.ready.insert(id, step);
+            }
+        }
+    }
+
+    /// Since when a step with a policy has waited for a question; `None` while one is on the way.
+    fn unasked_since(&self, id: StepId, step: &ReadyStep) -> Option<Timestamp> {
+        step.queue.advice?;
+        let Some(knowledge) = self.knowledge.get(&id) else {
+            return Some(step.since);
+        };
+        let last = knowledge.last_asked.unwrap_or(step.since);
+        (!knowledge.is_asked()).then(|| last.max(step.since))
+    }
+
     /// Takes questions that were not answered in time as lost, whoever asked them.
     ///
     /// While each step gave up only its own, and only when it could ask again, questions that were
     /// lost together used up all that may be on the way: no step with a policy was placed any more.
     fn give_up_lost_questions(&mut self, now: Timestamp) {
-        while let Some((at, question)) = self.asked.front().copied()
-            && now >= at + QUESTION_LOST
-        {
-            self.asked.pop_front();
+        while let Some(question) = self.questions.take_older(now, QUESTION_LOST) {
             let knowledge = self.knowledge.get_mut(&question.step);
-            if knowledge.is_some_and(|k| k.take_asked(question).is_some()) {
-                self.questions -= 1;
+            if let Some(lost) = knowledge.and_then(|k| k.take_asked(question)) {
+                self.questions.over(lost.share);
             }
         }
     }
@@ -188,9 +251,11 @@
         let need = charged(spec);
         let knowledge = self.knowledge.get(&id);
         self.minions.values().any(|minion| {
-            let open = knowledge
-                .is_none_or(|k| !k.forbids(minion.number) && !k.has_ticket(minion.number, now));
-            open && need.fits_in(&minion.free()) && self.is_eligible(now, minion, id, step, spec)
+            let open = || {
+                knowledge
+                    .is_none_or(|k| !k.forbids(minion.number) && !k.has_ticket(minion.number, now))
+            };
+            need.fits_in(&minion.free()) && open() && self.is_eligible(now, minion, id, step, spec)
         })
     }
 
@@ -231,7 +296,9 @@
             if step.job != job {
                 return true;
             }
-            self.questions -= usize::from(knowledge.asked.is_some());
+            if let Some(asked) = &knowledge.asked {
+                self.questions.over(asked.share);
+            }
             false
         });
     }
@@ -260,7 +327,7 @@
         let Some(asked) = knowledge.take_asked(question) else {
             return;
         };
-        self.questions -= 1;
+        self.questions.over(asked.share);
         self.out.push(Order::Note(Box::new(Note::StepAdvised {
             step: id,
             waiting,
@@ -298,6 +365,8 @@
     Now,
     /// The steps before are under way.
     Coming,
+    /// They may, and have waited long for a question.
+    PassedOver,
 }
 
 /// How many tasks of this need fit into a room, up to a number that no step reaches.
--- a/src/batch/dispatch/census.rs
+++ b/src/batch/dispatch/census.rs
@@ -32,7 +32,7 @@
                 .fold(Resources::ZERO, sum),
             waiting: self.ready.values().map(|step| step.waiting.len()).sum(),
             steps: self.ready.len(),
-            questions: self.questions,
+            questions: self.questions.count(),
             agents: self.agents,
         };
         self.note(cell);
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod place;
 mod profile;
 mod prospects;
+mod questions;
 mod ready;
 mod run;
 mod scarcity;
@@ -84,11 +85,9 @@
     dirty_jobs: BTreeSet<JobId>,
     knowledge: HashMap<StepId, Knowledge>,
     /// Questions on the way to the policy service.
-    questions: usize,
-    /// Questions in the order in which they were sent, with those that are answered by now.
-    asked: VecDeque<(Timestamp, QuestionId)>,
-    /// Questions sent so far.
-    last_question: u64,
+    questions: questions::Questions,
+    /// When steps that were passed over are looked for again.
+    passed_over_at: Timestamp,
     /// Processes that can ask.
     agents: usize,
     /// Runs that were told to stop and hold their room still.
@@ -149,9 +148,8 @@
             coming: BTreeMap::new(),
             dirty_jobs: BTreeSet::new(),
             knowledge: HashMap::new(),
-            questions: 0,
-            asked: VecDeque::new(),
-            last_question: 0,
+            questions: questions::Questions::default(),
+            passed_over_at: now,
             agents: 1,
             leaving: BTreeSet::new(),
             rooms: HashMap::new(),
@@ -371,7 +369,7 @@
     pub fn decide(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) -> Option<Batch> {
         self.begin_due_occurrences(unix);
         self.renew_capacities(now);
-        self.renew_ready(ledger);
+        self.renew_ready(now, ledger);
         self.tend_minions(now);
         let may_propose = self.batches.len() < MAX_BATCHES;
         let wanted = self.place_wanted && now >= self.place_not_before;
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -53,6 +53,7 @@
             };
             started += self.place_step(now, unix, id, step, ledger);
         }
+        self.ask_passed_over(now);
         if self.cfg.mechanisms.has(Mechanism::AskAhead) {
             self.ask_ahead(now);
         }
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -31,6 +31,8 @@
     pub(super) spec: Arc<JobSpec>,
     pub(super) queue: Arc<Queue>,
     pub(super) accepted: Timestamp,
+    /// Since when it has had tasks that wait, by the steady clock.
+    pub(super) since: Timestamp,
     /// Expected run time of this step and of the longest chain after it.
     pub(super) remaining: Duration,
     /// Tasks to be started, in order.
@@ -38,6 +40,11 @@
 }
 
 impl ReadyStep {
+    /// Whether its tasks run until their job is cancelled.
+    pub(super) fn is_lasting(&self) -> bool {
+        self.key.class == LASTING_FIRST
+    }
+
     /// Time left until the job should be done.
     pub(super) fn slack(&self, unix: Timestamp) -> Duration {
         self.key.due.saturating_sub(unix)
@@ -45,12 +52,12 @@
 
     /// Whether a job that ends is clearly past its objective.
     pub(super) fn is_late(&self, unix: Timestamp) -> bool {
-        self.key.class > 0 && self.lateness(unix) > 0
+        !self.is_lasting() && self.lateness(unix) > 0
     }
 
     /// Whether a job that ends earns nothing more.
     pub(super) fn is_worthless(&self, unix: Timestamp) -> bool {
-        self.key.class > 0 && self.lateness(unix) >= WORTHLESS
+        !self.is_lasting() && self.lateness(unix) >= WORTHLESS
     }
 
     /// Levels of priority lost by being late.
@@ -66,6 +73,10 @@
     }
 }
 
+/// Class of lasting tasks in the order of service.
+const LASTING_FIRST: u8 = 0;
+/// Class of all others.
+const FINITE: u8 = 1;
 /// Levels of priority by which a job falls behind once it is late: it still earns a fifth of its
 /// worth, about what a core-second of the users' least urgent work earns.
 const LATE: u32 = 2;
@@ -88,7 +99,7 @@
             .iter()
             .map(|(id, step)| {
                 let mut key = step.key;
-                if key.class > 0 && self.cfg.mechanisms.has(Mechanism::Lateness) {
+                if !step.is_lasting() && self.cfg.mechanisms.has(Mechanism::Lateness) {
                     key.priority += step.lateness(unix);
                 }
                 (key, *id)
@@ -99,30 +110,26 @@
     }
 
     /// Looks again at the jobs that changed.
-    pub(super) fn renew_ready(&mut self, ledger: &Ledger) {
+    pub(super) fn renew_ready(&mut self, now: Timestamp, ledger: &Ledger) {
         for id in std::mem::take(&mut self.dirty_jobs) {
-            self.forget_ready(id);
+            let before = remove_job(&mut self.ready, id);
+            remove_job(&mut self.coming, id);
             let Some(job) = ledger.jobs.get(&id) else {
                 continue;
             };
             for step in ledger.ready_steps(id) {
-                self.add_ready(job, step);
+                let since = before.get(&step).map_or(now, |before| before.since);
+                self.add_ready(job, step, since);
             }
             for step in ledger.coming_steps(id) {
                 let count = job.spec.steps[usize::from(step.step)].count;
-                let coming = self.ready_step(job, step, (0..count).collect());
+                let coming = self.ready_step(job, step, (0..count).collect(), now);
                 self.coming.insert(step, coming);
             }
         }
     }
 
-    fn forget_ready(&mut self, job: u64) {
-        for steps in [&mut self.ready, &mut self.coming] {
-            remove_job(steps, job);
-        }
-    }
-
-    fn add_ready(&mut self, job: &Job, id: StepId) {
+    fn add_ready(&mut self, job: &Job, id: StepId, since: Timestamp) {
         let spec = &job.spec.steps[usize::from(id.step)];
         let tasks = &job.occurrences[&id.occurrence].steps[usize::from(id.step)].tasks;
         let waits = |index: &u32| {
@@ -136,16 +143,16 @@
             return;
         }
         self.place_wanted = true;
-        let step = self.ready_step(job, id, waiting);
+        let step = self.ready_step(job, id, waiting, since);
         self.ready.insert(id, step);
     }
 
-    fn ready_step(&self, job: &Job, id: StepId, waiting: Vec<u32>) -> ReadyStep {
+    fn ready_step(&self, job: &Job, id: StepId, waiting: Vec<u32>, since: Timestamp) -> ReadyStep {
         let spec = &job.spec.steps[usize::from(id.step)];
         let lasting = spec.lifetime == Lifetime::Lasting;
         let times = self.times(job, id);
         let key = OrderKey {
-            class: u8::from(!lasting),
+            class: if lasting { LASTING_FIRST } else { FINITE },
             priority: job.queue.priority,
             due: due(job, id, times.allowed),
             step: Reverse(id.step),
@@ -155,6 +162,7 @@
             spec: Arc::clone(&job.spec),
             queue: Arc::clone(&job.queue),
             accepted: job.accepted,
+            since,
             remaining: times.remaining[usize::from(id.step)],
             waiting,
         }
@@ -162,14 +170,13 @@
 }
 
 /// Takes a job's steps out of a map.
-pub(super) fn remove_job<T>(steps: &mut BTreeMap<StepId, T>, job: JobId) {
+pub(super) fn remove_job<T>(steps: &mut BTreeMap<StepId, T>, job: JobId) -> BTreeMap<StepId, T> {
     let known: Vec<_> = steps
         .range(StepId::all_of(job))
         .map(|(id, _)| *id)
         .collect();
-    for id in known {
-        steps.remove(&id);
-    }
+    let taken = known.into_iter().filter_map(|id| steps.remove_entry(&id));
+    taken.collect()
 }
 
 /// When a job should be done: its objective counted from its hand-in or its due time. `chain` is
--- /dev/null
+++ b/tests/batch_waits.rs
@@ -0,0 +1,378 @@
+//! How long work that may start can be passed over by other work.
+
+mod batch_world;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use batch_world::{World, lasting, listed, ms, queue, step};
+use rstest::rstest;
+use yuccahold::batch::dispatch::{
+    Advice, AdviceQuestion, Answer, ListedEnd, Listing, Order, StartOrder,
+};
+use yuccahold::batch::model::{
+    AdviceTerms, EndKind, JobId, MinionNumber, Queue, StepId, StepSpec, TaskId,
+};
+use yuccahold::ids::MinionId;
+
+/// Time between two steps of a played load.
+const TICK: Duration = ms(20);
+/// A step whose turn has come, with room for it, is asked about within this time.
+const ASKED_WITHIN: Duration = ms(3_000);
+/// A lasting task that lost its run has another one within this time, however full the cell is;
+/// from the platform's contract.
+const RESTARTED_WITHIN: Duration = ms(6_000);
+
+/// The policy service: one question at a time for each asker, answered after its cost.
+struct Policy {
+    /// Part of the minions that may run a step.
+    let_in: f64,
+    askers: Vec<VecDeque<AdviceQuestion>>,
+    /// When the first question of each asker will be answered.
+    until: Vec<Duration>,
+    /// When each step was first asked about.
+    first_asked: BTreeMap<StepId, Duration>,
+}
+
+impl Policy {
+    fn new(askers: usize) -> Self {
+        Self {
+            let_in: 1.0,
+            askers: vec![VecDeque::new(); askers],
+            until: vec![Duration::ZERO; askers],
+            first_asked: BTreeMap::new(),
+        }
+    }
+
+    fn lets_in(&self, step: StepId, minion: &MinionId) -> bool {
+        let mut hasher = DefaultHasher::new();
+        (step, minion).hash(&mut hasher);
+        (hasher.finish() % 1_000) as f64 <= self.let_in * 1_000.0
+    }
+
+    /// Takes new questions and answers those whose time has come: everyone named is allowed.
+    fn serve(&mut self, world: &mut World) {
+        let mut new = Vec::new();
+        world.orders.retain(|order| match order {
+            Order::Advise(question) => {
+                new.push(question.clone());
+                false
+            }
+            _ => true,
+        });
+        for question in new {
+            let asked = self.first_asked.entry(question.id.step);
+            asked.or_insert(world.now);
+            let least = (0..self.askers.len()).min_by_key(|i| self.askers[*i].len());
+            let asker = least.expect("there are askers");
+            if self.askers[asker].is_empty() {
+                self.until[asker] = world.now + question.cost;
+            }
+            self.askers[asker].push_back(question);
+        }
+        for asker in 0..self.askers.len() {
+            while !self.askers[asker].is_empty() && self.until[asker] <= world.now {
+                let question = self.askers[asker].pop_front().expect("it is not empty");
+                if let Some(next) = self.askers[asker].front() {
+                    self.until[asker] += next.cost;
+                }
+                let named = question.minions.iter();
+                let good = named.filter(|m| self.lets_in(question.id.step, m));
+                let good = good.map(|m| (m.clone(), "ticket".into())).collect();
+                let advice = Some(Advice { good });
+                world.leader.advised(world.now, question.id, advice);
+            }
+        }
+    }
+}
+
+/// Minions that carry out what they are told, at once.
+#[derive(Default)]
+struct Cell {
+    /// Runs under way, with the time of their end if they have one.
+    runs: BTreeMap<TaskId, (MinionNumber, StartOrder, Option<Duration>)>,
+    /// Ends of each minion so far.
+    ends: BTreeMap<MinionNumber, u64>,
+    gone: BTreeSet<MinionNumber>,
+    started: Vec<(Duration, TaskId)>,
+    /// Runs that were told to stop.
+    stopped: usize,
+}
+
+impl Cell {
+    /// Begins what was ordered, ends what is over, answers holds.
+    fn work(&mut self, world: &mut World, lasts: impl Fn(&StartOrder) -> Option<Duration>) {
+        for (minion, start) in world.take_starts() {
+            let clock = Some(world.now);
+            let until = lasts(&start).map(|time| world.now + time);
+            self.started.push((world.now, start.task));
+            let (task, run) = (start.task, start.run);
+            self.runs.insert(task, (minion, start, until));
+            let (now, answer) = (world.now, Answer::Done { clock });
+            let ledger = &world.ledger;
+            world
+                .leader
+                .started(now, minion, (task, run), now, answer, ledger);
+        }
+        let stops: BTreeSet<_> = world.take_stops().iter().map(|s| (s.1, s.2)).collect();
+        self.stopped += stops.len();
+        for (task, run) in &stops {
+            let minion = self.runs.get(task).map(|(minion, ..)| *minion);
+            if let Some(minion) = minion {
+                let clock = Some(world.now);
+                let (now, answer) = (world.now, Answer::Done { clock });
+                world
+                    .leader
+                    .stopped(now, minion, (*task, *run), now, answer);
+            }
+        }
+        let over = self
+            .runs
+            .iter()
+            .filter_map(|(task, (minion, start, until))| {
+                let stopped = stops.contains(&(*task, start.run));
+                let done = until.is_some_and(|until| until <= world.now);
+                let kind = if stopped {
+                    EndKind::Stopped
+                } else {
+                    EndKind::Done
+                };
+                (stopped || done).then_some((*task, *minion, start.run, kind))
+            });
+        let mut listings: BTreeMap<MinionNumber, Vec<ListedEnd>> = BTreeMap::new();
+        for (task, minion, run, kind) in over.collect::<Vec<_>>() {
+            self.runs.remove(&task);
+            let number = self.ends.entry(minion).or_default();
+            *number += 1;
+            listings.entry(minion).or_default().push(ListedEnd {
+                number: *number,
+                task,
+                run,
+                kind,
+                checkpoint: "saved".into(),
+            });
+        }
+        for (minion, _) in world.take_holds() {
+            if self.gone.contains(&minion) {
+                world.silent_hold(minion);
+            } else {
+                listings.entry(minion).or_default();
+            }
+        }
+        for (minion, ended) in listings {
+            let mine = self.runs.values().filter(|(m, ..)| *m == minion);
+            let running = mine.map(|(_, start, _)| listed(start)).collect();
+            let listing = Listing {
+                clock: world.now,
+                running,
+                ended,
+                unreadable: 0,
+            };
+            let answer = yuccahold::batch::dispatch::HoldAnswer::Listing(listing);
+            let (now, ledger) = (world.now, &world.ledger);
+            world.leader.held(now, minion, now, answer, ledger);
+        }
+        world.decide();
+    }
+}
+
+fn advised(queue: Queue, base: u64, each: u64) -> Queue {
+    Queue {
+        advice: Some(AdviceTerms {
+            base: ms(base),
+            per_minion: ms(each),
+            validity: ms(2_500),
+        }),
+        ..queue
+    }
+}
+
+fn urgent() -> Queue {
+    advised(queue(), 50, 1)
+}
+
+fn long() -> Queue {
+    let plans = Queue {
+        name: "plans".into(),
+        prefix: "/plans/".into(),
+        priority: 2,
+        ..queue()
+    };
+    advised(plans, 500, 7)
+}
+
+fn renders() -> Queue {
+    Queue {
+        priority: 1,
+        ..long()
+    }
+}
+
+fn lasting_queue() -> Queue {
+    let ledgers = Queue {
+        name: "ledgers".into(),
+        prefix: "/ledgers/".into(),
+        priority: 1,
+        ..queue()
+    };
+    advised(ledgers, 400, 6)
+}
+
+/// What fills a cell.
+#[derive(Clone, Copy)]
+enum Beside {
+    ShortUrgent,
+    LongSaving,
+}
+
+impl Beside {
+    fn job(self) -> (Queue, StepSpec) {
+        match self {
+            Self::ShortUrgent => (urgent(), step(1, 7_000)),
+            Self::LongSaving => {
+                let saving = StepSpec {
+                    saves_progress: true,
+                    estimate: ms(20_000),
+                    ..step(12, 7_000)
+                };
+                (long(), saving)
+            }
+        }
+    }
+}
+
+fn first_step(job: JobId) -> StepId {
+    StepId {
+        job,
+        occurrence: 0,
+        step: 0,
+    }
+}
+
+/// Lasting work takes 14 of 32 cores of each minion. Eighty jobs of two urgent queues need 20 cores, so none of
+/// them will ever have room, and each is asked about again whenever its tickets have run out: that
+/// is more questions than may be on the way. Ten small jobs of a less urgent queue are far past
+/// their objective and come last; there is room for them everywhere. Their callers wait for ever
+/// unless they are asked about.
+#[test]
+fn late_jobs_with_room_are_asked_about_beside_a_flood_of_urgent_ones() {
+    const LATE: std::ops::Range<JobId> = 100..110;
+    let mut world = World::new();
+    let (mut policy, mut cell) = (Policy::new(16), Cell::default());
+    world.leader.set_agents(16);
+    for i in 0..40 {
+        world.join(&format!("i-{i}"), i);
+    }
+    let spread = StepSpec {
+        max_per_minion: Some(1),
+        ..lasting(40, 14_000)
+    };
+    world.submit(1, vec![spread]);
+    for job in 2..82 {
+        let queue = if job % 2 == 0 { urgent() } else { renders() };
+        world.submit_to(job, queue, vec![step(1, 20_000)]);
+    }
+    for job in LATE {
+        world.submit_to(job, long(), vec![step(1, 1_000)]);
+    }
+    let handed_in = world.now;
+    while world.now < handed_in + ms(12_000) {
+        policy.serve(&mut world);
+        cell.work(&mut world, |start| {
+            (start.task.step.job > 1).then_some(ms(1_000))
+        });
+        world.pass(TICK);
+    }
+    let waits: Vec<_> = LATE
+        .map(|job| policy.first_asked.get(&first_step(job)))
+        .map(|asked| asked.map(|at| *at - handed_in))
+        .collect();
+    let in_time = |wait: &Option<Duration>| wait.is_some_and(|wait| wait <= ASKED_WITHIN);
+    assert!(waits.iter().all(in_time), "{waits:?}");
+    let started = |job: JobId| cell.started.iter().any(|(_, t)| t.step.job == job);
+    assert!(LATE.clone().all(started));
+}
+
+/// A cell of 48 minions is full, and more work waits all the time: short urgent work that takes half
+/// to three times what it declares, or long work that saves its progress. Eight lasting tasks work on
+/// minions that leave. Nobody asked about them while the urgent work used up all questions; then
+/// each opening was taken by the next task of 7 cores before there was room for a lasting one, and
+/// nothing was stopped for it. However full the cell is, it has to be back within the bound.
+#[rstest]
+#[case::more_than_half_of_a_minion(18_000, Beside::ShortUrgent)]
+fn lasting_tasks_that_lost_their_runs_are_back_in_a_full_cell(
+    #[case] cores: u32,
+    #[case] beside: Beside,
+) {
+    const LASTING: JobId = 1;
+    const FIRST: JobId = 100;
+    let mut world = World::new();
+    let (mut policy, mut cell) = (Policy::new(8), Cell::default());
+    policy.let_in = 0.5;
+    world.leader.set_agents(8);
+    let mut ids = BTreeMap::new();
+    for i in 0..48 {
+        let id = format!("i-{i}");
+        ids.insert(world.join(&id, i), id);
+    }
+    let spread = StepSpec {
+        max_per_minion: Some(1),
+        ..lasting(8, cores)
+    };
+    world.submit_to(LASTING, lasting_queue(), vec![spread]);
+    let takes = |start: &StartOrder| {
+        let draw = start.task.step.job.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33;
+        let time = match beside {
+            Beside::ShortUrgent => 500 + draw % 2_500,
+            Beside::LongSaving => 15_000 + draw % 15_000,
+        };
+        (start.task.step.job != LASTING).then(|| ms(time))
+    };
+    let begun = world.now;
+    let mut next = FIRST;
+    let mut left = None;
+    while world.now < begun + ms(30_000) {
+        let started: BTreeSet<_> = cell.started.iter().map(|(_, t)| t.step.job).collect();
+        let waiting = (FIRST..next).filter(|job| !started.contains(job)).count();
+        for _ in waiting..24 {
+            let (queue, step) = beside.job();
+            world.submit_to(next, queue, vec![step]);
+            next += 1;
+        }
+        policy.serve(&mut world);
+        cell.work(&mut world, takes);
+        if left.is_none() && world.now > begun + ms(10_000) {
+            left = Some(world.now);
+            let of = |(task, (m, ..)): (&TaskId, &(MinionNumber, StartOrder, Option<Duration>))| {
+                (task.step.job == LASTING).then_some(*m)
+            };
+            let hosts: BTreeSet<_> = cell.runs.iter().filter_map(of).collect();
+            assert_eq!(hosts.len(), 8);
+            for host in &hosts {
+                cell.runs.retain(|_, (m, ..)| m != host);
+                cell.gone.insert(*host);
+                let now = world.now;
+                world.leader.left(now, &ids[host].as_str().into());
+            }
+        }
+        world.pass(TICK);
+    }
+    let left = left.expect("they left");
+    let back = cell
+        .started
+        .iter()
+        .filter(|(at, t)| *at > left && t.step.job == LASTING);
+    let waits: Vec<_> = back.map(|(at, _)| *at - left).collect();
+    assert_eq!(waits.len(), 8, "{waits:?}");
+    assert!(
+        waits.iter().all(|wait| *wait <= RESTARTED_WITHIN),
+        "{waits:?}"
+    );
+    // A lasting task takes the room of four of these tasks at most, and is not given it twice.
+    let expected = match beside {
+        Beside::ShortUrgent => 0..=0,
+        Beside::LongSaving => 1..=32,
+    };
+    assert!(expected.contains(&cell.stopped), "{} stopped", cell.stopped);
+}
