A lasting task that lost its run keeps one place until it is free

Cause: room for tasks that wait is claimed anew in each round, on the minion that is expected to have it first, and work that should end before that may use it meanwhile. Expected ends are off by a factor of two and more, so the claim moved on as soon as it was late, and the room gathered until then was given away. Tickets were asked for on other minions than those with the claims. And nothing was ever stopped for a lasting task, as it counts as in time however long it waits.

Now the minions with claims of a lasting task are named first in its next question. Once it has waited for 1 s its claim stays where it is for up to 3 s unless another minion has room, and nothing that would take its room starts there; after 2.5 s less urgent work that saves its progress is stopped where that gives room sooner.

Tried: claims kept strictly from the first moment and stops after 2 s.

Test: 48 minions full of short work that takes half to three times what it declares; eight tasks of 26 or 32 cores lose their runs.

--- a/src/batch/dispatch/claims.rs
+++ b/src/batch/dispatch/claims.rs
@@ -6,6 +6,7 @@
 //! what is known by then; nothing has to be given back, so none can leak.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::advice::Knowledge;
 use super::mechanisms::Mechanism;
@@ -24,11 +25,21 @@
 /// Claims from which on rounds are spaced: each costs a look at the minions that may take its task.
 const MANY: usize = 16;
 
+/// How long lasting tasks may wait before room is kept for them to the exclusion of all other work.
+const LASTING_YIELDS: Duration = Duration::from_secs(1);
+/// How long they may wait for room to come free by itself before others are stopped for it.
+const LASTING_PATIENCE: Duration = Duration::from_millis(2_500);
+/// How long room of one minion is kept for a lasting task that does not get it. Something there takes
+/// longer than expected, and may stand still.
+const PLACE_KEPT: Duration = Duration::from_secs(3);
+
 /// Room of one minion that is kept from all that come later in the order of service.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
     step: StepId,
     need: Resources,
+    /// Nothing may use the room meanwhile.
+    strict: bool,
     /// When its task should start.
     starts: Timestamp,
 }
@@ -38,13 +49,37 @@
 pub(super) struct Claims {
     by_minion: BTreeMap<MinionNumber, Vec<Claim>>,
     count: usize,
+    /// Places that were kept strictly in the round before, and since when each is.
+    kept: BTreeMap<(StepId, MinionNumber), Timestamp>,
 }
 
 impl Claims {
+    /// No claims yet. Which places were kept strictly is remembered.
+    pub(super) fn next_round(&self, now: Timestamp) -> Self {
+        let claims = self.by_minion.iter();
+        let each = claims.flat_map(|(minion, claims)| claims.iter().map(|c| (c, *minion)));
+        let strict = each.filter(|(claim, _)| claim.strict);
+        let kept = strict.map(|(claim, minion)| {
+            let place = (claim.step, minion);
+            (place, self.kept.get(&place).copied().unwrap_or(now))
+        });
+        Self {
+            kept: kept.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Whether a place was claimed in the round before, and not for too long.
+    fn is_kept(&self, now: Timestamp, step: StepId, minion: MinionNumber) -> bool {
+        let since = self.kept.get(&(step, minion));
+        since.is_some_and(|since| now < *since + PLACE_KEPT)
+    }
+
     fn add(&mut self, waiting: Waiting, place: &Place) {
         let claim = Claim {
             step: waiting.id,
             need: waiting.need,
+            strict: waiting.is_strict(),
             starts: place.starts,
         };
         self.by_minion.entry(place.minion).or_default().push(claim);
@@ -71,7 +106,7 @@
     }
 
     /// Tasks of one step that room of a minion is kept for.
-    fn of_step_on(&self, minion: MinionNumber, step: StepId) -> u32 {
+    pub(super) fn of_step_on(&self, minion: MinionNumber, step: StepId) -> u32 {
         let claims = self.on(minion).iter();
         claims.filter(|claim| claim.step == step).count() as u32
     }
@@ -99,14 +134,45 @@
 }
 
 impl Waiting<'_> {
-    /// Whether the job could still be done in time if these places are all it waits for.
+    /// Whether the job could still be done in time if these places are all it waits for. A lasting
+    /// task has no time to be done by: it is in time where it need not be waited for much longer.
     fn is_in_time(&self, places: &[Place]) -> bool {
-        let starts = places.iter().map(|place| place.starts).max();
-        let wait = |at: Timestamp| at.saturating_sub(self.now);
-        starts.is_some_and(|at| !self.step.is_late(self.unix + wait(at)))
+        let Some(starts) = last_start(places) else {
+            return false;
+        };
+        if self.step.is_lasting() {
+            return starts <= self.now || starts <= self.step.since + LASTING_PATIENCE;
+        }
+        let wait = starts.saturating_sub(self.now);
+        !self.step.is_late(self.unix + wait)
+    }
+
+    /// Whether places for which runs are stopped are worth it against those that come free by
+    /// themselves.
+    fn gains_by(&self, stopping: &[Place], waited: &[Place]) -> bool {
+        if !self.step.is_lasting() {
+            return self.is_in_time(stopping);
+        }
+        // Also keeps the stops from being repeated: what is leaving counts as coming free.
+        last_start(waited).is_none_or(|at| last_start(stopping).is_some_and(|sooner| sooner < at))
+    }
+
+    /// Whether lasting tasks have waited so long that no other work may delay them further.
+    fn is_strict(&self) -> bool {
+        self.step.is_lasting() && self.now > self.step.since + LASTING_YIELDS
+    }
+
+    /// Whether lasting tasks have waited so long that nothing else is tried first.
+    fn is_overdue(&self) -> bool {
+        self.step.is_lasting() && self.now > self.step.since + LASTING_PATIENCE
     }
 }
 
+/// When the last of these places is there.
+fn last_start(places: &[Place]) -> Option<Timestamp> {
+    places.iter().map(|place| place.starts).max()
+}
+
 /// A place for one task: where, from when, and whose runs have to be stopped for it.
 #[derive(Debug)]
 struct Place {
@@ -142,6 +208,11 @@
         if kept.saturating_add(need).fits_in(&minion.free()) {
             return true;
         }
+        // Expected ends are rough. Work that should have ended in time put a lasting task off again
+        // and again, for as long as there was more of it.
+        if claims.iter().any(|claim| claim.strict) {
+            return false;
+        }
         let in_time = |end| claims.iter().all(|claim| end <= claim.starts);
         let ends = || now + self.expected_time(&step.queue.name, spec.estimate);
         if spec.lifetime == Lifetime::Finite
@@ -202,7 +273,7 @@
         let waited = waited.unwrap_or_default();
         self.claims.take_back(&waited);
         if let Some(places) = self.places(waiting, size, Means::Stopping) {
-            if waiting.is_in_time(&places) {
+            if waiting.gains_by(&places, &waited) {
                 self.stop_victims(waiting, places);
                 return true;
             }
@@ -228,7 +299,7 @@
         self.cfg.mechanisms.has(Mechanism::Preemption)
             && self.least_urgent > step.queue.priority
             && !step.is_late(unix)
-            && !self.room_to_ask_about(now, id, step, spec)
+            && (waiting.is_overdue() || !self.room_to_ask_about(now, id, step, spec))
     }
 
     fn stop_victims(&mut self, waiting: Waiting, places: Vec<Place>) {
@@ -254,8 +325,15 @@
         Some(places)
     }
 
-    /// The place that costs least, then the earliest.
+    /// The place that costs least, then the earliest. A lasting task keeps the place of the round
+    /// before unless another one has room: expected ends are rough, and a place that moves with them
+    /// is given away each time before it is free.
     fn best_place(&self, waiting: Waiting, taken: &[Place], means: Means) -> Option<Place> {
+        let Waiting { now, id, .. } = waiting;
+        let moves = |place: &Place| {
+            let stays = place.starts <= now || self.claims.is_kept(now, id, place.minion);
+            waiting.is_strict() && !stays
+        };
         let mut best: Option<Place> = None;
         for minion in self.listed_minions(waiting.id, waiting.step, Knowledge::good) {
             if !self.may_ever_run(minion, waiting) {
@@ -268,7 +346,8 @@
             let Some(place) = place else {
                 continue;
             };
-            let better = |b: &Place| (place.cost, place.starts) < (b.cost, b.starts);
+            let rank = |place: &Place| (place.cost, moves(place), place.starts);
+            let better = |best: &Place| rank(&place) < rank(best);
             if best.as_ref().is_none_or(better) {
                 best = Some(place);
             }
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::advice::{Knowledge, Turn};
-use super::claims::Claims;
 use super::mechanisms::Mechanism;
 use super::minion::Minion;
 use super::run::{Run, charged};
@@ -39,7 +38,7 @@
         self.place_wanted = false;
         self.place_at = now + PLACE_AGAIN;
         self.renew_levels(now);
-        self.claims = Claims::default();
+        self.claims = self.claims.next_round(now);
         let order = self.service_order(unix);
         let mut started = 0;
         for id in &order {
@@ -81,10 +80,16 @@
         if step.waiting.is_empty() {
             return placed;
         }
+        // A question about a lasting task names the minions on which room is kept for it.
+        if step.is_lasting() {
+            self.claim_room(now, unix, id, &step);
+        }
         if let Some(terms) = step.queue.advice {
             self.ask(now, id, &step, terms, Turn::Now);
         }
-        self.claim_room(now, unix, id, &step);
+        if !step.is_lasting() {
+            self.claim_room(now, unix, id, &step);
+        }
         self.ready.insert(id, step);
         placed
     }
--- a/src/batch/dispatch/prospects.rs
+++ b/src/batch/dispatch/prospects.rs
@@ -110,6 +110,7 @@
             let known = knowledge.allows(minion.number);
             let slowness = self.speeds.slowness(&minion.pace);
             prospects.push(Prospect {
+                claimed: step.is_lasting() && self.claims.of_step_on(minion.number, id) > 0,
                 chance: nearness * if known { KNOWN_GOOD } else { UNKNOWN },
                 preferred: urgent == (slowness <= Slowness::Usual),
                 places,
@@ -137,6 +138,8 @@
 /// A minion that a question could name; the greatest comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Prospect {
+    /// Room is kept there for the step.
+    claimed: bool,
     chance: u32,
     preferred: bool,
     places: u32,
--- a/tests/batch_waits.rs
+++ b/tests/batch_waits.rs
@@ -301,6 +301,9 @@
 /// nothing was stopped for it. However full the cell is, it has to be back within the bound.
 #[rstest]
 #[case::more_than_half_of_a_minion(18_000, Beside::ShortUrgent)]
+#[case::nearly_all_of_it(26_000, Beside::ShortUrgent)]
+#[case::all_of_it(32_000, Beside::ShortUrgent)]
+#[case::beside_long_work_that_saves_progress(26_000, Beside::LongSaving)]
 fn lasting_tasks_that_lost_their_runs_are_back_in_a_full_cell(
     #[case] cores: u32,
     #[case] beside: Beside,
