Questions to the policy service know what room the others count on

Cause: a question names the minions with the best prospects, and those are the same for all questions that are sent within the time of one answer. With sixty on the way, the first answer took the room that all the others had been promised by their tickets: 1,310 of 3,567 steps of checks found none of it left when their first answer came, and 2,529 needed two questions or more.

Now each question on the way is reckoned with the room that its tasks should take, spread over the places that it names. Other questions name such minions after those with room to spare, and equals come in an order that differs by step. The claim on the room ends with the answer, so a lost question holds nothing for longer than it counts as on the way.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 
 use super::order::{Advice, AdviceQuestion, Order, QuestionId};
-use super::questions::Share;
+use super::questions::{Asked, Share};
 use super::run::charged;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{AdviceTerms, JobId, MinionNumber, StepId, StepSpec};
@@ -33,15 +33,6 @@
 /// Pause between two searches for steps that were passed over.
 const PASSED_OVER_PAUSE: Duration = Duration::from_millis(250);
 
-/// A question on the way.
-#[derive(Clone, Debug)]
-struct Asked {
-    number: u64,
-    share: Share,
-    at: Timestamp,
-    minions: Vec<MinionNumber>,
-}
-
 /// What is known of the policy for one step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Knowledge {
@@ -135,21 +126,19 @@
         }
         let minions = wanted
             .iter()
-            .filter_map(|n| self.minions.get(n).map(|m| m.report.id.clone()))
+            .filter_map(|(n, _)| self.minions.get(n).map(|m| m.report.id.clone()))
             .collect::<Vec<_>>();
         let cost = terms.base + terms.per_minion * minions.len() as u32;
-        let question = self.questions.send(now, id, share);
+        let asked = self
+            .questions
+            .send(now, id, share, counted_on(step, id, &wanted));
+        let number = asked.number;
         if let Some(knowledge) = self.knowledge.get_mut(&id) {
             knowledge.last_asked = Some(now);
-            knowledge.asked = Some(Asked {
-                number: question.number,
-                share,
-                at: now,
-                minions: wanted,
-            });
+            knowledge.asked = Some(asked);
         }
         self.out.push(Order::Advise(AdviceQuestion {
-            id: question,
+            id: QuestionId { step: id, number },
             minions,
             cost,
         }));
@@ -228,7 +217,7 @@
         while let Some(question) = self.questions.take_older(now, QUESTION_LOST) {
             let knowledge = self.knowledge.get_mut(&question.step);
             if let Some(lost) = knowledge.and_then(|k| k.take_asked(question)) {
-                self.questions.over(lost.share);
+                self.questions.over(&lost);
             }
         }
     }
@@ -297,7 +286,7 @@
                 return true;
             }
             if let Some(asked) = &knowledge.asked {
-                self.questions.over(asked.share);
+                self.questions.over(asked);
             }
             false
         });
@@ -327,7 +316,7 @@
         let Some(asked) = knowledge.take_asked(question) else {
             return;
         };
-        self.questions.over(asked.share);
+        self.questions.over(&asked);
         self.out.push(Order::Note(Box::new(Note::StepAdvised {
             step: id,
             waiting,
@@ -348,9 +337,8 @@
             }
         }
         let before = knowledge.bad.len();
-        knowledge
-            .bad
-            .extend(asked.minions.iter().filter(|n| !good.contains(n)));
+        let named = asked.minions.iter().map(|(minion, _)| *minion);
+        knowledge.bad.extend(named.filter(|n| !good.contains(n)));
         if good.is_empty() && knowledge.bad.len() == before {
             knowledge.next_question = now + ASK_AGAIN;
         }
@@ -358,6 +346,22 @@
     }
 }
 
+/// Room that a question counts on: that of the tasks that wait, spread over the places named.
+fn counted_on(
+    step: &ReadyStep,
+    id: StepId,
+    named: &[(MinionNumber, u32)],
+) -> Vec<(MinionNumber, Resources)> {
+    let need = charged(&step.spec.steps[usize::from(id.step)]);
+    let places: u32 = named.iter().map(|(_, places)| places).sum();
+    let each = f64::from(step.waiting.len() as u32) / f64::from(places.max(1));
+    let room = |places: u32| need.part(each.min(1.0) * f64::from(places));
+    named
+        .iter()
+        .map(|(n, places)| (*n, room(*places)))
+        .collect()
+}
+
 /// Whether the tasks of a step may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Turn {
--- a/src/batch/dispatch/prospects.rs
+++ b/src/batch/dispatch/prospects.rs
@@ -9,6 +9,7 @@
 use super::run::charged;
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
+use crate::batch::agents::mix;
 use crate::batch::model::{AdviceTerms, MinionNumber, StepId};
 use crate::ids::Timestamp;
 use crate::resources::Resources;
@@ -19,9 +20,10 @@
 /// in one case of two: the users' policies let 0.35 and 0.7 of all minions run a step.
 const KNOWN_GOOD: u32 = 2;
 const UNKNOWN: u32 = 1;
-/// Weights of room that is there, of room that is expected within the life of a ticket, and of
-/// room that is not in sight.
+/// Weights of room that is there, of room that questions on the way count on already, of room that is
+/// expected within the life of a ticket, and of room that is not in sight.
 const ROOM_NOW: u32 = 4;
+const ROOM_SHARED: u32 = 3;
 const ROOM_SOON: u32 = 2;
 const ROOM_LATER: u32 = 1;
 /// How far ahead room counts as expected soon: the life of a ticket, as the users set it.
@@ -63,7 +65,8 @@
         room
     }
 
-    /// Minions that a question about a step should name, best prospects first.
+    /// Minions that a question about a step should name, best prospects first, each with the tasks
+    /// that it could take now.
     ///
     /// A question costs as much as naming some 70 minions, so one that names few is dear: a step
     /// with one task left asked about two minions at a time, other work took their room before
@@ -74,8 +77,9 @@
         id: StepId,
         step: &ReadyStep,
         terms: AdviceTerms,
-    ) -> Vec<MinionNumber> {
+    ) -> Vec<(MinionNumber, u32)> {
         let most = worth_asking(terms);
+        let waiting = step.waiting.len() as u32;
         // The next tickets should be there before the present ones are worth nothing.
         let lead_time = terms.base + terms.per_minion * most as u32;
         let rooms = self.rooms(now, step.queue.priority);
@@ -101,10 +105,16 @@
             };
             let share = spec.max_per_minion.unwrap_or(u32::MAX);
             let share = share.saturating_sub(self.of_step_on(minion, id));
-            let places = fits_times(&room.now, &need).min(share);
-            let nearness = match places {
-                0 if need.fits_in(&room.soon) => ROOM_SOON,
-                0 => ROOM_LATER,
+            let most_here = share.min(waiting);
+            let places = fits_times(&room.now, &need).min(most_here);
+            let left = room
+                .now
+                .saturating_sub(&self.questions.counted_on(minion.number));
+            let left = fits_times(&left, &need).min(most_here);
+            let nearness = match (left, places) {
+                (0, 0) if need.fits_in(&room.soon) => ROOM_SOON,
+                (0, 0) => ROOM_LATER,
+                (0, _) => ROOM_SHARED,
                 _ => ROOM_NOW,
             };
             let known = knowledge.allows(minion.number);
@@ -113,13 +123,14 @@
                 claimed: step.is_lasting() && self.claims.of_step_on(minion.number, id) > 0,
                 chance: nearness * if known { KNOWN_GOOD } else { UNKNOWN },
                 preferred: urgent == (slowness <= Slowness::Usual),
-                places,
+                places: if left > 0 { left } else { places },
+                tie: mix(u64::from(minion.number) << 32 ^ id.job),
                 minion: minion.number,
                 known,
             });
         }
         prospects.sort_unstable_by(|a, b| b.cmp(a));
-        named(&prospects, step.waiting.len() as u32, most)
+        named(&prospects, waiting, most)
     }
 }
 
@@ -142,7 +153,10 @@
     claimed: bool,
     chance: u32,
     preferred: bool,
+    /// Tasks of the step that it could take now, up to those that wait.
     places: u32,
+    /// Differs by step, so that questions about many steps do not all name the same few of equals.
+    tie: u64,
     minion: MinionNumber,
     known: bool,
 }
@@ -156,8 +170,8 @@
     (even as usize).clamp(FEWEST_ASKED, MOST_ASKED)
 }
 
-/// As many of the best prospects as should bring twice the room that is wanted.
-fn named(prospects: &[Prospect], waiting: u32, most: usize) -> Vec<MinionNumber> {
+/// As many of the best prospects as should bring twice the room that is wanted, each with its places.
+fn named(prospects: &[Prospect], waiting: u32, most: usize) -> Vec<(MinionNumber, u32)> {
     let mut places = 0;
     let mut names = Vec::new();
     for prospect in prospects {
@@ -166,8 +180,8 @@
             break;
         }
         let weight = if prospect.known { KNOWN_GOOD } else { UNKNOWN };
-        places += prospect.places.min(waiting) * weight;
-        names.push(prospect.minion);
+        places += prospect.places * weight;
+        names.push((prospect.minion, prospect.places));
     }
     names
 }
--- a/src/batch/dispatch/questions.rs
+++ b/src/batch/dispatch/questions.rs
@@ -1,11 +1,13 @@
 //! Questions to the policy service that are on the way, and how many there may be.
 
-use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use super::order::QuestionId;
-use crate::batch::model::StepId;
+use crate::batch::model::{MinionNumber, StepId};
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// What a question counts against. Each share has a limit of its own, which the others cannot use
 /// up: work that comes late in the order of service is asked about however many come before it.
@@ -23,6 +25,16 @@
 /// were passed over: 1 of this many.
 const RESERVED_PART: usize = 4;
 
+/// A question on the way.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    pub(super) number: u64,
+    share: Share,
+    pub(super) at: Timestamp,
+    /// Minions that it names, and the room there that it counts on.
+    pub(super) minions: Vec<(MinionNumber, Resources)>,
+}
+
 /// Questions on the way.
 #[derive(Debug, Default)]
 pub(super) struct Questions {
@@ -31,6 +43,8 @@
     ordinary: usize,
     lasting: usize,
     passed_over: usize,
+    /// Room that they count on.
+    counted_on: HashMap<MinionNumber, Resources>,
     /// In the order in which they were sent, with those that are answered by now.
     sent: VecDeque<(Timestamp, QuestionId)>,
 }
@@ -52,18 +66,52 @@
     }
 
     /// Counts a question about a step as on the way.
-    pub(super) fn send(&mut self, now: Timestamp, step: StepId, share: Share) -> QuestionId {
+    pub(super) fn send(
+        &mut self,
+        now: Timestamp,
+        step: StepId,
+        share: Share,
+        minions: Vec<(MinionNumber, Resources)>,
+    ) -> Asked {
         *self.of(share) += 1;
         self.last += 1;
         let number = self.last;
-        let question = QuestionId { step, number };
-        self.sent.push_back((now, question));
-        question
+        self.sent.push_back((now, QuestionId { step, number }));
+        for (minion, room) in &minions {
+            let counted = self.counted_on.entry(*minion).or_default();
+            *counted = counted.saturating_add(room);
+        }
+        Asked {
+            number,
+            share,
+            at: now,
+            minions,
+        }
     }
 
     /// Counts a question as no longer on the way.
-    pub(super) fn over(&mut self, share: Share) {
-        *self.of(share) -= 1;
+    pub(super) fn over(&mut self, asked: &Asked) {
+        *self.of(asked.share) -= 1;
+        for (minion, room) in &asked.minions {
+            if let Entry::Occupied(mut counted) = self.counted_on.entry(*minion) {
+                let left = counted.get().saturating_sub(room);
+                if left == Resources::ZERO {
+                    counted.remove();
+                } else {
+                    counted.insert(left);
+                }
+            }
+        }
+    }
+
+    /// Room of a minion that questions on the way count on.
+    ///
+    /// Each question alone names the minions with the best prospects. With sixty on the way they all
+    /// named the same ones: two steps in five found all that room taken when the answer came, and
+    /// had to ask again.
+    pub(super) fn counted_on(&self, minion: MinionNumber) -> Resources {
+        let counted = self.counted_on.get(&minion);
+        counted.copied().unwrap_or_default()
     }
 
     /// The oldest question, once, if it was sent `age` ago or earlier. It may be answered by now.
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -80,6 +80,16 @@
         }
     }
 
+    /// A part of each unit, rounded down.
+    pub fn part(&self, part: f64) -> Self {
+        let of = |unit: u32| (f64::from(unit) * part) as u32;
+        Self {
+            millicores: of(self.millicores),
+            memory_mb: of(self.memory_mb),
+            accelerators: of(self.accelerators),
+        }
+    }
+
     /// Adds each unit, or nothing if one would overflow.
     pub fn checked_add(&self, other: &Self) -> Option<Self> {
         Some(Self {
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -250,3 +250,35 @@
     }
     assert!(!take_questions(&mut world).is_empty());
 }
+
+/// Each of 200 minions has room for one task of a check. Ten checks of ten tasks are handed in within
+/// the time of one answer. If all questions named the same minions, the first check would take their
+/// room and the others would have to ask again, some of them for each new set of minions; there
+/// is room for all of them, so one question each is enough.
+#[test]
+fn checks_that_come_together_do_not_ask_for_the_same_room() {
+    let mut world = World::new();
+    world.leader.set_agents(100);
+    for i in 0..200 {
+        world.join(&format!("i-{i}"), i);
+    }
+    let spread = StepSpec {
+        max_per_minion: Some(1),
+        ..lasting(200, 24_000)
+    };
+    world.submit(JOB, vec![spread]);
+    assert_eq!(world.start_all().len(), 200);
+    let mut questions = Vec::new();
+    for job in 1..=10 {
+        world.submit_to(job, advised_queue(), vec![step(10, 7_000)]);
+        questions.extend(take_questions(&mut world));
+        world.pass(ms(5));
+    }
+    assert_eq!(questions.len(), 10);
+    for question in &questions {
+        allow(&mut world, question);
+    }
+    assert_eq!(world.take_starts().len(), 100);
+    world.pass(ms(100));
+    assert_eq!(take_questions(&mut world).len(), 0);
+}
