The leader's work for one start does not grow with all minions

Cause, by a profile of the leader at 1,100 minions: four things were done for all minions or all steps after each answer or in each round, though little had changed: - steps whose turn is to come were looked at with all runs before them (a fifth of the time); - all minions were looked at for holds that are due; - how full each service is was summed up anew, with a hash of the service's name for each minion; - all prospects of a question were sorted, though a hundred are named at most, and each was asked for the runs of the step there even where no limit is set.

Now a step to come is looked at again after half of the time that is left; minions are looked at when something happened to them, and all of them every 5 ms; levels are reckoned anew after a change of one or two in a hundred; only the prospects that can be named are sorted.

Ruled out: the log and connections are not part of this bench, so they do not hide in its figures.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -1,6 +1,7 @@
-//! Processor time of a leader's decisions: 350 minions, some 600 starts a second, a policy service
-//! that lets a step run on one minion in two, and minions that answer within 2 ms. Time is
-//! simulated; what is measured is the time that the dispatcher and the ledger take.
+//! Processor time of a leader's decisions in cells of several sizes with the same load for each
+//! minion: some two starts a second, a policy service that lets a step run on one minion in two, and
+//! minions that answer within 2 ms. Time is simulated; what is measured is the time that the
+//! dispatcher and the ledger take.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -19,14 +20,17 @@
 };
 use yuccahold::resources::Resources;
 
-const MINIONS: u32 = 350;
+/// Numbers of minions: the users' grown and large cells, and the size that they expect.
+const SIZES: [u32; 3] = [350, 1_100, 1_904];
 /// Simulated seconds before the measured ones.
 const WARM_UP: u64 = 10;
 /// Simulated seconds that are measured.
 const MEASURED: u64 = 20;
-/// Jobs a second: quick ones and long ones, as the users' larger cells have them.
-const QUICK: f64 = 32.0;
-const LONG: f64 = 4.2;
+/// Jobs a second for each minion: quick ones and long ones, as the users' larger cells have them.
+const QUICK: f64 = 32.0 / 350.0;
+const LONG: f64 = 4.2 / 350.0;
+/// Minions for each process that asks the policy service.
+const MINIONS_PER_AGENT: u32 = 10;
 const UNIX: Duration = Duration::from_secs(1_700_000_000);
 
 enum Event {
@@ -50,6 +54,7 @@
 }
 
 struct Cell {
+    size: u32,
     now: Duration,
     rng: ChaCha8Rng,
     ledger: Ledger,
@@ -89,7 +94,7 @@
 }
 
 impl Cell {
-    fn new() -> Self {
+    fn new(size: u32) -> Self {
         let now = Duration::from_secs(3600);
         let ledger = Ledger::default();
         let cfg = DispatchConfig {
@@ -100,6 +105,7 @@
         };
         let leader = Dispatcher::new(cfg, 1, &ledger, now);
         let mut cell = Self {
+            size,
             now,
             rng: ChaCha8Rng::seed_from_u64(7),
             ledger,
@@ -113,8 +119,9 @@
             starts: 0,
             longest: Duration::ZERO,
         };
-        cell.leader.set_agents(36);
-        for i in 0..MINIONS {
+        let agents = size / MINIONS_PER_AGENT;
+        cell.leader.set_agents(agents as usize);
+        for i in 0..size {
             cell.leader.report(now, report(i));
         }
         cell.decide();
@@ -148,7 +155,7 @@
                 self.decide();
             }
             Event::Arrival => {
-                let gap = 1.0 / (QUICK + LONG);
+                let gap = 1.0 / ((QUICK + LONG) * f64::from(self.size));
                 let gap = gap * self.rng.random_range(0.2..1.8);
                 self.at(Duration::from_secs_f64(gap), Event::Arrival);
                 self.submit();
@@ -376,7 +383,13 @@
 }
 
 fn main() {
-    let mut cell = Cell::new();
+    for size in SIZES {
+        measure(size);
+    }
+}
+
+fn measure(size: u32) {
+    let mut cell = Cell::new(size);
     cell.run_until(Duration::from_secs(3600 + WARM_UP));
     let (spent, starts, jobs) = (cell.spent, cell.starts, cell.jobs);
     cell.longest = Duration::ZERO;
@@ -384,7 +397,7 @@
     let spent = (cell.spent - spent).as_secs_f64();
     let starts = cell.starts - starts;
     println!(
-        "{MINIONS} minions, {:.0} jobs/s, {:.0} starts/s: {:.4} cores, {:.0} us a start, longest decision {:.2} ms",
+        "{size} minions, {:.0} jobs/s, {:.0} starts/s: {:.4} cores, {:.0} us a start, longest decision {:.2} ms",
         (cell.jobs - jobs) as f64 / MEASURED as f64,
         starts as f64 / MEASURED as f64,
         spent / MEASURED as f64,
--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -25,6 +25,10 @@
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 /// Pause after a look that found nobody to ask about.
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
+/// Shortest and longest pause between two looks at a step whose turn is to come. Each walks the tasks
+/// of the steps before it, and done in each round this was most of the leader's work in a large cell.
+const LOOK_AHEAD_PAUSE: Duration = Duration::from_millis(10);
+const LOOK_AHEAD_PAUSE_MAX: Duration = Duration::from_millis(500);
 /// A question that is not answered after this long is taken as lost.
 const QUESTION_LOST: Duration = Duration::from_secs(4);
 /// Time for which a step may go without a question, with room for it, before it counts as passed
@@ -253,17 +257,21 @@
     /// A check of two steps waited for 50 ms and long work for 0.7 s and more between its steps,
     /// with all its tickets still to be got.
     pub(super) fn ask_ahead(&mut self, now: Timestamp) {
-        let coming = std::mem::take(&mut self.coming);
-        for (id, step) in &coming {
+        let mut coming = std::mem::take(&mut self.coming);
+        for (id, step) in &mut coming {
             let Some(terms) = step.queue.advice else {
                 continue;
             };
-            let answered = now + terms.base + terms.per_minion * FEWEST_ASKED as u32;
-            let known = self.knowledge.get(id);
-            if known.is_some_and(|k| k.tickets.keys().any(|m| k.has_ticket(*m, answered))) {
+            if now < step.look_at {
                 continue;
             }
-            if self.begins(now, *id, step).is_some_and(|at| at < answered) {
+            let takes = terms.base + terms.per_minion * FEWEST_ASKED as u32;
+            let known = self.knowledge.get(id);
+            let has_ticket =
+                |k: &Knowledge| k.tickets.keys().any(|m| k.has_ticket(*m, now + takes));
+            let begins = self.begins(now, *id, step);
+            step.look_at = now + look_ahead_pause(now, begins, takes);
+            if begins.is_some_and(|at| at < now + takes) && !known.is_some_and(has_ticket) {
                 self.ask(now, *id, step, terms, Turn::Coming);
             }
         }
@@ -362,6 +370,13 @@
         .collect()
 }
 
+/// When to look again at a step that should begin at `begins`, about which a question takes `takes`.
+/// Half of the time that is left: its tasks may get on faster than expected.
+fn look_ahead_pause(now: Timestamp, begins: Option<Timestamp>, takes: Duration) -> Duration {
+    let left = begins.map_or(Duration::ZERO, |at| at.saturating_sub(now + takes));
+    (left / 2).clamp(LOOK_AHEAD_PAUSE, LOOK_AHEAD_PAUSE_MAX)
+}
+
 /// Whether the tasks of a step may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Turn {
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -183,6 +183,7 @@
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
+        self.touched.insert(number);
         let (Answer::Done { clock } | Answer::Refused { clock, .. }) = answer else {
             minion.left_unanswered(sent);
             return;
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::minion::{HoldState, Presence};
+use super::minion::{HoldState, Minion, Presence};
 use super::order::{HoldAnswer, HoldOrder, MinionOrder, Order};
 use crate::batch::ledger::Ledger;
 use crate::batch::model::{EndKind, MinionNumber};
@@ -36,15 +36,28 @@
 const GATHER: Duration = Duration::from_millis(15);
 /// Pause between two looks at a minion that still answers although its end was told of.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two looks at all minions for what is due by time alone: a pause that is over, a lease
+/// that has run out. Small against these pauses, and against a round trip.
+const TEND_EVERY: Duration = Duration::from_millis(5);
 /// A silent minion that is idle and sends no report for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
 impl Dispatcher {
     /// Sends the holds that are due and gives up on minions whose lease is over.
+    ///
+    /// This is asked after every answer. A look at all minions each time made the work for one answer
+    /// grow with the cell, so only those that something happened to are looked at in between.
     pub(super) fn tend_minions(&mut self, now: Timestamp) {
-        // Few of them need anything at a time, and this is asked after every answer.
-        let due = self.minions.values().filter(|m| m.needs_tending(now));
-        let due: Vec<_> = due.map(|m| m.number).collect();
+        let touched = std::mem::take(&mut self.touched);
+        let needs_tending = |m: &&Minion| m.needs_tending(now);
+        let due: Vec<_> = if now >= self.tend_at {
+            self.tend_at = now + TEND_EVERY;
+            let due = self.minions.values().filter(needs_tending);
+            due.map(|m| m.number).collect()
+        } else {
+            let touched = touched.iter().filter_map(|number| self.minions.get(number));
+            touched.filter(needs_tending).map(|m| m.number).collect()
+        };
         for number in due {
             self.end_lapsed(number, now);
             self.hold_if_due(number, now);
@@ -132,6 +145,7 @@
         if sent < self.began {
             return;
         }
+        self.touched.insert(number);
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -94,14 +94,22 @@
     leaving: BTreeSet<TaskId>,
     /// Room of all minions by priority of the work, and when it was reckoned.
     rooms: HashMap<u32, (Timestamp, prospects::Rooms)>,
-    /// How full each service is, in the present round.
+    /// How full each service is.
     levels: scarcity::Levels,
+    /// When that is reckoned anew.
+    levels_at: Timestamp,
+    /// Starts, ends and minions that joined since then.
+    changes: usize,
     /// What minions' runs should give back, and when that was reckoned.
     releases: RefCell<HashMap<MinionNumber, (Timestamp, forecast::Releases)>>,
     /// Room kept for tasks that wait, in the present round.
     claims: claims::Claims,
     /// What the next batch will hold.
     batch: Batch,
+    /// Minions that something happened to since they were last tended.
+    touched: BTreeSet<MinionNumber>,
+    /// When all minions are looked at next.
+    tend_at: Timestamp,
     /// Minions with ends that are taken and not acknowledged.
     unacknowledged: BTreeSet<MinionNumber>,
     /// Ends taken from minions, by batch on its way; they are acknowledged once it is agreed.
@@ -154,9 +162,13 @@
             leaving: BTreeSet::new(),
             rooms: HashMap::new(),
             levels: scarcity::Levels::new(),
+            levels_at: now,
+            changes: 0,
             releases: RefCell::new(HashMap::new()),
             claims: claims::Claims::default(),
             batch: Batch::default(),
+            touched: BTreeSet::new(),
+            tend_at: now,
             unacknowledged: BTreeSet::new(),
             batches: Default::default(),
             unreadable_told: None,
@@ -252,6 +264,8 @@
         minion.rack = *self.racks.entry(rack).or_insert(next);
         self.next_minion = self.next_minion.max(minion.number + 1);
         self.by_id.insert(minion.report.id.clone(), minion.number);
+        self.touched.insert(minion.number);
+        self.changes += 1;
         self.minions.insert(minion.number, minion);
     }
 
@@ -271,6 +285,8 @@
 
     fn add_run(&mut self, id: TaskId, run: Run) {
         self.forget_releases(run.minion);
+        self.touched.insert(run.minion);
+        self.changes += 1;
         if let Some(minion) = self.minions.get_mut(&run.minion) {
             minion.used = minion.used.saturating_add(&run.need);
             minion.filling += run.fills;
@@ -301,6 +317,7 @@
             minion.used = minion.used.saturating_sub(&run.need);
             minion.filling -= run.fills;
             minion.serving -= u32::from(run.serves);
+            self.changes += 1;
             self.place_wanted = true;
         }
     }
@@ -319,6 +336,7 @@
         let at_same_addr = |m: &&mut Minion| m.report.addr == report.addr;
         for old in self.minions.values_mut().filter(at_same_addr) {
             old.displaced(now);
+            self.touched.insert(old.number);
         }
         self.note(Note::MinionJoined {
             minion: report.id.clone(),
@@ -333,6 +351,7 @@
             return;
         };
         minion.reported = now;
+        self.touched.insert(number);
         if report.sequence < minion.report.sequence {
             return;
         }
@@ -358,6 +377,7 @@
             self.batch.draining.push(minion.number);
         }
         minion.left(now);
+        self.touched.insert(minion.number);
         let note = Note::MinionLeft {
             minion: id.clone(),
             runs: minion.runs.len(),
--- a/src/batch/dispatch/prospects.rs
+++ b/src/batch/dispatch/prospects.rs
@@ -1,6 +1,5 @@
 //! Whom to ask the policy service about: minions that may have room once the answer is there.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,7 +43,7 @@
             .minions
             .values()
             .map(|m| (m.number, self.room_of(m, now, priority)));
-        let all: Rooms = Arc::new(all.collect());
+        let all: Rooms = all.collect();
         self.rooms.insert(priority, (now, Arc::clone(&all)));
         all
     }
@@ -90,7 +89,10 @@
         let need = charged(spec);
         let urgent = step.queue.priority == 0;
         let mut prospects = Vec::new();
+        let mut rooms = rooms.iter().peekable();
         for minion in self.minions.values() {
+            while rooms.next_if(|(n, _)| *n < minion.number).is_some() {}
+            let known_room = rooms.peek().filter(|(n, _)| *n == minion.number);
             // A minion that already has its share of the step would be asked about in vain, and
             // could hide all others when few tasks are left.
             if !self.is_eligible(now, minion, id, step, spec)
@@ -100,11 +102,11 @@
             {
                 continue;
             }
-            let Some(room) = rooms.get(&minion.number) else {
+            let Some((_, room)) = known_room else {
                 continue;
             };
-            let share = spec.max_per_minion.unwrap_or(u32::MAX);
-            let share = share.saturating_sub(self.of_step_on(minion, id));
+            let own = |most: u32| most.saturating_sub(self.of_step_on(minion, id));
+            let share = spec.max_per_minion.map_or(u32::MAX, own);
             let most_here = share.min(waiting);
             let places = fits_times(&room.now, &need).min(most_here);
             let left = room
@@ -129,6 +131,11 @@
                 known,
             });
         }
+        // Only the best are named; to sort the others would cost more than all the rest.
+        if prospects.len() > most {
+            prospects.select_nth_unstable_by(most, |a, b| b.cmp(a));
+            prospects.truncate(most);
+        }
         prospects.sort_unstable_by(|a, b| b.cmp(a));
         named(&prospects, waiting, most)
     }
@@ -143,8 +150,8 @@
     soon: Resources,
 }
 
-/// Rooms of all minions.
-pub(super) type Rooms = Arc<BTreeMap<MinionNumber, Room>>;
+/// Rooms of all minions, by number.
+pub(super) type Rooms = Arc<[(MinionNumber, Room)]>;
 
 /// A minion that a question could name; the greatest comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -33,6 +33,8 @@
     pub(super) accepted: Timestamp,
     /// Since when it has had tasks that wait, by the steady clock.
     pub(super) since: Timestamp,
+    /// While its turn is to come: when it is looked at next for a question.
+    pub(super) look_at: Timestamp,
     /// Expected run time of this step and of the longest chain after it.
     pub(super) remaining: Duration,
     /// Tasks to be started, in order.
@@ -163,6 +165,7 @@
             queue: Arc::clone(&job.queue),
             accepted: job.accepted,
             since,
+            look_at: since,
             remaining: times.remaining[usize::from(id.step)],
             waiting,
         }
--- a/src/batch/dispatch/scarcity.rs
+++ b/src/batch/dispatch/scarcity.rs
@@ -1,6 +1,7 @@
 //! How scarce each resource of a service is, and what is left over of it by a placement.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::Dispatcher;
 use super::mechanisms::Mechanism;
@@ -10,6 +11,10 @@
 /// Share given away of a service's scarcest resource from which the service counts as full. What
 /// is left then is mostly too small for the larger half of the tasks.
 const FULL: f64 = 0.85;
+/// Age up to which levels are used again. To reckon them is to look at all minions.
+const LEVELS_KEPT: Duration = Duration::from_millis(100);
+/// Minions for each start or end that levels may be behind: a change of one or two in a hundred.
+const MINIONS_PER_CHANGE: usize = 64;
 /// Leftovers are compared in this many parts of a mean minion.
 const PARTS: f64 = 10_000.0;
 
@@ -43,14 +48,26 @@
 }
 
 /// Rooms of all services in the present round.
-pub(super) type Levels = HashMap<ServiceName, Level>;
+pub(super) type Levels = BTreeMap<ServiceName, Level>;
 
 impl Dispatcher {
-    /// Reckons anew how full each service is.
+    /// Reckons anew how full each service is, unless that is known well enough.
     pub(super) fn renew_levels(&mut self, now: Timestamp) {
+        let changed = self.changes * MINIONS_PER_CHANGE >= self.minions.len();
+        if now < self.levels_at && !changed {
+            return;
+        }
+        self.levels_at = now + LEVELS_KEPT;
+        self.changes = 0;
         let mut levels = Levels::new();
         for minion in self.minions.values().filter(|m| m.takes_work(now)) {
-            let level = levels.entry(minion.report.service.clone()).or_default();
+            let service = &minion.report.service;
+            if !levels.contains_key(service) {
+                levels.insert(service.clone(), Level::default());
+            }
+            let Some(level) = levels.get_mut(service) else {
+                continue;
+            };
             level.used = level.used.saturating_add(&minion.used);
             level.capacity = level.capacity.saturating_add(&minion.report.capacity);
             level.minions += 1;
