Questions name minions with free room before those where work would have to be stopped

Cause: a minion whose room is taken by work that would yield counted as one with room. It often has more places than one with free room, so it was named first. Nothing is stopped while others with free room have not been asked about; so the tickets lay idle and the step asked again.

Ruled out: a full cell (a fifth of its cores is free on the mean), slow answers (58 ms at the median, 70 ms for nine of ten).

Now free room comes first, then free room that other questions count on, then room that would have to be made.

Test: 30 minions with room for one task each and 60 full ones whose work would yield; a check of seven tasks starts with its first answer and stops nothing.

--- a/src/batch/dispatch/prospects.rs
+++ b/src/batch/dispatch/prospects.rs
@@ -19,12 +19,13 @@
 /// in one case of two: the users' policies let 0.35 and 0.7 of all minions run a step.
 const KNOWN_GOOD: u32 = 2;
 const UNKNOWN: u32 = 1;
-/// Weights of room that is there, of room that questions on the way count on already, of room that is
-/// expected within the life of a ticket, and of room that is not in sight.
-const ROOM_NOW: u32 = 4;
-const ROOM_SHARED: u32 = 3;
-const ROOM_SOON: u32 = 2;
-const ROOM_LATER: u32 = 1;
+/// Weights of a minion's room: there, there but counted on by questions on the way, taken by work that
+/// would have to be stopped for it, expected within the life of a ticket, not in sight.
+const ROOM_FREE: u32 = 8;
+const ROOM_SHARED: u32 = 6;
+const ROOM_YIELDING: u32 = 5;
+const ROOM_SOON: u32 = 4;
+const ROOM_LATER: u32 = 2;
 /// How far ahead room counts as expected soon: the life of a ticket, as the users set it.
 const SOON: Duration = Duration::from_millis(2000);
 /// Age up to which the reckoning of rooms is used again. Every waiting step needs it, and it looks
@@ -50,6 +51,7 @@
 
     fn room_of(&self, minion: &Minion, now: Timestamp, priority: u32) -> Room {
         let mut room = Room {
+            free: minion.free(),
             now: minion.free(),
             soon: minion.free(),
         };
@@ -107,17 +109,16 @@
             };
             let own = |most: u32| most.saturating_sub(self.of_step_on(minion, id));
             let share = spec.max_per_minion.map_or(u32::MAX, own);
-            let most_here = share.min(waiting);
-            let places = fits_times(&room.now, &need).min(most_here);
-            let left = room
-                .now
-                .saturating_sub(&self.questions.counted_on(minion.number));
-            let left = fits_times(&left, &need).min(most_here);
-            let nearness = match (left, places) {
-                (0, 0) if need.fits_in(&room.soon) => ROOM_SOON,
-                (0, 0) => ROOM_LATER,
-                (0, _) => ROOM_SHARED,
-                _ => ROOM_NOW,
+            let fits = |room: &Resources| fits_times(room, &need).min(share.min(waiting));
+            let counted_on = self.questions.counted_on(minion.number);
+            let open = fits(&room.free.saturating_sub(&counted_on));
+            let (free, yielding) = (fits(&room.free), fits(&room.now));
+            let (nearness, places) = match (open, free, yielding) {
+                (1.., _, _) => (ROOM_FREE, open),
+                (0, 1.., _) => (ROOM_SHARED, free),
+                (0, 0, 1..) => (ROOM_YIELDING, yielding),
+                (0, 0, 0) if need.fits_in(&room.soon) => (ROOM_SOON, 0),
+                (0, 0, 0) => (ROOM_LATER, 0),
             };
             let known = knowledge.allows(minion.number);
             let slowness = self.speeds.slowness(&minion.pace);
@@ -125,7 +126,7 @@
                 claimed: step.is_lasting() && self.claims.of_step_on(minion.number, id) > 0,
                 chance: nearness * if known { KNOWN_GOOD } else { UNKNOWN },
                 preferred: urgent == (slowness <= Slowness::Usual),
-                places: if left > 0 { left } else { places },
+                places,
                 tie: mix(u64::from(minion.number) << 32 ^ id.job),
                 minion: minion.number,
                 known,
@@ -144,6 +145,8 @@
 /// What one minion could take of a kind of work.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Room {
+    /// Free.
+    free: Resources,
     /// Free, coming free, or taken by work that would yield.
     now: Resources,
     /// The same with what is expected to end within the life of a ticket.
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -282,3 +282,46 @@
     world.pass(ms(100));
     assert_eq!(take_questions(&mut world).len(), 0);
 }
+
+/// Thirty minions have room for one task of a check each. Sixty others are full of work that saves its
+/// progress and would be stopped for a check; with it gone there is room for four tasks. A ticket for
+/// one of these is of no use while there is room elsewhere: the check would ask a second time, and
+/// if it did not, a run would be stopped for nothing.
+#[test]
+fn a_question_names_minions_with_room_before_those_where_others_would_have_to_be_stopped() {
+    let mut world = World::new();
+    world.leader.set_agents(10);
+    for i in 0..30 {
+        world.join(&format!("i-free-{i}"), i);
+    }
+    let spread = StepSpec {
+        max_per_minion: Some(1),
+        ..lasting(30, 24_000)
+    };
+    world.submit(JOB, vec![spread]);
+    world.start_all();
+    for i in 30..90 {
+        world.join(&format!("i-full-{i}"), i);
+    }
+    let plans = Queue {
+        name: "plans".into(),
+        prefix: "/plans/".into(),
+        priority: 2,
+        ..queue()
+    };
+    let saving = StepSpec {
+        saves_progress: true,
+        estimate: ms(6_000),
+        ..step(60, 32_000)
+    };
+    world.submit_to(JOB + 1, plans, vec![saving]);
+    assert_eq!(world.start_all().len(), 60);
+
+    world.submit_to(JOB + 2, advised_queue(), vec![step(7, 7_000)]);
+    let question = take_questions(&mut world).remove(0);
+    let free = |m: &yuccahold::ids::MinionId| m.starts_with("i-free");
+    assert_eq!(question.minions.iter().filter(|m| free(m)).count(), 30);
+    allow(&mut world, &question);
+    assert_eq!(world.take_starts().len(), 7);
+    assert_eq!(world.take_stops().len(), 0);
+}
