--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -26,7 +26,7 @@
 /// Pause after a look that found nobody to ask about.
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
 /// Shortest and longest pause between two looks at a step whose turn is to come. Each walks the tasks
-/// of the steps before it, and done in each round this was most of the leader's work in a large cell.
+/// of the steps before it, which is too much for each round of a large cell.
 const LOOK_AHEAD_PAUSE: Duration = Duration::from_millis(10);
 const LOOK_AHEAD_PAUSE_MAX: Duration = Duration::from_millis(500);
 /// A question that is not answered after this long is taken as lost.
@@ -169,8 +169,8 @@
     /// the longest first.
     ///
     /// Answers an overload. Steps that come early in the order of service and find no room ask again
-    /// and again as their tickets run out, and took all questions that may be on the way: jobs that
-    /// were past their objective, and so came last, were never asked about and never started.
+    /// and again as their tickets run out, and can take all questions that may be on the way. Jobs that
+    /// are past their objective come last; nobody would ask about them, and they would never start.
     pub(super) fn ask_passed_over(&mut self, now: Timestamp) {
         if now < self.passed_over_at {
             return;
--- a/src/batch/dispatch/claims.rs
+++ b/src/batch/dispatch/claims.rs
@@ -26,7 +26,7 @@
 const MANY: usize = 16;
 
 /// How long lasting tasks may wait before room is kept for them to the exclusion of all other work.
-const LASTING_YIELDS: Duration = Duration::from_secs(1);
+const LASTING_GRACE: Duration = Duration::from_secs(1);
 /// How long they may wait for room to come free by itself before others are stopped for it.
 const LASTING_PATIENCE: Duration = Duration::from_millis(2_500);
 /// How long room of one minion is kept for a lasting task that does not get it. Something there takes
@@ -159,7 +159,7 @@
 
     /// Whether lasting tasks have waited so long that no other work may delay them further.
     fn is_strict(&self) -> bool {
-        self.step.is_lasting() && self.now > self.step.since + LASTING_YIELDS
+        self.step.is_lasting() && self.now > self.step.since + LASTING_GRACE
     }
 
     /// Whether lasting tasks have waited so long that nothing else is tried first.
@@ -208,8 +208,8 @@
         if kept.saturating_add(need).fits_in(&minion.free()) {
             return true;
         }
-        // Expected ends are rough. Work that should have ended in time put a lasting task off again
-        // and again, for as long as there was more of it.
+        // Expected ends are rough. Work that should end in time but does not would put a lasting task
+        // off again and again, for as long as there is more of it.
         if claims.iter().any(|claim| claim.strict) {
             return false;
         }
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -45,8 +45,8 @@
 impl Dispatcher {
     /// Sends the holds that are due and gives up on minions whose lease is over.
     ///
-    /// This is asked after every answer. A look at all minions each time made the work for one answer
-    /// grow with the cell, so only those that something happened to are looked at in between.
+    /// This is asked after every answer. A look at all minions each time would make the work for one
+    /// answer grow with the cell, so in between only those that something happened to are looked at.
     pub(super) fn tend_minions(&mut self, now: Timestamp) {
         let touched = std::mem::take(&mut self.touched);
         let needs_tending = |m: &&Minion| m.needs_tending(now);
--- a/src/batch/dispatch/questions.rs
+++ b/src/batch/dispatch/questions.rs
@@ -21,8 +21,7 @@
     PassedOver,
 }
 
-/// Part of the askers that the lasting steps have for themselves, and as large a part the steps that
-/// were passed over: 1 of this many.
+/// Of this many askers one is there for lasting steps alone, and one for steps that were passed over.
 const RESERVED_PART: usize = 4;
 
 /// A question on the way.
@@ -106,9 +105,9 @@
 
     /// Room of a minion that questions on the way count on.
     ///
-    /// Each question alone names the minions with the best prospects. With sixty on the way they all
-    /// named the same ones: two steps in five found all that room taken when the answer came, and
-    /// had to ask again.
+    /// The minions with the best prospects are the same for all questions that are sent within the
+    /// time of one answer. If each named them, the first answer would take their room and the tickets
+    /// of the others would be of no use.
     pub(super) fn counted_on(&self, minion: MinionNumber) -> Resources {
         let counted = self.counted_on.get(&minion);
         counted.copied().unwrap_or_default()
--- a/src/batch/dispatch/scarcity.rs
+++ b/src/batch/dispatch/scarcity.rs
@@ -61,13 +61,7 @@
         self.changes = 0;
         let mut levels = Levels::new();
         for minion in self.minions.values().filter(|m| m.takes_work(now)) {
-            let service = &minion.report.service;
-            if !levels.contains_key(service) {
-                levels.insert(service.clone(), Level::default());
-            }
-            let Some(level) = levels.get_mut(service) else {
-                continue;
-            };
+            let level = levels.entry(minion.report.service.clone()).or_default();
             level.used = level.used.saturating_add(&minion.used);
             level.capacity = level.capacity.saturating_add(&minion.report.capacity);
             level.minions += 1;
