--- a/tests/batch_waits.rs
+++ b/tests/batch_waits.rs
@@ -51,7 +51,7 @@
         (hasher.finish() % 1_000) as f64 <= self.let_in * 1_000.0
     }
 
-    /// Takes new questions and answers those whose time has come: everyone named is allowed.
+    /// Takes new questions and answers those whose time has come.
     fn serve(&mut self, world: &mut World) {
         let mut new = Vec::new();
         world.orders.retain(|order| match order {
