One draw for agents and prospects, and one list of the rooms of a minion

Callers see no difference; nothing is decided differently.

What was wrong with the text: the order among equal prospects wrote again, inline, the pair that the rank of an agent is drawn from, and for it the dispatcher used the module of the agents, which uses the dispatcher. The choice among five kinds of room was a match over three numbers, all reckoned even where the first one decides.

Change: `rank` in a module of its own serves both. The kinds of room stand in a list, best first, and the first with a place is taken.

--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -14,6 +14,7 @@
 use super::dispatch::{AdviceQuestion, MinionAnswer, MinionOrder, OrderKind, QuestionId, Target};
 use super::machine::Answered;
 use super::model::MinionNumber;
+use super::rank::rank;
 use crate::ids::{Timestamp, ZoneName};
 
 /// Number of an agent's connection.
@@ -224,19 +225,6 @@
     }
 }
 
-/// A number drawn from a minion and an agent.
-fn rank(minion: MinionNumber, agent: AgentId) -> u64 {
-    mix(u64::from(minion) << 32 ^ agent)
-}
-
-/// The mixing step of SplitMix64: equal inputs give equal numbers, similar ones unlike numbers.
-pub(crate) fn mix(seed: u64) -> u64 {
-    let mut mixed = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    mixed ^ (mixed >> 31)
-}
-
 impl Sent {
     fn without_answer(self) -> Answered {
         Answered {
--- a/src/batch/dispatch/prospects.rs
+++ b/src/batch/dispatch/prospects.rs
@@ -8,8 +8,8 @@
 use super::run::charged;
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
-use crate::batch::agents::mix;
 use crate::batch::model::{AdviceTerms, MinionNumber, StepId};
+use crate::batch::rank::rank;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
 
@@ -52,12 +52,12 @@
     fn room_of(&self, minion: &Minion, now: Timestamp, priority: u32) -> Room {
         let mut room = Room {
             free: minion.free(),
-            now: minion.free(),
+            yielding: minion.free(),
             soon: minion.free(),
         };
         for run in minion.runs.iter().filter_map(|id| self.runs.get(id)) {
             if run.is_leaving() || (run.yields && run.priority > priority) {
-                room.now = room.now.saturating_add(&run.need);
+                room.yielding = room.yielding.saturating_add(&run.need);
                 room.soon = room.soon.saturating_add(&run.need);
             } else if run.expected_end(now).is_some_and(|end| end < now + SOON) {
                 room.soon = room.soon.saturating_add(&run.need);
@@ -94,7 +94,9 @@
         let mut rooms = rooms.iter().peekable();
         for minion in self.minions.values() {
             while rooms.next_if(|(n, _)| *n < minion.number).is_some() {}
-            let known_room = rooms.peek().filter(|(n, _)| *n == minion.number);
+            let Some((_, room)) = rooms.peek().filter(|(n, _)| *n == minion.number) else {
+                continue;
+            };
             // A minion that already has its share of the step would be asked about in vain, and
             // could hide all others when few tasks are left.
             if !self.is_eligible(now, minion, id, step, spec)
@@ -104,22 +106,24 @@
             {
                 continue;
             }
-            let Some((_, room)) = known_room else {
-                continue;
-            };
             let own = |most: u32| most.saturating_sub(self.of_step_on(minion, id));
             let share = spec.max_per_minion.map_or(u32::MAX, own);
             let fits = |room: &Resources| fits_times(room, &need).min(share.min(waiting));
-            let counted_on = self.questions.counted_on(minion.number);
-            let open = fits(&room.free.saturating_sub(&counted_on));
-            let (free, yielding) = (fits(&room.free), fits(&room.now));
-            let (nearness, places) = match (open, free, yielding) {
-                (1.., _, _) => (ROOM_FREE, open),
-                (0, 1.., _) => (ROOM_SHARED, free),
-                (0, 0, 1..) => (ROOM_YIELDING, yielding),
-                (0, 0, 0) if need.fits_in(&room.soon) => (ROOM_SOON, 0),
-                (0, 0, 0) => (ROOM_LATER, 0),
-            };
+            let open = room
+                .free
+                .saturating_sub(&self.questions.counted_on(minion.number));
+            let (nearness, places) = [
+                (ROOM_FREE, &open),
+                (ROOM_SHARED, &room.free),
+                (ROOM_YIELDING, &room.yielding),
+            ]
+            .into_iter()
+            .map(|(nearness, room)| (nearness, fits(room)))
+            .find(|(_, places)| *places > 0)
+            .unwrap_or_else(|| {
+                let soon = need.fits_in(&room.soon);
+                (if soon { ROOM_SOON } else { ROOM_LATER }, 0)
+            });
             let known = knowledge.allows(minion.number);
             let slowness = self.speeds.slowness(&minion.pace);
             prospects.push(Prospect {
@@ -127,7 +131,7 @@
                 chance: nearness * if known { KNOWN_GOOD } else { UNKNOWN },
                 preferred: urgent == (slowness <= Slowness::Usual),
                 places,
-                tie: mix(u64::from(minion.number) << 32 ^ id.job),
+                tie: rank(minion.number, id.job),
                 minion: minion.number,
                 known,
             });
@@ -148,7 +152,7 @@
     /// Free.
     free: Resources,
     /// Free, coming free, or taken by work that would yield.
-    now: Resources,
+    yielding: Resources,
     /// The same with what is expected to end within the life of a ticket.
     soon: Resources,
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -10,6 +10,7 @@
 pub mod machine;
 pub mod model;
 pub mod note;
+mod rank;
 pub mod server;
 mod telling;
 mod watch;
