--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -7,6 +7,7 @@
 
 use super::order::{Advice, AdviceQuestion, Order, QuestionId};
 use super::questions::{Asked, Share};
+use super::ready::remove_job;
 use super::run::charged;
 use super::{Dispatcher, ReadyStep};
 use crate::batch::model::{AdviceTerms, JobId, MinionNumber, StepId, StepSpec};
@@ -94,8 +95,7 @@
 
     /// Takes a question back if it is the one on the way.
     fn take_asked(&mut self, question: QuestionId) -> Option<Asked> {
-        let matches = |asked: &mut Asked| asked.number == question.number;
-        self.asked.take_if(matches)
+        self.asked.take_if(|asked| asked.id == question)
     }
 
     pub(super) fn forget_ticket(&mut self, minion: MinionNumber) {
@@ -136,13 +136,13 @@
         let asked = self
             .questions
             .send(now, id, share, counted_on(step, id, &wanted));
-        let number = asked.number;
+        let question = asked.id;
         if let Some(knowledge) = self.knowledge.get_mut(&id) {
             knowledge.last_asked = Some(now);
             knowledge.asked = Some(asked);
         }
         self.out.push(Order::Advise(AdviceQuestion {
-            id: QuestionId { step: id, number },
+            id: question,
             minions,
             cost,
         }));
@@ -206,11 +206,11 @@
     /// Since when a step with a policy has waited for a question; `None` while one is on the way.
     fn unasked_since(&self, id: StepId, step: &ReadyStep) -> Option<Timestamp> {
         step.queue.advice?;
-        let Some(knowledge) = self.knowledge.get(&id) else {
-            return Some(step.since);
-        };
-        let last = knowledge.last_asked.unwrap_or(step.since);
-        (!knowledge.is_asked()).then(|| last.max(step.since))
+        let known = self.knowledge.get(&id);
+        if known.is_some_and(Knowledge::is_asked) {
+            return None;
+        }
+        known.and_then(|k| k.last_asked).max(Some(step.since))
     }
 
     /// Takes questions that were not answered in time as lost, whoever asked them.
@@ -289,15 +289,11 @@
     /// Forgets what is known of a job's steps, and the questions about them that are on the way:
     /// their answers will find nobody.
     pub(super) fn forget_knowledge(&mut self, job: JobId) {
-        self.knowledge.retain(|step, knowledge| {
-            if step.job != job {
-                return true;
+        for knowledge in remove_job(&mut self.knowledge, job).into_values() {
+            if let Some(asked) = knowledge.asked {
+                self.questions.over(&asked);
             }
-            if let Some(asked) = &knowledge.asked {
-                self.questions.over(asked);
-            }
-            false
-        });
+        }
     }
 
     /// Notes how many processes can ask. Each asks one question at a time, so a third of them is
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -83,7 +83,7 @@
     /// Steps that wait only for tasks which are all under way.
     coming: BTreeMap<StepId, ReadyStep>,
     dirty_jobs: BTreeSet<JobId>,
-    knowledge: HashMap<StepId, Knowledge>,
+    knowledge: BTreeMap<StepId, Knowledge>,
     /// Questions on the way to the policy service.
     questions: questions::Questions,
     /// When steps that were passed over are looked for again.
@@ -155,7 +155,7 @@
             ready: BTreeMap::new(),
             coming: BTreeMap::new(),
             dirty_jobs: BTreeSet::new(),
-            knowledge: HashMap::new(),
+            knowledge: BTreeMap::new(),
             questions: questions::Questions::default(),
             passed_over_at: now,
             agents: 1,
--- a/src/batch/dispatch/questions.rs
+++ b/src/batch/dispatch/questions.rs
@@ -27,7 +27,7 @@
 /// A question on the way.
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
-    pub(super) number: u64,
+    pub(super) id: QuestionId,
     share: Share,
     pub(super) at: Timestamp,
     /// Minions that it names, and the room there that it counts on.
@@ -75,13 +75,14 @@
         *self.of(share) += 1;
         self.last += 1;
         let number = self.last;
-        self.sent.push_back((now, QuestionId { step, number }));
+        let id = QuestionId { step, number };
+        self.sent.push_back((now, id));
         for (minion, room) in &minions {
             let counted = self.counted_on.entry(*minion).or_default();
             *counted = counted.saturating_add(room);
         }
         Asked {
-            number,
+            id,
             share,
             at: now,
             minions,
