Levels of services keep their own time and changes

Callers see no difference; nothing is decided differently.

Cause: how full each service is took three fields of the dispatcher that only make sense together, beside `Capacities`, which keeps its own time for the same kind of reckoning.

Change: `Levels` holds all three and says itself whether it is fresh.

--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -96,10 +96,6 @@
     rooms: HashMap<u32, (Timestamp, prospects::Rooms)>,
     /// How full each service is.
     levels: scarcity::Levels,
-    /// When that is reckoned anew.
-    levels_at: Timestamp,
-    /// Starts, ends and minions that joined since then.
-    changes: usize,
     /// What minions' runs should give back, and when that was reckoned.
     releases: RefCell<HashMap<MinionNumber, (Timestamp, forecast::Releases)>>,
     /// Room kept for tasks that wait, in the present round.
@@ -161,9 +157,7 @@
             agents: 1,
             leaving: BTreeSet::new(),
             rooms: HashMap::new(),
-            levels: scarcity::Levels::new(),
-            levels_at: now,
-            changes: 0,
+            levels: scarcity::Levels::default(),
             releases: RefCell::new(HashMap::new()),
             claims: claims::Claims::default(),
             batch: Batch::default(),
@@ -265,7 +259,7 @@
         self.next_minion = self.next_minion.max(minion.number + 1);
         self.by_id.insert(minion.report.id.clone(), minion.number);
         self.touched.insert(minion.number);
-        self.changes += 1;
+        self.levels.changed();
         self.minions.insert(minion.number, minion);
     }
 
@@ -286,7 +280,7 @@
     fn add_run(&mut self, id: TaskId, run: Run) {
         self.forget_releases(run.minion);
         self.touched.insert(run.minion);
-        self.changes += 1;
+        self.levels.changed();
         if let Some(minion) = self.minions.get_mut(&run.minion) {
             minion.used = minion.used.saturating_add(&run.need);
             minion.filling += run.fills;
@@ -317,7 +311,7 @@
             minion.used = minion.used.saturating_sub(&run.need);
             minion.filling -= run.fills;
             minion.serving -= u32::from(run.serves);
-            self.changes += 1;
+            self.levels.changed();
             self.place_wanted = true;
         }
     }
--- a/src/batch/dispatch/scarcity.rs
+++ b/src/batch/dispatch/scarcity.rs
@@ -47,31 +47,51 @@
     }
 }
 
-/// Rooms of all services in the present round.
-pub(super) type Levels = BTreeMap<ServiceName, Level>;
+/// Rooms of all services, and when they were reckoned.
+#[derive(Debug, Default)]
+pub(super) struct Levels {
+    at: Option<Timestamp>,
+    /// Starts, ends and minions that joined since then.
+    changes: usize,
+    by_service: BTreeMap<ServiceName, Level>,
+}
+
+impl Levels {
+    /// Notes a start, an end, or a minion that joined.
+    pub(super) fn changed(&mut self) {
+        self.changes += 1;
+    }
+
+    /// Whether they are known well enough in a cell of so many minions.
+    fn are_fresh(&self, now: Timestamp, minions: usize) -> bool {
+        let few = self.changes * MINIONS_PER_CHANGE < minions;
+        few && self.at.is_some_and(|at| now < at + LEVELS_KEPT)
+    }
+}
 
 impl Dispatcher {
     /// Reckons anew how full each service is, unless that is known well enough.
     pub(super) fn renew_levels(&mut self, now: Timestamp) {
-        let changed = self.changes * MINIONS_PER_CHANGE >= self.minions.len();
-        if now < self.levels_at && !changed {
+        if self.levels.are_fresh(now, self.minions.len()) {
             return;
         }
-        self.levels_at = now + LEVELS_KEPT;
-        self.changes = 0;
-        let mut levels = Levels::new();
+        let mut by_service: BTreeMap<_, Level> = BTreeMap::new();
         for minion in self.minions.values().filter(|m| m.takes_work(now)) {
-            let level = levels.entry(minion.report.service.clone()).or_default();
+            let level = by_service.entry(minion.report.service.clone()).or_default();
             level.used = level.used.saturating_add(&minion.used);
             level.capacity = level.capacity.saturating_add(&minion.report.capacity);
             level.minions += 1;
         }
-        self.levels = levels;
+        self.levels = Levels {
+            at: Some(now),
+            changes: 0,
+            by_service,
+        };
     }
 
     /// Room of a service; `None` where no minion of it takes work or fit is not weighed.
     pub(super) fn level(&self, service: &ServiceName) -> Option<&Level> {
         let weighed = self.cfg.mechanisms.has(Mechanism::TightFit);
-        self.levels.get(service).filter(|_| weighed)
+        self.levels.by_service.get(service).filter(|_| weighed)
     }
 }
