Tests of the dispatcher share how orders, minions and steps are made

No assertion, bound or load changes.

Taking the questions out of a world's orders stood in two test files beside three loops of the same shape in the world; a step of lasting tasks that keep apart, the joining of many minions and the id of a job's first step stood in up to seven places.

--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -2,10 +2,11 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, lasting, listed, ms, queue, report, step};
-use yuccahold::batch::dispatch::{Advice, AdviceQuestion, Listing, Order, StartOrder};
+use batch_world::{JOB, World, lasting, listed, ms, one_each, queue, report, step};
+use yuccahold::batch::dispatch::{Advice, AdviceQuestion, Listing, StartOrder};
 use yuccahold::batch::ledger::Command;
 use yuccahold::batch::model::{AdviceTerms, EndKind, Queue, StepSpec};
+use yuccahold::ids::MinionId;
 
 fn advised_queue() -> Queue {
     Queue {
@@ -18,18 +19,6 @@
     }
 }
 
-fn take_questions(world: &mut World) -> Vec<AdviceQuestion> {
-    let mut questions = Vec::new();
-    world.orders.retain(|order| match order {
-        Order::Advise(question) => {
-            questions.push(question.clone());
-            false
-        }
-        _ => true,
-    });
-    questions
-}
-
 /// Says yes to everyone who is asked about.
 fn allow(world: &mut World, question: &AdviceQuestion) {
     let good = question
@@ -50,18 +39,13 @@
 #[test]
 fn minions_with_their_share_of_a_step_do_not_hide_the_others() {
     let mut world = World::new();
-    let spread = StepSpec {
-        max_per_minion: Some(1),
-        ..lasting(8, 1_000)
-    };
-    for i in 0..8 {
-        world.join(&format!("i-{i}"), i);
-    }
+    let spread = one_each(8, 1_000);
+    world.join_all("i", 0..8);
     let mut ninth = report("i-8", 8);
     ninth.labels.push("ninth".into());
     let ninth = world.join_as(ninth);
     world.submit_to(JOB, advised_queue(), vec![spread]);
-    let question = take_questions(&mut world).remove(0);
+    let question = world.take_questions().remove(0);
     assert_eq!(question.minions.len(), 9);
     allow(&mut world, &question);
     let mut starts = world.start_all();
@@ -76,7 +60,7 @@
         world.pass(ms(100));
         answer_holds(&mut world, &starts);
     }
-    take_questions(&mut world);
+    world.take_questions();
 
     world.leader.left(world.now, &"i-0".into());
     let lost = starts.iter().position(|(m, _)| *m == 0).expect("one each");
@@ -84,7 +68,7 @@
     world.end(minion, 1, &order, EndKind::Failed);
     let mut restarted = Vec::new();
     for _ in 0..20 {
-        let questions = take_questions(&mut world);
+        let questions = world.take_questions();
         for _ in 0..5 {
             world.pass(ms(100));
             answer_holds(&mut world, &starts);
@@ -128,9 +112,10 @@
         world.apply(&Command::Cancel { job });
         world.decide();
     }
-    take_questions(&mut world);
+    world.take_questions();
     world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
-    let asked: Vec<_> = take_questions(&mut world)
+    let asked: Vec<_> = world
+        .take_questions()
         .iter()
         .map(|question| question.id.step.job)
         .collect();
@@ -143,11 +128,9 @@
 #[test]
 fn a_step_with_one_task_left_asks_about_many_minions() {
     let mut world = World::new();
-    for i in 0..60 {
-        world.join(&format!("i-{i}"), i);
-    }
+    world.join_all("i", 0..60);
     world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
-    let question = take_questions(&mut world).remove(0);
+    let question = world.take_questions().remove(0);
     assert_eq!(question.minions.len(), 30);
 
     // None of those may run it, and the others have no room just now.
@@ -156,7 +139,7 @@
     let nobody = Advice { good: Vec::new() };
     world.leader.advised(world.now, question.id, Some(nobody));
     world.pass(ms(300));
-    let question = take_questions(&mut world).remove(0);
+    let question = world.take_questions().remove(0);
     assert_eq!(question.minions.len(), 30);
 }
 
@@ -182,11 +165,11 @@
     world.submit_to(JOB + 1, plans, vec![saving]);
     world.start_all();
     world.submit_to(JOB, advised_queue(), vec![step(1, 1_000)]);
-    let question = take_questions(&mut world).remove(0);
+    let question = world.take_questions().remove(0);
     world.join("i-free", 2);
     allow(&mut world, &question);
     world.pass(ms(200));
-    let questions = take_questions(&mut world);
+    let questions = world.take_questions();
     let asked: Vec<_> = questions.iter().map(|q| q.minions.clone()).collect();
     assert_eq!(asked, [["i-free"]]);
     assert_eq!(world.take_stops().len(), 0);
@@ -205,19 +188,15 @@
 #[test]
 fn a_late_answer_is_not_taken_for_one_to_a_later_question() {
     let mut world = World::new();
-    for i in 0..30 {
-        world.join(&format!("i-{i}"), i);
-    }
+    world.join_all("i", 0..30);
     world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
-    let first = take_questions(&mut world).remove(0);
+    let first = world.take_questions().remove(0);
     // The minions named there get other work, and others join.
     world.submit(JOB + 1, vec![lasting(30, 32_000)]);
     world.start_all();
-    for i in 30..60 {
-        world.join(&format!("i-{i}"), i);
-    }
+    world.join_all("i", 30..60);
     world.pass(ms(4_100));
-    let second = take_questions(&mut world).remove(0);
+    let second = world.take_questions().remove(0);
     assert!(second.minions.iter().all(|m| !first.minions.contains(m)));
 
     allow(&mut world, &first);
@@ -233,9 +212,7 @@
 fn questions_that_are_lost_together_are_asked_again() {
     let mut world = World::new();
     world.leader.set_agents(7);
-    for i in 0..8 {
-        world.join(&format!("i-{i}"), i);
-    }
+    world.join_all("i", 0..8);
     let queue = Queue {
         priority: 1,
         ..advised_queue()
@@ -244,11 +221,11 @@
         world.submit_to(job, queue.clone(), vec![lasting(1, 1_000)]);
         world.pass(ms(200));
     }
-    assert_eq!(take_questions(&mut world).len(), 4);
+    assert_eq!(world.take_questions().len(), 4);
     for _ in 0..50 {
         world.pass(ms(100));
     }
-    assert!(!take_questions(&mut world).is_empty());
+    assert!(!world.take_questions().is_empty());
 }
 
 /// Each of 200 minions has room for one task of a check. Ten checks of ten tasks are handed in within
@@ -259,19 +236,13 @@
 fn checks_that_come_together_do_not_ask_for_the_same_room() {
     let mut world = World::new();
     world.leader.set_agents(100);
-    for i in 0..200 {
-        world.join(&format!("i-{i}"), i);
-    }
-    let spread = StepSpec {
-        max_per_minion: Some(1),
-        ..lasting(200, 24_000)
-    };
-    world.submit(JOB, vec![spread]);
+    world.join_all("i", 0..200);
+    world.submit(JOB, vec![one_each(200, 24_000)]);
     assert_eq!(world.start_all().len(), 200);
     let mut questions = Vec::new();
     for job in 1..=10 {
         world.submit_to(job, advised_queue(), vec![step(10, 7_000)]);
-        questions.extend(take_questions(&mut world));
+        questions.extend(world.take_questions());
         world.pass(ms(5));
     }
     assert_eq!(questions.len(), 10);
@@ -280,7 +251,7 @@
     }
     assert_eq!(world.take_starts().len(), 100);
     world.pass(ms(100));
-    assert_eq!(take_questions(&mut world).len(), 0);
+    assert_eq!(world.take_questions().len(), 0);
 }
 
 /// Thirty minions have room for one task of a check each. Sixty others are full of work that saves its
@@ -291,18 +262,10 @@
 fn a_question_names_minions_with_room_before_those_where_others_would_have_to_be_stopped() {
     let mut world = World::new();
     world.leader.set_agents(10);
-    for i in 0..30 {
-        world.join(&format!("i-free-{i}"), i);
-    }
-    let spread = StepSpec {
-        max_per_minion: Some(1),
-        ..lasting(30, 24_000)
-    };
-    world.submit(JOB, vec![spread]);
+    world.join_all("i-free", 0..30);
+    world.submit(JOB, vec![one_each(30, 24_000)]);
     world.start_all();
-    for i in 30..90 {
-        world.join(&format!("i-full-{i}"), i);
-    }
+    world.join_all("i-full", 30..90);
     let plans = Queue {
         name: "plans".into(),
         prefix: "/plans/".into(),
@@ -318,8 +281,8 @@
     assert_eq!(world.start_all().len(), 60);
 
     world.submit_to(JOB + 2, advised_queue(), vec![step(7, 7_000)]);
-    let question = take_questions(&mut world).remove(0);
-    let free = |m: &yuccahold::ids::MinionId| m.starts_with("i-free");
+    let question = world.take_questions().remove(0);
+    let free = |m: &MinionId| m.starts_with("i-free");
     assert_eq!(question.minions.iter().filter(|m| free(m)).count(), 30);
     allow(&mut world, &question);
     assert_eq!(world.take_starts().len(), 7);
--- a/tests/batch_claims.rs
+++ b/tests/batch_claims.rs
@@ -2,10 +2,10 @@
 
 mod batch_world;
 
-use batch_world::{World, ms, queue, report, step};
+use batch_world::{World, first_step, ms, queue, report, step};
 use yuccahold::batch::dispatch::{ListedEnd, ListedRun, StartOrder};
 use yuccahold::batch::model::{
-    EndKind, Grouping, JobId, MinionNumber, MinionReport, Queue, StepId, StepSpec, TaskId,
+    EndKind, Grouping, JobId, MinionNumber, MinionReport, Queue, StepSpec, TaskId,
 };
 use yuccahold::resources::Resources;
 
@@ -51,12 +51,7 @@
 
 /// A task of the only step of a job that runs once.
 fn task(job: JobId, index: u32) -> TaskId {
-    let step = StepId {
-        job,
-        occurrence: 0,
-        step: 0,
-    };
-    step.task(index)
+    first_step(job).task(index)
 }
 
 /// Ends of the given runs, all on one minion, in the order given.
--- a/tests/batch_waits.rs
+++ b/tests/batch_waits.rs
@@ -6,10 +6,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use batch_world::{World, lasting, listed, ms, queue, step};
+use batch_world::{World, first_step, listed, ms, one_each, queue, step};
 use rstest::rstest;
 use yuccahold::batch::dispatch::{
-    Advice, AdviceQuestion, Answer, ListedEnd, Listing, Order, StartOrder,
+    Advice, AdviceQuestion, Answer, HoldAnswer, ListedEnd, Listing, StartOrder,
 };
 use yuccahold::batch::model::{
     AdviceTerms, EndKind, JobId, MinionNumber, Queue, StepId, StepSpec, TaskId,
@@ -53,15 +53,7 @@
 
     /// Takes new questions and answers those whose time has come.
     fn serve(&mut self, world: &mut World) {
-        let mut new = Vec::new();
-        world.orders.retain(|order| match order {
-            Order::Advise(question) => {
-                new.push(question.clone());
-                false
-            }
-            _ => true,
-        });
-        for question in new {
+        for question in world.take_questions() {
             let asked = self.first_asked.entry(question.id.step);
             asked.or_insert(world.now);
             let least = (0..self.askers.len()).min_by_key(|i| self.askers[*i].len());
@@ -169,7 +161,7 @@
                 ended,
                 unreadable: 0,
             };
-            let answer = yuccahold::batch::dispatch::HoldAnswer::Listing(listing);
+            let answer = HoldAnswer::Listing(listing);
             let (now, ledger) = (world.now, &world.ledger);
             world.leader.held(now, minion, now, answer, ledger);
         }
@@ -242,33 +234,19 @@
     }
 }
 
-fn first_step(job: JobId) -> StepId {
-    StepId {
-        job,
-        occurrence: 0,
-        step: 0,
-    }
-}
-
-/// Lasting work takes 14 of 32 cores of each minion. Eighty jobs of two urgent queues need 20 cores, so none of
-/// them will ever have room, and each is asked about again whenever its tickets have run out: that
-/// is more questions than may be on the way. Ten small jobs of a less urgent queue are far past
-/// their objective and come last; there is room for them everywhere. Their callers wait for ever
-/// unless they are asked about.
+/// Lasting work takes 14 of 32 cores of each minion. Eighty jobs of two urgent queues need 20 cores,
+/// so none of them will ever have room, and each is asked about again whenever its tickets have run
+/// out: that is more questions than may be on the way. Ten small jobs of a less urgent queue are far
+/// past their objective and come last; there is room for them everywhere. Their callers wait for
+/// ever unless they are asked about.
 #[test]
 fn late_jobs_with_room_are_asked_about_beside_a_flood_of_urgent_ones() {
     const LATE: std::ops::Range<JobId> = 100..110;
     let mut world = World::new();
     let (mut policy, mut cell) = (Policy::new(16), Cell::default());
     world.leader.set_agents(16);
-    for i in 0..40 {
-        world.join(&format!("i-{i}"), i);
-    }
-    let spread = StepSpec {
-        max_per_minion: Some(1),
-        ..lasting(40, 14_000)
-    };
-    world.submit(1, vec![spread]);
+    world.join_all("i", 0..40);
+    world.submit(1, vec![one_each(40, 14_000)]);
     for job in 2..82 {
         let queue = if job % 2 == 0 { urgent() } else { renders() };
         world.submit_to(job, queue, vec![step(1, 20_000)]);
@@ -319,11 +297,7 @@
         let id = format!("i-{i}");
         ids.insert(world.join(&id, i), id);
     }
-    let spread = StepSpec {
-        max_per_minion: Some(1),
-        ..lasting(8, cores)
-    };
-    world.submit_to(LASTING, lasting_queue(), vec![spread]);
+    world.submit_to(LASTING, lasting_queue(), vec![one_each(8, cores)]);
     let takes = |start: &StartOrder| {
         let draw = start.task.step.job.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33;
         let time = match beside {
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -3,17 +3,18 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{
-    Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, ListedEnd, ListedRun, Listing,
-    Mechanisms, MinionOrder, Order, Silence, StartOrder,
+    AdviceQuestion, Answer, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder, ListedEnd,
+    ListedRun, Listing, Mechanisms, MinionOrder, Order, Silence, StartOrder,
 };
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
 use yuccahold::batch::model::{
-    EndKind, JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue, Readiness, StepSpec,
-    TaskId,
+    EndKind, JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue, Readiness, StepId,
+    StepSpec, TaskId,
 };
 use yuccahold::resources::Resources;
 
@@ -68,6 +69,23 @@
     }
 }
 
+/// Lasting tasks of which no two run on one minion.
+pub fn one_each(count: u32, millicores: u32) -> StepSpec {
+    StepSpec {
+        max_per_minion: Some(1),
+        ..lasting(count, millicores)
+    }
+}
+
+/// The first step of a job that runs once.
+pub fn first_step(job: JobId) -> StepId {
+    StepId {
+        job,
+        occurrence: 0,
+        step: 0,
+    }
+}
+
 pub fn report(id: &str, port: u16) -> MinionReport {
     MinionReport {
         id: id.into(),
@@ -202,6 +220,13 @@
         self.decide();
     }
 
+    /// Minions join, named by a prefix and their ports.
+    pub fn join_all(&mut self, prefix: &str, ports: Range<u16>) {
+        for port in ports {
+            self.join(&format!("{prefix}-{port}"), port);
+        }
+    }
+
     /// A minion joins and answers its first hold.
     pub fn join(&mut self, id: &str, port: u16) -> MinionNumber {
         self.join_as(report(id, port))
@@ -287,39 +312,48 @@
         starts
     }
 
-    pub fn take_starts(&mut self) -> Vec<(MinionNumber, StartOrder)> {
-        let mut starts = Vec::new();
-        self.orders.retain(|order| match order {
-            Order::Minion(target, MinionOrder::Start(start)) => {
-                starts.push((target.minion, (**start).clone()));
+    /// Takes out the orders of one kind.
+    fn take<T>(&mut self, pick: impl Fn(&Order) -> Option<T>) -> Vec<T> {
+        let mut taken = Vec::new();
+        self.orders.retain(|order| match pick(order) {
+            Some(picked) => {
+                taken.push(picked);
                 false
             }
-            _ => true,
+            None => true,
         });
-        starts
+        taken
     }
 
-    pub fn take_holds(&mut self) -> Vec<(MinionNumber, HoldOrder)> {
-        let mut holds = Vec::new();
-        self.orders.retain(|order| match order {
-            Order::Minion(target, MinionOrder::Hold(hold)) => {
-                holds.push((target.minion, hold.clone()));
-                false
+    pub fn take_starts(&mut self) -> Vec<(MinionNumber, StartOrder)> {
+        self.take(|order| match order {
+            Order::Minion(target, MinionOrder::Start(start)) => {
+                Some((target.minion, (**start).clone()))
             }
-            _ => true,
-        });
-        holds
+            _ => None,
+        })
+    }
+
+    pub fn take_holds(&mut self) -> Vec<(MinionNumber, HoldOrder)> {
+        self.take(|order| match order {
+            Order::Minion(target, MinionOrder::Hold(hold)) => Some((target.minion, hold.clone())),
+            _ => None,
+        })
     }
 
     pub fn take_stops(&mut self) -> Vec<(MinionNumber, TaskId, u32)> {
-        let mut stops = Vec::new();
-        self.orders.retain(|order| match order {
+        self.take(|order| match order {
             Order::Minion(target, MinionOrder::Stop { task, run, .. }) => {
-                stops.push((target.minion, *task, *run));
-                false
+                Some((target.minion, *task, *run))
             }
-            _ => true,
-        });
-        stops
+            _ => None,
+        })
+    }
+
+    pub fn take_questions(&mut self) -> Vec<AdviceQuestion> {
+        self.take(|order| match order {
+            Order::Advise(question) => Some(question.clone()),
+            _ => None,
+        })
     }
 }
