--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -2,7 +2,7 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, lasting, listed, ms, one_each, queue, report, step};
+use batch_world::{JOB, World, lasting, listed, ms, one_each, plans, queue, report, saving, step};
 use yuccahold::batch::dispatch::{Advice, AdviceQuestion, Listing, StartOrder};
 use yuccahold::batch::ledger::Command;
 use yuccahold::batch::model::{AdviceTerms, EndKind, Queue, StepSpec};
@@ -151,18 +151,7 @@
 fn nothing_is_stopped_while_a_ticket_would_do() {
     let mut world = World::new();
     world.join("i-full", 1);
-    let plans = Queue {
-        name: "plans".into(),
-        prefix: "/plans/".into(),
-        priority: 2,
-        ..queue()
-    };
-    let saving = StepSpec {
-        saves_progress: true,
-        estimate: ms(6_000),
-        ..step(1, 32_000)
-    };
-    world.submit_to(JOB + 1, plans, vec![saving]);
+    world.submit_to(JOB + 1, plans(), vec![saving(1, 32_000)]);
     world.start_all();
     world.submit_to(JOB, advised_queue(), vec![step(1, 1_000)]);
     let question = world.take_questions().remove(0);
@@ -266,18 +255,7 @@
     world.submit(JOB, vec![one_each(30, 24_000)]);
     world.start_all();
     world.join_all("i-full", 30..90);
-    let plans = Queue {
-        name: "plans".into(),
-        prefix: "/plans/".into(),
-        priority: 2,
-        ..queue()
-    };
-    let saving = StepSpec {
-        saves_progress: true,
-        estimate: ms(6_000),
-        ..step(60, 32_000)
-    };
-    world.submit_to(JOB + 1, plans, vec![saving]);
+    world.submit_to(JOB + 1, plans(), vec![saving(60, 32_000)]);
     assert_eq!(world.start_all().len(), 60);
 
     world.submit_to(JOB + 2, advised_queue(), vec![step(7, 7_000)]);
--- a/tests/batch_placement.rs
+++ b/tests/batch_placement.rs
@@ -2,26 +2,15 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, lasting, ms, queue, step};
+use batch_world::{JOB, World, lasting, ms, saving, step};
 use yuccahold::batch::dispatch::ListedEnd;
 use yuccahold::batch::model::{EndKind, MinionNumber, Queue, StepSpec};
 
 fn plans() -> Queue {
     Queue {
-        name: "plans".into(),
-        prefix: "/plans/".into(),
-        priority: 2,
         slo: ms(1200),
         stretch: 2.2,
-        ..queue()
-    }
-}
-
-fn saving(count: u32, millicores: u32) -> StepSpec {
-    StepSpec {
-        saves_progress: true,
-        estimate: ms(6000),
-        ..step(count, millicores)
+        ..batch_world::plans()
     }
 }
 
--- a/tests/batch_waits.rs
+++ b/tests/batch_waits.rs
@@ -6,7 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use batch_world::{World, first_step, listed, ms, one_each, queue, step};
+use batch_world::{World, first_step, listed, ms, one_each, plans, queue, saving, step};
 use rstest::rstest;
 use yuccahold::batch::dispatch::{
     Advice, AdviceQuestion, Answer, HoldAnswer, ListedEnd, Listing, StartOrder,
@@ -185,13 +185,7 @@
 }
 
 fn long() -> Queue {
-    let plans = Queue {
-        name: "plans".into(),
-        prefix: "/plans/".into(),
-        priority: 2,
-        ..queue()
-    };
-    advised(plans, 500, 7)
+    advised(plans(), 500, 7)
 }
 
 fn renders() -> Queue {
@@ -223,12 +217,11 @@
         match self {
             Self::ShortUrgent => (urgent(), step(1, 7_000)),
             Self::LongSaving => {
-                let saving = StepSpec {
-                    saves_progress: true,
+                let long_saving = StepSpec {
                     estimate: ms(20_000),
-                    ..step(12, 7_000)
+                    ..saving(12, 7_000)
                 };
-                (long(), saving)
+                (long(), long_saving)
             }
         }
     }
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -49,6 +49,16 @@
     }
 }
 
+/// A less urgent queue.
+pub fn plans() -> Queue {
+    Queue {
+        name: "plans".into(),
+        prefix: "/plans/".into(),
+        priority: 2,
+        ..queue()
+    }
+}
+
 pub fn step(count: u32, millicores: u32) -> StepSpec {
     StepSpec {
         count,
@@ -62,6 +72,15 @@
     }
 }
 
+/// Long tasks that save their progress.
+pub fn saving(count: u32, millicores: u32) -> StepSpec {
+    StepSpec {
+        saves_progress: true,
+        estimate: ms(6_000),
+        ..step(count, millicores)
+    }
+}
+
 pub fn lasting(count: u32, millicores: u32) -> StepSpec {
     StepSpec {
         lifetime: Lifetime::Lasting,
