Tests of tasks that crash the minions that start them, failing

Hosts in tests act by themselves: they run tasks, crash at the start of some, and come back as another incarnation.

--- /dev/null
+++ b/tests/batch_crashes.rs
@@ -0,0 +1,154 @@
+//! Tasks that crash the minions that start them, and tasks that only ran beside them.
+
+mod batch_world;
+
+use batch_world::hosts::{Cell, StartAnswer};
+use batch_world::{JOB, first_step, lasting, ms, step};
+use rstest::rstest;
+use std::time::Duration;
+use yuccahold::batch::model::{Grouping, JobId, JobState, StepSpec};
+
+/// Starts of a task after which it must have been given up, where three minions have crashed.
+const MOST_STARTS: u32 = 5;
+/// Crashes that a task may cost.
+const MOST_CRASHES: u32 = 3;
+
+/// A task that crashes its minion is given up, whatever is known of each crash.
+#[rstest]
+#[case::its_start_is_answered(StartAnswer::Delivered, ms(0), ms(3_000))]
+#[case::the_answer_is_lost(StartAnswer::Lost, ms(0), ms(3_000))]
+#[case::lists_come_late(StartAnswer::Delivered, ms(400), ms(3_000))]
+#[case::minions_are_away_for_longer_than_a_lease(StartAnswer::Delivered, ms(0), ms(9_000))]
+#[case::away_for_longer_and_the_answer_is_lost(StartAnswer::Lost, ms(0), ms(9_000))]
+fn a_task_that_crashes_its_minions_is_given_up(
+    #[case] answer: StartAnswer,
+    #[case] late: Duration,
+    #[case] away: Duration,
+) {
+    let mut cell = Cell::new(1..9);
+    let crasher = first_step(JOB).task(0);
+    cell.crashers.insert(crasher);
+    cell.start_answer = answer;
+    cell.lists_late_by = late;
+    cell.away = away;
+    cell.submit(JOB, vec![step(1, 1_000)]);
+    cell.run(ms(60_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Failed));
+    assert!(cell.crashed <= MOST_CRASHES, "{} crashes", cell.crashed);
+    assert!(cell.starts[&crasher] <= MOST_STARTS);
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Crashes are counted across leaders, also those that happen between two of them.
+#[rstest]
+#[case::after_the_crash(ms(50))]
+#[case::while_the_minion_is_away(ms(1_500))]
+#[case::after_the_crash_is_proved(ms(3_400))]
+fn a_task_that_crashes_its_minions_is_given_up_by_changing_leaders(#[case] after: Duration) {
+    let mut cell = Cell::new(1..9);
+    let crasher = first_step(JOB).task(0);
+    cell.crashers.insert(crasher);
+    cell.submit(JOB, vec![step(1, 1_000)]);
+    for crashes in 1..=MOST_CRASHES {
+        cell.run_until("a crash or the end of the job", |cell| {
+            cell.crashed >= crashes || cell.state(JOB) == Some(JobState::Failed)
+        });
+        cell.run(after);
+        cell.new_leader(u64::from(crashes) + 1);
+    }
+    cell.run(ms(60_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Failed));
+    assert!(cell.starts[&crasher] <= MOST_STARTS);
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Tasks that start beside one that crashes its minion are not taken for it.
+#[rstest]
+#[case::its_start_is_answered(StartAnswer::Delivered)]
+#[case::the_answer_is_lost(StartAnswer::Lost)]
+fn tasks_beside_one_that_crashes_its_minion_are_done(#[case] answer: StartAnswer) {
+    let mut cell = Cell::new(1..5);
+    cell.start_answer = answer;
+    // Each job fills a quarter of a minion, so the five tasks of the crasher's step share theirs with
+    // those of other jobs.
+    let others: Vec<JobId> = (1..=12).map(|i| JOB + i).collect();
+    cell.crashers.insert(first_step(JOB).task(2));
+    cell.submit(JOB, vec![step(5, 1_000)]);
+    for job in &others {
+        cell.submit(*job, vec![step(4, 1_900)]);
+    }
+    cell.run(ms(60_000));
+    let ends = |jobs: &[JobId]| jobs.iter().map(|j| cell.state(*j)).collect::<Vec<_>>();
+    assert_eq!(ends(&[JOB]), [Some(JobState::Failed)]);
+    assert_eq!(ends(&others), [Some(JobState::Done); 12]);
+    assert!(cell.crashed <= MOST_CRASHES, "{} crashes", cell.crashed);
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Several tasks that crash their minions are told apart from those that run beside them.
+#[test]
+fn two_crashing_tasks_and_their_neighbours_are_told_apart() {
+    let mut cell = Cell::new(1..9);
+    let crashing = [JOB, JOB + 1];
+    let others: Vec<JobId> = (2..=12).map(|i| JOB + i).collect();
+    for job in crashing {
+        cell.crashers.insert(first_step(job).task(0));
+        cell.submit(job, vec![step(1, 1_000)]);
+    }
+    for job in &others {
+        cell.submit(*job, vec![step(6, 2_500)]);
+    }
+    cell.run(ms(60_000));
+    let ends = |jobs: &[JobId]| jobs.iter().map(|j| cell.state(*j)).collect::<Vec<_>>();
+    assert_eq!(ends(&crashing), [Some(JobState::Failed); 2]);
+    assert_eq!(ends(&others), [Some(JobState::Done); 11]);
+    for job in crashing {
+        let crasher = first_step(job).task(0);
+        assert!(cell.crashes[&crasher] <= MOST_CRASHES);
+        assert!(cell.starts[&crasher] <= MOST_STARTS);
+    }
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// A gang with a member that crashes its minion is given up like a single task.
+#[test]
+fn a_gang_with_a_member_that_crashes_its_minion_is_given_up() {
+    let mut cell = Cell::new(1..9);
+    let gang = StepSpec {
+        grouping: Grouping::Gang,
+        ..step(8, 10_000)
+    };
+    let crasher = first_step(JOB).task(3);
+    cell.crashers.insert(crasher);
+    cell.submit(JOB, vec![gang]);
+    cell.run(ms(60_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Failed));
+    assert!(cell.starts[&crasher] <= MOST_STARTS);
+}
+
+/// A lasting task is kept, however many minions crash under it long after they started it.
+#[test]
+fn a_lasting_task_outlives_minions_that_crash_for_other_reasons() {
+    let mut cell = Cell::new(1..5);
+    cell.submit(JOB, vec![lasting(2, 1_000)]);
+    for _ in 0..8 {
+        cell.run(ms(10_000));
+        let port = cell.ports_of(first_step(JOB).task(0))[0];
+        cell.crash(port);
+    }
+    cell.run(ms(20_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Running));
+    assert_eq!(cell.ports_of(first_step(JOB).task(0)).len(), 1);
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// A lasting task that crashes the minions that start it is given up like any other.
+#[test]
+fn a_lasting_task_that_crashes_its_minions_is_given_up() {
+    let mut cell = Cell::new(1..5);
+    cell.crashers.insert(first_step(JOB).task(0));
+    cell.submit(JOB, vec![lasting(2, 1_000)]);
+    cell.run(ms(60_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Failed));
+    assert!(cell.crashed <= MOST_CRASHES, "{} crashes", cell.crashed);
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod hosts;
+
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::sync::Arc;
