A task that crashes the minions that start it is given up

What callers saw: two jobs with one such task each were started 34 and 33 times in 125 s. Each start took a minion away for 3 s and four to six runs of other jobs with it; quick checks were not served meanwhile.

Cause: the end of a run with its minion was recorded as the end of a lease, and only ends listed as failed counted. Nothing bounded the starts of such a task.

Fix: an incarnation that is replaced without having said that it leaves has crashed. Runs that it had begun within its last second are suspected, and counted in the ledger, so the count outlives the leader. Their tasks are started again on trial, one to a minion, with nothing else started there until the run is listed as at work for 0.2 s; the next crash then points at one task. Two crashes shortly after a confirmed start end the job as failed; three where starts were not answered, and then only if the minion was heard of 0.3 s before. Crashes found out after the lease has run out are counted too. A task seen at work for 5 s is cleared. So a task gets at most five starts, two after the third crash.

Why it holds: lasting tasks and long runs are not suspected, since their minions were heard of with them at work; bystanders are alone on their next minion, and only a second crash within a second of their start would end their job.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
+use super::crashes::Proof;
 use super::order::{Answer, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder, StartRefusal};
 use super::run::{RunState, StopState};
 use crate::batch::ledger::Ledger;
@@ -36,6 +37,7 @@
         };
         run.state = RunState::Starting;
         run.tries += 1;
+        run.ordered.get_or_insert(now);
         run.deadline = run.deadline.max(deadline);
         minion.lease = minion.lease.max(deadline);
         let knowledge = self.knowledge.get(&id.step);
@@ -91,7 +93,7 @@
     ) {
         self.take_clock(now, number, sent, &answer);
         if answer == Answer::OtherIncarnation {
-            self.minion_gone(now, number, "another incarnation answers");
+            self.minion_gone(now, number, sent, Proof::OtherIncarnation);
             return;
         }
         let Some(run) = self.runs.get_mut(&id) else {
@@ -204,7 +206,7 @@
     ) {
         self.take_clock(now, number, sent, &answer);
         if answer == Answer::OtherIncarnation {
-            self.minion_gone(now, number, "another incarnation answers");
+            self.minion_gone(now, number, sent, Proof::OtherIncarnation);
             return;
         }
         let Some(run) = self.runs.get_mut(&id) else {
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
+use super::crashes::Proof;
 use super::minion::{HoldState, Minion, Presence};
 use super::order::{HoldAnswer, HoldOrder, MinionOrder, Order};
 use crate::batch::ledger::Ledger;
@@ -18,6 +19,8 @@
 /// until the hold is given up: with 5% of the answers lost, a wait of 2 s made one check in six
 /// late by 2.7 s (age of ends against declared times, a day of 700 jobs).
 const HOLD_WAIT_SHORT: Duration = Duration::from_millis(500);
+/// The same where a run is on trial: nothing else starts there until it is seen to work.
+const HOLD_WAIT_TRIAL: Duration = Duration::from_millis(200);
 /// Declared time up to which a run counts as short.
 const SHORT_RUN: Duration = Duration::from_millis(3000);
 /// Part of the longest lease that is left out, for clocks read a round trip ago.
@@ -69,7 +72,7 @@
         if !self.hold_is_due(number, now) {
             return;
         }
-        let short = self.wants_short_wait(number);
+        let wait = self.hold_wait(now, number);
         let longest = self.cfg.lease_max - LEASE_RESERVE;
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
@@ -86,12 +89,6 @@
             .filter(|_| minion.silent_calls == 0);
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(now);
-        let here = minion.presence == Presence::Here;
-        let wait = if minion.fenced && minion.silent_calls == 0 && here {
-            if short { HOLD_WAIT_SHORT } else { HOLD_WAIT }
-        } else {
-            Duration::ZERO
-        };
         let order = HoldOrder {
             deadline,
             token,
@@ -120,6 +117,27 @@
         minion.wants_hold() && now >= at + pause
     }
 
+    fn hold_wait(&self, now: Timestamp, number: MinionNumber) -> Duration {
+        let Some(minion) = self.minions.get(&number) else {
+            return Duration::ZERO;
+        };
+        let here = minion.presence == Presence::Here;
+        if !minion.fenced || minion.silent_calls > 0 || !here {
+            Duration::ZERO
+        } else if minion.trials > 0 {
+            // Whether it is up is to be known before the run on trial starts.
+            if minion.is_heard(now) {
+                HOLD_WAIT_TRIAL
+            } else {
+                Duration::ZERO
+            }
+        } else if self.wants_short_wait(number) {
+            HOLD_WAIT_SHORT
+        } else {
+            HOLD_WAIT
+        }
+    }
+
     fn wants_short_wait(&self, number: MinionNumber) -> bool {
         let Some(minion) = self.minions.get(&number) else {
             return false;
@@ -160,7 +178,7 @@
                 self.take_listing(now, number, sent, listing, ledger);
             }
             HoldAnswer::OtherIncarnation => {
-                self.minion_gone(now, number, "another incarnation answers")
+                self.minion_gone(now, number, sent, Proof::OtherIncarnation)
             }
             HoldAnswer::Refused | HoldAnswer::Silent(_) => {
                 minion.silent_calls += 1;
@@ -178,9 +196,9 @@
                 }
                 let minion = &self.minions[&number];
                 if let HoldAnswer::Silent(silence) = answer
-                    && let Some(why) = minion.shows_end(sent, silence, self.cfg.stop_time)
+                    && let Some(proof) = minion.shows_end(sent, silence, self.cfg.stop_time)
                 {
-                    self.minion_gone(now, number, why);
+                    self.minion_gone(now, number, sent, proof);
                 }
             }
         }
@@ -198,7 +216,7 @@
         let ends = minion.presence != Presence::Here;
         let unheard = now > minion.reported + FORGET_AFTER;
         if idle && (unheard || ends) && minion.lease_over(now) {
-            self.minion_gone(now, number, "silent and idle");
+            self.minion_gone(now, number, now, Proof::Idle);
             return;
         }
         if idle || !minion.lease_over(now) {
@@ -212,17 +230,26 @@
             runs: tasks.len(),
         };
         self.note(note);
+        let suspects = self.suspects(&self.minions[&number], now);
         for task in tasks {
             self.run_over(now, task, EndKind::Lapsed, Default::default());
         }
         if let Some(minion) = self.minions.get_mut(&number) {
+            minion.lapsed.extend(suspects);
             minion.used = Resources::default();
             minion.strays.clear();
         }
     }
 
-    /// An incarnation is gone for good, and all that ran there with it.
-    pub(super) fn minion_gone(&mut self, now: Timestamp, number: MinionNumber, why: &'static str) {
+    /// An incarnation is gone for good, and all that ran there with it; a call sent at `sent` showed
+    /// it.
+    pub(super) fn minion_gone(
+        &mut self,
+        now: Timestamp,
+        number: MinionNumber,
+        sent: Timestamp,
+        proof: Proof,
+    ) {
         let Some(minion) = self.minions.get(&number) else {
             return;
         };
@@ -230,15 +257,26 @@
         let heard = minion.heard;
         let note = Note::MinionGone {
             minion: minion.report.id.clone(),
-            why,
+            why: proof.as_str(),
             heard: now.saturating_sub(heard),
             runs: tasks.len(),
         };
+        let crashed = proof.shows_crash(minion);
+        let mut suspects = self.suspects(minion, sent);
         self.note(note);
+        let kind = if crashed {
+            EndKind::Crashed
+        } else {
+            EndKind::Lapsed
+        };
         for task in tasks {
-            self.run_over(heard, task, EndKind::Lapsed, Default::default());
+            self.run_over(heard, task, kind, Default::default());
         }
         if let Some(minion) = self.minions.remove(&number) {
+            if crashed {
+                suspects.extend(&minion.lapsed);
+                self.count_crashes(&minion, suspects);
+            }
             self.by_id.remove(&minion.report.id);
             self.unacknowledged.remove(&number);
             self.forget_releases(number);
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -37,6 +37,8 @@
         };
         minion.read_clock(listing.clock, sent, now);
         minion.answers_itself(sent);
+        // It answers, so it did not crash.
+        minion.lapsed.clear();
         let first_word = !minion.fenced;
         minion.fenced = true;
         if first_word {
@@ -197,6 +199,7 @@
             if run.ends && self.cfg.mechanisms.has(Mechanism::Progress) {
                 run.take_progress(now, listed.percent);
             }
+            self.seen_at_work(now, number, listed.task);
             return;
         }
         self.stop_stray(now, number, listed.task, listed.run, ledger);
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -3,8 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::crashes::Proof;
 use super::order::{Silence, Target};
 use super::speed::Pace;
+use crate::batch::ledger::Crash;
 use crate::batch::model::{MinionNumber, MinionReport, Readiness, RunNumber, TaskId};
 use crate::ids::Timestamp;
 use crate::resources::Resources;
@@ -17,6 +19,9 @@
 /// First time for which it gets none.
 const AVOID: Duration = Duration::from_secs(1);
 
+/// Age up to which an answer shows that a minion is up.
+const RECENT: Duration = Duration::from_millis(300);
+
 /// A reading of a minion's clock. It was taken after the request left and before the answer came.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ClockReading {
@@ -94,6 +99,10 @@
     pub(super) runs: BTreeSet<TaskId>,
     /// Runs that the minion lists and no decision of ours stands behind, with their room.
     pub(super) strays: BTreeMap<(TaskId, RunNumber), (Resources, Timestamp)>,
+    /// Runs on trial; nothing else starts beside one.
+    pub(super) trials: u32,
+    /// Runs whose lease ran out while it was silent, and that caused its crash if it crashed.
+    pub(super) lapsed: Vec<Crash>,
     /// Failed ends and refusals in a row.
     pub(super) failures: u32,
     /// Run times seen on it.
@@ -127,6 +136,8 @@
             serving: 0,
             runs: BTreeSet::new(),
             strays: BTreeMap::new(),
+            trials: 0,
+            lapsed: Vec::new(),
             failures: 0,
             pace: Pace::default(),
             avoid_until: Timestamp::ZERO,
@@ -182,14 +193,14 @@
         sent: Timestamp,
         silence: Silence,
         stop_time: Duration,
-    ) -> Option<&'static str> {
+    ) -> Option<Proof> {
         match (self.presence, silence) {
             (Presence::Here, _) => None,
-            (_, Silence::Refused) => Some("it left and nobody listens there"),
+            (_, Silence::Refused) => Some(Proof::Refused),
             (Presence::Left(at), Silence::Lost)
                 if sent >= at + stop_time && self.silent_calls > 1 =>
             {
-                Some("it left and answers no more")
+                Some(Proof::Silent)
             }
             _ => None,
         }
@@ -216,6 +227,11 @@
         }
     }
 
+    /// Whether its last answer shows that it was up at `at`.
+    pub(super) fn is_heard(&self, at: Timestamp) -> bool {
+        at <= self.heard + RECENT
+    }
+
     /// Notes an order sent at `sent` that brought no answer. Until a later one does, the minion
     /// gets no new work: a hold takes half a second and more to show that a minion is cut off, and
     /// hundreds of tasks were placed on such minions meanwhile, each to wait for its four tries.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod applied;
 mod census;
 mod claims;
+mod crashes;
 mod forecast;
 mod gangs;
 mod holds;
@@ -36,6 +37,7 @@
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
 
 use advice::Knowledge;
+use crashes::Suspicion;
 pub use mechanisms::{Mechanism, Mechanisms};
 use minion::{CLOCK_RATE, Minion};
 pub use order::{
@@ -285,6 +287,7 @@
             minion.used = minion.used.saturating_add(&run.need);
             minion.filling += run.fills;
             minion.serving += u32::from(run.serves);
+            minion.trials += u32::from(run.suspicion == Suspicion::Trial);
             minion.runs.insert(id);
         }
         if run.is_leaving() {
@@ -311,6 +314,7 @@
             minion.used = minion.used.saturating_sub(&run.need);
             minion.filling -= run.fills;
             minion.serving -= u32::from(run.serves);
+            minion.trials -= u32::from(run.suspicion == Suspicion::Trial);
             self.levels.changed();
             self.place_wanted = true;
         }
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::advice::{Knowledge, Turn};
+use super::crashes::Suspicion;
 use super::mechanisms::Mechanism;
 use super::minion::Minion;
 use super::run::{Run, charged};
@@ -108,7 +109,8 @@
                 step.waiting.remove(0);
                 continue;
             }
-            let Some(minion) = self.choose(now, id, step, spec) else {
+            let suspect = ledger.task(task).is_some_and(|t| t.crashes.are_suspect());
+            let Some(minion) = self.choose(now, id, step, spec, suspect) else {
                 return;
             };
             step.waiting.remove(0);
@@ -116,20 +118,25 @@
         }
     }
 
-    /// The best minion for one more task of a step.
+    /// The best minion for one more task of a step; `suspect` says whether it may crash its minion.
     fn choose(
         &self,
         now: Timestamp,
         id: StepId,
         step: &ReadyStep,
         spec: &StepSpec,
+        suspect: bool,
     ) -> Option<MinionNumber> {
         let need = charged(spec);
-        self.candidates(id, step)
-            .into_iter()
-            .filter(|m| self.may_run(now, m, id, step, spec, &need))
-            .min_by_key(|m| self.score(m, step, spec, &need))
-            .map(|m| m.number)
+        let candidates = self.candidates(id, step).into_iter();
+        let candidates = candidates.filter(|m| self.may_run(now, m, id, step, spec, &need));
+        let score = |m: &&Minion| self.score(m, step, spec, &need);
+        let best = if suspect {
+            candidates.min_by_key(|m| self.trial_score(now, m, score(m)))
+        } else {
+            candidates.min_by_key(score)
+        };
+        best.map(|m| m.number)
     }
 
     /// Minions that the policy may let run a step. Where there is a policy, few have a ticket, and
@@ -164,7 +171,8 @@
         spec: &StepSpec,
         need: &Resources,
     ) -> bool {
-        need.fits_in(&minion.free())
+        minion.trials == 0
+            && need.fits_in(&minion.free())
             && (!spec.fills || minion.filling + spec.need.millicores <= minion.free().millicores)
             && self.leaves_claims(now, minion, step, spec, need)
             && self.suits(now, minion, id, step, spec)
@@ -293,6 +301,9 @@
         let checkpoint = record.checkpoint.clone();
         let mut run = Run::new(run, number, (spec, &step.queue), checkpoint, now);
         run.expected = self.expected_time(&step.queue.name, run.estimate);
+        if record.crashes.are_suspect() {
+            run.suspicion = Suspicion::Trial;
+        }
         self.add_run(task, run);
     }
 }
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use super::crashes::Suspicion;
 use super::forecast::Progress;
 use crate::batch::model::{
     Checkpoint, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec,
@@ -54,6 +55,10 @@
     pub(super) deadline: Duration,
     /// Starts sent.
     pub(super) tries: u32,
+    /// When this leader first sent one.
+    pub(super) ordered: Option<Timestamp>,
+    /// Whether it may crash its minion.
+    pub(super) suspicion: Suspicion,
     pub(super) proposed: Timestamp,
     pub(super) checkpoint: Checkpoint,
     /// Whether it goes on from saved progress.
@@ -95,6 +100,8 @@
             serves: spec.latency_target.is_some(),
             deadline: Duration::ZERO,
             tries: 0,
+            ordered: None,
+            suspicion: Suspicion::None,
             proposed: now,
             estimate: if checkpoint.is_empty() && spec.lifetime == Lifetime::Finite {
                 spec.estimate
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -58,6 +58,10 @@
     pub draining: Vec<MinionNumber>,
     /// Runs that ended.
     pub ends: Vec<End>,
+    /// Runs that may have crashed their minions.
+    pub crashes: Vec<Crash>,
+    /// Tasks that have worked for so long that they did not cause the crashes counted for them.
+    pub cleared: Vec<TaskId>,
     /// Incarnations that are gone and hold nothing.
     pub gone: Vec<MinionNumber>,
     /// Occurrences that are due.
@@ -90,6 +94,39 @@
     pub checkpoint: Checkpoint,
 }
 
+/// What is known of a minion that crashed and of a run it was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Certainty {
+    /// It had confirmed the start.
+    Begun,
+    /// It was told to start it and did not answer, or an earlier leader told it.
+    InDoubt,
+    /// It was told to start it, and may have crashed before.
+    Possible,
+}
+
+impl Certainty {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Begun => "begun",
+            Self::InDoubt => "in-doubt",
+            Self::Possible => "possible",
+        }
+    }
+}
+
+/// A run that may have crashed its minion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: RunNumber,
+    /// Whether it did.
+    pub certainty: Certainty,
+}
+
 /// What a command led to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -105,6 +142,8 @@
         self.joined.is_empty()
             && self.draining.is_empty()
             && self.ends.is_empty()
+            && self.crashes.is_empty()
+            && self.cleared.is_empty()
             && self.gone.is_empty()
             && self.due.is_empty()
             && self.starts.is_empty()
@@ -204,6 +243,12 @@
         for end in &batch.ends {
             self.end(end);
         }
+        for crash in &batch.crashes {
+            self.crash(crash);
+        }
+        for task in &batch.cleared {
+            self.clear(*task);
+        }
         for number in &batch.gone {
             self.minions.remove(number);
         }
@@ -287,6 +332,29 @@
         }
     }
 
+    /// Counts a crash. A task that crashes every minion that starts it would take one after the other
+    /// out of service, with all that runs there.
+    fn crash(&mut self, crash: &Crash) {
+        let id = crash.task.step.job;
+        let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.state.is_final()) else {
+            return;
+        };
+        let Some(task) = job.task_mut(crash.task) else {
+            return;
+        };
+        task.crashes.count(crash.certainty);
+        if task.crashes.are_too_many() {
+            self.finish(id, JobState::Failed);
+        }
+    }
+
+    fn clear(&mut self, task: TaskId) {
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(task)) {
+            task.crashes = Default::default();
+        }
+    }
+
     fn task_done(&mut self, end: &End, grouping: Grouping) {
         let id = end.task.step.job;
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/src/batch/ledger/mod.rs
+++ b/src/batch/ledger/mod.rs
@@ -16,11 +16,11 @@
 use crate::error::{Error, Result, Step};
 use crate::ids::{MinionId, Timestamp};
 
-pub use commands::{Batch, Command, End, Reply, Start};
-pub use records::{Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState};
+pub use commands::{Batch, Certainty, Command, Crash, End, Reply, Start};
+pub use records::{Crashes, Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState};
 
 /// Version of the snapshot and of the commands; another one is refused by number.
-pub const FORMAT_VERSION: u16 = 1;
+pub const FORMAT_VERSION: u16 = 2;
 
 /// The configuration in force, as sent and as understood.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -5,11 +5,17 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::commands::Certainty;
 use crate::batch::model::{
     Checkpoint, JobSpec, JobState, MinionNumber, MinionReport, Queue, RunNumber, StepSpec,
 };
 use crate::ids::Timestamp;
 
+/// Minions that may crash soon after they have begun a task.
+const MAX_CRASHES: u32 = 2;
+/// The same where it is not known of each that it had begun the task.
+const MAX_CRASHES_IN_DOUBT: u32 = 3;
+
 /// A job and how far it has come.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
@@ -64,10 +70,23 @@
     pub run: RunNumber,
     /// Runs that ended as failed.
     pub failures: u32,
+    /// Minions that crashed under it.
+    pub crashes: Crashes,
     /// Newest saved progress.
     pub checkpoint: Checkpoint,
 }
 
+/// Crashes of minions that a task may have caused, by what is known of each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// The minion had begun the task shortly before.
+    pub begun: u32,
+    /// It was told to start the task, and did not answer.
+    pub in_doubt: u32,
+    /// The same, and it may have crashed before.
+    pub possible: u32,
+}
+
 /// One incarnation of a minion.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MinionRecord {
@@ -119,6 +138,27 @@
     }
 }
 
+impl Crashes {
+    /// Counts one more.
+    pub(super) fn count(&mut self, certainty: Certainty) {
+        match certainty {
+            Certainty::Begun => self.begun += 1,
+            Certainty::InDoubt => self.in_doubt += 1,
+            Certainty::Possible => self.possible += 1,
+        }
+    }
+
+    /// Whether the task may have caused any.
+    pub fn are_suspect(&self) -> bool {
+        self.begun + self.in_doubt + self.possible > 0
+    }
+
+    /// Whether there are so many that the task is not started again.
+    pub(super) fn are_too_many(&self) -> bool {
+        self.begun >= MAX_CRASHES || self.begun + self.in_doubt >= MAX_CRASHES_IN_DOUBT
+    }
+}
+
 impl Occurrence {
     /// Whether all steps that this one waits for are done.
     pub fn is_ready(&self, spec: &StepSpec) -> bool {
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -308,6 +308,8 @@
     Alone,
     /// It was proved never to have started.
     NeverStarted,
+    /// Its minion crashed.
+    Crashed,
 }
 
 impl EndKind {
@@ -321,6 +323,7 @@
             Self::Broken => "broken",
             Self::Alone => "alone",
             Self::NeverStarted => "never-started",
+            Self::Crashed => "crashed",
         }
     }
 }
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use super::ledger::Certainty;
 use super::model::{ConfigVersion, EndKind, JobId, RunNumber, StepId, TaskId};
 use crate::ids::{MinionId, Term};
 use crate::resources::Resources;
@@ -115,6 +116,17 @@
         /// Runs that ended with it.
         runs: usize,
     },
+    /// A minion crashed soon after it was told to start a run.
+    CrashCounted {
+        /// Task.
+        task: TaskId,
+        /// Run.
+        run: RunNumber,
+        /// Incarnation.
+        minion: MinionId,
+        /// Whether the run had begun.
+        certainty: Certainty,
+    },
     /// A minion listed rows that could not be read.
     RowsUnreadable {
         /// Incarnation.
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -66,6 +66,13 @@
             runs,
         } => info!(log, "minion gone"; "minion" => minion.as_str(), "why" => why,
             "heard_ms" => ms(heard), "runs" => runs),
+        Note::CrashCounted {
+            task,
+            run,
+            minion,
+            certainty,
+        } => info!(log, "crash counted"; "task" => %task, "run" => run,
+            "minion" => minion.as_str(), "certainty" => certainty.as_str()),
         Note::RowsUnreadable { minion, rows } => warn!(log, "rows cannot be read";
             "minion" => minion.as_str(), "rows" => rows),
         Note::LeadBegan {
@@ -150,6 +157,10 @@
                 histogram!("yuccahold_batch_minion_gone_seconds").record(heard.as_secs_f64());
             }
         }
+        Note::CrashCounted { certainty, .. } => {
+            counter!("yuccahold_batch_crashes_counted_total", "certainty" => certainty.as_str())
+                .increment(1);
+        }
         Note::LeadBegan { term, .. } => {
             counter!("yuccahold_batch_leads_total").increment(1);
             gauge!("yuccahold_batch_term").set(*term as f64);
