The next leader knows the capacity that minions have now

What callers would see: tasks on an overfilled host. A minion may shrink and grow while it runs. The leader took what its reports say, but the ledger kept what the minion said when it joined, so the next leader reckoned with that until the minion reported to it: up to a heartbeat, more when reports are lost.

Fix: a change of capacity is agreed like a minion's word that it leaves, and logged. It counts at once with the leader that takes the report, and room that has grown is given away in the next round instead of 0.1 s later.

Tests failed before: the next leader started 6 tasks of 5 cores where 16 or 26 cores were left, now 3 and 5; a minion that had grown again got none at once, now 2. What is being stopped counted before, and a test says so now.

--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod prospects;
 mod questions;
 mod ready;
+mod reports;
 mod run;
 mod scarcity;
 mod speed;
@@ -32,7 +33,7 @@
 use std::time::Duration;
 
 use super::ledger::{Batch, Ledger, TaskState};
-use super::model::{Configuration, JobId, MinionNumber, MinionReport, Readiness, StepId, TaskId};
+use super::model::{Configuration, JobId, MinionNumber, StepId, TaskId};
 use super::note::Note;
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
 
@@ -324,65 +325,6 @@
         self.out.push(Order::Note(Box::new(note)));
     }
 
-    /// Takes a minion's report about itself.
-    pub fn report(&mut self, now: Timestamp, report: MinionReport) {
-        if let Some(number) = self.by_id.get(&report.id).copied() {
-            self.known_report(now, number, report);
-            return;
-        }
-        // Whoever was known at this address may be gone: a call shows it.
-        let at_same_addr = |m: &&mut Minion| m.report.addr == report.addr;
-        for old in self.minions.values_mut().filter(at_same_addr) {
-            old.displaced(now);
-            self.touched.insert(old.number);
-        }
-        self.note(Note::MinionJoined {
-            minion: report.id.clone(),
-        });
-        let number = self.next_minion;
-        self.batch.joined.push((number, report.clone()));
-        self.add_minion(Minion::new(number, report, now));
-    }
-
-    fn known_report(&mut self, now: Timestamp, number: MinionNumber, report: MinionReport) {
-        let Some(minion) = self.minions.get_mut(&number) else {
-            return;
-        };
-        minion.reported = now;
-        self.touched.insert(number);
-        if report.sequence < minion.report.sequence {
-            return;
-        }
-        let draining = report.readiness != Readiness::Ready;
-        let (id, sequence) = (report.id.clone(), report.sequence);
-        minion.report = report;
-        if draining && !minion.draining {
-            minion.draining = true;
-            self.batch.draining.push(number);
-            self.note(Note::MinionDraining {
-                minion: id,
-                sequence,
-            });
-        }
-    }
-
-    /// A minion has said that it ends.
-    pub fn left(&mut self, now: Timestamp, id: &MinionId) {
-        let Some(minion) = self.by_id.get(id).and_then(|n| self.minions.get_mut(n)) else {
-            return;
-        };
-        if !minion.draining {
-            self.batch.draining.push(minion.number);
-        }
-        minion.left(now);
-        self.touched.insert(minion.number);
-        let note = Note::MinionLeft {
-            minion: id.clone(),
-            runs: minion.runs.len(),
-        };
-        self.note(note);
-    }
-
     /// Decides what is due; gives what should be proposed to the log. `unix` is the time of day.
     pub fn decide(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) -> Option<Batch> {
         self.begin_due_occurrences(unix);
--- /dev/null
+++ b/src/batch/dispatch/reports.rs
@@ -0,0 +1,85 @@
+//! What minions say of themselves.
+
+use super::Dispatcher;
+use super::minion::Minion;
+use crate::batch::model::{MinionNumber, MinionReport, Readiness};
+use crate::batch::note::Note;
+use crate::ids::{MinionId, Timestamp};
+use crate::resources::Resources;
+
+impl Dispatcher {
+    /// Takes a minion's report about itself.
+    pub fn report(&mut self, now: Timestamp, report: MinionReport) {
+        if let Some(number) = self.by_id.get(&report.id).copied() {
+            self.known_report(now, number, report);
+            return;
+        }
+        // Whoever was known at this address may be gone: a call shows it.
+        let at_same_addr = |m: &&mut Minion| m.report.addr == report.addr;
+        for old in self.minions.values_mut().filter(at_same_addr) {
+            old.displaced(now);
+            self.touched.insert(old.number);
+        }
+        self.note(Note::MinionJoined {
+            minion: report.id.clone(),
+        });
+        let number = self.next_minion;
+        self.batch.joined.push((number, report.clone()));
+        self.add_minion(Minion::new(number, report, now));
+    }
+
+    fn known_report(&mut self, now: Timestamp, number: MinionNumber, report: MinionReport) {
+        let Some(minion) = self.minions.get_mut(&number) else {
+            return;
+        };
+        minion.reported = now;
+        self.touched.insert(number);
+        if report.sequence < minion.report.sequence {
+            return;
+        }
+        let draining = report.readiness != Readiness::Ready;
+        let (id, sequence) = (report.id.clone(), report.sequence);
+        let resized = (report.capacity != minion.report.capacity).then_some(report.capacity);
+        minion.report = report;
+        if draining && !minion.draining {
+            minion.draining = true;
+            self.batch.draining.push(number);
+            self.note(Note::MinionDraining {
+                minion: id,
+                sequence,
+            });
+        }
+        if let Some(capacity) = resized {
+            self.resized(number, capacity);
+        }
+    }
+
+    fn resized(&mut self, number: MinionNumber, capacity: Resources) {
+        let Some(minion) = self.minions.get(&number) else {
+            return;
+        };
+        let minion = minion.report.id.clone();
+        self.note(Note::MinionResized { minion, capacity });
+        self.batch.resized.push((number, capacity));
+        self.levels.changed();
+        self.forget_releases(number);
+        self.place_wanted = true;
+    }
+
+    /// A minion has said that it ends.
+    pub fn left(&mut self, now: Timestamp, id: &MinionId) {
+        let Some(minion) = self.by_id.get(id).and_then(|n| self.minions.get_mut(n)) else {
+            return;
+        };
+        if !minion.draining {
+            self.batch.draining.push(minion.number);
+        }
+        minion.left(now);
+        self.touched.insert(minion.number);
+        let note = Note::MinionLeft {
+            minion: id.clone(),
+            runs: minion.runs.len(),
+        };
+        self.note(note);
+    }
+}
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -14,6 +14,7 @@
 };
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 /// How long the end of a job is remembered. Callers may ask for at least two minutes, and a
 /// hand-in that was delayed on its way must find the job it repeats.
@@ -54,6 +55,8 @@
 pub struct Batch {
     /// Incarnations that joined, with the numbers they get.
     pub joined: Vec<(MinionNumber, MinionReport)>,
+    /// Incarnations whose capacity has changed.
+    pub resized: Vec<(MinionNumber, Resources)>,
     /// Incarnations that leave.
     pub draining: Vec<MinionNumber>,
     /// Runs that ended.
@@ -140,6 +143,7 @@
     /// Whether it changes nothing.
     pub fn is_empty(&self) -> bool {
         self.joined.is_empty()
+            && self.resized.is_empty()
             && self.draining.is_empty()
             && self.ends.is_empty()
             && self.crashes.is_empty()
@@ -235,6 +239,11 @@
             };
             self.minions.insert(*number, record);
         }
+        for (number, capacity) in &batch.resized {
+            if let Some(minion) = self.minions.get_mut(number) {
+                minion.report.capacity = *capacity;
+            }
+        }
         for number in &batch.draining {
             if let Some(minion) = self.minions.get_mut(number) {
                 minion.draining = true;
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -90,7 +90,7 @@
 /// One incarnation of a minion.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MinionRecord {
-    /// What it said of itself when it joined.
+    /// What it said of itself when it joined, with the capacity that it has now.
     pub report: MinionReport,
     /// Whether it has said that it leaves.
     pub draining: bool,
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -80,6 +80,13 @@
         /// Incarnation.
         minion: MinionId,
     },
+    /// The capacity of a minion has changed.
+    MinionResized {
+        /// Incarnation.
+        minion: MinionId,
+        /// What it has now.
+        capacity: Resources,
+    },
     /// A minion leaves.
     MinionDraining {
         /// Incarnation.
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -48,6 +48,9 @@
         } => info!(log, "start failed"; "task" => %task, "run" => run,
             "minion" => minion.as_str(), "why" => why, "tries" => tries),
         Note::MinionJoined { minion } => info!(log, "minion joined"; "minion" => minion.as_str()),
+        Note::MinionResized { minion, capacity } => info!(log, "minion resized";
+            "minion" => minion.as_str(), "millicores" => capacity.millicores,
+            "mb" => capacity.memory_mb, "accelerators" => capacity.accelerators),
         Note::MinionDraining { minion, sequence } => info!(log, "minion draining";
             "minion" => minion.as_str(), "sequence" => sequence),
         Note::MinionLeft { minion, runs } => info!(log, "minion left";
@@ -146,6 +149,9 @@
             counter!("yuccahold_batch_starts_failed_total", "why" => *why).increment(1);
         }
         Note::MinionJoined { .. } => counter!("yuccahold_batch_minions_joined_total").increment(1),
+        Note::MinionResized { .. } => {
+            counter!("yuccahold_batch_minions_resized_total").increment(1)
+        }
         Note::MinionDraining { .. } => {
             counter!("yuccahold_batch_minions_draining_total").increment(1);
         }
--- /dev/null
+++ b/tests/batch_capacity.rs
@@ -0,0 +1,84 @@
+//! Minions whose capacity shrinks and grows while they run.
+
+mod batch_world;
+
+use batch_world::{JOB, World, report, step};
+use rstest::rstest;
+use yuccahold::batch::dispatch::Answer;
+use yuccahold::batch::model::MinionReport;
+use yuccahold::resources::Resources;
+
+/// A report of the minion at a port, with half of its cores or with another part of them.
+fn sized(port: u16, sequence: u64, cores: u32) -> MinionReport {
+    MinionReport {
+        sequence,
+        capacity: Resources {
+            millicores: cores * 1_000,
+            ..report("", port).capacity
+        },
+        ..report(&format!("i-{port}"), port)
+    }
+}
+
+fn tell(world: &mut World, report: MinionReport) {
+    world.leader.report(world.now, report);
+    world.decide();
+}
+
+/// A minion that shrank is given no more than what is left, and all again once it has grown.
+#[test]
+fn a_minion_that_shrank_is_not_overfilled() {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    tell(&mut world, sized(1, 2, 16));
+    world.submit(JOB, vec![step(5, 5_000)]);
+    let shrunk = world.start_all().len();
+    // A report that was delayed on its way says what is no longer true.
+    tell(&mut world, sized(1, 1, 32));
+    let late = world.start_all().len();
+    tell(&mut world, sized(1, 3, 32));
+    let grown = world.start_all().len();
+    assert_eq!((shrunk, late, grown), (3, 0, 2));
+}
+
+/// The next leader knows the size of a minion that has not reported to it yet.
+#[rstest]
+#[case::that_shrank(&[16], 3)]
+#[case::that_shrank_and_grew(&[16, 26], 5)]
+fn the_next_leader_knows_a_minion(#[case] sizes: &[u32], #[case] fits: usize) {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    for (i, cores) in sizes.iter().enumerate() {
+        tell(&mut world, sized(1, 2 + i as u64, *cores));
+    }
+    world.new_leader(2);
+    world.answer_first_hold_of("i-1");
+    world.submit(JOB, vec![step(6, 5_000)]);
+    assert_eq!(world.start_all().len(), fits);
+}
+
+/// What is being stopped keeps its room until its minion lists the end, however small it has become.
+#[test]
+fn room_of_a_run_that_is_being_stopped_counts_on_a_minion_that_shrank() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    world.submit(JOB, vec![step(1, 12_000)]);
+    let (_, run) = world.start_all().remove(0);
+    world.apply(&yuccahold::batch::ledger::Command::Cancel { job: JOB });
+    tell(&mut world, sized(1, 2, 16));
+    world.submit(JOB + 1, vec![step(1, 6_000)]);
+    let clock = Some(world.now);
+    let sent = world.now;
+    world.leader.stopped(
+        world.now,
+        minion,
+        (run.task, run.run),
+        sent,
+        Answer::Done { clock },
+    );
+    world.decide();
+    let before = world.take_starts().len();
+    let kind = yuccahold::batch::model::EndKind::Stopped;
+    world.end(minion, 1, &run, kind);
+    assert_eq!((before, world.take_starts().len()), (0, 1));
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -207,6 +207,16 @@
     }
 
     pub fn submit_to(&mut self, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
+        self.accept(job, queue, steps);
+        self.decide();
+    }
+
+    /// A job is accepted, and the leader decides nothing yet.
+    pub fn submit_only(&mut self, job: JobId, steps: Vec<StepSpec>) {
+        self.accept(job, queue(), steps);
+    }
+
+    fn accept(&mut self, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
         let spec = JobSpec {
             payload: "payload".into(),
             steps,
@@ -217,7 +227,6 @@
             queue: Arc::new(queue),
             spec: Arc::new(spec),
         });
-        self.decide();
     }
 
     pub fn decide(&mut self) {
@@ -236,6 +245,13 @@
         self.leader.decide(self.now, unix, &self.ledger)
     }
 
+    /// The log agrees to what the leader proposed.
+    pub fn agree(&mut self, batch: Batch) {
+        self.orders.extend(self.leader.take_orders());
+        self.apply(&Command::Batch(batch));
+        self.decide();
+    }
+
     pub fn pass(&mut self, span: Duration) {
         self.now += span;
         self.decide();
