A start that is agreed late is not sent to a minion that no longer takes it

What callers would see: a task on an overfilled host, or one lost with a minion that leaves. Placement looks at a minion's room and word when it decides; the start leaves once the log agrees. With a slow disk or a cut that takes seconds, in which the minion shrinks or says that it leaves, and the start went out all the same.

Fix: when a start is agreed its minion must still stay, and what it was given must still fit; otherwise the run ends as never started and its task waits again. A gang of which one member is held back is not started at all: the others would wait for it in vain and end alone.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 
 use super::ready::remove_job;
-use super::run::RunState;
+use super::run::{Run, RunState};
 use super::{Dispatcher, JobId, StepId, TaskId};
-use crate::batch::ledger::{Batch, Command, Ledger, TaskState};
-use crate::batch::model::JobState;
+use crate::batch::ledger::{Batch, Command, Ledger, Start, TaskState};
+use crate::batch::model::{EndKind, JobState};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 
@@ -53,8 +53,7 @@
             self.acknowledge(seen);
         }
         for end in &batch.ends {
-            let ending =
-                |run: &&super::run::Run| run.run == end.run && run.state == RunState::Ending;
+            let ending = |run: &&Run| run.run == end.run && run.state == RunState::Ending;
             if self.runs.get(&end.task).filter(ending).is_some() {
                 self.remove_run(end.task);
             }
@@ -68,8 +67,13 @@
         for job in ended {
             self.job_ended(now, ledger, job);
         }
+        let withheld = self.withheld(&batch.starts);
         for start in &batch.starts {
-            self.start_agreed(now, ledger, start.task, start.run);
+            if withheld.contains(&start.task) {
+                self.run_over(now, start.task, EndKind::NeverStarted, Default::default());
+            } else {
+                self.start_agreed(now, ledger, start.task, start.run);
+            }
         }
     }
 
@@ -97,6 +101,28 @@
         }
     }
 
+    /// Tasks whose starts are not sent although they are agreed: the log may take seconds, and the
+    /// minion has shrunk or leaves meanwhile. A gang would wait in vain for a member.
+    fn withheld(&self, starts: &[Start]) -> BTreeSet<TaskId> {
+        let proposed = starts.iter().filter_map(|start| {
+            let run = self.runs.get(&start.task)?;
+            let agreed = run.run == start.run && run.state == RunState::Proposed;
+            agreed.then_some((start.task, run))
+        });
+        let proposed: Vec<_> = proposed.collect();
+        let is_refused = |run: &Run| {
+            let minion = self.minions.get(&run.minion);
+            minion.is_some_and(|m| !m.stays() || !m.used.fits_in(&m.report.capacity))
+        };
+        let refused = || proposed.iter().filter(|(_, run)| is_refused(run));
+        let gangs: BTreeSet<_> = refused()
+            .filter(|(_, run)| run.in_gang)
+            .map(|(task, _)| task.step)
+            .collect();
+        let members = proposed.iter().filter(|(t, _)| gangs.contains(&t.step));
+        refused().chain(members).map(|(task, _)| *task).collect()
+    }
+
     /// A job has ended: nothing of it starts any more, and what runs is stopped.
     fn job_ended(&mut self, now: Timestamp, ledger: &Ledger, id: JobId) {
         self.dirty_jobs.insert(id);
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -296,8 +296,12 @@
     /// Whether new work may be given to it now.
     pub(super) fn takes_work(&self, now: Timestamp) -> bool {
         let sound = self.answers() && now >= self.avoid_until;
-        let stays = !self.draining && self.presence == Presence::Here;
-        self.fenced && stays && !self.foreign && sound
+        self.fenced && self.stays() && !self.foreign && sound
+    }
+
+    /// Whether nothing tells of its end.
+    pub(super) fn stays(&self) -> bool {
+        !self.draining && self.presence == Presence::Here
     }
 
     /// Notes a failed run or a refusal. A minion on which several in a row fail gets no work for
--- a/tests/batch_capacity.rs
+++ b/tests/batch_capacity.rs
@@ -2,10 +2,10 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, report, step};
+use batch_world::{JOB, World, ms, report, step};
 use rstest::rstest;
 use yuccahold::batch::dispatch::Answer;
-use yuccahold::batch::model::MinionReport;
+use yuccahold::batch::model::{Grouping, JobState, MinionReport, Readiness, StepSpec};
 use yuccahold::resources::Resources;
 
 /// A report of the minion at a port, with half of its cores or with another part of them.
@@ -57,6 +57,51 @@
     assert_eq!(world.start_all().len(), fits);
 }
 
+/// A start that waited for its agreement is not sent to a minion that no longer takes it.
+#[rstest]
+#[case::it_shrank(sized(1, 2, 16))]
+#[case::it_leaves(MinionReport { readiness: Readiness::Draining { remaining: None }, ..sized(1, 2, 32) })]
+fn a_start_that_was_agreed_late_is_not_sent(#[case] told: MinionReport) {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    world.submit_only(JOB, vec![step(1, 20_000)]);
+    let batch = world.propose_only().expect("a start");
+    world.leader.report(world.now, told);
+    world.now += ms(5_000);
+    world.agree(batch);
+    assert_eq!(world.take_starts().len(), 0);
+    world.join("i-2", 2);
+    world.decide();
+    let starts = world.take_starts();
+    let again: Vec<_> = starts.iter().map(|(_, start)| start.run).collect();
+    assert_eq!(again, [2]);
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
+}
+
+/// A gang of which one member cannot start is not started at all.
+#[test]
+fn no_member_of_a_gang_starts_when_one_of_its_minions_leaves() {
+    let mut world = World::new();
+    world.join_all("i", 1..4);
+    let gang = StepSpec {
+        grouping: Grouping::Gang,
+        ..step(3, 20_000)
+    };
+    world.submit_only(JOB, vec![gang]);
+    let batch = world.propose_only().expect("starts");
+    let leaving = MinionReport {
+        readiness: Readiness::Draining { remaining: None },
+        sequence: 2,
+        ..report("i-2", 2)
+    };
+    world.leader.report(world.now, leaving);
+    world.agree(batch);
+    assert_eq!(world.take_starts().len(), 0);
+    world.join("i-4", 4);
+    world.decide();
+    assert_eq!(world.take_starts().len(), 3);
+}
+
 /// What is being stopped keeps its room until its minion lists the end, however small it has become.
 #[test]
 fn room_of_a_run_that_is_being_stopped_counts_on_a_minion_that_shrank() {
