Reports and lists say which incarnation of a minion they come from

A minion may keep its name through a restart; the Unix time of its start tells two incarnations apart. It is read from reports and lists, and logged when a minion joins and when a report of a known name carries another one.

The hosts in tests keep to a clock, a lease and fencing tokens of their own in each incarnation, may keep their names, and may carry starts out late.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -336,7 +336,7 @@
             clock: self.now,
             running: running.collect(),
             ended: minion.ended.clone(),
-            unreadable: 0,
+            ..Listing::default()
         };
         let answer = MinionAnswer::Hold(HoldAnswer::Listing(listing));
         self.answered(number, OrderKind::Hold, sent, answer);
@@ -366,6 +366,7 @@
 
 fn report(i: u32) -> MinionReport {
     MinionReport {
+        started: None,
         id: format!("i-{i}").into(),
         service: "desk".into(),
         addr: ([10, 0, (i / 200) as u8, (i % 200) as u8], 8000).into(),
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -9,7 +9,7 @@
 
 use crate::batch::model::{Checkpoint, EndKind, MinionNumber, RunNumber, StepId, TaskId};
 use crate::batch::note::Note;
-use crate::ids::{MinionId, Term, ZoneName};
+use crate::ids::{MinionId, Term, Timestamp, ZoneName};
 
 /// Where an order goes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -249,6 +249,8 @@
 /// What a minion answers to a hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
+    /// When it started; `None` when it does not say.
+    pub started: Option<Timestamp>,
     /// Its clock.
     pub clock: Duration,
     /// What runs.
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -22,6 +22,7 @@
         }
         self.note(Note::MinionJoined {
             minion: report.id.clone(),
+            started: report.started,
         });
         let number = self.next_minion;
         self.batch.joined.push((number, report.clone()));
@@ -34,6 +35,18 @@
         };
         minion.reported = now;
         self.touched.insert(number);
+        if report.started != minion.report.started {
+            let note = Note::MinionRestarted {
+                minion: report.id.clone(),
+                started: report.started,
+                before: minion.report.started,
+            };
+            minion.report.started = report.started;
+            self.note(note);
+        }
+        let Some(minion) = self.minions.get_mut(&number) else {
+            return;
+        };
         if report.sequence < minion.report.sequence {
             return;
         }
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{MinionId, RackName, ServiceName, ZoneName};
+use crate::ids::{MinionId, RackName, ServiceName, Timestamp, ZoneName};
 use crate::resources::Resources;
 
 /// Number under which a caller hands a job in; the idempotency key of the hand-in.
@@ -271,8 +271,11 @@
 /// What a minion says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MinionReport {
-    /// Name of this incarnation; a restart gets a new one.
+    /// Its name; it may start again under the same one.
     pub id: MinionId,
+    /// When it started, by its Unix time: tells two incarnations of one name apart. `None` when it
+    /// does not say.
+    pub started: Option<Timestamp>,
     /// Its service.
     pub service: ServiceName,
     /// Where it takes orders.
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -6,7 +6,7 @@
 
 use super::ledger::Certainty;
 use super::model::{ConfigVersion, EndKind, JobId, RunNumber, StepId, TaskId};
-use crate::ids::{MinionId, Term};
+use crate::ids::{MinionId, Term, Timestamp};
 use crate::resources::Resources;
 
 /// One decision, or one change of what the leader believes.
@@ -79,6 +79,17 @@
     MinionJoined {
         /// Incarnation.
         minion: MinionId,
+        /// When it started, by its Unix time.
+        started: Option<Timestamp>,
+    },
+    /// A minion started again under the name that it had.
+    MinionRestarted {
+        /// Its name.
+        minion: MinionId,
+        /// When the new incarnation started, by its Unix time.
+        started: Option<Timestamp>,
+        /// The same of the one before.
+        before: Option<Timestamp>,
     },
     /// The capacity of a minion has changed.
     MinionResized {
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -47,7 +47,14 @@
             tries,
         } => info!(log, "start failed"; "task" => %task, "run" => run,
             "minion" => minion.as_str(), "why" => why, "tries" => tries),
-        Note::MinionJoined { minion } => info!(log, "minion joined"; "minion" => minion.as_str()),
+        Note::MinionJoined { minion, started } => info!(log, "minion joined";
+            "minion" => minion.as_str(), "started_ms" => started.as_ref().map(ms)),
+        Note::MinionRestarted {
+            minion,
+            started,
+            before,
+        } => info!(log, "minion started again"; "minion" => minion.as_str(),
+            "started_ms" => started.as_ref().map(ms), "before_ms" => before.as_ref().map(ms)),
         Note::MinionResized { minion, capacity } => info!(log, "minion resized";
             "minion" => minion.as_str(), "millicores" => capacity.millicores,
             "mb" => capacity.memory_mb, "accelerators" => capacity.accelerators),
@@ -149,6 +156,9 @@
             counter!("yuccahold_batch_starts_failed_total", "why" => *why).increment(1);
         }
         Note::MinionJoined { .. } => counter!("yuccahold_batch_minions_joined_total").increment(1),
+        Note::MinionRestarted { .. } => {
+            counter!("yuccahold_batch_minions_restarted_total").increment(1);
+        }
         Note::MinionResized { .. } => {
             counter!("yuccahold_batch_minions_resized_total").increment(1)
         }
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -74,6 +74,9 @@
 
 #[derive(Deserialize)]
 struct HoldReply {
+    /// Unix time of the minion's start in ms.
+    #[serde(default)]
+    born: Option<u64>,
     clock_ms: f64,
     #[serde(default)]
     running: Vec<RunningRow>,
@@ -189,20 +192,23 @@
 /// can't be read is left out and counted.
 pub fn decode_listing(body: &[u8]) -> Option<Listing> {
     if let Ok(reply) = serde_json::from_slice::<HoldReply>(body) {
-        return Some(listing(reply.clock_ms, reply.running, reply.ended, 0));
+        let lists = (reply.running, reply.ended);
+        return Some(listing(reply.born, reply.clock_ms, lists, 0));
     }
     let mut body: Value = serde_json::from_slice(body).ok()?;
     let clock_ms = body.get("clock_ms")?.as_f64()?;
     let running = rows::<RunningRow>(&mut body, "running")?;
     let ended = rows::<EndedRow>(&mut body, "ended")?;
     let unreadable = running.unreadable + ended.unreadable;
-    Some(listing(clock_ms, running.read, ended.read, unreadable))
+    let born = body.get("born").and_then(Value::as_u64);
+    let lists = (running.read, ended.read);
+    Some(listing(born, clock_ms, lists, unreadable))
 }
 
 fn listing(
+    born: Option<u64>,
     clock_ms: f64,
-    running: Vec<RunningRow>,
-    ended: Vec<EndedRow>,
+    (running, ended): (Vec<RunningRow>, Vec<EndedRow>),
     mut unreadable: u32,
 ) -> Listing {
     let rows = running.len() + ended.len();
@@ -210,6 +216,7 @@
     let ended: Vec<_> = ended.into_iter().filter_map(listed_end).collect();
     unreadable += (rows - running.len() - ended.len()) as u32;
     Listing {
+        started: born.map(Duration::from_millis),
         clock: ms(clock_ms),
         running,
         ended,
@@ -327,6 +334,9 @@
     remaining_ms: Option<f64>,
     #[serde(default)]
     clock_ms: f64,
+    /// Unix time of its start in ms.
+    #[serde(default)]
+    born: Option<u64>,
     seq: u64,
 }
 
@@ -355,6 +365,7 @@
     };
     Ok(MinionReport {
         id: id.into(),
+        started: report.born.map(Duration::from_millis),
         service: report.service,
         addr: report.addr,
         zone: report.zone,
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -94,7 +94,7 @@
                 clock,
                 running,
                 ended: Vec::new(),
-                unreadable: 0,
+                ..Listing::default()
             },
         );
     }
--- a/tests/batch_ledger.rs
+++ b/tests/batch_ledger.rs
@@ -123,7 +123,7 @@
                 kind: EndKind::Done,
                 checkpoint: Default::default(),
             }],
-            unreadable: 0,
+            ..Listing::default()
         };
         world.listing(minion, listing);
     }
--- a/tests/batch_waits.rs
+++ b/tests/batch_waits.rs
@@ -159,7 +159,7 @@
                 clock: world.now,
                 running,
                 ended,
-                unreadable: 0,
+                ..Listing::default()
             };
             let answer = HoldAnswer::Listing(listing);
             let (now, ledger) = (world.now, &world.ledger);
--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{
-    Answer, HoldAnswer, HoldOrder, ListedEnd, ListedRun, Listing, MinionAnswer, MinionOrder, Order,
-    OrderKind, Silence, StartOrder, Target,
+    Answer, HoldAnswer, HoldOrder, MinionAnswer, MinionOrder, Order, OrderKind, Silence,
+    StartOrder, StartRefusal, Target,
 };
 use yuccahold::batch::model::{
-    EndKind, Grouping, JobId, JobState, Lifetime, MinionNumber, MinionReport, RunNumber, StepSpec,
-    TaskId,
+    EndKind, Grouping, JobId, JobState, Lifetime, MinionNumber, MinionReport, StepSpec, TaskId,
 };
 use yuccahold::resources::Resources;
 
+use super::life::{Life, Pending};
 use super::{World, ms, report};
 
 const TICK: Duration = ms(5);
@@ -31,47 +31,16 @@
     Lost,
 }
 
-struct Running {
-    run: RunNumber,
-    need: Resources,
-    ends_at: Option<Duration>,
-}
-
-struct Pending {
-    sent: Duration,
-    until: Duration,
-    to: MinionNumber,
-    acked: u64,
-}
-
-/// One incarnation.
-#[derive(Default)]
-struct Life {
-    running: BTreeMap<TaskId, Running>,
-    ended: Vec<ListedEnd>,
-    last_end: u64,
-    pending: Option<Pending>,
-    crashes_at: Option<Duration>,
-}
-
-impl Life {
-    fn end(&mut self, task: TaskId, kind: EndKind) {
-        let Some(running) = self.running.remove(&task) else {
-            return;
-        };
-        self.last_end += 1;
-        self.ended.push(ListedEnd {
-            number: self.last_end,
-            task,
-            run: running.run,
-            kind,
-            checkpoint: Default::default(),
-        });
-    }
+/// Under which name a minion starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Restart {
+    NewName,
+    SameName,
 }
 
 struct Host {
     port: u16,
+    name: String,
     capacity: Resources,
     lives: u32,
     sequence: u64,
@@ -80,22 +49,6 @@
     back_at: Duration,
 }
 
-impl Host {
-    fn id(&self) -> String {
-        format!("i-{}-{}", self.port, self.lives)
-    }
-
-    fn report(&mut self, now: Duration) -> MinionReport {
-        self.sequence += 1;
-        MinionReport {
-            capacity: self.capacity,
-            clock: now,
-            sequence: self.sequence,
-            ..report(&self.id(), self.port)
-        }
-    }
-}
-
 struct Delivery {
     at: Duration,
     minion: MinionNumber,
@@ -104,18 +57,29 @@
     answer: MinionAnswer,
 }
 
+/// An order that is carried out late, by whoever has the name then.
+struct LateOrder {
+    at: Duration,
+    target: Target,
+    order: MinionOrder,
+}
+
 /// A leader and hosts, each with one minion after the other.
 pub struct Cell {
     pub world: World,
     hosts: BTreeMap<u16, Host>,
     deliveries: VecDeque<Delivery>,
+    late: Vec<LateOrder>,
     /// Tasks that crash each minion that starts them.
     pub crashers: BTreeSet<TaskId>,
     pub start_answer: StartAnswer,
+    pub restart: Restart,
     /// Time from a crash to the next incarnation.
     pub away: Duration,
     /// Further time that lists take on their way.
     pub lists_late_by: Duration,
+    /// Time after which starts sent now are carried out, not answered; zero to carry them out.
+    pub starts_late_by: Duration,
     /// Starts of each task.
     pub starts: BTreeMap<TaskId, u32>,
     /// Starts of each task after three minions had crashed under it.
@@ -137,10 +101,13 @@
             world: World::new(),
             hosts: BTreeMap::new(),
             deliveries: VecDeque::new(),
+            late: Vec::new(),
             crashers: BTreeSet::new(),
             start_answer: StartAnswer::Delivered,
+            restart: Restart::NewName,
             away: ms(3_000),
             lists_late_by: Duration::ZERO,
+            starts_late_by: Duration::ZERO,
             starts: BTreeMap::new(),
             starts_too_many: BTreeMap::new(),
             crashes: BTreeMap::new(),
@@ -152,11 +119,12 @@
         for port in ports {
             let host = Host {
                 port,
+                name: format!("i-{port}-0"),
                 capacity: report("", port).capacity,
                 lives: 0,
                 sequence: 0,
                 reports_at: cell.world.now,
-                life: Some(Life::default()),
+                life: Some(Life::new(cell.world.now)),
                 back_at: Duration::ZERO,
             };
             cell.hosts.insert(port, host);
@@ -207,13 +175,32 @@
 
     /// Ports of the hosts on which a task runs.
     pub fn ports_of(&self, task: TaskId) -> Vec<u16> {
-        let runs = |host: &&Host| {
-            let life = host.life.as_ref();
-            life.is_some_and(|life| life.running.contains_key(&task))
-        };
+        let runs = |host: &&Host| host.life.as_ref().is_some_and(|life| life.runs(task));
         self.hosts.values().filter(runs).map(|h| h.port).collect()
     }
 
+    /// What the minion at a port says of itself now; may be delivered later.
+    pub fn report_of(&mut self, port: u16) -> Option<MinionReport> {
+        let now = self.world.now;
+        let host = self.hosts.get_mut(&port)?;
+        let life = host.life.as_ref()?;
+        host.sequence += 1;
+        Some(MinionReport {
+            started: Some(life.started()),
+            capacity: host.capacity,
+            clock: life.clock(now),
+            sequence: host.sequence,
+            ..report(&host.name, port)
+        })
+    }
+
+    /// The capacity of the minion at a port changes when it starts again.
+    pub fn resize(&mut self, port: u16, capacity: Resources) {
+        if let Some(host) = self.hosts.get_mut(&port) {
+            host.capacity = capacity;
+        }
+    }
+
     /// A minion crashes without any task's doing.
     pub fn crash(&mut self, port: u16) {
         let now = self.world.now;
@@ -223,11 +210,9 @@
         let Some(life) = host.life.take() else { return };
         host.back_at = now + self.away;
         self.crashed += 1;
-        for task in life.running.keys() {
-            *self.crashes.entry(*task).or_default() += 1;
-        }
-        for task in life.running.keys() {
-            self.break_gang(*task);
+        for task in life.tasks() {
+            *self.crashes.entry(task).or_default() += 1;
+            self.break_gang(task);
         }
         if let Some(hold) = life.pending {
             let answer = MinionAnswer::Hold(HoldAnswer::Silent(Silence::Lost));
@@ -242,8 +227,8 @@
             return;
         }
         for life in self.hosts.values_mut().filter_map(|h| h.life.as_mut()) {
-            let members = life.running.range(lost.step.tasks()).map(|(task, _)| *task);
-            for member in members.collect::<Vec<_>>() {
+            let members: Vec<_> = life.tasks().filter(|t| t.step == lost.step).collect();
+            for member in members {
                 life.end(member, EndKind::Broken);
             }
         }
@@ -255,11 +240,19 @@
         for port in self.hosts.keys().copied().collect::<Vec<_>>() {
             self.act(port, now);
         }
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|late| late.at <= now);
+        self.late = later;
+        let due: Vec<LateOrder> = due;
+        for late in due {
+            self.carry_out(now, &late.target, &late.order);
+        }
         self.deliver(now);
         self.world.decide();
         for order in std::mem::take(&mut self.world.orders) {
             if let Order::Minion(target, order) = order {
-                self.carry_out(now, &target, &order);
+                self.send(now, target, order);
             }
         }
     }
@@ -270,29 +263,30 @@
         if self.hosts[&port].life.as_ref().is_some_and(crashes) {
             self.crash(port);
         }
+        let restart = self.restart;
         let Some(host) = self.hosts.get_mut(&port) else {
             return;
         };
         if host.life.is_none() && now >= host.back_at {
-            host.life = Some(Life::default());
+            host.life = Some(Life::new(now));
             host.lives += 1;
+            if restart == Restart::NewName {
+                host.name = format!("i-{port}-{}", host.lives);
+            }
             host.sequence = 0;
             host.reports_at = now;
         }
         if host.life.is_some() && now >= host.reports_at {
             host.reports_at = now + HEARTBEAT;
-            let report = host.report(now);
+            let report = self.report_of(port).expect("it is up");
             self.world.leader.report(now, report);
         }
-        let Some(life) = &mut host.life else { return };
-        let over = |r: &Running| r.ends_at.is_some_and(|at| at <= now);
-        let ended = life.running.iter().filter(|(_, r)| over(r));
-        for task in ended.map(|(task, _)| *task).collect::<Vec<_>>() {
-            life.end(task, EndKind::Done);
-        }
-        let ready = |hold: &mut Pending| !life.ended.is_empty() || hold.until <= now;
-        if let Some(hold) = life.pending.take_if(ready) {
-            self.answer_hold(port, now, hold);
+        let life = self.hosts.get_mut(&port).and_then(|h| h.life.as_mut());
+        let Some(life) = life else { return };
+        life.pass(now);
+        let has_ends = life.has_ends();
+        if let Some(hold) = life.pending.take_if(|h| has_ends || h.until <= now) {
+            self.answer_hold(port, now, &hold);
         }
     }
 
@@ -306,17 +300,11 @@
                 self.deliveries.push_back(delivery);
                 continue;
             }
-            let Delivery {
-                minion,
-                kind,
-                sent,
-                answer,
-                ..
-            } = delivery;
+            let (minion, sent) = (delivery.minion, delivery.sent);
+            let (kind, answer) = (delivery.kind, delivery.answer);
             let ledger = &self.world.ledger;
-            self.world
-                .leader
-                .answered(now, minion, &kind, sent, answer, ledger);
+            let leader = &mut self.world.leader;
+            leader.answered(now, minion, &kind, sent, answer, ledger);
         }
     }
 
@@ -337,140 +325,127 @@
         });
     }
 
-    fn carry_out(&mut self, now: Duration, target: &Target, order: &MinionOrder) {
+    fn send(&mut self, now: Duration, target: Target, order: MinionOrder) {
+        let is_start = matches!(order, MinionOrder::Start(_));
+        let up = self.hosts[&target.addr.port()].life.is_some();
+        if is_start && up && !self.starts_late_by.is_zero() {
+            let lost = MinionAnswer::Order(Answer::Silent(Silence::Lost));
+            self.answer(now + CALL_TIMEOUT, target.minion, order.kind(), now, lost);
+            let at = now + self.starts_late_by;
+            self.late.push(LateOrder { at, target, order });
+            return;
+        }
+        if let Some((after, answer)) = self.carry_out(now, &target, &order) {
+            self.answer(now + after, target.minion, order.kind(), now, answer);
+        }
+    }
+
+    /// Carries an order out; gives the answer and the time it takes, none for a hold that waits.
+    fn carry_out(
+        &mut self,
+        now: Duration,
+        target: &Target,
+        order: &MinionOrder,
+    ) -> Option<(Duration, MinionAnswer)> {
         let port = target.addr.port();
-        let host = &self.hosts[&port];
-        let unlike = |order: &MinionOrder| match order {
-            MinionOrder::Hold(_) => MinionAnswer::Hold(HoldAnswer::OtherIncarnation),
-            _ => MinionAnswer::Order(Answer::OtherIncarnation),
-        };
-        let dark = |order: &MinionOrder| match order {
-            MinionOrder::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(Silence::Lost)),
-            _ => MinionAnswer::Order(Answer::Silent(Silence::Lost)),
+        let host = self.hosts.get_mut(&port)?;
+        let Some(life) = &mut host.life else {
+            let silence = match order {
+                MinionOrder::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(Silence::Lost)),
+                _ => MinionAnswer::Order(Answer::Silent(Silence::Lost)),
+            };
+            return Some((CALL_TIMEOUT, silence));
         };
-        let (after, answer) = match (&host.life, order) {
-            (None, order) => (CALL_TIMEOUT, dark(order)),
-            (Some(_), order) if host.id() != target.id.as_str() => (WAY_BACK, unlike(order)),
-            (Some(_), MinionOrder::Start(start)) => self.begin(now, port, start),
-            (Some(_), MinionOrder::Stop { task, run, .. }) => self.stop(now, port, *task, *run),
-            (Some(_), MinionOrder::Hold(hold)) => {
+        let other = host.name != target.id.as_str();
+        match order {
+            MinionOrder::Hold(_) if other => {
+                Some((WAY_BACK, MinionAnswer::Hold(HoldAnswer::OtherIncarnation)))
+            }
+            _ if other => Some((WAY_BACK, MinionAnswer::Order(Answer::OtherIncarnation))),
+            MinionOrder::Start(start) => Some(self.begin(now, port, start)),
+            MinionOrder::Stop { task, run, token } => {
+                let answer = if life.admits(*token) {
+                    life.stop(now, *task, *run)
+                } else {
+                    let clock = Some(life.clock(now));
+                    let why = StartRefusal::Fenced;
+                    Answer::Refused { clock, why }
+                };
+                Some((WAY_BACK, MinionAnswer::Order(answer)))
+            }
+            MinionOrder::Hold(hold) => {
+                if !life.admits(hold.token) {
+                    return Some((WAY_BACK, MinionAnswer::Hold(HoldAnswer::Refused)));
+                }
                 self.hold(now, port, target.minion, hold);
-                return;
+                None
             }
-        };
-        self.answer(now + after, target.minion, order.kind(), now, answer);
+        }
     }
 
     fn begin(&mut self, now: Duration, port: u16, start: &StartOrder) -> (Duration, MinionAnswer) {
         let task = start.task;
         let spec = &self.specs[&task.step.job][usize::from(task.step.step)];
-        let (need, lifetime, estimate) = (spec.need, spec.lifetime, spec.estimate);
+        let crasher = self.crashers.contains(&task);
+        let ends = spec.lifetime == Lifetime::Finite && !crasher;
+        let ends_at = ends.then_some(now + spec.estimate);
+        let elsewhere = self.ports_of(task);
+        let host = self.hosts.get_mut(&port).expect("a known host");
+        let life = host.life.as_mut().expect("it is up");
+        let (begun, answer) = life.begin(now, start, spec.need, ends_at);
+        if !begun {
+            return (WAY_BACK, MinionAnswer::Order(answer));
+        }
+        if crasher {
+            life.crashes_at = Some(now + CRASHES_AFTER);
+        }
+        let (used, capacity) = (life.used(), host.capacity);
         *self.starts.entry(task).or_default() += 1;
         if self.crashes.get(&task).is_some_and(|n| *n >= 3) {
             *self.starts_too_many.entry(task).or_default() += 1;
         }
-        if self.hosts.keys().any(|p| self.runs_on(*p, task)) {
-            self.broken.push(format!("{task} runs twice"));
+        let run = start.run;
+        if !elsewhere.is_empty() {
+            let text = format!("{task} run {run} on {port} beside one on {elsewhere:?}");
+            self.broken.push(text);
         }
         if self.done.contains(&task) {
-            self.broken.push(format!("{task} starts after it was done"));
-        }
-        let crasher = self.crashers.contains(&task);
-        let Some(host) = self.hosts.get_mut(&port) else {
-            unreachable!("an order goes to a known host")
-        };
-        let Some(life) = &mut host.life else {
-            unreachable!("it is up")
-        };
-        let running = Running {
-            run: start.run,
-            need,
-            ends_at: (lifetime == Lifetime::Finite && !crasher).then_some(now + estimate),
-        };
-        life.running.insert(task, running);
-        let needs = life.running.values().map(|r| &r.need);
-        let used = needs.fold(Resources::ZERO, |sum, need| sum.saturating_add(need));
-        if !used.fits_in(&host.capacity) {
-            let capacity = host.capacity;
-            let text = format!("{task} brings {port} to {used:?} of {capacity:?}");
-            self.broken.push(text);
+            self.broken
+                .push(format!("{task} run {run} after it was done"));
         }
-        if crasher {
-            life.crashes_at = Some(now + CRASHES_AFTER);
-            if self.start_answer == StartAnswer::Lost {
-                let lost = MinionAnswer::Order(Answer::Silent(Silence::Lost));
-                return (CALL_TIMEOUT, lost);
-            }
+        if !used.fits_in(&capacity) {
+            self.broken
+                .push(format!("{task} brings {port} to {used:?} of {capacity:?}"));
         }
-        let clock = Some(now);
-        (WAY_BACK, MinionAnswer::Order(Answer::Done { clock }))
-    }
-
-    fn runs_on(&self, port: u16, task: TaskId) -> bool {
-        let life = self.hosts[&port].life.as_ref();
-        life.is_some_and(|life| life.running.contains_key(&task))
-    }
-
-    fn stop(
-        &mut self,
-        now: Duration,
-        port: u16,
-        task: TaskId,
-        run: RunNumber,
-    ) -> (Duration, MinionAnswer) {
-        let life = self.hosts.get_mut(&port).and_then(|h| h.life.as_mut());
-        if let Some(life) = life
-            && life.running.get(&task).is_some_and(|r| r.run == run)
-        {
-            life.end(task, EndKind::Stopped);
+        if crasher && self.start_answer == StartAnswer::Lost {
+            let lost = MinionAnswer::Order(Answer::Silent(Silence::Lost));
+            return (CALL_TIMEOUT, lost);
         }
-        let clock = Some(now);
-        (WAY_BACK, MinionAnswer::Order(Answer::Done { clock }))
+        (WAY_BACK, MinionAnswer::Order(answer))
     }
 
     fn hold(&mut self, now: Duration, port: u16, to: MinionNumber, hold: &HoldOrder) {
-        let Some(life) = self.hosts.get_mut(&port).and_then(|h| h.life.as_mut()) else {
-            return;
-        };
-        for end in &life.ended {
-            if end.number <= hold.acked && end.kind == EndKind::Done {
-                self.done.insert(end.task);
-            }
-        }
-        life.ended.retain(|end| end.number > hold.acked);
+        let life = self.hosts.get_mut(&port).and_then(|h| h.life.as_mut());
+        let life = life.expect("it is up");
+        self.done.extend(life.hold(now, hold.acked, hold.deadline));
         let pending = Pending {
             sent: now,
             until: now + hold.wait,
             to,
-            acked: hold.acked,
         };
-        if life.ended.is_empty() && !hold.wait.is_zero() {
+        if !life.has_ends() && !hold.wait.is_zero() {
             life.pending = Some(pending);
         } else {
-            self.answer_hold(port, now, pending);
+            self.answer_hold(port, now, &pending);
         }
     }
 
-    fn answer_hold(&mut self, port: u16, now: Duration, hold: Pending) {
+    fn answer_hold(&mut self, port: u16, now: Duration, hold: &Pending) {
         let Some(life) = &self.hosts[&port].life else {
             return;
         };
-        let running = life.running.iter().map(|(task, r)| ListedRun {
-            task: *task,
-            run: r.run,
-            checkpoint: Default::default(),
-            percent: 50,
-            load: 0,
-        });
-        let ended = life.ended.iter().filter(|end| end.number > hold.acked);
-        let listing = Listing {
-            clock: now,
-            running: running.collect(),
-            ended: ended.cloned().collect(),
-            unreadable: 0,
-        };
+        let answer = MinionAnswer::Hold(HoldAnswer::Listing(life.listing(now)));
         let at = now + WAY_BACK + self.lists_late_by;
-        let answer = MinionAnswer::Hold(HoldAnswer::Listing(listing));
         self.answer(at, hold.to, OrderKind::Hold, hold.sent, answer);
     }
 }
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod hosts;
+mod life;
 
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -110,6 +111,7 @@
 pub fn report(id: &str, port: u16) -> MinionReport {
     MinionReport {
         id: id.into(),
+        started: None,
         service: "desk".into(),
         addr: ([10, 0, 0, 1], port).into(),
         zone: "mixco".into(),
@@ -297,7 +299,7 @@
             clock,
             running,
             ended,
-            unreadable: 0,
+            ..Listing::default()
         };
         self.listing(minion, listing);
     }
@@ -316,9 +318,8 @@
             minion,
             Listing {
                 clock,
-                running: Vec::new(),
                 ended,
-                unreadable: 0,
+                ..Listing::default()
             },
         );
     }
