--- /dev/null
+++ b/tests/batch_restarts.rs
@@ -0,0 +1,230 @@
+//! Minions that start again under the name that they had.
+
+mod batch_world;
+
+use std::time::Duration;
+
+use batch_world::hosts::{Cell, Restart, StartAnswer};
+use batch_world::{JOB, first_step, lasting, ms, saving, step};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use yuccahold::batch::model::{JobId, JobState, MinionReport, Readiness, StepSpec};
+use yuccahold::resources::Resources;
+
+/// Hosts whose minions keep their names and are back soon after a crash.
+fn cell(ports: std::ops::Range<u16>) -> Cell {
+    let mut cell = Cell::new(ports);
+    cell.restart = Restart::SameName;
+    cell.away = ms(100);
+    cell
+}
+
+/// Jobs that occupy the cell until `jobs` of them are done.
+fn work(cell: &mut Cell, first: JobId, jobs: u64) {
+    for job in first..first + jobs {
+        cell.submit(job, vec![step(4, 2_000)]);
+        cell.run(ms(150));
+    }
+    cell.run(ms(3_000));
+}
+
+fn states(cell: &Cell, first: JobId, jobs: u64) -> Vec<Option<JobState>> {
+    (first..first + jobs).map(|job| cell.state(job)).collect()
+}
+
+/// Ends of the new life are taken although their numbers were seen before.
+#[rstest]
+#[case::lists_come_at_once(ms(0))]
+#[case::lists_come_late(ms(300))]
+fn ends_after_a_restart_are_taken(#[case] late: Duration) {
+    let mut cell = cell(1..3);
+    cell.lists_late_by = late;
+    work(&mut cell, JOB, 10);
+    cell.crash(1);
+    cell.crash(2);
+    cell.run(ms(400));
+    let second = JOB + 100;
+    work(&mut cell, second, 4);
+    assert_eq!(states(&cell, second, 4), [Some(JobState::Done); 4]);
+    let starts = cell.starts.iter().filter(|(t, _)| t.step.job >= second);
+    let starts: Vec<_> = starts.map(|(_, n)| *n).collect();
+    assert_eq!(starts, [1; 16]);
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Tasks that ran on the life before run again at once, and not twice.
+#[rstest]
+#[case::nobody_reports_meanwhile(ms(100))]
+#[case::the_lease_would_last(ms(2_000))]
+fn tasks_of_a_minion_that_started_again_run_elsewhere_soon(#[case] away: Duration) {
+    let mut cell = cell(1..4);
+    cell.away = away;
+    cell.submit(JOB, vec![lasting(6, 4_000)]);
+    cell.submit(JOB + 1, vec![saving(6, 4_000)]);
+    cell.run(ms(2_000));
+    cell.crash(1);
+    let task = |i| first_step(JOB).task(i);
+    let back = cell.run_until("all to be at work", |cell| {
+        (0..6).all(|i| cell.ports_of(task(i)).len() == 1)
+    });
+    assert!(back < away + ms(800), "{back:?}");
+    cell.run(ms(12_000));
+    assert_eq!(cell.state(JOB + 1), Some(JobState::Done));
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// A start that the life before left unanswered may be carried out by the one that follows.
+#[rstest]
+#[case::before_it_is_known(ms(150))]
+#[case::soon_after(ms(300))]
+#[case::much_later(ms(2_000))]
+fn an_order_of_before_that_the_new_life_carries_out_runs_nothing_twice(#[case] late: Duration) {
+    let mut cell = cell(1..4);
+    cell.run(ms(1_000));
+    cell.starts_late_by = late;
+    cell.submit(JOB, vec![saving(6, 4_000)]);
+    cell.run(ms(20));
+    cell.starts_late_by = Duration::ZERO;
+    for port in 1..4 {
+        cell.crash(port);
+    }
+    cell.run(ms(25_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Done));
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Minions start again while nobody leads, or while the leader that knew them is replaced.
+#[rstest]
+#[case::the_crash_is_before_the_change(ms(50), ms(0))]
+#[case::the_crash_is_after_the_change(ms(0), ms(50))]
+#[case::both_at_once(ms(0), ms(0))]
+fn a_new_leader_tells_the_lives_of_a_minion_apart(
+    #[case] before: Duration,
+    #[case] after: Duration,
+) {
+    let mut cell = cell(1..4);
+    work(&mut cell, JOB, 10);
+    cell.submit(JOB + 20, vec![saving(8, 4_000)]);
+    cell.run(ms(500));
+    if !before.is_zero() {
+        cell.crash(1);
+        cell.run(before);
+    }
+    cell.new_leader(2);
+    cell.run(after);
+    if before.is_zero() {
+        cell.crash(1);
+    }
+    cell.run(ms(500));
+    work(&mut cell, JOB + 30, 6);
+    cell.run(ms(20_000));
+    assert_eq!(states(&cell, JOB + 30, 6), [Some(JobState::Done); 6]);
+    assert_eq!(cell.state(JOB + 20), Some(JobState::Done));
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Reports of the life before that were delayed on their way change nothing.
+#[test]
+fn a_late_report_of_the_life_before_is_not_believed() {
+    let mut cell = cell(1..2);
+    cell.run(ms(3_000));
+    let late = cell.report_of(1).expect("it is up");
+    let late = MinionReport {
+        readiness: Readiness::Draining { remaining: None },
+        sequence: 1_000,
+        ..late
+    };
+    let small = Resources::new(8, 64_000, 0);
+    cell.crash(1);
+    cell.resize(1, small);
+    cell.run(ms(700));
+    let now = cell.world.now;
+    cell.world.leader.report(now, late);
+    cell.submit(JOB, vec![step(4, 4_000)]);
+    cell.run(ms(900));
+    assert_eq!(cell.starts.len(), 2);
+    cell.run(ms(5_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Done));
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Reports of a new life count although their numbers start anew.
+#[test]
+fn a_report_of_the_new_life_is_believed() {
+    let mut cell = cell(1..2);
+    cell.run(ms(10_000));
+    cell.crash(1);
+    cell.resize(1, Resources::new(8, 64_000, 0));
+    cell.run(ms(700));
+    cell.submit(JOB, vec![step(4, 4_000)]);
+    cell.run(ms(900));
+    assert_eq!(cell.starts.len(), 2);
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// A task that crashes its minion is given up also where the minion keeps its name.
+#[rstest]
+#[case::its_start_is_answered(StartAnswer::Delivered, ms(3_000))]
+#[case::the_answer_is_lost(StartAnswer::Lost, ms(3_000))]
+#[case::the_minion_is_back_soon(StartAnswer::Delivered, ms(500))]
+#[case::back_soon_and_the_answer_is_lost(StartAnswer::Lost, ms(500))]
+fn a_task_that_crashes_minions_which_keep_their_names_is_given_up(
+    #[case] answer: StartAnswer,
+    #[case] away: Duration,
+) {
+    let mut cell = cell(1..9);
+    cell.away = away;
+    cell.start_answer = answer;
+    let crasher = first_step(JOB).task(0);
+    cell.crashers.insert(crasher);
+    cell.submit(JOB, vec![step(3, 1_000)]);
+    cell.run(ms(60_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Failed));
+    let too_many = cell.starts_too_many.get(&crasher);
+    assert!(too_many <= Some(&2), "{too_many:?}");
+    assert_eq!(cell.broken, [""; 0]);
+}
+
+/// Whatever starts again when, nothing runs twice and everything is done.
+#[test]
+fn restarts_at_random_lose_nothing_and_run_nothing_twice() {
+    for seed in 1..=40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut cell = cell(1..9);
+        let mut term = 1;
+        let jobs: Vec<JobId> = (0..40).map(|i| JOB + i).collect();
+        for job in &jobs {
+            let first = step(rng.random_range(1..6), rng.random_range(500..6_000));
+            let second = StepSpec {
+                after: vec![0],
+                ..saving(rng.random_range(1..4), rng.random_range(500..6_000))
+            };
+            cell.submit(*job, vec![first, second]);
+            cell.run(ms(rng.random_range(0..500)));
+            cell.starts_late_by = Duration::ZERO;
+            match rng.random_range(0..10) {
+                0..=2 => cell.crash(rng.random_range(1..9)),
+                3 => (1..9).for_each(|port| cell.crash(port)),
+                4 => {
+                    term += 1;
+                    cell.new_leader(term);
+                }
+                5 => cell.lists_late_by = ms(rng.random_range(0..300)),
+                6 => cell.starts_late_by = ms(rng.random_range(50..2_000)),
+                7 => cell.away = ms(rng.random_range(50..4_000)),
+                _ => {}
+            }
+        }
+        cell.run(ms(120_000));
+        assert_eq!(cell.broken, [""; 0], "seed {seed}");
+        for job in &jobs {
+            let state = cell.state(*job);
+            let most = cell.crashes.iter().filter(|(t, _)| t.step.job == *job);
+            let most = most.map(|(_, n)| *n).max().unwrap_or_default();
+            let given_up = state == Some(JobState::Failed) && most >= 2;
+            let wanted = state == Some(JobState::Done) || given_up;
+            assert!(wanted, "seed {seed}: {job:x} is {state:?}, {most} crashes");
+        }
+    }
+}
