Suspicion of a crash rests on signs of life, not on when answers arrive

What callers saw: tasks that had nothing to do with a crash were started again one to a minion, and now and then their job was given up. A run counted as one that had only just begun when no answer had come since, though holds wait for up to 2 s; an answer that was slow on its way counted as life at its arrival; and a start without an answer counted in full however long its minion had answered other calls.

Fix: a call whose connection breaks is told apart from one that brings nothing, and shows that the minion was up until then. An answer that was given at once shows it for the time of the call. A start without an answer counts in doubt only if the minion was heard of 0.1 s before and fell silent within 0.5 s; otherwise, and for starts of an earlier leader, the crash is only possible, and four of all kinds end the job, so that a task gets at most five starts. 0.5 s of work clear a run, was 1 s.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -192,6 +192,7 @@
         };
         if let Some(clock) = clock {
             minion.read_clock(*clock, sent, now);
+            minion.answered_order(sent);
         }
     }
 
--- a/src/batch/dispatch/crashes.rs
+++ b/src/batch/dispatch/crashes.rs
@@ -17,7 +17,7 @@
 use crate::ids::Timestamp;
 
 /// Work after which a run did not crash its minion by starting.
-const HARMLESS_AFTER: Duration = Duration::from_secs(1);
+const HARMLESS_AFTER: Duration = Duration::from_millis(500);
 /// Least time between a crash and the first answer of the incarnation that follows.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 /// Time that a run on trial has to be seen to work.
@@ -149,12 +149,17 @@
         // It outlived the leader that started it.
         (RunState::Running(_), None) => None,
         (RunState::Running(since), _) => {
-            (minion.heard < since + HARMLESS_AFTER).then_some(Certainty::Begun)
+            (!minion.outlived(since + HARMLESS_AFTER)).then_some(Certainty::Begun)
         }
-        (_, None) => Some(Certainty::InDoubt),
+        (_, None) => Some(Certainty::Possible),
         // The start reached nobody, or the next incarnation.
         (_, Some(ordered)) if sent < ordered + RESTART_TIME => None,
-        (_, Some(ordered)) if minion.is_heard(ordered) => Some(Certainty::InDoubt),
+        // It fell silent with the start.
+        (_, Some(ordered))
+            if minion.is_heard(ordered) && !minion.outlived(ordered + HARMLESS_AFTER) =>
+        {
+            Some(Certainty::InDoubt)
+        }
         _ => Some(Certainty::Possible),
     }
 }
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -5,7 +5,7 @@
 use super::Dispatcher;
 use super::crashes::Proof;
 use super::minion::{HoldState, Minion, Presence};
-use super::order::{HoldAnswer, HoldOrder, MinionOrder, Order};
+use super::order::{HoldAnswer, HoldOrder, MinionOrder, Order, Silence};
 use crate::batch::ledger::Ledger;
 use crate::batch::model::{EndKind, MinionNumber};
 use crate::batch::note::Note;
@@ -89,6 +89,7 @@
             .filter(|_| minion.silent_calls == 0);
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(now);
+        minion.hold_wait = wait;
         let order = HoldOrder {
             deadline,
             token,
@@ -181,6 +182,9 @@
                 self.minion_gone(now, number, sent, Proof::OtherIncarnation)
             }
             HoldAnswer::Refused | HoldAnswer::Silent(_) => {
+                if answer == HoldAnswer::Silent(Silence::Broken) {
+                    minion.connection_broke(sent, now);
+                }
                 minion.silent_calls += 1;
                 // The first try follows at once, over another connection.
                 let pause = (RETRY_PAUSE * (minion.silent_calls - 1)).min(RETRY_PAUSE_MAX);
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -37,6 +37,7 @@
         };
         minion.read_clock(listing.clock, sent, now);
         minion.answers_itself(sent);
+        minion.answered_hold(sent, now);
         // It answers, so it did not crash.
         minion.lapsed.clear();
         let first_word = !minion.fenced;
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -20,7 +20,10 @@
 const AVOID: Duration = Duration::from_secs(1);
 
 /// Age up to which an answer shows that a minion is up.
-const RECENT: Duration = Duration::from_millis(300);
+const RECENT: Duration = Duration::from_millis(100);
+
+/// Time after which a call that was neither refused nor answered has been taken.
+const TAKEN: Duration = Duration::from_millis(50);
 
 /// A reading of a minion's clock. It was taken after the request left and before the answer came.
 #[derive(Clone, Copy, Debug)]
@@ -81,6 +84,10 @@
     clock: Option<ClockReading>,
     pub(super) heard: Timestamp,
     pub(super) reported: Timestamp,
+    /// Latest time at which it is known to have been up.
+    last_sign: Timestamp,
+    /// How long the hold on the way may wait there.
+    pub(super) hold_wait: Duration,
     /// Calls in a row that brought no answer.
     pub(super) silent_calls: u32,
     pub(super) hold: HoldState,
@@ -126,6 +133,8 @@
             clock: None,
             heard: now,
             reported: now,
+            last_sign: Timestamp::ZERO,
+            hold_wait: Duration::ZERO,
             silent_calls: 0,
             hold: HoldState::Due(now),
             unanswered: None,
@@ -197,7 +206,7 @@
         match (self.presence, silence) {
             (Presence::Here, _) => None,
             (_, Silence::Refused) => Some(Proof::Refused),
-            (Presence::Left(at), Silence::Lost)
+            (Presence::Left(at), Silence::Lost | Silence::Broken)
                 if sent >= at + stop_time && self.silent_calls > 1 =>
             {
                 Some(Proof::Silent)
@@ -227,9 +236,39 @@
         }
     }
 
-    /// Whether its last answer shows that it was up at `at`.
+    /// Whether its last sign of life shows that it was up at `at`.
     pub(super) fn is_heard(&self, at: Timestamp) -> bool {
-        at <= self.heard + RECENT
+        at <= self.last_sign + RECENT
+    }
+
+    /// Whether it is known to have been up at `at` or later.
+    pub(super) fn outlived(&self, at: Timestamp) -> bool {
+        self.last_sign >= at
+    }
+
+    /// Notes that it was up at `at`.
+    fn was_up(&mut self, at: Timestamp) {
+        self.last_sign = self.last_sign.max(at);
+    }
+
+    /// Notes its answer to the hold sent at `sent`. An answer to one that did not wait there was given
+    /// at once, and may have been slow on its way.
+    pub(super) fn answered_hold(&mut self, sent: Timestamp, now: Timestamp) {
+        let waited = !self.hold_wait.is_zero();
+        self.was_up(if waited { now } else { sent });
+    }
+
+    /// Notes its answer to an order sent at `sent`.
+    pub(super) fn answered_order(&mut self, sent: Timestamp) {
+        self.was_up(sent);
+    }
+
+    /// Notes that the connection of a call sent at `sent` broke. A call that had waited for a while
+    /// was taken by a minion that was up until then.
+    pub(super) fn connection_broke(&mut self, sent: Timestamp, now: Timestamp) {
+        if now >= sent + TAKEN {
+            self.was_up(now);
+        }
     }
 
     /// Notes an order sent at `sent` that brought no answer. Until a later one does, the minion
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -158,10 +158,12 @@
 pub enum Silence {
     /// Nobody listens there.
     Refused,
-    /// Nothing came in time, or the connection broke.
+    /// Nothing came in time.
     Lost,
     /// The process that should have called is stuck or gone: this says nothing of the minion.
     NotCalled,
+    /// The connection broke while the answer was awaited.
+    Broken,
 }
 
 /// Why a minion did not start a run.
@@ -284,6 +286,7 @@
             Self::Silent(Silence::Refused) => "a refused connection",
             Self::Silent(Silence::Lost) => "nothing",
             Self::Silent(Silence::NotCalled) => "no call",
+            Self::Silent(Silence::Broken) => "a broken connection",
         }
     }
 }
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -102,9 +102,9 @@
 pub enum Certainty {
     /// It had confirmed the start.
     Begun,
-    /// It was told to start it and did not answer, or an earlier leader told it.
+    /// It was told to start it, and fell silent.
     InDoubt,
-    /// It was told to start it, and may have crashed before.
+    /// It was told to start it, maybe by an earlier leader, and may have crashed for another reason.
     Possible,
 }
 
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -15,6 +15,8 @@
 const MAX_CRASHES: u32 = 2;
 /// The same where it is not known of each that it had begun the task.
 const MAX_CRASHES_IN_DOUBT: u32 = 3;
+/// The same where some of them may have crashed for another reason.
+const MAX_CRASHES_POSSIBLE: u32 = 4;
 
 /// A job and how far it has come.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -81,9 +83,9 @@
 pub struct Crashes {
     /// The minion had begun the task shortly before.
     pub begun: u32,
-    /// It was told to start the task, and did not answer.
+    /// It was told to start the task, and fell silent.
     pub in_doubt: u32,
-    /// The same, and it may have crashed before.
+    /// It was told to start the task, and may have crashed for another reason.
     pub possible: u32,
 }
 
@@ -155,7 +157,10 @@
 
     /// Whether there are so many that the task is not started again.
     pub(super) fn are_too_many(&self) -> bool {
-        self.begun >= MAX_CRASHES || self.begun + self.in_doubt >= MAX_CRASHES_IN_DOUBT
+        let in_doubt = self.begun + self.in_doubt;
+        self.begun >= MAX_CRASHES
+            || in_doubt >= MAX_CRASHES_IN_DOUBT
+            || in_doubt + self.possible >= MAX_CRASHES_POSSIBLE
     }
 }
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -29,8 +29,10 @@
 pub(super) enum Failure {
     /// Nobody listens there.
     Refused,
-    /// No answer in time, or the connection broke.
+    /// No answer in time.
     Lost,
+    /// The connection broke.
+    Broken,
 }
 
 type Sender = SendRequest<Full<Bytes>>;
@@ -75,10 +77,11 @@
             Some(sender) => sender,
             None => connect(addr).await?,
         };
-        let reply = sender.send_request(req).await.map_err(|_| Failure::Lost)?;
+        let reply = sender.send_request(req).await;
+        let reply = reply.map_err(|_| Failure::Broken)?;
         let status = reply.status();
         let body = Limited::new(reply.into_body(), MAX_ANSWER).collect().await;
-        let body = body.map_err(|_| Failure::Lost)?.to_bytes();
+        let body = body.map_err(|_| Failure::Broken)?.to_bytes();
         self.keep(addr, sender);
         Ok((status, body))
     }
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -115,8 +115,7 @@
             .post(to.addr, path, Some(&to.id), body, ORDER_TIMEOUT);
         let (status, body) = match call.await {
             Ok(answered) => answered,
-            Err(Failure::Refused) => return Answer::Silent(Silence::Refused),
-            Err(Failure::Lost) => return Answer::Silent(Silence::Lost),
+            Err(failure) => return Answer::Silent(silence(failure)),
         };
         if status == StatusCode::MISDIRECTED_REQUEST {
             return Answer::OtherIncarnation;
@@ -139,6 +138,14 @@
     }
 }
 
+fn silence(failure: Failure) -> Silence {
+    match failure {
+        Failure::Refused => Silence::Refused,
+        Failure::Lost => Silence::Lost,
+        Failure::Broken => Silence::Broken,
+    }
+}
+
 impl Minions for MinionCalls {
     async fn start(&self, to: &Target, order: &StartOrder) -> Answer {
         let body = StartBody {
@@ -175,8 +182,7 @@
             .post(to.addr, "/yuccahold/hold", Some(&to.id), &body, timeout);
         let (status, body) = match call.await {
             Ok(answered) => answered,
-            Err(Failure::Refused) => return HoldAnswer::Silent(Silence::Refused),
-            Err(Failure::Lost) => return HoldAnswer::Silent(Silence::Lost),
+            Err(failure) => return HoldAnswer::Silent(silence(failure)),
         };
         if status == StatusCode::MISDIRECTED_REQUEST {
             return HoldAnswer::OtherIncarnation;
