A minion that starts again under its name is another incarnation

Cause: what the leader remembers of a minion is kept by its name, and a minion may keep its name through a restart, with all its counts begun anew. Ends of the new incarnation had numbers that were seen before: they were passed over, and acknowledged with the next hold, so the minion forgot them. The run was then in neither of its lists, counted as lapsed, and was started again. Reports of the new incarnation were passed over by their numbers too.

Fix: the time of its start, in each report and list, tells incarnations apart. Each has a number of its own in the ledger and in the leader's state, so clocks, counts, tickets and answers on their way are never mixed. Its runs are carried over: an order names the minion only, so the new incarnation may have taken it. They are over once the new one does not list them and no order can begin them any more, for which those that were left unanswered are stopped first, there and in incarnations that follow within 5 s. Holds to a silent minion acknowledge nothing. A report with an earlier start is not believed, but has the minion called; a list is, since it answers a call. Until the new incarnation reports, it gets no work: it may be of another size. Runs that may have caused the restart count as suspected like others.

Why it holds: a run counts as ended only by a list of the incarnation that could have it, under this leader's token.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -114,6 +114,9 @@
             }
             Answer::Silent(_) => {
                 run.state = RunState::InDoubt;
+                if let Some(minion) = self.minions.get_mut(&number) {
+                    minion.left_unsettled(id, run_number, sent, now);
+                }
                 if tries < START_TRIES && run.stop == StopState::No {
                     self.send_start(now, id, ledger);
                 } else {
--- a/src/batch/dispatch/crashes.rs
+++ b/src/batch/dispatch/crashes.rs
@@ -12,9 +12,9 @@
 use super::place::Score;
 use super::run::{Run, RunState};
 use crate::batch::ledger::{Certainty, Crash};
-use crate::batch::model::{MinionNumber, TaskId};
+use crate::batch::model::{EndKind, MinionNumber, TaskId};
 use crate::batch::note::Note;
-use crate::ids::Timestamp;
+use crate::ids::{MinionId, Timestamp};
 
 /// Work after which a run did not crash its minion by starting.
 const HARMLESS_AFTER: Duration = Duration::from_millis(500);
@@ -95,12 +95,12 @@
     }
 
     /// Has crashes counted for the tasks that may have caused them.
-    pub(super) fn count_crashes(&mut self, minion: &Minion, crashes: Vec<Crash>) {
+    pub(super) fn count_crashes(&mut self, minion: MinionId, crashes: Vec<Crash>) {
         for crash in &crashes {
             self.note(Note::CrashCounted {
                 task: crash.task,
                 run: crash.run,
-                minion: minion.report.id.clone(),
+                minion: minion.clone(),
                 certainty: crash.certainty,
             });
             self.dirty_jobs.insert(crash.task.step.job);
@@ -108,6 +108,23 @@
         self.batch.crashes.extend(crashes);
     }
 
+    /// Has the crash of a minion that started again counted for a run that ended with it.
+    pub(super) fn count_suspected(&mut self, number: MinionNumber, task: TaskId, kind: EndKind) {
+        let Some(run) = self.runs.get(&task) else {
+            return;
+        };
+        let Some(certainty) = run.suspected.filter(|_| kind == EndKind::Crashed) else {
+            return;
+        };
+        let crash = Crash {
+            task,
+            run: run.run,
+            certainty,
+        };
+        let minion = self.minions.get(&number).map(|m| m.report.id.clone());
+        self.count_crashes(minion.unwrap_or_default(), vec![crash]);
+    }
+
     /// How well a minion suits a run on trial.
     pub(super) fn trial_score(&self, now: Timestamp, minion: &Minion, score: Score) -> TrialScore {
         TrialScore {
@@ -146,6 +163,7 @@
 fn suspicion_of(run: &Run, minion: &Minion, sent: Timestamp) -> Option<Certainty> {
     match (run.state, run.ordered) {
         (RunState::Proposed | RunState::Ending, _) => None,
+        (RunState::Carried | RunState::CarriedInDoubt, _) => run.suspected,
         // It outlived the leader that started it.
         (RunState::Running(_), None) => None,
         (RunState::Running(since), _) => {
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -5,7 +5,7 @@
 use super::Dispatcher;
 use super::crashes::Proof;
 use super::minion::{HoldState, Minion, Presence};
-use super::order::{HoldAnswer, HoldOrder, MinionOrder, Order, Silence};
+use super::order::{HoldAnswer, HoldOrder, Listing, MinionOrder, Order, Silence};
 use crate::batch::ledger::Ledger;
 use crate::batch::model::{EndKind, MinionNumber};
 use crate::batch::note::Note;
@@ -90,10 +90,16 @@
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(now);
         minion.hold_wait = wait;
+        // While it is silent it may start again, with ends that are numbered anew.
+        let acked = if minion.silent_calls == 0 {
+            minion.acked_end
+        } else {
+            0
+        };
         let order = HoldOrder {
             deadline,
             token,
-            acked: minion.acked_end,
+            acked,
             wait,
         };
         let target = minion.target();
@@ -169,6 +175,10 @@
             return;
         };
         match answer {
+            HoldAnswer::Listing(Listing {
+                started: Some(started),
+                ..
+            }) if minion.is_other(started) => self.restart_listed(now, number, sent, started),
             HoldAnswer::Listing(listing) => {
                 let pause = match (minion.presence, listing.ended.is_empty()) {
                     (Presence::Here, true) => Duration::ZERO,
@@ -279,12 +289,9 @@
         if let Some(minion) = self.minions.remove(&number) {
             if crashed {
                 suspects.extend(&minion.lapsed);
-                self.count_crashes(&minion, suspects);
+                self.count_crashes(minion.report.id.clone(), suspects);
             }
-            self.by_id.remove(&minion.report.id);
-            self.unacknowledged.remove(&number);
-            self.forget_releases(number);
+            self.forget_minion(&minion);
         }
-        self.batch.gone.push(number);
     }
 }
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -191,8 +191,9 @@
             && run.run == listed.run
             && run.minion == number
         {
-            if matches!(run.state, RunState::Starting | RunState::InDoubt) {
+            if !matches!(run.state, RunState::Running(_) | RunState::Ending) {
                 run.state = RunState::Running(now);
+                run.suspected = None;
             }
             if !listed.checkpoint.is_empty() {
                 run.checkpoint = listed.checkpoint.clone();
@@ -262,6 +263,7 @@
                 .any(|r| r.task == task && r.run == run)
         };
         let mut over = Vec::new();
+        let mut in_doubt = Vec::new();
         for task in &minion.runs {
             let Some(run) = self.runs.get(task) else {
                 continue;
@@ -271,6 +273,12 @@
             }
             let stopped = matches!(run.stop, StopState::Confirmed(at) if at < sent);
             let kind = match run.state {
+                RunState::Carried => Some(EndKind::Crashed),
+                RunState::CarriedInDoubt if stopped => Some(EndKind::Crashed),
+                RunState::CarriedInDoubt => {
+                    in_doubt.push(*task);
+                    None
+                }
                 RunState::Running(since) if since < sent => Some(EndKind::Lapsed),
                 RunState::InDoubt if run.tries == 0 => Some(EndKind::NeverStarted),
                 RunState::InDoubt if run.tries > 0 && listing.clock > run.deadline => {
@@ -284,8 +292,13 @@
             }
         }
         for (task, kind) in over {
+            self.count_suspected(number, task, kind);
             self.run_over(now, task, kind, Default::default());
         }
+        for task in in_doubt {
+            // Once the stop is confirmed, no order begins it any more.
+            self.stop_run(now, task);
+        }
         if let Some(minion) = self.minions.get_mut(&number) {
             // A stray that is neither running nor among the ends has ended before.
             let strays = std::mem::take(&mut minion.strays);
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::STALE_ORDERS;
 use super::crashes::Proof;
 use super::order::{Silence, Target};
 use super::speed::Pace;
@@ -75,6 +76,8 @@
     /// No configured service is its own: it may be no minion at all, and gets no calls.
     pub(super) foreign: bool,
     pub(super) presence: Presence,
+    /// It started again and has not reported since: its capacity and labels may be others.
+    pub(super) unreported: bool,
     /// It has answered a hold under this leader's token: orders of earlier leaders do nothing.
     pub(super) fenced: bool,
     /// Our time at which a lease granted by an earlier leader is over for sure.
@@ -110,6 +113,9 @@
     pub(super) trials: u32,
     /// Runs whose lease ran out while it was silent, and that caused its crash if it crashed.
     pub(super) lapsed: Vec<Crash>,
+    /// Starts that brought no answer, and when they were sent: the next incarnation of this name may
+    /// carry them out.
+    pub(super) unsettled: Vec<(TaskId, RunNumber, Timestamp)>,
     /// Failed ends and refusals in a row.
     pub(super) failures: u32,
     /// Run times seen on it.
@@ -127,6 +133,7 @@
             rack: 0,
             foreign: false,
             presence: Presence::Here,
+            unreported: false,
             fenced: false,
             assumed_until: Timestamp::ZERO,
             lease: Duration::ZERO,
@@ -147,6 +154,7 @@
             strays: BTreeMap::new(),
             trials: 0,
             lapsed: Vec::new(),
+            unsettled: Vec::new(),
             failures: 0,
             pace: Pace::default(),
             avoid_until: Timestamp::ZERO,
@@ -335,7 +343,24 @@
     /// Whether new work may be given to it now.
     pub(super) fn takes_work(&self, now: Timestamp) -> bool {
         let sound = self.answers() && now >= self.avoid_until;
-        self.fenced && self.stays() && !self.foreign && sound
+        self.fenced && self.stays() && !self.foreign && !self.unreported && sound
+    }
+
+    /// Notes a start sent at `sent` that brought no answer by `now`.
+    pub(super) fn left_unsettled(
+        &mut self,
+        task: TaskId,
+        run: RunNumber,
+        sent: Timestamp,
+        now: Timestamp,
+    ) {
+        self.unsettled.retain(|(.., at)| now < *at + STALE_ORDERS);
+        self.unsettled.push((task, run, sent));
+    }
+
+    /// Whether a minion of its name that started then is another incarnation.
+    pub(super) fn is_other(&self, started: Timestamp) -> bool {
+        self.report.started.is_some_and(|known| known != started)
     }
 
     /// Whether nothing tells of its end.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -24,6 +24,7 @@
 mod questions;
 mod ready;
 mod reports;
+mod restarts;
 mod run;
 mod scarcity;
 mod speed;
@@ -33,7 +34,7 @@
 use std::time::Duration;
 
 use super::ledger::{Batch, Ledger, TaskState};
-use super::model::{Configuration, JobId, MinionNumber, StepId, TaskId};
+use super::model::{Configuration, JobId, MinionNumber, MinionReport, StepId, TaskId};
 use super::note::Note;
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
 
@@ -56,6 +57,9 @@
 /// must be assumed.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time within which an order that brought no answer is carried out, if it ever is.
+const STALE_ORDERS: Duration = Duration::from_secs(5);
+
 /// Bounds of the platform that decisions depend on.
 #[derive(Clone, Debug)]
 pub struct DispatchConfig {
@@ -250,15 +254,8 @@
     }
 
     fn add_minion(&mut self, mut minion: Minion) {
-        let rack = minion
-            .report
-            .labels
-            .iter()
-            .find(|l| is_rack(l))
-            .map_or_else(String::new, ToString::to_string);
         minion.foreign = self.is_foreign(&minion.report.service);
-        let next = self.racks.len();
-        minion.rack = *self.racks.entry(rack).or_insert(next);
+        minion.rack = self.rack_of(&minion.report);
         self.next_minion = self.next_minion.max(minion.number + 1);
         self.by_id.insert(minion.report.id.clone(), minion.number);
         self.touched.insert(minion.number);
@@ -266,6 +263,24 @@
         self.minions.insert(minion.number, minion);
     }
 
+    /// Number of the rack that a minion stands in.
+    fn rack_of(&mut self, report: &MinionReport) -> usize {
+        let rack = report.labels.iter().find(|l| is_rack(l));
+        let rack = rack.map_or_else(String::new, ToString::to_string);
+        let next = self.racks.len();
+        *self.racks.entry(rack).or_insert(next)
+    }
+
+    /// Forgets what is known of an incarnation that was taken out.
+    fn forget_minion(&mut self, minion: &Minion) {
+        if self.by_id.get(&minion.report.id) == Some(&minion.number) {
+            self.by_id.remove(&minion.report.id);
+        }
+        self.unacknowledged.remove(&minion.number);
+        self.forget_releases(minion.number);
+        self.batch.gone.push(minion.number);
+    }
+
     fn is_foreign(&self, service: &ServiceName) -> bool {
         let services = self.services.as_ref();
         services.is_some_and(|services| !services.contains(service))
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatcher;
 use super::minion::Minion;
+use super::restarts::ToldBy;
 use crate::batch::model::{MinionNumber, MinionReport, Readiness};
 use crate::batch::note::Note;
 use crate::ids::{MinionId, Timestamp};
@@ -33,26 +34,29 @@
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
+        match (report.started, minion.report.started) {
+            (Some(told), Some(known)) if told > known => {
+                self.restarted(now, number, now, report, ToldBy::Report);
+                return;
+            }
+            (Some(told), Some(known)) if told < known => {
+                // It is of an incarnation before, or of one whose time of day was set back. A call
+                // shows which.
+                minion.displaced(now);
+                self.touched.insert(number);
+                return;
+            }
+            _ => {}
+        }
         minion.reported = now;
         self.touched.insert(number);
-        if report.started != minion.report.started {
-            let note = Note::MinionRestarted {
-                minion: report.id.clone(),
-                started: report.started,
-                before: minion.report.started,
-            };
-            minion.report.started = report.started;
-            self.note(note);
-        }
-        let Some(minion) = self.minions.get_mut(&number) else {
-            return;
-        };
         if report.sequence < minion.report.sequence {
             return;
         }
         let draining = report.readiness != Readiness::Ready;
         let (id, sequence) = (report.id.clone(), report.sequence);
         let resized = (report.capacity != minion.report.capacity).then_some(report.capacity);
+        let unreported = minion.unreported;
         minion.report = report;
         if draining && !minion.draining {
             minion.draining = true;
@@ -62,7 +66,9 @@
                 sequence,
             });
         }
-        if let Some(capacity) = resized {
+        if unreported {
+            self.introduced(number);
+        } else if let Some(capacity) = resized {
             self.resized(number, capacity);
         }
     }
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -6,6 +6,7 @@
 
 use super::crashes::Suspicion;
 use super::forecast::Progress;
+use crate::batch::ledger::Certainty;
 use crate::batch::model::{
     Checkpoint, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec,
 };
@@ -23,6 +24,11 @@
     InDoubt,
     /// Its minion confirmed it then.
     Running(Timestamp),
+    /// Its minion started again and has not listed it. The order that began it was carried out, by
+    /// that incarnation or by the one before.
+    Carried,
+    /// The same, and an order to start it may yet be carried out.
+    CarriedInDoubt,
     /// Its end is known and is being agreed.
     Ending,
 }
@@ -59,6 +65,8 @@
     pub(super) ordered: Option<Timestamp>,
     /// Whether it may crash its minion.
     pub(super) suspicion: Suspicion,
+    /// Whether it may have crashed the incarnation before the present one.
+    pub(super) suspected: Option<Certainty>,
     pub(super) proposed: Timestamp,
     pub(super) checkpoint: Checkpoint,
     /// Whether it goes on from saved progress.
@@ -104,6 +112,7 @@
             tries: 0,
             ordered: None,
             suspicion: Suspicion::None,
+            suspected: None,
             proposed: now,
             estimate: if checkpoint.is_empty() && spec.lifetime == Lifetime::Finite {
                 spec.estimate
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -57,6 +57,8 @@
     pub joined: Vec<(MinionNumber, MinionReport)>,
     /// Incarnations whose capacity has changed.
     pub resized: Vec<(MinionNumber, Resources)>,
+    /// Runs whose minions started again, with the numbers of the new incarnations.
+    pub moved: Vec<(TaskId, RunNumber, MinionNumber)>,
     /// Incarnations that leave.
     pub draining: Vec<MinionNumber>,
     /// Runs that ended.
@@ -144,6 +146,7 @@
     pub fn is_empty(&self) -> bool {
         self.joined.is_empty()
             && self.resized.is_empty()
+            && self.moved.is_empty()
             && self.draining.is_empty()
             && self.ends.is_empty()
             && self.crashes.is_empty()
@@ -244,6 +247,9 @@
                 minion.report.capacity = *capacity;
             }
         }
+        for (task, run, number) in &batch.moved {
+            self.move_run(*task, *run, *number);
+        }
         for number in &batch.draining {
             if let Some(minion) = self.minions.get_mut(number) {
                 minion.draining = true;
@@ -272,6 +278,16 @@
         Reply::Accepted
     }
 
+    fn move_run(&mut self, id: TaskId, run: RunNumber, number: MinionNumber) {
+        let job = self.jobs.get_mut(&id.step.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(id))
+            && matches!(task.state, TaskState::Active(_))
+            && task.run == run
+        {
+            task.state = TaskState::Active(number);
+        }
+    }
+
     fn start(&mut self, start: &Start) {
         let id = start.task.step.job;
         let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.state.is_final()) else {
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -48,7 +48,7 @@
     /// It is answered from the ledger.
     Answer(ClientReply),
     /// It is answered once this command is agreed.
-    Propose(Command),
+    Propose(Box<Command>),
 }
 
 impl Machine {
@@ -89,11 +89,11 @@
             .filter(|j| j.queue.host == queue.host && j.queue.prefix == queue.prefix);
         match call.action {
             ClientAction::Submit(_) if known.is_some() => Admission::Answer(ClientReply::Accepted),
-            ClientAction::Submit(spec) => Admission::Propose(Command::Submit {
+            ClientAction::Submit(spec) => Admission::Propose(Box::new(Command::Submit {
                 job,
                 queue: Arc::new(queue.clone()),
                 spec,
-            }),
+            })),
             ClientAction::State => Admission::Answer(match known {
                 Some(known) => ClientReply::State(known.state),
                 None => ClientReply::Gone,
@@ -101,7 +101,7 @@
             ClientAction::Cancel => match known {
                 None => Admission::Answer(ClientReply::Gone),
                 Some(known) if known.state.is_final() => Admission::Answer(ClientReply::Accepted),
-                Some(_) => Admission::Propose(Command::Cancel { job }),
+                Some(_) => Admission::Propose(Box::new(Command::Cancel { job })),
             },
             ClientAction::Pending => Admission::Answer(ClientReply::NoQueue),
         }
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -90,6 +90,10 @@
         started: Option<Timestamp>,
         /// The same of the one before.
         before: Option<Timestamp>,
+        /// Since the last answer of the one before.
+        heard: Duration,
+        /// Runs that were given to it.
+        runs: usize,
     },
     /// The capacity of a minion has changed.
     MinionResized {
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -78,7 +78,7 @@
                 let admitted = self.replica.leased(move |m, _| m.admit(call)).await;
                 match admitted {
                     Ok(Admission::Answer(reply)) => CallReply::Client(reply),
-                    Ok(Admission::Propose(command)) => self.propose_for_client(command).await,
+                    Ok(Admission::Propose(command)) => self.propose_for_client(*command).await,
                     Err(e) => not_leader(&e),
                 }
             }
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -53,8 +53,11 @@
             minion,
             started,
             before,
+            heard,
+            runs,
         } => info!(log, "minion started again"; "minion" => minion.as_str(),
-            "started_ms" => started.as_ref().map(ms), "before_ms" => before.as_ref().map(ms)),
+            "started_ms" => started.as_ref().map(ms), "before_ms" => before.as_ref().map(ms),
+            "heard_ms" => ms(heard), "runs" => runs),
         Note::MinionResized { minion, capacity } => info!(log, "minion resized";
             "minion" => minion.as_str(), "millicores" => capacity.millicores,
             "mb" => capacity.memory_mb, "accelerators" => capacity.accelerators),
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -216,6 +216,7 @@
                 _ => {}
             }
         }
+        cell.starts_late_by = Duration::ZERO;
         cell.run(ms(120_000));
         assert_eq!(cell.broken, [""; 0], "seed {seed}");
         for job in &jobs {
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -1,5 +1,7 @@
 //! What the platform sends is either understood in full or refused with one sentence.
 
+use std::time::Duration;
+
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -19,7 +21,7 @@
 const REPORT: &str = r#"{"service":"s","addr":"10.128.0.9:8080","zone":"mixco","version":"v1",
     "slots":8,"state":"draining","remaining_ms":2000,"cold_left_ms":0,
     "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,
-    "seq":4}"#;
+    "born":1700000000123,"seq":4}"#;
 const BOOT: &str = "node=core-1\nip=10.1.0.15\nzone=bern-a\nlisten.control=10.1.0.15:8166\n\
     port_range=7720,7735\nseeds=10.1.0.15:8166,10.2.0.32:8166\nbootstrap=true\nsomething.new=1\n\
     bounds.grace_s=6\nbounds.hold_max_ms=6000\n";
@@ -115,7 +117,9 @@
 #[case::labels_of_another_type(&REPORT.replace(r#"["a","r1-3"]"#, r#""a""#))]
 #[case::no_service(&REPORT.replace(r#""service":"s","#, ""))]
 #[case::no_zone(&REPORT.replace(r#""zone":"mixco","#, ""))]
-#[case::no_sequence(&REPORT.replace(",\n    \"seq\":4", ""))]
+#[case::no_sequence(&REPORT.replace(r#","seq":4"#, ""))]
+#[case::start_of_another_type(&REPORT.replace(r#""born":1700000000123"#, r#""born":"now""#))]
+#[case::start_in_parts_of_a_millisecond(&REPORT.replace("00123", "00123.5"))]
 #[case::sequence_of_another_type(&REPORT.replace(r#""seq":4"#, r#""seq":"4""#))]
 #[case::address_without_port(&REPORT.replace("10.128.0.9:8080", "10.128.0.9"))]
 #[case::unknown_state(&REPORT.replace("draining", "asleep"))]
@@ -149,6 +153,16 @@
     );
 }
 
+#[rstest]
+#[case::told(r#","born":1700000000123"#, Some(1_700_000_000_123))]
+#[case::not_told("", None)]
+#[case::of_another_type(r#","born":"now""#, None)]
+fn a_listing_tells_when_its_minion_started(#[case] born: &str, #[case] started: Option<u64>) {
+    let body = format!(r#"{{"clock_ms":5{born},"running":[],"ended":[]}}"#);
+    let listing = decode_listing(body.as_bytes()).expect("an answer");
+    assert_eq!(listing.started, started.map(Duration::from_millis));
+}
+
 #[rstest]
 #[case::no_clock(r#"{"running":[],"ended":[]}"#)]
 #[case::clock_of_another_type(r#"{"clock_ms":"late","running":[],"ended":[]}"#)]
