A minion that was leaving and starts again gets work

What callers would see: the cell is a minion short, for good. A list tells of a restart before the first report of the new incarnation; what it is was taken from the last report of the one before, with the word that it leaves, and that word is never taken back.

Fix: the word of an incarnation ends with it. A report without the time of the start no longer makes the known one forgotten either.

Test failed before: no task on the only minion two seconds after it had started again, now one.

--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -57,7 +57,8 @@
         let (id, sequence) = (report.id.clone(), report.sequence);
         let resized = (report.capacity != minion.report.capacity).then_some(report.capacity);
         let unreported = minion.unreported;
-        minion.report = report;
+        let started = report.started.or(minion.report.started);
+        minion.report = MinionReport { started, ..report };
         if draining && !minion.draining {
             minion.draining = true;
             self.batch.draining.push(number);
--- a/src/batch/dispatch/restarts.rs
+++ b/src/batch/dispatch/restarts.rs
@@ -12,7 +12,7 @@
 use super::run::{Run, RunState, StopState};
 use super::{LEASE_MARGIN, STALE_ORDERS};
 use crate::batch::ledger::Crash;
-use crate::batch::model::{EndKind, MinionNumber, MinionReport, RunNumber, TaskId};
+use crate::batch::model::{EndKind, MinionNumber, MinionReport, Readiness, RunNumber, TaskId};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 
@@ -40,6 +40,8 @@
         let report = MinionReport {
             started: Some(started),
             sequence: 0,
+            // The word that it leaves was of the incarnation before.
+            readiness: Readiness::Ready,
             ..minion.report.clone()
         };
         self.restarted(now, number, sent, report, ToldBy::List);
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -163,6 +163,32 @@
     assert_eq!(cell.broken, [""; 0]);
 }
 
+/// A minion that started again gets no work before it has said what it is, and then all that fits.
+#[rstest]
+#[case::it_stayed(Readiness::Ready)]
+#[case::it_was_leaving(Readiness::Draining { remaining: None })]
+fn a_minion_that_started_again_gets_work_once_it_has_reported(#[case] readiness: Readiness) {
+    let mut cell = cell(1..2);
+    cell.submit(JOB, vec![lasting(1, 1_000)]);
+    cell.run(ms(1_000));
+    let report = cell.report_of(1).expect("it is up");
+    let now = cell.world.now;
+    cell.world.leader.report(
+        now,
+        MinionReport {
+            readiness,
+            ..report
+        },
+    );
+    cell.reports_late_by = ms(1_500);
+    cell.crash(1);
+    cell.run(ms(1_000));
+    let before = cell.ports_of(first_step(JOB).task(0)).len();
+    cell.run(ms(1_000));
+    let after = cell.ports_of(first_step(JOB).task(0)).len();
+    assert_eq!((before, after), (0, 1));
+}
+
 /// A task that crashes its minion is given up also where the minion keeps its name.
 #[rstest]
 #[case::its_start_is_answered(StartAnswer::Delivered, ms(3_000))]
--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -80,6 +80,8 @@
     pub lists_late_by: Duration,
     /// Time after which starts sent now are carried out, not answered; zero to carry them out.
     pub starts_late_by: Duration,
+    /// Time from the start of an incarnation to its first report.
+    pub reports_late_by: Duration,
     /// Starts of each task.
     pub starts: BTreeMap<TaskId, u32>,
     /// Starts of each task after three minions had crashed under it.
@@ -108,6 +110,7 @@
             away: ms(3_000),
             lists_late_by: Duration::ZERO,
             starts_late_by: Duration::ZERO,
+            reports_late_by: Duration::ZERO,
             starts: BTreeMap::new(),
             starts_too_many: BTreeMap::new(),
             crashes: BTreeMap::new(),
@@ -263,7 +266,7 @@
         if self.hosts[&port].life.as_ref().is_some_and(crashes) {
             self.crash(port);
         }
-        let restart = self.restart;
+        let (restart, reports_late_by) = (self.restart, self.reports_late_by);
         let Some(host) = self.hosts.get_mut(&port) else {
             return;
         };
@@ -274,7 +277,7 @@
                 host.name = format!("i-{port}-{}", host.lives);
             }
             host.sequence = 0;
-            host.reports_at = now;
+            host.reports_at = now + reports_late_by;
         }
         if host.life.is_some() && now >= host.reports_at {
             host.reports_at = now + HEARTBEAT;
