The soak plays minions that start again, change in size and are crashed by tasks

A second profile of the soak of the real programs: minions crash and come back under a new name or their own, shrink and grow, leave orders unanswered and carry them out late; one job in sixteen has a task that crashes each minion that starts it; control processes are killed meanwhile. The stand-in reports when it started. The profile with all faults and its seeds play as before.

--- a/tests/platform_cell/book.rs
+++ b/tests/platform_cell/book.rs
@@ -18,6 +18,11 @@
 /// Failed runs after which a task has failed, as the configuration says.
 pub const ATTEMPTS: u32 = 6;
 
+/// Crashes of minions under a task after which it may be given up.
+const GIVEN_UP_AFTER: u32 = 2;
+/// Crashes under a task after which it may be started twice more.
+const MOST_CRASHES: u32 = 3;
+
 #[derive(Default)]
 struct Pages {
     /// Runs on minions that are up: task to run and minion.
@@ -26,6 +31,10 @@
     /// Tasks whose end as done was acknowledged to its minion.
     done: BTreeSet<String>,
     failures: BTreeMap<String, u32>,
+    /// Minions that crashed under each task.
+    crashes: BTreeMap<String, u32>,
+    /// Starts of each task after three minions had crashed under it.
+    starts_too_many: BTreeMap<String, u32>,
     starts: u64,
     /// Jobs whose every hand-in was refused as not run.
     refused: BTreeSet<String>,
@@ -47,8 +56,8 @@
         self.0.lock().expect("no holder panics")
     }
 
-    /// A minion has begun a run.
-    pub fn started(&self, task: &str, run: u32, minion: &str, need: Need) {
+    /// A minion with this room has begun a run.
+    pub fn started(&self, task: &str, run: u32, minion: &str, need: Need, room: Need) {
         let mut pages = self.lock();
         pages.starts += 1;
         if let Some((other_run, other)) = pages.running.get(task).cloned() {
@@ -70,7 +79,7 @@
         let used = pages.used.entry(minion.to_owned()).or_default();
         used.millicores += need.millicores;
         used.memory_mb += need.memory_mb;
-        if used.millicores > CAPACITY.millicores || used.memory_mb > CAPACITY.memory_mb {
+        if used.millicores > room.millicores || used.memory_mb > room.memory_mb {
             let text = format!("LIMIT {minion}: {used:?} with run {run} of {task}");
             pages.broken.push(text);
         }
@@ -91,6 +100,25 @@
         }
     }
 
+    /// A minion has begun a task that crashes it.
+    pub fn started_crasher(&self, task: &str) {
+        let mut pages = self.lock();
+        if pages.crashes.get(task).is_none_or(|n| *n < MOST_CRASHES) {
+            return;
+        }
+        let starts = pages.starts_too_many.entry(task.to_owned()).or_default();
+        *starts += 1;
+        if *starts >= 3 {
+            let text = format!("BUDGET {task}: {starts} starts after three crashes");
+            pages.broken.push(text);
+        }
+    }
+
+    /// A minion has crashed under a task.
+    pub fn crashed(&self, task: &str) {
+        *self.lock().crashes.entry(task.to_owned()).or_default() += 1;
+    }
+
     /// An end as done was acknowledged to its minion.
     pub fn noted_done(&self, task: &str) {
         self.lock().done.insert(task.to_owned());
@@ -127,11 +155,15 @@
             .collect()
     }
 
-    /// Whether some task of a job has failed as often as is allowed.
+    /// Whether some task of a job has failed as often as is allowed, or two minions have crashed
+    /// under one.
     pub fn may_have_failed(&self, job: &str) -> bool {
         let pages = self.lock();
-        let mut failures = pages.failures.iter();
-        failures.any(|(task, n)| job_of(task) == job && *n >= ATTEMPTS)
+        let reached = |counts: &BTreeMap<String, u32>, most| {
+            let mut counts = counts.iter();
+            counts.any(|(task, n)| job_of(task) == job && *n >= most)
+        };
+        reached(&pages.failures, ATTEMPTS) || reached(&pages.crashes, GIVEN_UP_AFTER)
     }
 
     /// Tasks that run now.
--- a/tests/platform_cell/caller.rs
+++ b/tests/platform_cell/caller.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::book::{Book, Need};
-use super::minion::Payload;
+use super::payload::Payload;
 
 pub const HOST: &str = "desk.example";
 pub const PREFIX: &str = "/jobs/";
@@ -29,6 +29,8 @@
     fronts: Vec<SocketAddr>,
     rng: ChaCha8Rng,
     book: Book,
+    /// Part of the jobs with a task that crashes the minions that start it.
+    pub crash_share: f64,
 }
 
 impl Caller {
@@ -38,6 +40,7 @@
             fronts,
             rng: ChaCha8Rng::seed_from_u64(seed),
             book,
+            crash_share: 0.0,
         }
     }
 
@@ -67,6 +70,7 @@
             need,
             takes,
             fails: 8,
+            crashes: self.crash_share > 0.0 && self.rng.random_bool(self.crash_share),
         };
         let steps: Vec<_> = (0..self.rng.random_range(1..=2_u32))
             .map(|step| {
--- a/tests/platform_cell/minion.rs
+++ b/tests/platform_cell/minion.rs
@@ -2,18 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 use warp::Filter;
 use warp::http::StatusCode;
-use yuccahold::fault::TcpProxy;
+use yuccahold::fault::{Fault, TcpProxy};
 
-use super::book::{Book, CAPACITY, Need};
+use super::book::{Book, Need};
+use super::payload::Payload;
+use super::policy::listen;
+use super::room::Room;
 
 /// Longest lease in ms.
 pub const LEASE_MAX: u64 = 3_000;
@@ -21,6 +24,10 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Time between the order to stop a run and its end.
 const STOP_TAKES: u64 = 60;
+/// Time from the start of a task that crashes its minion to the crash, in ms.
+const CRASHES_AFTER: u64 = 10;
+/// Time for which a minion is away that a task has crashed.
+const AWAY: Duration = Duration::from_secs(1);
 
 struct Run {
     run: u32,
@@ -42,6 +49,10 @@
 struct State {
     id: String,
     began: Instant,
+    /// Unix time of its start in ms.
+    born: u64,
+    /// When a task crashes it, by its clock.
+    crashes_at: Option<u64>,
     token: u64,
     lease: u64,
     runs: BTreeMap<String, Run>,
@@ -58,6 +69,8 @@
         Self {
             id,
             began: Instant::now(),
+            born: unix_ms(),
+            crashes_at: None,
             token: 0,
             lease: 0,
             runs: BTreeMap::new(),
@@ -122,6 +135,18 @@
     wait_ms: u64,
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.expect("a time after 1970").as_millis() as u64
+}
+
+/// Under which name a minion starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Name {
+    New,
+    Same,
+}
+
 /// One machine; its incarnations follow each other at one address.
 pub struct Minion {
     state: Mutex<State>,
@@ -131,6 +156,9 @@
     /// Starts in a hundred that are carried out late and not answered.
     late_percent: AtomicU64,
     drawn: AtomicU64,
+    room: Mutex<Room>,
+    /// It has crashed and is not back yet.
+    is_down: AtomicBool,
     book: Book,
     /// Where the system reaches it.
     pub proxy: TcpProxy,
@@ -148,6 +176,8 @@
             lives: AtomicU64::new(0),
             late_percent: AtomicU64::new(0),
             drawn: AtomicU64::new(number as u64),
+            room: Mutex::new(Room::new(Instant::now())),
+            is_down: AtomicBool::new(false),
             book,
             proxy,
         });
@@ -163,8 +193,18 @@
     }
 
     /// All that runs is gone; another incarnation begins at the same address.
-    pub fn crash(&self) {
-        let life = self.lives.fetch_add(1, Ordering::Relaxed) + 1;
+    pub fn crash(&self, name: Name) {
+        for task in self.lock().runs.keys() {
+            self.book.crashed(task);
+        }
+        self.start_again(name);
+    }
+
+    fn start_again(&self, name: Name) {
+        let life = match name {
+            Name::New => self.lives.fetch_add(1, Ordering::Relaxed) + 1,
+            Name::Same => self.lives.load(Ordering::Relaxed),
+        };
         let mut state = self.lock();
         for (task, run) in std::mem::take(&mut state.runs) {
             self.book.over(&task, &state.id, run.need, false);
@@ -174,11 +214,35 @@
         self.changed.notify_waiters();
     }
 
+    /// It crashes and is back after a while, now and then under its former name.
+    async fn crash_for(self: Arc<Self>, away: Duration) {
+        self.is_down.store(true, Ordering::Relaxed);
+        self.proxy.apply(Fault::Cut);
+        let name = match self.drawn.fetch_add(1, Ordering::Relaxed) % 2 {
+            0 => Name::New,
+            _ => Name::Same,
+        };
+        self.crash(name);
+        tokio::time::sleep(away).await;
+        self.proxy.apply(Fault::Reopen);
+        self.is_down.store(false, Ordering::Relaxed);
+    }
+
+    /// Its capacity is a part of what it was at first.
+    pub fn resize(&self, percent: u32) {
+        let mut room = self.room.lock().expect("no holder panics");
+        room.resize(percent, Instant::now());
+    }
+
+    fn room(&self) -> Room {
+        *self.room.lock().expect("no holder panics")
+    }
+
     /// Says that it leaves; a while later it is another incarnation.
     pub async fn drain(&self) {
         self.lock().draining = true;
         tokio::time::sleep(Duration::from_millis(2_000)).await;
-        self.crash();
+        self.start_again(Name::New);
     }
 
     pub fn set_late(&self, percent: u64) {
@@ -196,6 +260,11 @@
             tokio::time::sleep(TICK).await;
             let mut state = self.lock();
             let now = state.clock();
+            if state.crashes_at.take_if(|at| *at <= now).is_some() {
+                drop(state);
+                tokio::spawn(Arc::clone(&self).crash_for(AWAY));
+                continue;
+            }
             let lapsed = now > state.lease;
             if lapsed {
                 state.ended.iter_mut().for_each(|end| end.void = true);
@@ -220,6 +289,11 @@
         let client = reqwest::Client::new();
         let mut next = 0;
         loop {
+            if self.is_down.load(Ordering::Relaxed) {
+                tokio::time::sleep(HEARTBEAT).await;
+                continue;
+            }
+            let room = self.room().now;
             let (id, body) = {
                 let mut state = self.lock();
                 state.sequence += 1;
@@ -228,9 +302,10 @@
                     "version": "v1", "slots": 8,
                     "state": if state.draining { "draining" } else { "ready" },
                     "capacity": {
-                        "cpu": CAPACITY.millicores, "mem_mb": CAPACITY.memory_mb, "gpu": 0,
+                        "cpu": room.millicores, "mem_mb": room.memory_mb, "gpu": 0,
                     },
                     "labels": ["a", "r1-1"], "clock_ms": state.clock(), "seq": state.sequence,
+                    "born": state.born,
                 });
                 (state.id.clone(), body)
             };
@@ -296,7 +371,13 @@
             ends_at: clock + order.takes,
             how: order.ends(&body.task, body.run),
         };
-        self.book.started(&body.task, body.run, &state.id, run.need);
+        let room = self.room().granted(Instant::now());
+        self.book
+            .started(&body.task, body.run, &state.id, run.need, room);
+        if order.crashes {
+            self.book.started_crasher(&body.task);
+            state.crashes_at = Some(clock + CRASHES_AFTER);
+        }
         state.runs.insert(body.task.clone(), run);
         ok
     }
@@ -376,48 +457,9 @@
         .take(500)
         .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
         .collect();
-    json!({"clock_ms": state.clock(), "running": running, "ended": ended})
-}
-
-/// What a caller writes for its tasks: what each takes, for how long, and how many runs in a
-/// hundred fail.
-pub struct Payload {
-    pub need: Need,
-    pub takes: u64,
-    pub fails: u64,
-}
-
-impl Payload {
-    pub fn text(&self) -> String {
-        let Need {
-            millicores,
-            memory_mb,
-        } = self.need;
-        format!("{millicores} {memory_mb} {} {}", self.takes, self.fails)
-    }
-
-    fn parse(text: &str) -> Self {
-        let numbers: Vec<u64> = text.split(' ').filter_map(|n| n.parse().ok()).collect();
-        Self {
-            need: Need {
-                millicores: numbers[0] as u32,
-                memory_mb: numbers[1] as u32,
-            },
-            takes: numbers[2],
-            fails: numbers[3],
-        }
-    }
-
-    fn ends(&self, task: &str, run: u32) -> &'static str {
-        let drawn = task.bytes().fold(u64::from(run) + 7, |h, b| {
-            (h ^ u64::from(b)).wrapping_mul(0x100_0000_01B3)
-        });
-        if (drawn >> 33) % 100 < self.fails {
-            "failed"
-        } else {
-            "done"
-        }
-    }
+    json!({
+        "born": state.born, "clock_ms": state.clock(), "running": running, "ended": ended,
+    })
 }
 
 fn reply((status, body): Answer) -> impl warp::Reply {
@@ -444,40 +486,3 @@
         .then(|m: Arc<Minion>, id, body| async move { reply(m.hold(id, body).await) });
     listen(start.or(stop).or(hold)).await
 }
-
-/// Serves a policy that lets each step run on two minions in three.
-pub async fn serve_policy() -> SocketAddr {
-    #[derive(Deserialize)]
-    struct Question {
-        step: String,
-        workers: Vec<String>,
-    }
-    let advise = warp::path!("yuccahold" / "advise")
-        .and(warp::body::json())
-        .then(|question: Question| async move {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            let allowed = |id: &&String| {
-                let machine = id
-                    .rsplit_once('-')
-                    .map_or(id.as_str(), |(machine, _)| machine);
-                let text = question.step.bytes().chain(machine.bytes());
-                text.map(u32::from).sum::<u32>() % 3 != 0
-            };
-            let good = question.workers.iter().filter(allowed);
-            let good: Vec<_> = good.map(|id| json!([id, "a ticket"])).collect();
-            warp::reply::json(&json!({"good": good}))
-        });
-    listen(advise).await
-}
-
-async fn listen<F>(routes: F) -> SocketAddr
-where
-    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
-    F::Extract: warp::Reply,
-{
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("a free port");
-    let addr = listener.local_addr().expect("it is bound");
-    tokio::spawn(warp::serve(routes).incoming(listener).run());
-    addr
-}
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -6,6 +6,9 @@
 pub mod book;
 pub mod caller;
 pub mod minion;
+pub mod payload;
+mod policy;
+mod room;
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -173,7 +176,7 @@
             folder,
             minions: Vec::new(),
             book: Book::default(),
-            policy: minion::serve_policy().await,
+            policy: policy::serve_policy().await,
             client: reqwest::Client::new(),
             version: 0,
             acknowledged: 0,
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use platform_cell::caller::{Caller, Told};
+use platform_cell::minion::Name;
 use platform_cell::{Process, Role, System, until};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -42,6 +43,9 @@
     Reload,
     MinionCrash(usize),
     MinionDrain(usize),
+    MinionRestart(usize),
+    /// To this percentage of what it had at first.
+    Resize(usize, u32),
     Lane(usize, Fault),
     LateOrders(usize),
     Config,
@@ -119,7 +123,9 @@
             system.write_settings(false);
             system.processes.iter().for_each(Process::reload);
         }
-        Trouble::MinionCrash(i) => system.minions[i].crash(),
+        Trouble::MinionCrash(i) => system.minions[i].crash(Name::New),
+        Trouble::MinionRestart(i) => system.minions[i].crash(Name::Same),
+        Trouble::Resize(i, percent) => system.minions[i].resize(percent),
         Trouble::MinionDrain(i) => {
             let minion = system.minions[i].clone();
             tokio::spawn(async move { minion.drain().await });
@@ -144,7 +150,33 @@
     }
 }
 
-async fn soak(seed: u64, length: Duration) {
+/// What goes wrong in a soak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Profile {
+    /// Faults of every kind.
+    Mixed,
+    /// Minions that start again under either name and change in size, jobs that crash them, and
+    /// processes of control that are killed meanwhile.
+    Minions,
+}
+
+/// Part of the jobs with a crashing task where minions are what goes wrong.
+const CRASH_SHARE: f64 = 0.06;
+
+fn draw_for_minions(rng: &mut ChaCha8Rng) -> Trouble {
+    let control = rng.random_range(0..CONTROLS);
+    let minion = rng.random_range(0..MINIONS);
+    match rng.random_range(0..8) {
+        0 | 1 => Trouble::MinionRestart(minion),
+        2 => Trouble::MinionCrash(minion),
+        3 | 4 => Trouble::Resize(minion, rng.random_range(40..=100)),
+        5 => Trouble::LateOrders(minion),
+        6 => Trouble::Kill(control),
+        _ => Trouble::Lane(minion, Fault::Silence(Direction::ToClient)),
+    }
+}
+
+async fn soak(seed: u64, length: Duration, profile: Profile) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let name = format!("soak-{seed}");
     let mut system = System::start(&name, CONTROLS, ENTRIES, MINIONS).await;
@@ -152,14 +184,20 @@
     sleep(CATCH_UP).await;
     let end = Instant::now() + length;
     let callers = (0..CALLERS).map(|i| {
-        let caller = Caller::new(system.fronts(), seed * 100 + i, system.book.clone());
+        let mut caller = Caller::new(system.fronts(), seed * 100 + i, system.book.clone());
+        if profile == Profile::Minions {
+            caller.crash_share = CRASH_SHARE;
+        }
         tokio::spawn(caller.run(end))
     });
     let callers: Vec<_> = callers.collect();
     let mut played = Vec::new();
     while Instant::now() < end {
         sleep(Duration::from_millis(rng.random_range(100..900))).await;
-        let trouble = draw(&mut rng);
+        let trouble = match profile {
+            Profile::Mixed => draw(&mut rng),
+            Profile::Minions => draw_for_minions(&mut rng),
+        };
         let span = Duration::from_millis(rng.random_range(200..3_500));
         played.push(trouble);
         play(&mut system, trouble, span).await;
@@ -232,7 +270,12 @@
 #[case::an_end_that_a_lapsed_lease_made_void(48)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn promises_hold_under_random_faults(#[case] seed: u64) {
-    soak(seed, Duration::from_secs(10)).await;
+    soak(seed, Duration::from_secs(10), Profile::Mixed).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn promises_hold_while_minions_start_again_and_tasks_crash_them() {
+    soak(7, Duration::from_secs(10), Profile::Minions).await;
 }
 
 /// Seeds of the environment, one after the other.
@@ -243,6 +286,7 @@
     let (from, to) = seeds.split_once("..").expect("SOAK_SEEDS is FROM..TO");
     let number = |text: &str| text.parse::<u64>().expect("a number");
     for seed in number(from)..number(to) {
-        soak(seed, Duration::from_secs(20)).await;
+        soak(seed, Duration::from_secs(20), Profile::Mixed).await;
+        soak(seed, Duration::from_secs(20), Profile::Minions).await;
     }
 }
