A gang is not started when a member lost its minion before the start was agreed

The hold that goes out with the decision finds another incarnation on an idle minion that had crashed; its member ends before the batch is agreed, and the others were started all the same.

Fix: a start whose run is no longer waiting to be agreed holds its gang back like one whose minion no longer takes it.

Test failed before: two of three members were started, now none, and all three once there is another minion.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -6,7 +6,7 @@
 use super::run::{Run, RunState};
 use super::{Dispatcher, JobId, StepId, TaskId};
 use crate::batch::ledger::{Batch, Command, Ledger, Start, TaskState};
-use crate::batch::model::{EndKind, JobState};
+use crate::batch::model::{EndKind, Grouping, JobState};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 
@@ -67,7 +67,7 @@
         for job in ended {
             self.job_ended(now, ledger, job);
         }
-        let withheld = self.withheld(&batch.starts);
+        let withheld = self.withheld(&batch.starts, ledger);
         for start in &batch.starts {
             if withheld.contains(&start.task) {
                 self.run_over(now, start.task, EndKind::NeverStarted, Default::default());
@@ -102,25 +102,33 @@
     }
 
     /// Tasks whose starts are not sent although they are agreed: the log may take seconds, and the
-    /// minion has shrunk or leaves meanwhile. A gang would wait in vain for a member.
-    fn withheld(&self, starts: &[Start]) -> BTreeSet<TaskId> {
-        let proposed = starts.iter().filter_map(|start| {
-            let run = self.runs.get(&start.task)?;
-            let agreed = run.run == start.run && run.state == RunState::Proposed;
-            agreed.then_some((start.task, run))
+    /// minion has shrunk, leaves or is gone meanwhile. A gang would wait in vain for a member.
+    fn withheld(&self, starts: &[Start], ledger: &Ledger) -> BTreeSet<TaskId> {
+        let refused = starts.iter().filter(|start| {
+            let run = self.proposed(start);
+            run.is_none_or(|run| !self.still_takes(run))
         });
-        let proposed: Vec<_> = proposed.collect();
-        let is_refused = |run: &Run| {
-            let minion = self.minions.get(&run.minion);
-            minion.is_some_and(|m| !m.stays() || !m.used.fits_in(&m.report.capacity))
-        };
-        let refused = || proposed.iter().filter(|(_, run)| is_refused(run));
-        let gangs: BTreeSet<_> = refused()
-            .filter(|(_, run)| run.in_gang)
-            .map(|(task, _)| task.step)
+        let gangs: BTreeSet<_> = refused
+            .map(|start| start.task.step)
+            .filter(|step| is_gang(*step, ledger))
             .collect();
-        let members = proposed.iter().filter(|(t, _)| gangs.contains(&t.step));
-        refused().chain(members).map(|(task, _)| *task).collect()
+        let withheld = starts.iter().filter(|start| {
+            self.proposed(start)
+                .is_some_and(|run| gangs.contains(&start.task.step) || !self.still_takes(run))
+        });
+        withheld.map(|start| start.task).collect()
+    }
+
+    /// The run of a start that waited to be agreed.
+    fn proposed(&self, start: &Start) -> Option<&Run> {
+        let run = self.runs.get(&start.task)?;
+        (run.run == start.run && run.state == RunState::Proposed).then_some(run)
+    }
+
+    /// Whether a run that was decided on earlier can still be given to its minion.
+    fn still_takes(&self, run: &Run) -> bool {
+        let minion = self.minions.get(&run.minion);
+        minion.is_some_and(|m| m.stays() && m.used.fits_in(&m.report.capacity))
     }
 
     /// A job has ended: nothing of it starts any more, and what runs is stopped.
@@ -149,3 +157,9 @@
         }
     }
 }
+
+fn is_gang(step: StepId, ledger: &Ledger) -> bool {
+    let job = ledger.jobs.get(&step.job);
+    let spec = job.and_then(|job| job.spec.steps.get(usize::from(step.step)));
+    spec.is_some_and(|spec| spec.grouping == Grouping::Gang)
+}
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -85,8 +85,6 @@
     pub(super) begun: Option<Timestamp>,
     /// Whether it ends by itself.
     pub(super) ends: bool,
-    /// Whether it works only together with the other tasks of its step.
-    pub(super) in_gang: bool,
     /// Whether stopping it throws nothing away.
     pub(super) yields: bool,
 }
@@ -127,7 +125,6 @@
             queue: queue.name.clone(),
             priority: queue.priority,
             ends: spec.lifetime == Lifetime::Finite,
-            in_gang: spec.grouping == Grouping::Gang,
             yields: spec.saves_progress
                 && spec.lifetime == Lifetime::Finite
                 && spec.grouping == Grouping::Single,
--- a/tests/batch_capacity.rs
+++ b/tests/batch_capacity.rs
@@ -4,7 +4,7 @@
 
 use batch_world::{JOB, World, ms, report, step};
 use rstest::rstest;
-use yuccahold::batch::dispatch::Answer;
+use yuccahold::batch::dispatch::{Answer, HoldAnswer};
 use yuccahold::batch::model::{Grouping, JobState, MinionReport, Readiness, StepSpec};
 use yuccahold::resources::Resources;
 
@@ -102,6 +102,30 @@
     assert_eq!(world.take_starts().len(), 3);
 }
 
+/// The same when a minion turns out to be another incarnation before the starts are agreed.
+#[test]
+fn no_member_of_a_gang_starts_when_one_of_its_minions_is_gone() {
+    let mut world = World::new();
+    world.join_all("i", 1..4);
+    let gang = StepSpec {
+        grouping: Grouping::Gang,
+        ..step(3, 20_000)
+    };
+    world.submit_only(JOB, vec![gang]);
+    let batch = world.propose_only().expect("starts");
+    let gone = world
+        .ledger
+        .minion_number(&"i-2".into())
+        .expect("it joined");
+    let (now, answer) = (world.now, HoldAnswer::OtherIncarnation);
+    world.leader.held(now, gone, now, answer, &world.ledger);
+    world.agree(batch);
+    assert_eq!(world.take_starts().len(), 0);
+    world.join("i-4", 4);
+    world.pass(ms(200));
+    assert_eq!(world.take_starts().len(), 3);
+}
+
 /// What is being stopped keeps its room until its minion lists the end, however small it has become.
 #[test]
 fn room_of_a_run_that_is_being_stopped_counts_on_a_minion_that_shrank() {
