--- a/tests/platform_cell/minion.rs
+++ b/tests/platform_cell/minion.rs
@@ -159,6 +159,8 @@
     room: Mutex<Room>,
     /// It has crashed and is not back yet.
     is_down: AtomicBool,
+    /// Its cell is gone: it reports no more.
+    is_over: AtomicBool,
     book: Book,
     /// Where the system reaches it.
     pub proxy: TcpProxy,
@@ -178,6 +180,7 @@
             drawn: AtomicU64::new(number as u64),
             room: Mutex::new(Room::new(Instant::now())),
             is_down: AtomicBool::new(false),
+            is_over: AtomicBool::new(false),
             book,
             proxy,
         });
@@ -192,6 +195,11 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// Has it report no more. Another cell may have the addresses of its own by then.
+    pub fn end_for_good(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+
     /// All that runs is gone; another incarnation begins at the same address.
     pub fn crash(&self, name: Name) {
         for task in self.lock().runs.keys() {
@@ -288,7 +296,7 @@
     async fn report(self: Arc<Self>, controls: Vec<SocketAddr>) {
         let client = reqwest::Client::new();
         let mut next = 0;
-        loop {
+        while !self.is_over.load(Ordering::Relaxed) {
             if self.is_down.load(Ordering::Relaxed) {
                 tokio::time::sleep(HEARTBEAT).await;
                 continue;
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -150,6 +150,14 @@
     acknowledged: u64,
 }
 
+impl Drop for System {
+    fn drop(&mut self) {
+        for minion in &self.minions {
+            minion.end_for_good();
+        }
+    }
+}
+
 impl System {
     pub async fn start(name: &str, controls: usize, entries: usize, minions: usize) -> Self {
         static CELLS: AtomicU8 = AtomicU8::new(0);
