An agreed start is checked in one place

Found in a read of the change: which starts are held back was worked out with the run looked up anew for each of two passes, and the start that is sent checked the same run and state once more with a copy of the condition; whether a run is the active one of its task stood three times in the ledger and the dispatcher.

Now one list says which starts may not leave, one function looks the proposed run up, and the record of a task answers whether a run is active. Behaviour is the same; of a job that has ended by then the run is dropped at once instead of being ended in the next batch, which the ledger passed over anyway.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -5,7 +5,7 @@
 use super::ready::remove_job;
 use super::run::{Run, RunState};
 use super::{Dispatcher, JobId, StepId, TaskId};
-use crate::batch::ledger::{Batch, Command, Ledger, Start, TaskState};
+use crate::batch::ledger::{Batch, Command, Ledger, Start};
 use crate::batch::model::{EndKind, Grouping, JobState};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
@@ -67,56 +67,53 @@
         for job in ended {
             self.job_ended(now, ledger, job);
         }
-        let withheld = self.withheld(&batch.starts, ledger);
+        let held_back = self.held_back(&batch.starts, ledger);
         for start in &batch.starts {
-            if withheld.contains(&start.task) {
-                self.run_over(now, start.task, EndKind::NeverStarted, Default::default());
-            } else {
-                self.start_agreed(now, ledger, start.task, start.run);
-            }
+            let may_leave = !held_back.contains(&start.task);
+            self.start_agreed(now, ledger, start, may_leave);
         }
     }
 
-    fn start_agreed(&mut self, now: Timestamp, ledger: &Ledger, id: TaskId, run: u32) {
-        let Some(known) = self.runs.get(&id) else {
-            return;
-        };
-        if known.run != run || known.state != RunState::Proposed {
+    fn start_agreed(&mut self, now: Timestamp, ledger: &Ledger, start: &Start, may_leave: bool) {
+        let id = start.task;
+        if self.proposed(start).is_none() {
             return;
         }
         let granted = ledger
             .task(id)
-            .is_some_and(|task| task.run == run && matches!(task.state, TaskState::Active(_)));
+            .is_some_and(|task| task.is_active_run(start.run));
         let job = ledger.jobs.get(&id.step.job);
         let open = job.is_some_and(|job| !job.state.is_final());
-        if granted && open {
-            self.send_start(now, id, ledger);
-            // With the last task of its step the next one is in sight.
-            if job.is_some_and(|job| job.spec.steps.len() > 1) && !self.ready.contains_key(&id.step)
-            {
-                self.dirty_jobs.insert(id.step.job);
-            }
-        } else {
+        if !granted || !open {
             self.remove_run(id);
+            return;
+        }
+        if !may_leave {
+            self.run_over(now, id, EndKind::NeverStarted, Default::default());
+            return;
+        }
+        self.send_start(now, id, ledger);
+        // With the last task of its step the next one is in sight.
+        if job.is_some_and(|job| job.spec.steps.len() > 1) && !self.ready.contains_key(&id.step) {
+            self.dirty_jobs.insert(id.step.job);
         }
     }
 
     /// Tasks whose starts are not sent although they are agreed: the log may take seconds, and the
     /// minion has shrunk, leaves or is gone meanwhile. A gang would wait in vain for a member.
-    fn withheld(&self, starts: &[Start], ledger: &Ledger) -> BTreeSet<TaskId> {
-        let refused = starts.iter().filter(|start| {
+    fn held_back(&self, starts: &[Start], ledger: &Ledger) -> BTreeSet<TaskId> {
+        let is_refused = |start: &&Start| {
             let run = self.proposed(start);
             run.is_none_or(|run| !self.still_takes(run))
-        });
-        let gangs: BTreeSet<_> = refused
-            .map(|start| start.task.step)
-            .filter(|step| is_gang(*step, ledger))
-            .collect();
-        let withheld = starts.iter().filter(|start| {
-            self.proposed(start)
-                .is_some_and(|run| gangs.contains(&start.task.step) || !self.still_takes(run))
-        });
-        withheld.map(|start| start.task).collect()
+        };
+        let refused = starts.iter().filter(is_refused).map(|start| start.task);
+        let refused: BTreeSet<_> = refused.collect();
+        let steps = refused.iter().map(|task| task.step);
+        let gangs: BTreeSet<_> = steps.filter(|step| is_gang(*step, ledger)).collect();
+        let tasks = starts.iter().map(|start| start.task);
+        tasks
+            .filter(|task| refused.contains(task) || gangs.contains(&task.step))
+            .collect()
     }
 
     /// The run of a start that waited to be agreed.
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -128,7 +128,7 @@
     pub task: TaskId,
     /// The run.
     pub run: RunNumber,
-    /// Whether it did.
+    /// What is known of it.
     pub certainty: Certainty,
 }
 
@@ -279,10 +279,8 @@
     }
 
     fn move_run(&mut self, id: TaskId, run: RunNumber, number: MinionNumber) {
-        let job = self.jobs.get_mut(&id.step.job);
-        if let Some(task) = job.and_then(|job| job.task_mut(id))
-            && matches!(task.state, TaskState::Active(_))
-            && task.run == run
+        if let Some(task) = self.task_mut(id)
+            && task.is_active_run(run)
         {
             task.state = TaskState::Active(number);
         }
@@ -321,8 +319,7 @@
         let Some(task) = step.tasks.get_mut(end.task.index as usize) else {
             return;
         };
-        let current = matches!(task.state, TaskState::Active(_)) && task.run == end.run;
-        if !current {
+        if !task.is_active_run(end.run) {
             return;
         }
         task.state = TaskState::Waiting;
@@ -373,9 +370,8 @@
         }
     }
 
-    fn clear(&mut self, task: TaskId) {
-        let job = self.jobs.get_mut(&task.step.job);
-        if let Some(task) = job.and_then(|job| job.task_mut(task)) {
+    fn clear(&mut self, id: TaskId) {
+        if let Some(task) = self.task_mut(id) {
             task.crashes = Default::default();
         }
     }
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -70,6 +70,10 @@
         self.jobs.get(&id.step.job)?.task(id)
     }
 
+    pub(super) fn task_mut(&mut self, id: TaskId) -> Option<&mut TaskRecord> {
+        self.jobs.get_mut(&id.step.job)?.task_mut(id)
+    }
+
     /// Steps whose turn has come and that are not done, of open jobs.
     pub fn ready_steps(&self, id: JobId) -> Vec<StepId> {
         self.steps_where(id, |occurrence, s, spec| {
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -140,6 +140,13 @@
     }
 }
 
+impl TaskRecord {
+    /// Whether this run was given to a minion and is not known to have ended.
+    pub fn is_active_run(&self, run: RunNumber) -> bool {
+        matches!(self.state, TaskState::Active(_)) && self.run == run
+    }
+}
+
 impl Crashes {
     /// Counts one more.
     pub(super) fn count(&mut self, certainty: Certainty) {
