Both ways of reading a list end in the same reply

Found in a read of the change: the time of the start made a fourth argument and a tuple of two lists for a function that is called from the strict reading and from the one row by row. The second one now builds the reply that the first one reads. Behaviour is the same; the decoders' tests pass unchanged.

--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -198,32 +198,30 @@
 /// can't be read is left out and counted.
 pub fn decode_listing(body: &[u8]) -> Option<Listing> {
     if let Ok(reply) = serde_json::from_slice::<HoldReply>(body) {
-        let lists = (reply.running, reply.ended);
-        return Some(listing(reply.born, reply.clock_ms, lists, 0));
+        return Some(listing(reply, 0));
     }
     let mut body: Value = serde_json::from_slice(body).ok()?;
     let clock_ms = body.get("clock_ms")?.as_f64()?;
     let running = rows::<RunningRow>(&mut body, "running")?;
     let ended = rows::<EndedRow>(&mut body, "ended")?;
     let unreadable = running.unreadable + ended.unreadable;
-    let born = body.get("born").and_then(Value::as_u64);
-    let lists = (running.read, ended.read);
-    Some(listing(born, clock_ms, lists, unreadable))
+    let reply = HoldReply {
+        born: body.get("born").and_then(Value::as_u64),
+        clock_ms,
+        running: running.read,
+        ended: ended.read,
+    };
+    Some(listing(reply, unreadable))
 }
 
-fn listing(
-    born: Option<u64>,
-    clock_ms: f64,
-    (running, ended): (Vec<RunningRow>, Vec<EndedRow>),
-    mut unreadable: u32,
-) -> Listing {
-    let rows = running.len() + ended.len();
-    let running: Vec<_> = running.into_iter().filter_map(listed_run).collect();
-    let ended: Vec<_> = ended.into_iter().filter_map(listed_end).collect();
+fn listing(reply: HoldReply, mut unreadable: u32) -> Listing {
+    let rows = reply.running.len() + reply.ended.len();
+    let running: Vec<_> = reply.running.into_iter().filter_map(listed_run).collect();
+    let ended: Vec<_> = reply.ended.into_iter().filter_map(listed_end).collect();
     unreadable += (rows - running.len() - ended.len()) as u32;
     Listing {
-        started: born.map(Duration::from_millis),
-        clock: ms(clock_ms),
+        started: reply.born.map(Duration::from_millis),
+        clock: ms(reply.clock_ms),
         running,
         ended,
         unreadable,
