One form each for a join, a lease on our clock, and the wait of a hold

Found in a read of the change, each a copy or a state that could be derived: - a new incarnation was entered into the batch and the state in two places; - how long a lease lasts on our clock was reckoned in three, one of them new; - how long the hold on the way waits stood beside the state of the hold, whose own time nobody read; - starts without an answer were tuples with their age checked in two places; - a task's record was looked up once more for each start that is placed; - an answer to an order had a function that only called another. The crash of a run that was carried over is counted by what the run says alone; the kind of its end added nothing.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -4,6 +4,7 @@
 
 use super::Dispatcher;
 use super::crashes::Proof;
+use super::minion::UnsettledStart;
 use super::order::{Answer, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder, StartRefusal};
 use super::run::{RunState, StopState};
 use crate::batch::ledger::Ledger;
@@ -115,7 +116,12 @@
             Answer::Silent(_) => {
                 run.state = RunState::InDoubt;
                 if let Some(minion) = self.minions.get_mut(&number) {
-                    minion.left_unsettled(id, run_number, sent, now);
+                    let start = UnsettledStart {
+                        task: id,
+                        run: run_number,
+                        sent,
+                    };
+                    minion.left_unsettled(start, now);
                 }
                 if tries < START_TRIES && run.stop == StopState::No {
                     self.send_start(now, id, ledger);
@@ -198,7 +204,7 @@
         };
         if let Some(clock) = clock {
             minion.read_clock(*clock, sent, now);
-            minion.answered_order(sent);
+            minion.was_up(sent);
         }
     }
 
--- a/src/batch/dispatch/crashes.rs
+++ b/src/batch/dispatch/crashes.rs
@@ -12,7 +12,7 @@
 use super::place::Score;
 use super::run::{Run, RunState};
 use crate::batch::ledger::{Certainty, Crash};
-use crate::batch::model::{EndKind, MinionNumber, TaskId};
+use crate::batch::model::{MinionNumber, TaskId};
 use crate::batch::note::Note;
 use crate::ids::{MinionId, Timestamp};
 
@@ -84,12 +84,7 @@
     pub(super) fn suspects(&self, minion: &Minion, sent: Timestamp) -> Vec<Crash> {
         let runs = minion.runs.iter().filter_map(|id| {
             let run = self.runs.get(id)?;
-            let certainty = suspicion_of(run, minion, sent)?;
-            Some(Crash {
-                task: *id,
-                run: run.run,
-                certainty,
-            })
+            suspicion_of(run, minion, sent).map(|certainty| crash_of(*id, run, certainty))
         });
         runs.collect()
     }
@@ -109,18 +104,11 @@
     }
 
     /// Has the crash of a minion that started again counted for a run that ended with it.
-    pub(super) fn count_suspected(&mut self, number: MinionNumber, task: TaskId, kind: EndKind) {
-        let Some(run) = self.runs.get(&task) else {
+    pub(super) fn count_suspected(&mut self, number: MinionNumber, task: TaskId) {
+        let run = self.runs.get(&task);
+        let Some(crash) = run.and_then(|run| Some(crash_of(task, run, run.suspected?))) else {
             return;
         };
-        let Some(certainty) = run.suspected.filter(|_| kind == EndKind::Crashed) else {
-            return;
-        };
-        let crash = Crash {
-            task,
-            run: run.run,
-            certainty,
-        };
         let minion = self.minions.get(&number).map(|m| m.report.id.clone());
         self.count_crashes(minion.unwrap_or_default(), vec![crash]);
     }
@@ -159,6 +147,14 @@
     }
 }
 
+fn crash_of(task: TaskId, run: &Run, certainty: Certainty) -> Crash {
+    Crash {
+        task,
+        run: run.run,
+        certainty,
+    }
+}
+
 /// Whether a run may have crashed its minion; a call sent at `sent` showed the crash.
 fn suspicion_of(run: &Run, minion: &Minion, sent: Timestamp) -> Option<Certainty> {
     match (run.state, run.ordered) {
--- a/src/batch/dispatch/gangs.rs
+++ b/src/batch/dispatch/gangs.rs
@@ -20,7 +20,7 @@
         ledger: &Ledger,
     ) {
         let mut members = step.waiting.iter().map(|index| id.task(*index));
-        if !members.all(|task| self.may_start(ledger, task)) {
+        if !members.all(|task| self.startable(ledger, task).is_some()) {
             return;
         }
         let places = self.gang_places(now, id, step, spec);
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -72,7 +72,10 @@
         if !self.hold_is_due(number, now) {
             return;
         }
-        let wait = self.hold_wait(now, number);
+        let Some(minion) = self.minions.get(&number) else {
+            return;
+        };
+        let wait = self.hold_wait(now, minion);
         let longest = self.cfg.lease_max - LEASE_RESERVE;
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
@@ -88,8 +91,7 @@
             .lease_deadline(now, lease)
             .filter(|_| minion.silent_calls == 0);
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
-        minion.hold = HoldState::Waiting(now);
-        minion.hold_wait = wait;
+        minion.hold = HoldState::Waiting(wait);
         // While it is silent it may start again, with ends that are numbered anew.
         let acked = if minion.silent_calls == 0 {
             minion.acked_end
@@ -125,10 +127,7 @@
     }
 
     /// How long a minion may wait for an end before it answers its next hold.
-    fn hold_wait(&self, now: Timestamp, number: MinionNumber) -> Duration {
-        let Some(minion) = self.minions.get(&number) else {
-            return Duration::ZERO;
-        };
+    fn hold_wait(&self, now: Timestamp, minion: &Minion) -> Duration {
         let here = minion.presence == Presence::Here;
         if !minion.fenced || minion.silent_calls > 0 || !here {
             Duration::ZERO
@@ -139,17 +138,14 @@
             } else {
                 Duration::ZERO
             }
-        } else if self.wants_short_wait(number) {
+        } else if self.wants_short_wait(minion) {
             HOLD_WAIT_SHORT
         } else {
             HOLD_WAIT
         }
     }
 
-    fn wants_short_wait(&self, number: MinionNumber) -> bool {
-        let Some(minion) = self.minions.get(&number) else {
-            return false;
-        };
+    fn wants_short_wait(&self, minion: &Minion) -> bool {
         let short = |run: &super::run::Run| {
             !run.estimate.is_zero() && run.estimate <= SHORT_RUN || run.is_leaving()
         };
@@ -181,6 +177,7 @@
                 ..
             }) if minion.is_other(started) => self.restart_listed(now, number, sent, started),
             HoldAnswer::Listing(listing) => {
+                minion.answered_hold(sent, now);
                 let pause = match (minion.presence, listing.ended.is_empty()) {
                     (Presence::Here, true) => Duration::ZERO,
                     (Presence::Here, false) => GATHER,
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -37,7 +37,6 @@
         };
         minion.read_clock(listing.clock, sent, now);
         minion.answers_itself(sent);
-        minion.answered_hold(sent, now);
         // It answers, so it did not crash.
         minion.lapsed.clear();
         let first_word = !minion.fenced;
@@ -292,7 +291,7 @@
             }
         }
         for (task, kind) in over {
-            self.count_suspected(number, task, kind);
+            self.count_suspected(number, task);
             self.run_over(now, task, kind, Default::default());
         }
         for task in in_doubt {
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -51,8 +51,8 @@
 pub(super) enum HoldState {
     /// None is on the way; the next may leave then.
     Due(Timestamp),
-    /// Sent then.
-    Waiting(Timestamp),
+    /// Sent, and may wait there for this long.
+    Waiting(Duration),
 }
 
 /// What is known of a minion's end.
@@ -66,6 +66,21 @@
     Left(Timestamp),
 }
 
+/// A start that brought no answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnsettledStart {
+    pub(super) task: TaskId,
+    pub(super) run: RunNumber,
+    pub(super) sent: Timestamp,
+}
+
+impl UnsettledStart {
+    /// Whether it may yet be carried out.
+    pub(super) fn may_come(&self, now: Timestamp) -> bool {
+        now < self.sent + STALE_ORDERS
+    }
+}
+
 /// One incarnation of a minion.
 #[derive(Debug)]
 pub(super) struct Minion {
@@ -91,8 +106,6 @@
     last_sign: Timestamp,
     /// Earliest time by which it is known to have been down, unless it has answered since.
     down_by: Option<Timestamp>,
-    /// How long the hold on the way may wait there.
-    pub(super) hold_wait: Duration,
     /// Calls in a row that brought no answer.
     pub(super) silent_calls: u32,
     pub(super) hold: HoldState,
@@ -115,9 +128,8 @@
     pub(super) trials: u32,
     /// Runs whose lease ran out while it was silent, and that caused its crash if it crashed.
     pub(super) lapsed: Vec<Crash>,
-    /// Starts that brought no answer, and when they were sent: the next incarnation of this name may
-    /// carry them out.
-    pub(super) unsettled: Vec<(TaskId, RunNumber, Timestamp)>,
+    /// The next incarnation of this name may carry them out.
+    pub(super) unsettled: Vec<UnsettledStart>,
     /// Failed ends and refusals in a row.
     pub(super) failures: u32,
     /// Run times seen on it.
@@ -144,7 +156,6 @@
             reported: now,
             last_sign: Timestamp::ZERO,
             down_by: None,
-            hold_wait: Duration::ZERO,
             silent_calls: 0,
             hold: HoldState::Due(now),
             unanswered: None,
@@ -259,22 +270,17 @@
     }
 
     /// Notes that it was up at `at`.
-    fn was_up(&mut self, at: Timestamp) {
+    pub(super) fn was_up(&mut self, at: Timestamp) {
         self.last_sign = self.last_sign.max(at);
     }
 
     /// Notes its answer to the hold sent at `sent`. An answer to one that did not wait there was given
     /// at once, and may have been slow on its way.
     pub(super) fn answered_hold(&mut self, sent: Timestamp, now: Timestamp) {
-        let waited = !self.hold_wait.is_zero();
+        let waited = matches!(self.hold, HoldState::Waiting(wait) if !wait.is_zero());
         self.was_up(if waited { now } else { sent });
     }
 
-    /// Notes its answer to an order sent at `sent`.
-    pub(super) fn answered_order(&mut self, sent: Timestamp) {
-        self.was_up(sent);
-    }
-
     /// Whether it is known to have been down by `at`. One that brings nothing may be cut off as well.
     pub(super) fn was_down_by(&self, at: Timestamp) -> bool {
         self.down_by.is_some_and(|down| down <= at)
@@ -358,16 +364,10 @@
         self.fenced && self.stays() && !self.foreign && !self.unreported && sound
     }
 
-    /// Notes a start sent at `sent` that brought no answer by `now`.
-    pub(super) fn left_unsettled(
-        &mut self,
-        task: TaskId,
-        run: RunNumber,
-        sent: Timestamp,
-        now: Timestamp,
-    ) {
-        self.unsettled.retain(|(.., at)| now < *at + STALE_ORDERS);
-        self.unsettled.push((task, run, sent));
+    /// Notes a start that brought no answer by `now`.
+    pub(super) fn left_unsettled(&mut self, start: UnsettledStart, now: Timestamp) {
+        self.unsettled.retain(|start| start.may_come(now));
+        self.unsettled.push(start);
     }
 
     /// Whether a minion of its name that started then is another incarnation.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -33,7 +33,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use super::ledger::{Batch, Ledger, TaskState};
+use super::ledger::{Batch, Ledger, TaskRecord, TaskState};
 use super::model::{Configuration, JobId, MinionNumber, MinionReport, StepId, TaskId};
 use super::note::Note;
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
@@ -185,7 +185,7 @@
             capacities: objective::Capacities::default(),
             out: Vec::new(),
         };
-        let assumed = now + d.cfg.lease_max.mul_f64(1.0 / CLOCK_RATE) + LEASE_MARGIN;
+        let assumed = now + longest_on_our_clock(d.cfg.lease_max);
         for (number, record) in &ledger.minions {
             let mut minion = Minion::new(*number, record.report.clone(), now);
             minion.draining |= record.draining;
@@ -213,13 +213,11 @@
     /// before can last longer. Without this a new leader takes the longest lease for each silent
     /// minion, and tasks of one whose last word was lost with the leader are away for all of it.
     pub fn assume_leaving(&mut self, now: Timestamp, since: &BTreeMap<MinionNumber, Timestamp>) {
-        let over = |from: Timestamp, lease: Duration| from + lease.mul_f64(1.0 / CLOCK_RATE);
         for (number, told) in since {
             if let Some(minion) = self.minions.get_mut(number) {
-                let before = over(*told, self.cfg.lease_max);
-                let after = over(now, holds::LEAVING_LEASE);
-                let assumed = before.max(after) + LEASE_MARGIN;
-                minion.assumed_until = minion.assumed_until.min(assumed);
+                let before = *told + longest_on_our_clock(self.cfg.lease_max);
+                let after = now + longest_on_our_clock(holds::LEAVING_LEASE);
+                minion.assumed_until = minion.assumed_until.min(before.max(after));
             }
         }
     }
@@ -253,6 +251,13 @@
         }
     }
 
+    /// Takes a new incarnation in, and has that agreed.
+    fn join(&mut self, minion: Minion) {
+        let report = minion.report.clone();
+        self.batch.joined.push((minion.number, report));
+        self.add_minion(minion);
+    }
+
     fn add_minion(&mut self, mut minion: Minion) {
         minion.foreign = self.is_foreign(&minion.report.service);
         minion.rack = self.rack_of(&minion.report);
@@ -420,13 +425,19 @@
         !self.out.is_empty()
     }
 
-    /// Whether a task waits and no run of it is tracked.
-    fn may_start(&self, ledger: &Ledger, id: TaskId) -> bool {
-        let task = ledger.task(id);
-        task.is_some_and(|task| task.state == TaskState::Waiting) && !self.runs.contains_key(&id)
+    /// The record of a task that waits and of which no run is tracked.
+    fn startable<'a>(&self, ledger: &'a Ledger, id: TaskId) -> Option<&'a TaskRecord> {
+        let task = ledger.task(id)?;
+        let waits = task.state == TaskState::Waiting && !self.runs.contains_key(&id);
+        waits.then_some(task)
     }
 }
 
+/// How long a lease of a minion may last on our clock, which another replica's may differ from.
+fn longest_on_our_clock(lease: Duration) -> Duration {
+    lease.mul_f64(1.0 / CLOCK_RATE) + LEASE_MARGIN
+}
+
 fn services_of(config: &Configuration) -> BTreeSet<ServiceName> {
     config.services.iter().map(|s| s.name.clone()).collect()
 }
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -105,11 +105,11 @@
     ) {
         while let Some(index) = step.waiting.first().copied() {
             let task = id.task(index);
-            if !self.may_start(ledger, task) {
+            let Some(record) = self.startable(ledger, task) else {
                 step.waiting.remove(0);
                 continue;
-            }
-            let suspect = ledger.task(task).is_some_and(|t| t.crashes.are_suspect());
+            };
+            let suspect = record.crashes.are_suspect();
             let Some(minion) = self.choose(now, id, step, spec, suspect) else {
                 return;
             };
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -25,9 +25,7 @@
             minion: report.id.clone(),
             started: report.started,
         });
-        let number = self.next_minion;
-        self.batch.joined.push((number, report.clone()));
-        self.add_minion(Minion::new(number, report, now));
+        self.join(Minion::new(self.next_minion, report, now));
     }
 
     fn known_report(&mut self, now: Timestamp, number: MinionNumber, report: MinionReport) {
--- a/src/batch/dispatch/restarts.rs
+++ b/src/batch/dispatch/restarts.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::minion::{CLOCK_RATE, Minion};
+use super::minion::{Minion, UnsettledStart};
 use super::order::{MinionOrder, Order};
 use super::run::{Run, RunState, StopState};
-use super::{LEASE_MARGIN, STALE_ORDERS};
+use super::{STALE_ORDERS, longest_on_our_clock};
 use crate::batch::ledger::Crash;
-use crate::batch::model::{EndKind, MinionNumber, MinionReport, Readiness, RunNumber, TaskId};
+use crate::batch::model::{EndKind, MinionNumber, MinionReport, Readiness, TaskId};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
 
@@ -80,23 +80,21 @@
         let mut minion = Minion::new(self.next_minion, report, now);
         minion.unreported = told_by == ToldBy::List;
         // An order of before may have given it a lease, or may yet.
-        let lease = self.cfg.lease_max.mul_f64(1.0 / CLOCK_RATE);
         let late = if unsettled.is_empty() {
             Duration::ZERO
         } else {
             STALE_ORDERS
         };
-        minion.assumed_until = now + lease + LEASE_MARGIN + late;
+        minion.assumed_until = now + longest_on_our_clock(self.cfg.lease_max) + late;
         let successor = minion.number;
-        self.batch.joined.push((successor, minion.report.clone()));
         minion.unsettled = unsettled.clone();
         let target = minion.target();
-        self.add_minion(minion);
+        self.join(minion);
         for task in &former.runs {
             self.carry_over(now, *task, successor, &suspects);
         }
         // Whoever was told to stop a run refuses to start it.
-        for (task, run, _) in unsettled {
+        for UnsettledStart { task, run, .. } in unsettled {
             let carried = self.runs.get(&task).is_some_and(|r| r.run == run);
             if !carried {
                 let token = self.term;
@@ -107,13 +105,17 @@
     }
 
     /// Starts of a former incarnation that may yet be carried out.
-    fn unsettled(&self, former: &Minion, now: Timestamp) -> Vec<(TaskId, RunNumber, Timestamp)> {
-        let fresh = |(.., at): &&(TaskId, RunNumber, Timestamp)| now < *at + STALE_ORDERS;
-        let unanswered = former.unsettled.iter().filter(fresh).copied();
+    fn unsettled(&self, former: &Minion, now: Timestamp) -> Vec<UnsettledStart> {
         let on_the_way = former.runs.iter().filter_map(|task| {
             let run = self.runs.get(task)?;
-            (run.state == RunState::Starting).then_some((*task, run.run, now))
+            (run.state == RunState::Starting).then_some(UnsettledStart {
+                task: *task,
+                run: run.run,
+                sent: now,
+            })
         });
+        let unanswered = former.unsettled.iter().copied();
+        let unanswered = unanswered.filter(|start| start.may_come(now));
         unanswered.chain(on_the_way).collect()
     }
 
