--- a/src/batch/dispatch/prospects.rs
+++ b/src/batch/dispatch/prospects.rs
@@ -15,8 +15,8 @@
 
 /// Most that the policy service takes in one question.
 const MOST_ASKED: usize = 100;
-/// Weights of a minion in a question. One that is known to be good gives a ticket for sure, others
-/// in one case of two: the users' policies let 0.35 and 0.7 of all minions run a step.
+/// Weights of a minion in a question. One that is known to be good gives a ticket for sure, another one
+/// about every second time.
 const KNOWN_GOOD: u32 = 2;
 const UNKNOWN: u32 = 1;
 /// Weights of a minion's room: there, there but counted on by questions on the way, taken by work that
@@ -26,7 +26,7 @@
 const ROOM_YIELDING: u32 = 5;
 const ROOM_SOON: u32 = 4;
 const ROOM_LATER: u32 = 2;
-/// How far ahead room counts as expected soon: the life of a ticket, as the users set it.
+/// How far ahead room counts as expected soon.
 const SOON: Duration = Duration::from_millis(2000);
 /// Age up to which the reckoning of rooms is used again. Every waiting step needs it, and it looks
 /// at all runs.
