Callers need a key of their workspace

Cause: the adapter read neither `tenants` nor `public` nor the Authorization header, and a job belonged to nobody.

An entry host hashes the key and passes the hash on; the leader checks it under its lease, against the configuration that is agreed then. So a host that is cut off, frozen or has a wrong clock serves nobody with an old key: it holds no copy that could age, and without a leader it refuses. 401 comes with WWW-Authenticate. A job belongs to its workspace: others can neither read, cancel nor repeat it, and an id that is taken is refused with 409, also in a race between two workspaces.

Errors about a configuration no longer show its values, any of which may be a key (the test with keys of another type showed one). Files under the data folder can be read by their owner alone.

The ledger's format is 3; format 2 is read (files written by the code before are in tests/cases), and jobs without a workspace run on. A workspace that is removed keeps its entry while it has open jobs, for its limit.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -90,6 +90,7 @@
             per_minion: Duration::from_micros(terms.1),
             validity: Duration::from_millis(2000),
         }),
+        public: false,
     }
 }
 
@@ -217,6 +218,7 @@
         let command = Command::Submit {
             job: self.jobs,
             queue: Arc::new(queue),
+            owner: None,
             spec: Arc::new(JobSpec {
                 payload: "x".repeat(1200).into(),
                 steps,
--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -12,6 +12,7 @@
     Advice, AdviceQuestion, ConfigOrder, MinionAnswer, MinionOrder, QuestionId, Target,
 };
 use super::model::{JobSpec, JobState, MinionReport};
+use super::workspaces::KeyHash;
 use crate::ids::{MinionId, Term, ZoneName};
 
 /// When a caller may come back whose request cannot be served at the moment. A leader that is lost
@@ -41,6 +42,8 @@
     pub host: CompactString,
     /// Path of the request.
     pub path: CompactString,
+    /// Hash of the key that came with it.
+    pub key: Option<KeyHash>,
     /// What it wants.
     pub action: ClientAction,
 }
@@ -58,6 +61,10 @@
     Gone,
     /// There is no such queue.
     NoQueue,
+    /// The queue asks for a key, and the request has none that is in force.
+    Unauthenticated,
+    /// The id is that of another job.
+    IdTaken,
     /// The request makes no sense.
     Invalid(CompactString),
     /// Not accepted and never run; the caller may come back after this time.
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -1,5 +1,6 @@
 //! Commands: what changes the ledger.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,13 +8,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::records::TaskState;
-use super::{FORMAT_VERSION, Job, Ledger, MinionRecord, StoredConfig};
+use super::{FORMAT_VERSION, Job, Ledger, MinionRecord, StoredConfig, format_2, unknown_format};
 use crate::batch::model::{
     Checkpoint, ConfigVersion, Configuration, EndKind, Grouping, JobId, JobSpec, JobState,
     Lifetime, MinionNumber, MinionReport, Queue, RunNumber, TaskId,
 };
+use crate::batch::workspaces::Workspace;
 use crate::error::{Error, Result, Step};
-use crate::ids::Timestamp;
+use crate::ids::{Timestamp, WorkspaceName};
 use crate::resources::Resources;
 
 /// How long the end of a job is remembered. Callers may ask for at least two minutes, and a
@@ -38,6 +40,8 @@
         job: JobId,
         /// Its queue.
         queue: Arc<Queue>,
+        /// Workspace that hands it in; `None` on a queue that is open to all.
+        owner: Option<WorkspaceName>,
         /// What it declares.
         spec: Arc<JobSpec>,
     },
@@ -139,6 +143,8 @@
     Accepted,
     /// There is no such job.
     Unknown,
+    /// The id is that of another job.
+    IdTaken,
 }
 
 impl Batch {
@@ -168,13 +174,12 @@
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
         let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
             .map_err(|e| Error::caused(Step::Codec, "decoding a command", e))?;
-        if version != FORMAT_VERSION {
-            let message = format!(
-                "the command has format {version}; this program reads format {FORMAT_VERSION}"
-            );
-            return Err(Error::new(Step::Codec, message));
-        }
-        postcard::from_bytes(rest).map_err(|e| Error::caused(Step::Codec, "decoding a command", e))
+        let read = match version {
+            FORMAT_VERSION => postcard::from_bytes(rest),
+            format_2::VERSION => postcard::from_bytes::<format_2::Command>(rest).map(Into::into),
+            _ => return Err(unknown_format("command", version)),
+        };
+        read.map_err(|e| Error::caused(Step::Codec, "decoding a command", e))
     }
 }
 
@@ -189,7 +194,12 @@
                 document,
                 parsed,
             } => self.put_config(*version, document, parsed),
-            Command::Submit { job, queue, spec } => self.submit(*job, queue, spec),
+            Command::Submit {
+                job,
+                queue,
+                owner,
+                spec,
+            } => self.submit(*job, queue, owner.clone(), spec),
             Command::Cancel { job } => self.cancel(*job),
             Command::Batch(batch) => self.apply_batch(batch),
         }
@@ -205,21 +215,49 @@
         // again after a lost answer must not be refused, and other content under a version that
         // is held must never come into force.
         if self.is_newer(version) {
+            let workspaces = self.workspaces();
+            let before = workspaces
+                .map(|(name, w)| (name.clone(), w.clone()))
+                .collect();
             self.config = Some(StoredConfig {
                 version,
                 document: document.clone(),
                 parsed: Arc::clone(parsed),
             });
+            self.keep_removed(before);
         }
         Reply::Accepted
     }
 
-    fn submit(&mut self, id: JobId, queue: &Arc<Queue>, spec: &Arc<JobSpec>) -> Reply {
-        if !self.jobs.contains_key(&id) {
-            let job = Job::new(Arc::clone(spec), Arc::clone(queue), self.clock);
-            self.jobs.insert(id, job);
-            self.unstarted.insert(id);
+    /// Keeps workspaces that are gone while they have open jobs: without its limit, the work of one
+    /// could take the whole cell.
+    fn keep_removed(&mut self, mut before: BTreeMap<WorkspaceName, Workspace>) {
+        let declared = self.config.as_ref();
+        let declared = declared.and_then(|config| config.parsed.workspaces.as_ref());
+        before.retain(|name, _| declared.is_none_or(|w| !w.by_name.contains_key(name)));
+        let open = self.jobs.values().filter(|job| job.may_run());
+        let owners: BTreeSet<_> = open.filter_map(|job| job.owner.as_ref()).collect();
+        before.retain(|name, _| owners.contains(name));
+        self.removed = before;
+    }
+
+    fn submit(
+        &mut self,
+        id: JobId,
+        queue: &Arc<Queue>,
+        owner: Option<WorkspaceName>,
+        spec: &Arc<JobSpec>,
+    ) -> Reply {
+        if let Some(held) = self.jobs.get(&id) {
+            return if held.owner == owner || held.owner.is_none() || owner.is_none() {
+                Reply::Accepted
+            } else {
+                Reply::IdTaken
+            };
         }
+        let job = Job::new(Arc::clone(spec), Arc::clone(queue), owner, self.clock);
+        self.jobs.insert(id, job);
+        self.unstarted.insert(id);
         Reply::Accepted
     }
 
--- /dev/null
+++ b/src/batch/ledger/format_2.rs
@@ -0,0 +1,180 @@
+//! Format 2 of snapshots and commands, which knew no workspaces. It is read and never written.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use super::records::{MinionRecord, Occurrence};
+use super::{Batch, StoredConfig};
+use crate::batch::model::{
+    self, AdviceTerms, ConfigVersion, JobId, JobSpec, JobState, Limits, MinionNumber, Service,
+};
+use crate::ids::{ServiceName, Timestamp};
+
+/// Number of this format.
+pub(super) const VERSION: u16 = 2;
+
+/// The whole state.
+#[derive(Deserialize)]
+pub(super) struct Ledger {
+    clock: Timestamp,
+    config: Option<Config>,
+    jobs: BTreeMap<JobId, Job>,
+    unstarted: BTreeSet<JobId>,
+    minions: BTreeMap<MinionNumber, MinionRecord>,
+    next_minion: MinionNumber,
+    ended: VecDeque<(Timestamp, JobId)>,
+}
+
+/// A change.
+#[derive(Deserialize)]
+pub(super) enum Command {
+    PutConfig {
+        version: ConfigVersion,
+        document: Bytes,
+        parsed: Arc<Configuration>,
+    },
+    Submit {
+        job: JobId,
+        queue: Arc<Queue>,
+        spec: Arc<JobSpec>,
+    },
+    Cancel {
+        job: JobId,
+    },
+    Batch(Batch),
+}
+
+#[derive(Deserialize)]
+struct Config {
+    version: ConfigVersion,
+    document: Bytes,
+    parsed: Arc<Configuration>,
+}
+
+#[derive(Clone, Deserialize)]
+pub(super) struct Configuration {
+    queues: Vec<Queue>,
+    services: Vec<Service>,
+    limits: Limits,
+}
+
+#[derive(Clone, Deserialize)]
+pub(super) struct Queue {
+    name: CompactString,
+    host: CompactString,
+    prefix: CompactString,
+    timeout: Duration,
+    slo: Duration,
+    stretch: f64,
+    priority: u32,
+    service: ServiceName,
+    attempts: u32,
+    advice: Option<AdviceTerms>,
+}
+
+#[derive(Deserialize)]
+struct Job {
+    spec: Arc<JobSpec>,
+    queue: Arc<Queue>,
+    accepted: Timestamp,
+    state: JobState,
+    occurrences: BTreeMap<u32, Occurrence>,
+    begun: u32,
+}
+
+impl From<Ledger> for super::Ledger {
+    fn from(old: Ledger) -> Self {
+        Self {
+            clock: old.clock,
+            config: old.config.map(Into::into),
+            jobs: old.jobs.into_iter().map(|(id, j)| (id, j.into())).collect(),
+            unstarted: old.unstarted,
+            minions: old.minions,
+            next_minion: old.next_minion,
+            ended: old.ended,
+            removed: BTreeMap::new(),
+        }
+    }
+}
+
+impl From<Command> for super::Command {
+    fn from(old: Command) -> Self {
+        match old {
+            Command::PutConfig {
+                version,
+                document,
+                parsed,
+            } => Self::PutConfig {
+                version,
+                document,
+                parsed: Arc::new(Arc::unwrap_or_clone(parsed).into()),
+            },
+            Command::Submit { job, queue, spec } => Self::Submit {
+                job,
+                queue: Arc::new(Arc::unwrap_or_clone(queue).into()),
+                owner: None,
+                spec,
+            },
+            Command::Cancel { job } => Self::Cancel { job },
+            Command::Batch(batch) => Self::Batch(batch),
+        }
+    }
+}
+
+impl From<Config> for StoredConfig {
+    fn from(old: Config) -> Self {
+        Self {
+            version: old.version,
+            document: old.document,
+            parsed: Arc::new(Arc::unwrap_or_clone(old.parsed).into()),
+        }
+    }
+}
+
+impl From<Configuration> for model::Configuration {
+    fn from(old: Configuration) -> Self {
+        Self {
+            queues: old.queues.into_iter().map(Into::into).collect(),
+            services: old.services,
+            limits: old.limits,
+            workspaces: None,
+        }
+    }
+}
+
+impl From<Queue> for model::Queue {
+    fn from(old: Queue) -> Self {
+        Self {
+            name: old.name,
+            host: old.host,
+            prefix: old.prefix,
+            timeout: old.timeout,
+            slo: old.slo,
+            stretch: old.stretch,
+            priority: old.priority,
+            service: old.service,
+            attempts: old.attempts,
+            advice: old.advice,
+            public: false,
+        }
+    }
+}
+
+impl From<Job> for super::Job {
+    fn from(old: Job) -> Self {
+        Self {
+            spec: old.spec,
+            queue: Arc::new(Arc::unwrap_or_clone(old.queue).into()),
+            owner: None,
+            accepted: old.accepted,
+            state: old.state,
+            occurrences: old.occurrences,
+            begun: old.begun,
+        }
+    }
+}
--- a/src/batch/ledger/mod.rs
+++ b/src/batch/ledger/mod.rs
@@ -3,6 +3,7 @@
 //! Deterministic: the same commands in the same order give the same ledger on every replica.
 
 mod commands;
+mod format_2;
 mod queries;
 mod records;
 
@@ -13,14 +14,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::model::{ConfigVersion, Configuration, JobId, MinionNumber};
+use super::workspaces::Workspace;
 use crate::error::{Error, Result, Step};
-use crate::ids::{MinionId, Timestamp};
+use crate::ids::{MinionId, Timestamp, WorkspaceName};
 
 pub use commands::{Batch, Certainty, Command, Crash, End, Reply, Start};
 pub use records::{Crashes, Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState};
 
 /// Version of the snapshot and of the commands; another one is refused by number.
-pub const FORMAT_VERSION: u16 = 2;
+pub const FORMAT_VERSION: u16 = 3;
 
 /// The configuration in force, as sent and as understood.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -47,6 +49,8 @@
     pub(crate) next_minion: MinionNumber,
     /// Jobs that have ended, oldest first.
     pub(crate) ended: std::collections::VecDeque<(Timestamp, JobId)>,
+    /// Workspaces that the configuration names no more and that have open jobs, as they were.
+    pub(crate) removed: BTreeMap<WorkspaceName, Workspace>,
 }
 
 impl Ledger {
@@ -60,13 +64,12 @@
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
         let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
             .map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))?;
-        if version != FORMAT_VERSION {
-            let message = format!(
-                "the snapshot has format {version}; this program reads format {FORMAT_VERSION}"
-            );
-            return Err(Error::new(Step::Codec, message));
-        }
-        postcard::from_bytes(rest).map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))
+        let read = match version {
+            FORMAT_VERSION => postcard::from_bytes(rest),
+            format_2::VERSION => postcard::from_bytes::<format_2::Ledger>(rest).map(Into::into),
+            _ => return Err(unknown_format("snapshot", version)),
+        };
+        read.map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))
     }
 
     /// Number of a minion's incarnation, if it is known.
@@ -75,3 +78,11 @@
         known.find(|(_, m)| m.report.id == *id).map(|(n, _)| *n)
     }
 }
+
+fn unknown_format(what: &str, version: u16) -> Error {
+    let oldest = format_2::VERSION;
+    let message = format!(
+        "the {what} has format {version}; this program reads formats {oldest} to {FORMAT_VERSION}"
+    );
+    Error::new(Step::Codec, message)
+}
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -3,8 +3,15 @@
 use super::records::{Occurrence, StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
 use crate::batch::model::{ConfigVersion, JobId, JobState, MinionNumber, StepId, StepSpec, TaskId};
+use crate::batch::workspaces::Workspace;
+use crate::ids::WorkspaceName;
 
 impl Job {
+    /// Whether anything of it runs or may start.
+    pub(super) fn may_run(&self) -> bool {
+        !self.state.is_final() || self.active().next().is_some()
+    }
+
     pub(super) fn step_mut(&mut self, task: TaskId) -> Option<&mut StepRecord> {
         let occurrence = self.occurrences.get_mut(&task.step.occurrence)?;
         occurrence.steps.get_mut(usize::from(task.step.step))
@@ -37,6 +44,15 @@
 }
 
 impl Ledger {
+    /// Workspaces with a limit to keep: those of the configuration, and those that it names no more
+    /// while they have open jobs.
+    pub fn workspaces(&self) -> impl Iterator<Item = (&WorkspaceName, &Workspace)> {
+        let declared = self.config.as_ref();
+        let declared = declared.and_then(|config| config.parsed.workspaces.as_ref());
+        let declared = declared.into_iter().flat_map(|w| w.by_name.iter());
+        self.removed.iter().chain(declared)
+    }
+
     /// Whether a configuration of this version would come in force.
     pub fn is_newer(&self, version: ConfigVersion) -> bool {
         let held = self.config.as_ref();
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -9,7 +9,7 @@
 use crate::batch::model::{
     Checkpoint, JobSpec, JobState, MinionNumber, MinionReport, Queue, RunNumber, StepSpec,
 };
-use crate::ids::Timestamp;
+use crate::ids::{Timestamp, WorkspaceName};
 
 /// Minions that may crash soon after they have begun a task.
 const MAX_CRASHES: u32 = 2;
@@ -25,6 +25,8 @@
     pub spec: Arc<JobSpec>,
     /// Its queue as configured when it was handed in.
     pub queue: Arc<Queue>,
+    /// Workspace that handed it in; `None` on a queue that is open to all.
+    pub owner: Option<WorkspaceName>,
     /// Unix time at which it was accepted.
     pub accepted: Timestamp,
     /// Its state.
@@ -100,10 +102,16 @@
 
 impl Job {
     /// A job nobody has begun.
-    pub(super) fn new(spec: Arc<JobSpec>, queue: Arc<Queue>, accepted: Timestamp) -> Self {
+    pub(super) fn new(
+        spec: Arc<JobSpec>,
+        queue: Arc<Queue>,
+        owner: Option<WorkspaceName>,
+        accepted: Timestamp,
+    ) -> Self {
         let mut job = Self {
             spec,
             queue,
+            owner,
             accepted,
             state: JobState::Queued,
             occurrences: BTreeMap::new(),
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -44,7 +44,8 @@
 }
 
 /// What a caller's request comes down to.
-pub(crate) enum Admission {
+#[derive(Debug)]
+pub enum Admission {
     /// It is answered from the ledger.
     Answer(ClientReply),
     /// It is answered once this command is agreed.
@@ -67,13 +68,16 @@
     }
 
     /// Decides on a caller's request. Only a leader whose leadership is confirmed may ask.
-    pub(crate) fn admit(&self, call: ClientCall) -> Admission {
+    pub fn admit(&self, call: ClientCall) -> Admission {
         let Some(config) = &self.ledger.config else {
             return Admission::Answer(ClientReply::Unavailable(RETRY_AFTER));
         };
         let Some((queue, rest)) = config.parsed.route(&call.host, &call.path) else {
             return Admission::Answer(ClientReply::NoQueue);
         };
+        let Some(caller) = config.parsed.caller(queue, call.key.as_ref()) else {
+            return Admission::Answer(ClientReply::Unauthenticated);
+        };
         let job = match (&call.action, parse_job_id(rest)) {
             (ClientAction::Pending, _) => {
                 let pending = self.ledger.pending(&queue.host, &queue.prefix);
@@ -82,16 +86,18 @@
             (_, Some(job)) => job,
             (_, None) => return Admission::Answer(ClientReply::NoQueue),
         };
-        let known = self
-            .ledger
-            .jobs
-            .get(&job)
-            .filter(|j| j.queue.host == queue.host && j.queue.prefix == queue.prefix);
+        let held = self.ledger.jobs.get(&job);
+        let known = held.filter(|j| {
+            let same_queue = j.queue.host == queue.host && j.queue.prefix == queue.prefix;
+            same_queue && caller.may_see(j.owner.as_ref())
+        });
         match call.action {
             ClientAction::Submit(_) if known.is_some() => Admission::Answer(ClientReply::Accepted),
+            ClientAction::Submit(_) if held.is_some() => Admission::Answer(ClientReply::IdTaken),
             ClientAction::Submit(spec) => Admission::Propose(Box::new(Command::Submit {
                 job,
                 queue: Arc::new(queue.clone()),
+                owner: caller.into_owner(),
                 spec,
             })),
             ClientAction::State => Admission::Answer(match known {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -14,3 +14,4 @@
 pub mod server;
 mod telling;
 mod watch;
+pub mod workspaces;
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::workspaces::{Caller, KeyHash, Workspaces};
 use crate::ids::{MinionId, RackName, ServiceName, Timestamp, ZoneName};
 use crate::resources::Resources;
 
@@ -196,6 +197,8 @@
     pub attempts: u32,
     /// Policy to ask before placing, if any.
     pub advice: Option<AdviceTerms>,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 /// A pool of minions.
@@ -243,9 +246,22 @@
     pub services: Vec<Service>,
     /// Limits on requests.
     pub limits: Limits,
+    /// Workspaces; `None` where callers have no keys at all.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl Configuration {
+    /// Who makes a call on a queue; `None` when it needs a key that it does not carry.
+    pub fn caller(&self, queue: &Queue, key: Option<&KeyHash>) -> Option<Caller> {
+        match &self.workspaces {
+            Some(workspaces) if !queue.public => {
+                let owner = workspaces.keys.get(key?)?;
+                Some(Caller::Workspace(owner.clone()))
+            }
+            _ => Some(Caller::Anyone),
+        }
+    }
+
     /// Finds the queue of a request and the rest of its path: the host's longest prefix wins.
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
         self.queues
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -117,6 +117,7 @@
         match self.propose(command).await {
             Ok(Reply::Accepted) => CallReply::Client(ClientReply::Accepted),
             Ok(Reply::Unknown) => CallReply::Client(ClientReply::Gone),
+            Ok(Reply::IdTaken) => CallReply::Client(ClientReply::IdTaken),
             Err(ProposeError::NotLeader { leader }) => CallReply::NotLeader(leader),
             Err(ProposeError::Overloaded(_)) => {
                 CallReply::Client(ClientReply::Unavailable(RETRY_AFTER))
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -22,6 +22,8 @@
 pub type KindName = CompactString;
 /// Name of a job; unique in the cell.
 pub type JobName = CompactString;
+/// Name of a workspace on the platform, whose callers share keys and a limit.
+pub type WorkspaceName = CompactString;
 /// Name of a team that owns work and quotas.
 pub type TeamName = CompactString;
 /// Type name of an accelerator, such as `a10`.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -10,6 +10,11 @@
 
 use crate::batch::dispatch::ConfigOrder;
 use crate::batch::model::{AdviceTerms, Configuration, Limits, Queue, Service};
+use crate::batch::workspaces::{KeyHash, Workspace, Workspaces};
+use crate::resources::Resources;
+
+/// Weights from here on are taken for a mistake.
+const MAX_WEIGHT: f64 = 1e9;
 
 #[derive(Deserialize)]
 struct ConfigBody {
@@ -18,6 +23,9 @@
     services: Vec<ServiceBody>,
     #[serde(default)]
     limits: Option<LimitsBody>,
+    /// Left out where callers have no keys.
+    #[serde(default)]
+    tenants: Option<Vec<TenantBody>>,
 }
 
 #[derive(Deserialize)]
@@ -37,6 +45,8 @@
     stretch: f64,
     #[serde(default)]
     advice: Option<AdviceBody>,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Deserialize)]
@@ -66,6 +76,34 @@
     idle_timeout_ms: f64,
 }
 
+#[derive(Deserialize)]
+struct TenantBody {
+    name: CompactString,
+    #[serde(default)]
+    api_keys: Vec<CompactString>,
+    #[serde(default = "whole")]
+    weight: f64,
+    /// What may run at once; zero is no limit.
+    #[serde(default)]
+    max_count: MostBody,
+}
+
+#[derive(Default, Deserialize)]
+struct MostBody {
+    /// Thousandths of a core.
+    #[serde(default)]
+    cpu: u32,
+    #[serde(default)]
+    mem_mb: u32,
+    /// Accelerators.
+    #[serde(default)]
+    gpu: u32,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
 fn one() -> u32 {
     1
 }
@@ -76,7 +114,7 @@
 
 /// Reads a configuration; the error is one sentence for the operator.
 pub fn decode(document: Bytes) -> Result<ConfigOrder, String> {
-    let body: ConfigBody = serde_json::from_slice(&document).map_err(|e| e.to_string())?;
+    let body: ConfigBody = serde_json::from_slice(&document).map_err(without_values)?;
     let known: BTreeSet<_> = body.services.iter().map(|s| s.name.clone()).collect();
     let mut places = BTreeSet::new();
     let mut queues = Vec::with_capacity(body.routes.len());
@@ -107,6 +145,7 @@
         queues,
         services: services.collect(),
         limits: body.limits.map_or_else(|| Ok(Limits::default()), limits)?,
+        workspaces: body.tenants.map(workspaces).transpose()?,
     };
     Ok(ConfigOrder {
         version: body.version,
@@ -115,6 +154,50 @@
     })
 }
 
+/// What is wrong with a document, without the values in it: one may be a key.
+fn without_values(e: serde_json::Error) -> String {
+    let text = e.to_string();
+    let (Some((kind, _)), Some((_, expected))) =
+        (text.split_once(": "), text.rsplit_once(", expected "))
+    else {
+        return text;
+    };
+    format!("{kind}, expected {expected}")
+}
+
+/// The error names the workspace and never a key.
+fn workspaces(tenants: Vec<TenantBody>) -> Result<Workspaces, String> {
+    let mut all = Workspaces::default();
+    for tenant in tenants {
+        let name = tenant.name;
+        if !(0.0..MAX_WEIGHT).contains(&tenant.weight) {
+            return Err(format!("tenant {name}: weight is not a rate"));
+        }
+        let limit = Resources {
+            millicores: tenant.max_count.cpu,
+            memory_mb: tenant.max_count.mem_mb,
+            accelerators: tenant.max_count.gpu,
+        };
+        let workspace = Workspace {
+            weight: tenant.weight,
+            limit,
+        };
+        if all.by_name.insert(name.clone(), workspace).is_some() {
+            return Err(format!("tenant {name}: another one has its name"));
+        }
+        for key in &tenant.api_keys {
+            if key.is_empty() {
+                return Err(format!("tenant {name}: a key is empty"));
+            }
+            let owner = all.keys.insert(KeyHash::of(key.as_bytes()), name.clone());
+            if let Some(owner) = owner.filter(|owner| *owner != name) {
+                return Err(format!("tenant {name}: tenant {owner} has one of its keys"));
+            }
+        }
+    }
+    Ok(all)
+}
+
 fn queue(route: RouteBody) -> Result<Queue, String> {
     if !route.stretch.is_finite() || route.stretch < 0.0 {
         return Err(format!("route {}: stretch is not a factor", route.name));
@@ -138,6 +221,7 @@
         service: route.service,
         attempts: route.attempts.max(1),
         advice,
+        public: route.public,
     })
 }
 
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use http::header::HOST;
+use http::header::{AUTHORIZATION, HOST, HeaderValue, WWW_AUTHENTICATE};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
@@ -17,6 +17,7 @@
 use crate::batch::link::{LeaderLink, NoAnswer, leader_wait, retry_after};
 use crate::batch::machine::parse_job_id;
 use crate::batch::model::Limits;
+use crate::batch::workspaces::KeyHash;
 use crate::telemetry::MetricsPage;
 
 /// How long the caller waits for an answer, in ms.
@@ -26,6 +27,9 @@
 /// Part of the caller's time that is left for the answer's way back.
 const ANSWER_RESERVE: Duration = Duration::from_millis(100);
 
+/// Scheme under which callers send their keys.
+const KEY_SCHEME: &str = "Bearer";
+
 /// Answers callers.
 #[derive(Clone)]
 pub(super) struct Front {
@@ -40,6 +44,7 @@
         let host = host_of(&req);
         let path = CompactString::from(req.uri().path());
         let patience = deadline_of(&req);
+        let key = key_of(&req);
         let is_job = path.rsplit('/').next().and_then(parse_job_id).is_some();
         let action = match (req.method().clone(), is_job) {
             (Method::POST, true) => {
@@ -62,7 +67,12 @@
             _ => return refused(StatusCode::METHOD_NOT_ALLOWED, "only GET, POST and DELETE"),
         };
         let changes = matches!(action, ClientAction::Submit(_) | ClientAction::Cancel);
-        let call = ClientCall { host, path, action };
+        let call = ClientCall {
+            host,
+            path,
+            key,
+            action,
+        };
         let path = call.path.clone();
         let patience = patience.saturating_sub(ANSWER_RESERVE);
         let absent = self.link.absent(received);
@@ -90,7 +100,8 @@
         Ok(CallReply::Client(ClientReply::State(_) | ClientReply::Pending(_))) => "read",
         Ok(CallReply::Client(ClientReply::Gone)) => "unknown job",
         Ok(CallReply::Client(ClientReply::NoQueue)) => "unknown queue",
-        Ok(CallReply::Client(ClientReply::Invalid(_))) => "invalid",
+        Ok(CallReply::Client(ClientReply::Unauthenticated)) => "unknown key",
+        Ok(CallReply::Client(ClientReply::Invalid(_) | ClientReply::IdTaken)) => "invalid",
         Ok(CallReply::Client(ClientReply::Unavailable(_))) | Err(NoAnswer::NotSent) => "not run",
         Ok(CallReply::Client(ClientReply::InDoubt)) | Err(NoAnswer::InDoubt) => "in doubt",
         Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) => "no leader",
@@ -119,6 +130,8 @@
             ClientReply::Pending(pending) => json(StatusCode::OK, &PendingBody { pending }),
             ClientReply::Gone => refused(StatusCode::GONE, "there is no such job"),
             ClientReply::NoQueue => refused(StatusCode::NOT_FOUND, "there is no such queue"),
+            ClientReply::Unauthenticated => unauthenticated(),
+            ClientReply::IdTaken => refused(StatusCode::CONFLICT, "the id is that of another job"),
             ClientReply::Invalid(why) => refused(StatusCode::BAD_REQUEST, &why),
             ClientReply::Unavailable(after) => unavailable(after),
             ClientReply::InDoubt => in_doubt(),
@@ -130,6 +143,25 @@
     }
 }
 
+fn unauthenticated() -> Reply {
+    let mut reply = refused(StatusCode::UNAUTHORIZED, "the key is missing or not known");
+    let scheme = HeaderValue::from_static(KEY_SCHEME);
+    reply.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    reply
+}
+
+/// The key of a request; `None` when it has none, or several.
+fn key_of<B>(req: &Request<B>) -> Option<KeyHash> {
+    let mut values = req.headers().get_all(AUTHORIZATION).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return None;
+    };
+    let (scheme, key) = value.to_str().ok()?.trim().split_once(' ')?;
+    let key = key.trim_start();
+    let usable = scheme.eq_ignore_ascii_case(KEY_SCHEME) && !key.is_empty();
+    usable.then(|| KeyHash::of(key.as_bytes()))
+}
+
 fn host_of<B>(req: &Request<B>) -> CompactString {
     let host = req.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = host.or_else(|| req.uri().host()).unwrap_or_default();
--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 
 use crate::error::{Error, Result, Step};
@@ -83,7 +84,7 @@
     /// Writes a file under another name, syncs it, and only then gives it its own.
     pub(super) fn write_whole(&self, path: &Path, content: &[u8]) -> io::Result<()> {
         let unfinished = path.with_extension(UNFINISHED);
-        let mut file = File::create(&unfinished)?;
+        let mut file = private().create(true).truncate(true).open(&unfinished)?;
         file.write_all(content)?;
         file.sync_all()?;
         fs::rename(&unfinished, path)?;
@@ -96,6 +97,13 @@
     }
 }
 
+/// Opens files for writing that their owner alone may read: documents hold callers' keys.
+fn private() -> OpenOptions {
+    let mut options = OpenOptions::new();
+    options.write(true).mode(0o600);
+    options
+}
+
 pub(super) fn failed(what: &str, path: &Path, e: io::Error) -> Error {
     Error::caused(Step::Storage, what, e).with_peer(path.display())
 }
--- a/tests/batch_ledger.rs
+++ b/tests/batch_ledger.rs
@@ -37,6 +37,35 @@
     insta::assert_debug_snapshot!(snapshot);
 }
 
+/// Files that the program wrote before there were workspaces cannot be read any more.
+#[test]
+fn files_of_format_2_are_read() {
+    let ledger = Ledger::from_bytes(include_bytes!("cases/ledger/format-2-snapshot.bin"));
+    let ledger = ledger.expect("a snapshot");
+    let states = (0..4).map(|i| ledger.job_state(JOB + i));
+    let put = Command::from_bytes(include_bytes!("cases/ledger/format-2-put-config.bin"));
+    let submit = Command::from_bytes(include_bytes!("cases/ledger/format-2-submit.bin"));
+    let commands = [put.expect("a command"), submit.expect("a command")];
+    insta::assert_debug_snapshot!((states.collect::<Vec<_>>(), commands));
+    let again = Ledger::from_bytes(&ledger.to_bytes().expect("writes")).expect("reads");
+    assert_eq!(again, ledger);
+}
+
+/// Jobs that were handed in before there were workspaces stand still.
+#[test]
+fn jobs_of_format_2_run_on() {
+    let mut world = World::new();
+    let snapshot = include_bytes!("cases/ledger/format-2-snapshot.bin");
+    world.ledger = Ledger::from_bytes(snapshot).expect("a snapshot");
+    world.limit(8, &[("a", 1)]);
+    world.new_leader(2);
+    world.join("i-3", 3);
+    world.submit(JOB + 9, vec![step(2, 1000)]);
+    assert_eq!(world.take_starts().len(), 2);
+    let runs = world.ledger.ready_steps(JOB + 1);
+    assert_eq!(runs.len(), 1, "its tasks are under way or wait");
+}
+
 /// A snapshot or a command of another version of the program is refused by its number.
 #[test]
 fn an_unknown_format_is_refused_by_name() {
--- a/tests/batch_machine.rs
+++ b/tests/batch_machine.rs
@@ -32,6 +32,7 @@
     let submit = Command::Submit {
         job,
         queue: Arc::new(queue()),
+        owner: None,
         spec: Arc::new(spec),
     };
     submit.to_bytes().unwrap()
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -16,9 +16,11 @@
 };
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
 use yuccahold::batch::model::{
-    EndKind, Grouping, JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue, Readiness,
-    StepId, StepSpec, TaskId,
+    Configuration, EndKind, Grouping, JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue,
+    Readiness, Service, StepId, StepSpec, TaskId,
 };
+use yuccahold::batch::workspaces::{Workspace, Workspaces};
+use yuccahold::ids::WorkspaceName;
 use yuccahold::resources::Resources;
 
 pub const JOB: JobId = 0x5c0e_7a21_d94b_36f8;
@@ -49,6 +51,7 @@
         service: "desk".into(),
         attempts: 3,
         advice: None,
+        public: false,
     }
 }
 
@@ -226,16 +229,58 @@
     }
 
     pub fn submit_to(&mut self, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
-        self.accept(job, queue, steps);
+        self.accept(job, queue, None, steps);
         self.decide();
     }
 
+    /// A job of a workspace is accepted.
+    pub fn submit_for(&mut self, owner: &str, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
+        self.accept(job, queue, Some(owner.into()), steps);
+        self.decide();
+    }
+
+    /// The same, and the leader decides nothing yet.
+    pub fn accept_for(&mut self, owner: &str, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
+        self.accept(job, queue, Some(owner.into()), steps);
+    }
+
+    /// Puts limits on what workspaces may run, in cores, and gives all the weight 1.
+    pub fn limit(&mut self, version: u64, limits: &[(&str, u32)]) {
+        let by_name = limits.iter().map(|(name, cores)| {
+            let limit = Resources::new(*cores, 0, 0);
+            let workspace = Workspace { weight: 1.0, limit };
+            ((*name).into(), workspace)
+        });
+        let workspaces = Workspaces {
+            by_name: by_name.collect(),
+            keys: BTreeMap::new(),
+        };
+        self.apply(&Command::PutConfig {
+            version,
+            document: Default::default(),
+            parsed: Arc::new(Configuration {
+                services: vec![Service {
+                    name: "desk".into(),
+                    ..Service::default()
+                }],
+                workspaces: Some(workspaces),
+                ..Configuration::default()
+            }),
+        });
+    }
+
     /// A job is accepted, and the leader decides nothing yet.
     pub fn submit_only(&mut self, job: JobId, steps: Vec<StepSpec>) {
-        self.accept(job, queue(), steps);
+        self.accept(job, queue(), None, steps);
     }
 
-    fn accept(&mut self, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
+    fn accept(
+        &mut self,
+        job: JobId,
+        queue: Queue,
+        owner: Option<WorkspaceName>,
+        steps: Vec<StepSpec>,
+    ) {
         let spec = JobSpec {
             payload: "payload".into(),
             steps,
@@ -244,6 +289,7 @@
         self.apply(&Command::Submit {
             job,
             queue: Arc::new(queue),
+            owner,
             spec: Arc::new(spec),
         });
     }
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -61,6 +61,39 @@
     assert!(decode_config(body.to_owned().into()).is_err());
 }
 
+fn with_tenants(tenants: &str) -> String {
+    CONFIG.replacen('{', &format!(r#"{{"tenants":[{tenants}],"#), 1)
+}
+
+/// A configuration that gives one key to two workspaces, or makes no sense, comes in force; or its
+/// refusal shows a key.
+#[rstest]
+#[case::shared_key(r#"{"name":"a","api_keys":["secret"]},{"name":"b","api_keys":["secret"]}"#)]
+#[case::name_twice(r#"{"name":"a","api_keys":["secret"]},{"name":"a"}"#)]
+#[case::empty_key(r#"{"name":"a","api_keys":["secret",""]}"#)]
+#[case::key_of_another_type(r#"{"name":"a","api_keys":["secret",{"secret":"secret"}]}"#)]
+#[case::keys_of_another_type(r#"{"name":"a","api_keys":"secret"}"#)]
+#[case::no_name(r#"{"api_keys":["secret"]}"#)]
+#[case::weight_negative(r#"{"name":"a","api_keys":["secret"],"weight":-1}"#)]
+#[case::weight_absurd(r#"{"name":"a","api_keys":["secret"],"weight":1e300}"#)]
+#[case::limit_negative(r#"{"name":"a","api_keys":["secret"],"max_count":{"cpu":-5}}"#)]
+#[case::limit_absurd(r#"{"name":"a","api_keys":["secret"],"max_count":{"cpu":5000000000}}"#)]
+fn tenants_that_make_no_sense_are_refused(#[case] tenants: &str) {
+    let why = decode_config(with_tenants(tenants).into()).expect_err("refused");
+    assert!(!why.contains("secret"), "{why}");
+}
+
+#[rstest]
+#[case::none("")]
+#[case::without_keys(r#"{"name":"a"}"#)]
+#[case::key_listed_twice(r#"{"name":"a","api_keys":["secret","secret"],"weight":14}"#)]
+#[case::no_limit(r#"{"name":"a","api_keys":["x"],"max_count":{"cpu":0,"mem_mb":0,"gpu":0}}"#)]
+fn tenants_are_understood(#[case] tenants: &str) {
+    let order = decode_config(with_tenants(tenants).into()).expect("understood");
+    let parsed = format!("{:?}", order.parsed);
+    assert!(!parsed.contains("secret"), "{parsed}");
+}
+
 #[test]
 fn two_routes_in_one_place_are_refused() {
     let route = &CONFIG[CONFIG.find(r#"{"name":"r""#).expect("a route")..];
