What a workspace has running stays within its limit

Cause: a job's workspace and its limit were not known to the dispatcher.

The dispatcher counts all that may run, by workspace: starts that are being agreed, orders without an answer, runs that are carried over to another incarnation or being stopped, those of silent minions until the lease is over, and runs that a minion lists although nobody wants them. It is reckoned anew by each leader from the ledger. A start needs room under the limit as it needs room on its minion; a gang is taken whole or not at all. A limit that was lowered holds back starts that are being agreed and ends the tries of those that were not answered; runs go on.

The first step of a workspace that waits for its limit has room of the limit kept for it, so that small work does not pass a gang by, unless it could not start even if all that ends by itself had ended. What waits for a limit keeps no room of minions, and only the first asks the policy service. Objectives allow for waves where a step is wider than its workspace may run.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -191,7 +191,7 @@
                 return;
             }
             let spec = &step.spec.steps[usize::from(id.step)];
-            if !self.room_to_ask_about(now, id, step, spec) {
+            if !self.is_allowed(step, spec) || !self.room_to_ask_about(now, id, step, spec) {
                 continue;
             }
             if let Some(terms) = step.queue.advice
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -123,7 +123,10 @@
                     };
                     minion.left_unsettled(start, now);
                 }
-                if tries < START_TRIES && run.stop == StopState::No {
+                if tries < START_TRIES
+                    && run.stop == StopState::No
+                    && !self.quotas.is_over(run.owner.as_ref())
+                {
                     self.send_start(now, id, ledger);
                 } else {
                     self.stop_run(now, id);
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -19,6 +19,7 @@
             } => {
                 if fresh {
                     self.set_services(parsed);
+                    self.renew_limits(ledger);
                     self.note(Note::ConfigInForce {
                         version: *version,
                         queues: parsed.queues.len(),
@@ -100,7 +101,7 @@
     }
 
     /// Tasks whose starts are not sent although they are agreed: the log may take seconds, and the
-    /// minion has shrunk, leaves or is gone meanwhile. A gang would wait in vain for a member.
+    /// minion has shrunk, leaves or is gone meanwhile, or a limit was lowered. A gang would wait in vain for a member.
     fn held_back(&self, starts: &[Start], ledger: &Ledger) -> BTreeSet<TaskId> {
         let is_refused = |start: &&Start| {
             let run = self.proposed(start);
@@ -125,7 +126,8 @@
     /// Whether a run that was decided on earlier can still be given to its minion.
     fn still_takes(&self, run: &Run) -> bool {
         let minion = self.minions.get(&run.minion);
-        minion.is_some_and(|m| m.stays() && m.used.fits_in(&m.report.capacity))
+        let fits = minion.is_some_and(|m| m.stays() && m.used.fits_in(&m.report.capacity));
+        fits && !self.quotas.is_over(run.owner.as_ref())
     }
 
     /// A job has ended: nothing of it starts any more, and what runs is stopped.
--- a/src/batch/dispatch/claims.rs
+++ b/src/batch/dispatch/claims.rs
@@ -253,7 +253,10 @@
             need: charged(spec),
         };
         let (units, size) = match spec.grouping {
-            Grouping::Single => (step.waiting.len(), 1),
+            Grouping::Single => {
+                let allowed = self.quotas.times(step.owner.as_ref(), &spec.need);
+                (step.waiting.len().min(allowed as usize), 1)
+            }
             Grouping::Gang => (1, step.waiting.len()),
         };
         for _ in 0..units {
--- a/src/batch/dispatch/gangs.rs
+++ b/src/batch/dispatch/gangs.rs
@@ -19,6 +19,9 @@
         spec: &StepSpec,
         ledger: &Ledger,
     ) {
+        if !self.is_allowed(step, spec) {
+            return;
+        }
         let mut members = step.waiting.iter().map(|index| id.task(*index));
         if !members.all(|task| self.startable(ledger, task).is_some()) {
             return;
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -249,7 +249,8 @@
         if let Some(minion) = self.minions.get_mut(&number) {
             minion.lapsed.extend(suspects);
             minion.used = Resources::default();
-            minion.strays.clear();
+            let strays = std::mem::take(&mut minion.strays);
+            self.discharge(&strays);
         }
     }
 
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -1,8 +1,10 @@
 //! Lists of minions: what runs, what has ended, and what can be told from a run that is in neither.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::mechanisms::Mechanism;
+use super::minion::Stray;
 use super::order::{ListedEnd, ListedRun, Listing, MinionOrder, Order};
 use super::run::{RunState, StopState};
 use super::{Dispatcher, charged};
@@ -10,7 +12,6 @@
 use crate::batch::model::{Checkpoint, EndKind, MinionNumber, RunNumber, TaskId};
 use crate::batch::note::Note;
 use crate::ids::Timestamp;
-use crate::resources::Resources;
 
 /// Ends a minion lists at most; with as many, runs it does not list may be among the rest.
 const ENDS_LISTED: usize = 500;
@@ -81,15 +82,8 @@
         }
         minion.seen_end = end.number;
         self.unacknowledged.insert(number);
-        if minion
-            .strays
-            .remove(&(end.task, end.run))
-            .is_some_and(|(room, _)| {
-                minion.used = minion.used.saturating_sub(&room);
-                true
-            })
-        {
-            self.place_wanted = true;
+        if let Some(stray) = minion.strays.remove(&(end.task, end.run)) {
+            self.stray_over(number, end.task, end.run, &stray);
         }
         let ours = self
             .runs
@@ -215,24 +209,29 @@
         run: RunNumber,
         ledger: &Ledger,
     ) {
-        let need = ledger
-            .jobs
-            .get(&task.step.job)
-            .and_then(|job| job.spec.steps.get(usize::from(task.step.step)))
-            .map_or_else(Resources::default, charged);
         let token = self.term;
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
-        let due = match minion.strays.get(&(task, run)) {
-            Some((_, told)) => now >= *told + STRAY_PAUSE,
+        let due = match minion.strays.get_mut(&(task, run)) {
+            Some(stray) => {
+                let due = now >= stray.told + STRAY_PAUSE;
+                if due {
+                    stray.told = now;
+                }
+                due
+            }
             None => {
-                minion.used = minion.used.saturating_add(&need);
+                let stray = stray(ledger, task, now);
+                minion.used = minion.used.saturating_add(&stray.room);
+                if let Some(charge) = stray.charge(task, run) {
+                    self.quotas.add(charge);
+                }
+                minion.strays.insert((task, run), stray);
                 true
             }
         };
         if due {
-            minion.strays.insert((task, run), (need, now));
             let target = minion.target();
             let stop = MinionOrder::Stop { task, run, token };
             self.out.push(Order::Minion(target, stop));
@@ -298,16 +297,51 @@
             // Once the stop is confirmed, no order begins it any more.
             self.stop_run(now, task);
         }
-        if let Some(minion) = self.minions.get_mut(&number) {
-            // A stray that is neither running nor among the ends has ended before.
-            let strays = std::mem::take(&mut minion.strays);
-            for ((task, run), (room, told)) in strays {
-                if listed(task, run) || told >= sent {
-                    minion.strays.insert((task, run), (room, told));
-                } else {
-                    minion.used = minion.used.saturating_sub(&room);
-                }
+        let Some(minion) = self.minions.get_mut(&number) else {
+            return;
+        };
+        // A stray that is neither running nor among the ends has ended before.
+        let mut over = Vec::new();
+        minion.strays.retain(|(task, run), stray| {
+            let stays = listed(*task, *run) || stray.told >= sent;
+            if !stays {
+                over.push((*task, *run, stray.clone()));
             }
+            stays
+        });
+        for (task, run, stray) in over {
+            self.stray_over(number, task, run, &stray);
         }
     }
+
+    /// Counts strays that are over no more against the limits of their workspaces.
+    pub(super) fn discharge(&mut self, strays: &BTreeMap<(TaskId, RunNumber), Stray>) {
+        for ((task, run), stray) in strays {
+            if let Some(charge) = stray.charge(*task, *run) {
+                self.quotas.remove(charge);
+            }
+        }
+    }
+
+    fn stray_over(&mut self, number: MinionNumber, task: TaskId, run: RunNumber, stray: &Stray) {
+        if let Some(minion) = self.minions.get_mut(&number) {
+            minion.used = minion.used.saturating_sub(&stray.room);
+        }
+        if let Some(charge) = stray.charge(task, run) {
+            self.quotas.remove(charge);
+        }
+        self.place_wanted = true;
+    }
+}
+
+/// A run that is seen for the first time, with what its job says of it.
+fn stray(ledger: &Ledger, task: TaskId, now: Timestamp) -> Stray {
+    let job = ledger.jobs.get(&task.step.job);
+    let spec = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+    let owner = job.and_then(|job| job.owner.clone());
+    Stray {
+        room: spec.map_or_else(Default::default, charged),
+        owned: owner.zip(spec.map(|spec| spec.need)),
+        told: now,
+    }
 }
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -6,10 +6,11 @@
 use super::STALE_ORDERS;
 use super::crashes::Proof;
 use super::order::{Silence, Target};
+use super::quota::Charge;
 use super::speed::Pace;
 use crate::batch::ledger::Crash;
 use crate::batch::model::{MinionNumber, MinionReport, Readiness, RunNumber, TaskId};
-use crate::ids::Timestamp;
+use crate::ids::{Timestamp, WorkspaceName};
 use crate::resources::Resources;
 
 /// A minion's clock may run this much slower than ours; from the platform's contract.
@@ -81,6 +82,30 @@
     }
 }
 
+/// A run that a minion lists and no decision of ours stands behind.
+#[derive(Clone, Debug)]
+pub(super) struct Stray {
+    /// Room that it takes of its minion.
+    pub(super) room: Resources,
+    /// What it counts against the limit of its workspace, if its job is known.
+    pub(super) owned: Option<(WorkspaceName, Resources)>,
+    /// When the minion was last told to stop it.
+    pub(super) told: Timestamp,
+}
+
+impl Stray {
+    /// How it counts against the limit of its workspace.
+    pub(super) fn charge(&self, task: TaskId, run: RunNumber) -> Option<Charge<'_>> {
+        let (owner, need) = self.owned.as_ref()?;
+        Some(Charge {
+            owner,
+            run: (task, run),
+            need: *need,
+            lasting: false,
+        })
+    }
+}
+
 /// One incarnation of a minion.
 #[derive(Debug)]
 pub(super) struct Minion {
@@ -123,7 +148,7 @@
     pub(super) serving: u32,
     pub(super) runs: BTreeSet<TaskId>,
     /// Runs that the minion lists and no decision of ours stands behind, with their room.
-    pub(super) strays: BTreeMap<(TaskId, RunNumber), (Resources, Timestamp)>,
+    pub(super) strays: BTreeMap<(TaskId, RunNumber), Stray>,
     /// Runs on trial; nothing else starts beside one.
     pub(super) trials: u32,
     /// Runs whose lease ran out while it was silent, and that caused its crash if it crashed.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -22,6 +22,7 @@
 mod profile;
 mod prospects;
 mod questions;
+mod quota;
 mod ready;
 mod reports;
 mod restarts;
@@ -105,6 +106,8 @@
     levels: scarcity::Levels,
     /// What minions' runs should give back, and when that was reckoned.
     releases: RefCell<HashMap<MinionNumber, (Timestamp, forecast::Releases)>>,
+    /// Limits of workspaces, and what counts against them.
+    quotas: quota::Quotas,
     /// Room kept for tasks that wait, in the present round.
     claims: claims::Claims,
     /// What the next batch will hold.
@@ -166,6 +169,7 @@
             rooms: HashMap::new(),
             levels: scarcity::Levels::default(),
             releases: RefCell::new(HashMap::new()),
+            quotas: quota::Quotas::default(),
             claims: claims::Claims::default(),
             batch: Batch::default(),
             touched: BTreeSet::new(),
@@ -192,6 +196,7 @@
             minion.assumed_until = assumed;
             d.add_minion(minion);
         }
+        d.renew_limits(ledger);
         for job in ledger.jobs.values() {
             d.profiles.declared(job);
         }
@@ -243,6 +248,7 @@
             let mut run = Run::new(task.run, number, (spec, &job.queue), checkpoint, now);
             run.state = RunState::InDoubt;
             run.stop = stop;
+            run.owner = job.owner.clone();
             self.add_run(task_id, run);
         }
         if !job.state.is_final() {
@@ -283,6 +289,7 @@
         }
         self.unacknowledged.remove(&minion.number);
         self.forget_releases(minion.number);
+        self.discharge(&minion.strays);
         self.batch.gone.push(minion.number);
     }
 
@@ -311,6 +318,9 @@
             minion.trials += u32::from(run.suspicion == Suspicion::Trial);
             minion.runs.insert(id);
         }
+        if let Some(charge) = run.charge(id) {
+            self.quotas.add(charge);
+        }
         if run.is_leaving() {
             self.leaving.insert(id);
         }
@@ -329,6 +339,9 @@
 
     fn free_room(&mut self, id: TaskId, run: &Run) {
         self.forget_releases(run.minion);
+        if let Some(charge) = run.charge(id) {
+            self.quotas.remove(charge);
+        }
         if let Some(minion) = self.minions.get_mut(&run.minion)
             && minion.runs.remove(&id)
         {
--- a/src/batch/dispatch/objective.rs
+++ b/src/batch/dispatch/objective.rs
@@ -12,8 +12,8 @@
 use crate::ids::{ServiceName, Timestamp};
 use crate::resources::Resources;
 
-/// A step that needs more than this part of its service's room may run in several waves, and its
-/// objective allows for them; from the platform's contract.
+/// A step that needs more than this part of its service's room, or than its workspace may run, may run
+/// in several waves, and its objective allows for them; from the platform's contract.
 const WAVE_PART: f64 = 0.25;
 /// Age up to which the room of each service is used again; minions join and leave by the second.
 const CAPACITY_KEPT: Duration = Duration::from_secs(1);
@@ -130,8 +130,11 @@
             return 1;
         };
         let share = charged(step).dominant_share(room) * f64::from(step.count);
-        (share / WAVE_PART)
-            .ceil()
-            .clamp(1.0, f64::from(step.count.max(1))) as u32
+        let own = job.owner.as_ref().and_then(|name| self.quotas.limit(name));
+        let own = own.map_or(0.0, |limit| {
+            step.need.dominant_share(limit) * f64::from(step.count)
+        });
+        let waves = (share / WAVE_PART).max(own).ceil();
+        waves.clamp(1.0, f64::from(step.count.max(1))) as u32
     }
 }
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -6,6 +6,7 @@
 use super::crashes::Suspicion;
 use super::mechanisms::Mechanism;
 use super::minion::Minion;
+use super::quota::LimitState;
 use super::run::{Run, charged};
 use super::scarcity::Level;
 use super::speed::Slowness;
@@ -40,6 +41,7 @@
         self.place_at = now + PLACE_AGAIN;
         self.renew_levels(now);
         self.claims = self.claims.next_round(now);
+        self.quotas.next_round();
         let order = self.service_order(unix);
         let mut started = 0;
         for id in &order {
@@ -81,6 +83,15 @@
         if step.waiting.is_empty() {
             return placed;
         }
+        let state = self.limit_state(&step, spec);
+        if state != LimitState::Open {
+            // The first of those that wait for the limit has its tickets when its turn comes.
+            if let (LimitState::Next, Some(terms)) = (state, step.queue.advice) {
+                self.ask(now, id, &step, terms, Turn::Now);
+            }
+            self.ready.insert(id, step);
+            return placed;
+        }
         // A question about a lasting task names the minions on which room is kept for it.
         if step.is_lasting() {
             self.claim_room(now, unix, id, &step);
@@ -104,6 +115,9 @@
         ledger: &Ledger,
     ) {
         while let Some(index) = step.waiting.first().copied() {
+            if !self.is_allowed(step, spec) {
+                return;
+            }
             let task = id.task(index);
             let Some(record) = self.startable(ledger, task) else {
                 step.waiting.remove(0);
@@ -300,6 +314,7 @@
         });
         let checkpoint = record.checkpoint.clone();
         let mut run = Run::new(run, number, (spec, &step.queue), checkpoint, now);
+        run.owner = step.owner.clone();
         run.expected = self.expected_time(&step.queue.name, run.estimate);
         if record.crashes.are_suspect() {
             run.suspicion = Suspicion::Trial;
--- /dev/null
+++ b/src/batch/dispatch/quota.rs
@@ -0,0 +1,200 @@
+//! What each workspace has running, against what it may have.
+//!
+//! All that may run counts: starts that are being agreed, orders without an answer, runs that are
+//! being stopped, and runs of silent minions until their leases are over.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Dispatcher;
+use super::ready::ReadyStep;
+use crate::batch::ledger::Ledger;
+use crate::batch::model::{Grouping, RunNumber, StepSpec, TaskId};
+use crate::ids::WorkspaceName;
+use crate::resources::Resources;
+
+/// What one workspace has running.
+#[derive(Debug, Default)]
+struct Usage {
+    runs: BTreeSet<(TaskId, RunNumber)>,
+    all: Resources,
+    /// Part of it that does not end by itself.
+    lasting: Resources,
+}
+
+/// A run as it counts against a limit.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Charge<'a> {
+    pub(super) owner: &'a WorkspaceName,
+    pub(super) run: (TaskId, RunNumber),
+    pub(super) need: Resources,
+    pub(super) lasting: bool,
+}
+
+/// Whether the limit of a step's workspace lets it start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LimitState {
+    /// It does.
+    Open,
+    /// It does not, and the step is the first of its workspace that waits for that.
+    Next,
+    /// It does not, and others of its workspace come first.
+    Behind,
+}
+
+/// Limits and use of all workspaces.
+#[derive(Debug, Default)]
+pub(super) struct Quotas {
+    limits: BTreeMap<WorkspaceName, Resources>,
+    used: BTreeMap<WorkspaceName, Usage>,
+    /// Kept in the present round for the first step of each workspace that waits for it.
+    kept: BTreeMap<WorkspaceName, Resources>,
+}
+
+impl Quotas {
+    /// Takes limits in place of all former ones. Runs above a lowered one go on.
+    pub(super) fn set_limits(&mut self, limits: impl Iterator<Item = (WorkspaceName, Resources)>) {
+        self.limits = limits
+            .map(|(name, limit)| (name, or_unlimited(limit)))
+            .collect();
+    }
+
+    /// Counts a run, once.
+    pub(super) fn add(&mut self, charge: Charge) {
+        let used = self.used.entry(charge.owner.clone()).or_default();
+        if !used.runs.insert(charge.run) {
+            return;
+        }
+        used.all = used.all.saturating_add(&charge.need);
+        if charge.lasting {
+            used.lasting = used.lasting.saturating_add(&charge.need);
+        }
+    }
+
+    /// Counts a run no more.
+    pub(super) fn remove(&mut self, charge: Charge) {
+        let Some(used) = self.used.get_mut(charge.owner) else {
+            return;
+        };
+        if !used.runs.remove(&charge.run) {
+            return;
+        }
+        used.all = used.all.saturating_sub(&charge.need);
+        if charge.lasting {
+            used.lasting = used.lasting.saturating_sub(&charge.need);
+        }
+        if used.runs.is_empty() {
+            self.used.remove(charge.owner);
+        }
+    }
+
+    /// Forgets what was kept in the round before.
+    pub(super) fn next_round(&mut self) {
+        self.kept.clear();
+    }
+
+    /// How many tasks of this need may start now.
+    pub(super) fn times(&self, owner: Option<&WorkspaceName>, need: &Resources) -> u32 {
+        owner
+            .and_then(|owner| self.room(owner))
+            .map_or(u32::MAX, |room| need.times_in(&room))
+    }
+
+    /// Whether a workspace has more running than it may.
+    pub(super) fn is_over(&self, owner: Option<&WorkspaceName>) -> bool {
+        let over = |owner: &WorkspaceName| {
+            let limit = self.limits.get(owner)?;
+            Some(!self.used.get(owner)?.all.fits_in(limit))
+        };
+        owner.and_then(over).unwrap_or(false)
+    }
+
+    /// What a workspace has running.
+    pub(super) fn used(&self, owner: &WorkspaceName) -> Resources {
+        self.used
+            .get(owner)
+            .map_or(Resources::ZERO, |used| used.all)
+    }
+
+    /// The limit of a workspace; `None` when it has none.
+    pub(super) fn limit(&self, owner: &WorkspaceName) -> Option<&Resources> {
+        self.limits.get(owner)
+    }
+
+    /// What a workspace may still start in this round; `None` without a limit.
+    fn room(&self, owner: &WorkspaceName) -> Option<Resources> {
+        let room = self.limits.get(owner)?.saturating_sub(&self.used(owner));
+        let kept = self.kept.get(owner);
+        Some(kept.map_or(room, |kept| room.saturating_sub(kept)))
+    }
+
+    /// Keeps the limit's room for what waits for it; false if other work came before.
+    ///
+    /// Without it small tasks would take each part as it comes free, and a large task or a gang
+    /// would wait for as long as there are small ones. What could not start even if all that ends
+    /// by itself had ended is not waited for.
+    fn keep(&mut self, owner: &WorkspaceName, need: &Resources) -> bool {
+        if self.kept.contains_key(owner) {
+            return false;
+        }
+        let Some(limit) = self.limits.get(owner) else {
+            return false;
+        };
+        let lasting = self.used.get(owner).map_or(Resources::ZERO, |u| u.lasting);
+        let comes_free = limit.saturating_sub(&lasting);
+        if need.fits_in(&comes_free) {
+            self.kept.insert(owner.clone(), *need);
+            return true;
+        }
+        false
+    }
+}
+
+/// A limit of zero is none.
+fn or_unlimited(limit: Resources) -> Resources {
+    let unit = |unit: u32| if unit == 0 { u32::MAX } else { unit };
+    Resources {
+        millicores: unit(limit.millicores),
+        memory_mb: unit(limit.memory_mb),
+        accelerators: unit(limit.accelerators),
+    }
+}
+
+/// What the tasks of a step that start together count against a limit.
+fn wanted(step: &ReadyStep, spec: &StepSpec) -> Resources {
+    match spec.grouping {
+        Grouping::Single => spec.need,
+        Grouping::Gang => {
+            let members = step.waiting.len() as u32;
+            spec.need.saturating_mul(members)
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Takes the limits that are in force.
+    pub(super) fn renew_limits(&mut self, ledger: &Ledger) {
+        let limits = ledger.workspaces();
+        self.quotas
+            .set_limits(limits.map(|(name, workspace)| (name.clone(), workspace.limit)));
+        self.place_wanted = true;
+    }
+
+    /// Whether the limit of a step's workspace lets any of its tasks start. Where it does not, the
+    /// first such step in the order of service has room of the limit kept for it.
+    pub(super) fn limit_state(&mut self, step: &ReadyStep, spec: &StepSpec) -> LimitState {
+        let wanted = wanted(step, spec);
+        let owner = step.owner.as_ref();
+        if self.quotas.times(owner, &wanted) > 0 {
+            return LimitState::Open;
+        }
+        match owner.is_some_and(|owner| self.quotas.keep(owner, &wanted)) {
+            true => LimitState::Next,
+            false => LimitState::Behind,
+        }
+    }
+
+    /// The same without keeping anything.
+    pub(super) fn is_allowed(&self, step: &ReadyStep, spec: &StepSpec) -> bool {
+        self.quotas.times(step.owner.as_ref(), &wanted(step, spec)) > 0
+    }
+}
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -9,7 +9,7 @@
 use super::mechanisms::Mechanism;
 use crate::batch::ledger::{Job, Ledger, TaskState};
 use crate::batch::model::{Grouping, JobId, JobSpec, Lifetime, Queue, StepId};
-use crate::ids::Timestamp;
+use crate::ids::{Timestamp, WorkspaceName};
 
 /// Place in the order of service; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,6 +30,8 @@
     pub(super) key: OrderKey,
     pub(super) spec: Arc<JobSpec>,
     pub(super) queue: Arc<Queue>,
+    /// Workspace of its job.
+    pub(super) owner: Option<WorkspaceName>,
     pub(super) accepted: Timestamp,
     /// Since when it has had tasks that wait, by the steady clock.
     pub(super) since: Timestamp,
@@ -163,6 +165,7 @@
             key,
             spec: Arc::clone(&job.spec),
             queue: Arc::clone(&job.queue),
+            owner: job.owner.clone(),
             accepted: job.accepted,
             since,
             look_at: since,
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -6,11 +6,12 @@
 
 use super::crashes::Suspicion;
 use super::forecast::Progress;
+use super::quota::Charge;
 use crate::batch::ledger::Certainty;
 use crate::batch::model::{
-    Checkpoint, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec,
+    Checkpoint, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec, TaskId,
 };
-use crate::ids::Timestamp;
+use crate::ids::{Timestamp, WorkspaceName};
 use crate::resources::Resources;
 
 /// Where a run stands.
@@ -71,6 +72,8 @@
     pub(super) checkpoint: Checkpoint,
     /// Whether it goes on from saved progress.
     pub(super) resumed: bool,
+    /// Workspace of its job.
+    pub(super) owner: Option<WorkspaceName>,
     /// Its queue.
     pub(super) queue: CompactString,
     /// Priority of its queue; 0 comes first.
@@ -122,6 +125,7 @@
             begun: None,
             resumed: !checkpoint.is_empty(),
             checkpoint,
+            owner: None,
             queue: queue.name.clone(),
             priority: queue.priority,
             ends: spec.lifetime == Lifetime::Finite,
@@ -145,6 +149,20 @@
         begun.map_or(Duration::ZERO, |at| now.saturating_sub(at))
     }
 
+    /// How it counts against the limit of its workspace: tasks that fill with all that they need.
+    pub(super) fn charge(&self, task: TaskId) -> Option<Charge<'_>> {
+        let need = Resources {
+            millicores: self.need.millicores.max(self.fills),
+            ..self.need
+        };
+        Some(Charge {
+            owner: self.owner.as_ref()?,
+            run: (task, self.run),
+            need,
+            lasting: !self.ends,
+        })
+    }
+
     /// Whether it was told to stop and its room will come free.
     pub(super) fn is_leaving(&self) -> bool {
         self.stop != StopState::No
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -108,6 +108,15 @@
         })
     }
 
+    /// Multiplies each unit by a number of tasks, up to the largest amount there is.
+    pub const fn saturating_mul(&self, n: u32) -> Self {
+        Self {
+            millicores: self.millicores.saturating_mul(n),
+            memory_mb: self.memory_mb.saturating_mul(n),
+            accelerators: self.accelerators.saturating_mul(n),
+        }
+    }
+
     /// Multiplies each unit by a number of tasks, or nothing on overflow.
     pub fn checked_mul(&self, n: u32) -> Option<Self> {
         Some(Self {
--- /dev/null
+++ b/tests/batch_quota.rs
@@ -0,0 +1,216 @@
+//! What a workspace has running stays within its limit.
+
+mod batch_world;
+
+use batch_world::{JOB, World, gang, lasting, listed, ms, plans, queue, saving, step};
+use rstest::rstest;
+use yuccahold::batch::dispatch::{Answer, ListedEnd, Silence, StartOrder};
+use yuccahold::batch::model::{EndKind, MinionNumber, StepSpec};
+
+/// A cell of eight minions with 32 cores each, where workspace `a` may have ten in use.
+fn world() -> World {
+    let mut world = World::new();
+    world.join_all("i", 1..9);
+    world.limit(1, &[("a", 10), ("b", 100)]);
+    world
+}
+
+/// The first runs of those that were started on one minion end, and the others go on.
+fn end_first(world: &mut World, starts: &[(MinionNumber, StartOrder)], count: usize) {
+    let (over, on) = starts.split_at(count);
+    let minion = starts[0].0;
+    assert!(starts.iter().all(|(other, _)| *other == minion));
+    let ended = over.iter().zip(1..).map(|((_, start), number)| ListedEnd {
+        number,
+        task: start.task,
+        run: start.run,
+        kind: EndKind::Done,
+        checkpoint: Default::default(),
+    });
+    let running = on.iter().map(|(_, start)| listed(start));
+    world.list(minion, running.collect(), ended.collect());
+}
+
+/// A workspace gets more than it may have: within one step, over steps, or over jobs.
+#[rstest]
+#[case::one_step(vec![vec![(20, 1000)]])]
+#[case::several_steps(vec![vec![(6, 1000), (6, 1000)]])]
+#[case::several_jobs(vec![vec![(6, 1000)], vec![(6, 1000)], vec![(6, 1000)]])]
+fn no_more_starts_than_the_limit(#[case] jobs: Vec<Vec<(u32, u32)>>) {
+    let mut world = world();
+    for (i, steps) in jobs.iter().enumerate() {
+        let steps = steps.iter().map(|(count, need)| step(*count, *need));
+        world.submit_for("a", JOB + i as u64, queue(), steps.collect());
+    }
+    assert_eq!(world.take_starts().len(), 10);
+    world.submit_for("b", JOB + 90, queue(), vec![step(20, 1000)]);
+    assert_eq!(
+        world.take_starts().len(),
+        20,
+        "the other's limit is its own"
+    );
+    world.submit_to(JOB + 91, queue(), vec![step(20, 1000)]);
+    assert_eq!(world.take_starts().len(), 20, "no workspace, no limit");
+}
+
+/// Room of the limit is given again while a run may still be at work.
+#[test]
+fn a_run_that_is_being_stopped_counts() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(10, 1000)]);
+    let starts = world.start_all();
+    world.apply(&yuccahold::batch::ledger::Command::Cancel { job: JOB });
+    world.submit_for("a", JOB + 1, queue(), vec![step(10, 1000)]);
+    assert_eq!(world.take_starts().len(), 0, "nothing has stopped yet");
+    end_first(&mut world, &starts, 10);
+    assert_eq!(world.take_starts().len(), 10);
+}
+
+/// A start without an answer may be carried out late, beside those that took its place.
+#[test]
+fn a_start_in_doubt_counts() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(1, 10_000)]);
+    let (minion, start) = world.take_starts().pop().expect("a start");
+    world.submit_for("a", JOB + 1, queue(), vec![step(1, 10_000)]);
+    for _ in 0..4 {
+        let silent = Answer::Silent(Silence::Lost);
+        world.answer_start(minion, start.task, start.run, silent);
+    }
+    let others = world.take_starts();
+    assert!(others.iter().all(|(_, other)| other.task == start.task));
+}
+
+/// The next leader knows nothing of what runs, and gives the limit a second time.
+#[test]
+fn the_next_leader_counts_what_runs() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(10, 1000)]);
+    let runs = world.start_all();
+    world.submit_for("a", JOB + 1, queue(), vec![step(10, 1000)]);
+    world.new_leader(2);
+    for port in 2..9 {
+        world.answer_first_hold_of(&format!("i-{port}"));
+    }
+    assert_eq!(world.take_starts().len(), 0, "one minion is not heard yet");
+    end_first(&mut world, &runs, 4);
+    assert_eq!(world.take_starts().len(), 4);
+}
+
+/// A limit is lowered while starts are being agreed, and they leave all the same.
+#[test]
+fn a_lowered_limit_holds_back_starts_that_are_being_agreed() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(4, 1000)]);
+    assert_eq!(world.start_all().len(), 4);
+    let spec = vec![step(6, 1000)];
+    world.accept_for("a", JOB + 1, queue(), spec);
+    let batch = world.propose_only().expect("starts");
+    world.limit(2, &[("a", 5)]);
+    world.agree(batch);
+    assert!(world.take_starts().len() <= 1);
+}
+
+/// A start is repeated after the limit was lowered below what runs.
+#[test]
+fn a_lowered_limit_ends_the_tries_of_a_start() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(4, 1000)]);
+    let (minion, start) = world.take_starts().pop().expect("a start");
+    world.limit(2, &[("a", 2)]);
+    world.answer_start(minion, start.task, start.run, Answer::Silent(Silence::Lost));
+    assert_eq!(world.take_starts().len(), 0);
+    assert_eq!(world.take_stops().len(), 1);
+}
+
+/// A raised limit wakes nobody.
+#[test]
+fn a_raised_limit_lets_waiting_work_start() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(15, 1000)]);
+    assert_eq!(world.start_all().len(), 10);
+    world.limit(2, &[("a", 12)]);
+    world.pass(ms(20));
+    assert_eq!(world.take_starts().len(), 2);
+}
+
+/// With its workspace its limit is gone, and its waiting work takes the cell.
+#[test]
+fn the_limit_of_a_removed_workspace_stays_while_it_has_jobs() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(20, 1000)]);
+    let starts = world.start_all();
+    world.limit(2, &[("b", 100)]);
+    end_first(&mut world, &starts, 10);
+    assert_eq!(world.take_starts().len(), 10);
+    world.new_leader(2);
+    assert_eq!(world.take_starts().len(), 0, "all is in use");
+}
+
+/// A gang starts in part, or past the limit.
+#[rstest]
+#[case::fits(10, 10)]
+#[case::too_wide(11, 0)]
+fn a_gang_starts_whole_within_the_limit(#[case] members: u32, #[case] started: usize) {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![gang(members, 1000)]);
+    assert_eq!(world.take_starts().len(), started);
+}
+
+/// Small tasks take each part of the limit as it comes free, and a gang waits without end.
+#[test]
+fn a_gang_at_the_limit_is_not_passed_over() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![step(10, 1000)]);
+    let running = world.start_all();
+    world.submit_for("a", JOB + 1, queue(), vec![gang(8, 1000)]);
+    for i in 0..10 {
+        world.submit_for("a", JOB + 2 + i, plans(), vec![saving(1, 1000)]);
+    }
+    for count in [3, 8] {
+        assert_eq!(world.take_starts().len(), 0);
+        end_first(&mut world, &running, count);
+    }
+    let starts = world.take_starts();
+    assert_eq!(starts.len(), 8);
+    assert!(
+        starts
+            .iter()
+            .all(|(_, start)| start.task.step.job == JOB + 1)
+    );
+}
+
+/// Work that can never run under the limit keeps all other work of its workspace waiting.
+#[rstest]
+#[case::too_wide(vec![gang(11, 1000)])]
+#[case::too_large(vec![step(1, 11_000)])]
+fn what_cannot_run_keeps_nothing(#[case] steps: Vec<StepSpec>) {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), steps);
+    world.submit_for("a", JOB + 1, plans(), vec![saving(4, 1000)]);
+    assert_eq!(world.take_starts().len(), 4);
+}
+
+/// Lasting work fills the limit for good, and what would need that part of it blocks the rest.
+#[test]
+fn what_waits_for_lasting_work_keeps_nothing() {
+    let mut world = world();
+    world.submit_for("a", JOB, queue(), vec![lasting(5, 1000)]);
+    world.start_all();
+    world.submit_for("a", JOB + 1, queue(), vec![gang(6, 1000)]);
+    world.submit_for("a", JOB + 2, plans(), vec![saving(5, 1000)]);
+    assert_eq!(world.take_starts().len(), 5);
+}
+
+/// Work of a workspace at its limit keeps room of minions from others.
+#[test]
+fn work_at_its_limit_keeps_no_room_of_minions() {
+    let mut world = World::new();
+    world.join("i-1", 1);
+    world.limit(1, &[("a", 10), ("b", 100)]);
+    world.submit_for("a", JOB, queue(), vec![step(1, 10_000)]);
+    assert_eq!(world.start_all().len(), 1);
+    world.submit_for("a", JOB + 1, queue(), vec![step(1, 10_000)]);
+    world.submit_for("b", JOB + 2, plans(), vec![saving(22, 1000)]);
+    assert_eq!(world.take_starts().len(), 22);
+}
