--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -26,11 +26,14 @@
                     });
                 }
             }
-            Command::Submit { job, queue, .. } => {
+            Command::Submit {
+                job, queue, owner, ..
+            } => {
                 if fresh {
                     self.note(Note::JobAccepted {
                         job: *job,
                         queue: queue.name.clone(),
+                        workspace: owner.clone(),
                         unstarted: ledger.unstarted.len(),
                     });
                     if let Some(job) = ledger.jobs.get(job) {
--- a/src/batch/dispatch/census.rs
+++ b/src/batch/dispatch/census.rs
@@ -1,11 +1,12 @@
 //! What the leader tells of the cell as a whole, and of the steps that wait longest.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{Dispatcher, ReadyStep, charged};
 use crate::batch::model::StepId;
 use crate::batch::note::Note;
-use crate::ids::Timestamp;
+use crate::ids::{Timestamp, WorkspaceName};
 use crate::resources::Resources;
 
 /// Time between two tellings; an operator's graph needs no finer steps.
@@ -14,6 +15,8 @@
 const LONG: Duration = Duration::from_secs(3);
 /// Steps told of at once, the first in the order of service; a long queue is no longer log.
 const TOLD: usize = 4;
+/// Workspaces told of at once.
+const WORKSPACES_TOLD: usize = 64;
 
 impl Dispatcher {
     /// Tells how full the cell is and which steps wait, once a second.
@@ -36,6 +39,9 @@
             agents: self.agents,
         };
         self.note(cell);
+        for note in self.workspace_uses() {
+            self.note(note);
+        }
         let order = self.service_order(unix);
         let long = order.iter().filter_map(|id| {
             let step = self.ready.get(id)?;
@@ -62,6 +68,36 @@
             tickets: suitable.len(),
             room: with_room.count(),
             asked: knowledge.is_some_and(|k| k.is_asked()),
+            limited: !self.is_allowed(step, spec),
+        }
+    }
+
+    /// Workspaces with a limit, those that are nearest to it first.
+    fn workspace_uses(&self) -> Vec<Note> {
+        let mut waiting: BTreeMap<&WorkspaceName, (usize, usize)> = BTreeMap::new();
+        for (id, step) in &self.ready {
+            let Some(owner) = &step.owner else { continue };
+            let tasks = step.waiting.len();
+            let counted = waiting.entry(owner).or_default();
+            counted.0 += tasks;
+            if !self.is_allowed(step, &step.spec.steps[usize::from(id.step)]) {
+                counted.1 += tasks;
+            }
         }
+        let mut uses: Vec<_> = self.quotas.uses().collect();
+        let parts = |(_, used, limit): &(_, Resources, Resources)| used.dominant_share(limit);
+        uses.sort_by(|a, b| parts(b).total_cmp(&parts(a)));
+        uses.truncate(WORKSPACES_TOLD);
+        let uses = uses.into_iter().map(|(name, used, limit)| {
+            let (waiting, limited) = waiting.get(name).copied().unwrap_or_default();
+            Note::WorkspaceUse {
+                workspace: name.clone(),
+                used,
+                limit,
+                waiting,
+                limited,
+            }
+        });
+        uses.collect()
     }
 }
--- a/src/batch/dispatch/quota.rs
+++ b/src/batch/dispatch/quota.rs
@@ -120,6 +120,12 @@
         self.limits.get(owner)
     }
 
+    /// Workspaces with a limit, each with what it has running and may have.
+    pub(super) fn uses(&self) -> impl Iterator<Item = (&WorkspaceName, Resources, Resources)> {
+        let limits = self.limits.iter();
+        limits.map(|(owner, limit)| (owner, self.used(owner), *limit))
+    }
+
     /// What a workspace may still start in this round; `None` without a limit.
     fn room(&self, owner: &WorkspaceName) -> Option<Resources> {
         let room = self.limits.get(owner)?.saturating_sub(&self.used(owner));
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -6,7 +6,7 @@
 
 use super::ledger::Certainty;
 use super::model::{ConfigVersion, EndKind, JobId, RunNumber, StepId, TaskId};
-use crate::ids::{MinionId, Term, Timestamp};
+use crate::ids::{MinionId, Term, Timestamp, WorkspaceName};
 use crate::resources::Resources;
 
 /// One decision, or one change of what the leader believes.
@@ -18,6 +18,8 @@
         job: JobId,
         /// Its queue.
         queue: CompactString,
+        /// Workspace that handed it in.
+        workspace: Option<WorkspaceName>,
         /// Jobs of all queues that no task of has started.
         unstarted: usize,
     },
@@ -212,6 +214,21 @@
         room: usize,
         /// Whether a question about it is on the way.
         asked: bool,
+        /// Whether it waits for the limit of its workspace.
+        limited: bool,
+    },
+    /// What a workspace has running and what waits.
+    WorkspaceUse {
+        /// Which.
+        workspace: WorkspaceName,
+        /// What it has running.
+        used: Resources,
+        /// What it may have.
+        limit: Resources,
+        /// Its tasks that wait, for whatever reason.
+        waiting: usize,
+        /// Those of them whose steps wait for its limit.
+        limited: usize,
     },
     /// The whole cell, as the leader counts it.
     Cell {
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -14,9 +14,11 @@
         Note::JobAccepted {
             job,
             queue,
+            workspace,
             unstarted,
         } => info!(log, "job accepted"; "job" => format!("{job:016x}"),
-            "queue" => queue.as_str(), "unstarted" => unstarted),
+            "queue" => queue.as_str(), "workspace" => workspace.as_deref(),
+            "unstarted" => unstarted),
         Note::JobEnded { job, state, age } => info!(log, "job ended";
             "job" => format!("{job:016x}"), "state" => state, "age_ms" => ms(age)),
         Note::RunPlaced {
@@ -113,9 +115,26 @@
             tickets,
             room,
             asked,
+            limited,
         } => info!(log, "step waits"; "step" => %step, "waiting" => waiting,
             "age_ms" => ms(age), "good" => good, "tickets" => tickets, "room" => room,
-            "asked" => asked),
+            "asked" => asked, "limited" => limited),
+        Note::WorkspaceUse {
+            workspace,
+            used,
+            limit,
+            waiting,
+            limited,
+        } => {
+            if *limited > 0 {
+                info!(log, "workspace at its limit"; "workspace" => workspace.as_str(),
+                    "used_millicores" => used.millicores, "millicores" => limit.millicores,
+                    "used_mb" => used.memory_mb, "mb" => limit.memory_mb,
+                    "used_accelerators" => used.accelerators,
+                    "accelerators" => limit.accelerators,
+                    "waiting" => waiting, "limited" => limited);
+            }
+        }
         Note::Cell {
             minions,
             used,
@@ -193,6 +212,21 @@
             counter!("yuccahold_batch_runs_preempted_total").increment(1);
         }
         Note::StepWaits { .. } => {}
+        Note::WorkspaceUse {
+            workspace,
+            used,
+            limit,
+            waiting,
+            limited,
+        } => {
+            let name = || workspace.to_string();
+            let share = used.dominant_share(limit);
+            gauge!("yuccahold_batch_workspace_limit_share", "workspace" => name()).set(share);
+            gauge!("yuccahold_batch_workspace_tasks_waiting", "workspace" => name())
+                .set(*waiting as f64);
+            gauge!("yuccahold_batch_workspace_tasks_limited", "workspace" => name())
+                .set(*limited as f64);
+        }
         Note::RowsUnreadable { rows, .. } => {
             counter!("yuccahold_platform_unreadable_rows_total", "list" => "runs")
                 .increment(u64::from(*rows));
