The soak has workspaces: keys that are taken away, limits that change

A third profile plays callers of two workspaces around the real programs, under faults of every kind: keys are replaced and limits changed while jobs run, and calls are made with keys that were taken away or never given.

--- a/tests/platform_cell/book.rs
+++ b/tests/platform_cell/book.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use super::workspaces::Workspaces;
+
 /// What one task takes of its minion.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Need {
@@ -40,12 +42,17 @@
     refused: BTreeSet<String>,
     accepted: BTreeSet<String>,
     cancelled: BTreeSet<String>,
+    /// Workspace of each job that has one.
+    owners: BTreeMap<String, usize>,
     broken: Vec<String>,
 }
 
 /// Shared record of one soak.
 #[derive(Clone, Default)]
-pub struct Book(Arc<Mutex<Pages>>);
+pub struct Book {
+    pages: Arc<Mutex<Pages>>,
+    pub workspaces: Workspaces,
+}
 
 fn job_of(task: &str) -> &str {
     task.split('.').next().unwrap_or(task)
@@ -53,7 +60,7 @@
 
 impl Book {
     fn lock(&self) -> MutexGuard<'_, Pages> {
-        self.0.lock().expect("no holder panics")
+        self.pages.lock().expect("no holder panics")
     }
 
     /// A minion with this room has begun a run.
@@ -79,6 +86,13 @@
         let used = pages.used.entry(minion.to_owned()).or_default();
         used.millicores += need.millicores;
         used.memory_mb += need.memory_mb;
+        let used = *used;
+        if let Some(owner) = pages.owners.get(job_of(task)).copied()
+            && !self.workspaces.begun(owner, need.millicores)
+        {
+            let text = format!("QUOTA workspace {owner}: run {run} of {task} on {minion}");
+            pages.broken.push(text);
+        }
         if used.millicores > room.millicores || used.memory_mb > room.memory_mb {
             let text = format!("LIMIT {minion}: {used:?} with run {run} of {task}");
             pages.broken.push(text);
@@ -95,6 +109,9 @@
             used.millicores -= need.millicores;
             used.memory_mb -= need.memory_mb;
         }
+        if let Some(owner) = pages.owners.get(job_of(task)) {
+            self.workspaces.over(*owner, need.millicores);
+        }
         if failed {
             *pages.failures.entry(task.to_owned()).or_default() += 1;
         }
@@ -124,6 +141,16 @@
         self.lock().done.insert(task.to_owned());
     }
 
+    /// A job is about to be handed in by a workspace.
+    pub fn owned(&self, job: &str, workspace: usize) {
+        self.lock().owners.insert(job.to_owned(), workspace);
+    }
+
+    /// Workspace that a job was handed in by.
+    pub fn owner(&self, job: &str) -> Option<usize> {
+        self.lock().owners.get(job).copied()
+    }
+
     pub fn accepted(&self, job: &str) {
         self.lock().accepted.insert(job.to_owned());
     }
--- a/tests/platform_cell/caller.rs
+++ b/tests/platform_cell/caller.rs
@@ -11,6 +11,7 @@
 
 use super::book::{Book, Need};
 use super::payload::Payload;
+use super::workspaces::SentKey;
 
 pub const HOST: &str = "desk.example";
 pub const PREFIX: &str = "/jobs/";
@@ -31,6 +32,8 @@
     book: Book,
     /// Part of the jobs with a task that crashes the minions that start it.
     pub crash_share: f64,
+    /// Workspace that it belongs to, where there are any.
+    pub workspace: usize,
 }
 
 impl Caller {
@@ -41,6 +44,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             book,
             crash_share: 0.0,
+            workspace: 0,
         }
     }
 
@@ -48,6 +52,12 @@
     pub async fn run(mut self, end: Instant) {
         while Instant::now() < end {
             let job = format!("{:016x}", self.rng.random::<u64>());
+            if self.book.workspaces.key(self.workspace, 0).is_some() {
+                self.book.owned(&job, self.workspace);
+            }
+            if self.rng.random_bool(0.2) {
+                self.try_in_vain(&job).await;
+            }
             if self.submit(&job).await {
                 if self.rng.random_bool(0.1) {
                     self.cancel(&job).await;
@@ -109,6 +119,17 @@
         false
     }
 
+    /// A call with a key that is no longer in force.
+    async fn try_in_vain(&mut self, job: &str) {
+        let age = self.rng.random_range(1..=2);
+        let Some(key) = self.book.workspaces.key(self.workspace, age) else {
+            return;
+        };
+        let body = self.job();
+        self.ask_with(Some(key), reqwest::Method::POST, job, Some(&body))
+            .await;
+    }
+
     async fn cancel(&mut self, job: &str) {
         let told = self.ask(reqwest::Method::DELETE, job, None).await;
         // Without an answer it may be cancelled or not; then nothing is owed.
@@ -130,6 +151,17 @@
 
     /// One request to any entry host.
     pub async fn ask(&mut self, method: reqwest::Method, job: &str, body: Option<&Value>) -> Told {
+        let key = self.book.workspaces.key(self.workspace, 0);
+        self.ask_with(key, method, job, body).await
+    }
+
+    async fn ask_with(
+        &mut self,
+        key: Option<SentKey>,
+        method: reqwest::Method,
+        job: &str,
+        body: Option<&Value>,
+    ) -> Told {
         let front = self.fronts[self.rng.random_range(0..self.fronts.len())];
         let mut req = self
             .client
@@ -140,10 +172,17 @@
         if let Some(body) = body {
             req = req.json(body);
         }
+        if let Some(key) = &key {
+            req = req.bearer_auth(&key.text);
+        }
         let Ok(reply) = req.send().await else {
             return Told::Nothing;
         };
         let status = reply.status();
+        let wrong = key.and_then(|key| self.book.workspaces.wrong(&key, status.as_u16()));
+        if let Some(wrong) = wrong {
+            self.book.broke(format!("{wrong}: {job} got {status}"));
+        }
         let state = match status {
             StatusCode::OK => reply.json::<Value>().await.ok(),
             _ => None,
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -9,6 +9,7 @@
 pub mod payload;
 mod policy;
 mod room;
+pub mod workspaces;
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -236,7 +237,7 @@
     }
 
     fn document(&self) -> Value {
-        json!({
+        let mut document = json!({
             "version": self.version,
             "routes": [{
                 "name": "work", "host": HOST, "path_prefix": PREFIX, "kind": "unsafe",
@@ -245,7 +246,11 @@
                 "advice": {"decide_ms": 20.0, "each_ms": 0.1, "validity_ms": 2000},
             }],
             "services": [{"name": "desk", "health_path": "/health", "max_conns": 64}],
-        })
+        });
+        if let Some(workspaces) = self.book.workspaces.document() {
+            document["tenants"] = workspaces;
+        }
+        document
     }
 
     /// Puts a further version in force: sends it until it is acknowledged.
@@ -269,6 +274,7 @@
         })
         .await;
         self.acknowledged = self.version;
+        self.book.workspaces.acknowledged();
     }
 
     /// Version of the configuration that the system gives back; none when nobody can be sure.
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -49,6 +49,10 @@
     Lane(usize, Fault),
     LateOrders(usize),
     Config,
+    /// The key of a workspace is taken away and it gets another.
+    ReplaceKey(usize),
+    /// Thousandths of a core that a workspace may have running from now on.
+    Limit(usize, u32),
 }
 
 fn draw(rng: &mut ChaCha8Rng) -> Trouble {
@@ -147,6 +151,14 @@
             });
         }
         Trouble::Config => system.put_config().await,
+        Trouble::ReplaceKey(workspace) => {
+            system.book.workspaces.replace_key(workspace);
+            system.put_config().await;
+        }
+        Trouble::Limit(workspace, limit) => {
+            system.book.workspaces.set_limit(workspace, limit);
+            system.put_config().await;
+        }
     }
 }
 
@@ -158,6 +170,8 @@
     /// Minions that start again under either name and change in size, jobs that crash them, and
     /// processes of control that are killed meanwhile.
     Minions,
+    /// Keys that are taken away and limits that change, under faults of every kind.
+    Workspaces,
 }
 
 /// Part of the jobs with a crashing task where minions are what goes wrong.
@@ -176,11 +190,27 @@
     }
 }
 
+/// Limits of the workspaces at first, in thousandths of a core.
+const LIMITS: [u32; 2] = [4_000, 12_000];
+
+fn draw_for_workspaces(rng: &mut ChaCha8Rng) -> Trouble {
+    let workspace = rng.random_range(0..LIMITS.len());
+    match rng.random_range(0..6) {
+        0 | 1 => Trouble::ReplaceKey(workspace),
+        2 | 3 => Trouble::Limit(workspace, rng.random_range(3_000..16_000)),
+        _ => draw(rng),
+    }
+}
+
 async fn soak(seed: u64, length: Duration, profile: Profile) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let name = format!("soak-{profile:?}-{seed}").to_lowercase();
     let mut system = System::start(&name, CONTROLS, ENTRIES, MINIONS).await;
     system.write_settings(false);
+    if profile == Profile::Workspaces {
+        system.book.workspaces.create(&LIMITS);
+        system.put_config().await;
+    }
     sleep(CATCH_UP).await;
     let end = Instant::now() + length;
     let callers = (0..CALLERS).map(|i| {
@@ -188,6 +218,7 @@
         if profile == Profile::Minions {
             caller.crash_share = CRASH_SHARE;
         }
+        caller.workspace = i as usize % LIMITS.len();
         tokio::spawn(caller.run(end))
     });
     let callers: Vec<_> = callers.collect();
@@ -197,6 +228,7 @@
         let trouble = match profile {
             Profile::Mixed => draw(&mut rng),
             Profile::Minions => draw_for_minions(&mut rng),
+            Profile::Workspaces => draw_for_workspaces(&mut rng),
         };
         let span = Duration::from_millis(rng.random_range(200..3_500));
         played.push(trouble);
@@ -226,6 +258,7 @@
     until("every accepted job to end", async || {
         let mut left = Vec::new();
         for job in owed.drain(..) {
+            asker.workspace = system.book.owner(&job).unwrap_or_default();
             match asker.ask(reqwest::Method::GET, &job, None).await {
                 Told::Status(200, Some(state)) if state == "done" => {}
                 Told::Status(200, Some(state)) if state == "failed" => {
@@ -282,6 +315,14 @@
     soak(seed, Duration::from_secs(10), Profile::Minions).await;
 }
 
+/// The same for the profile of workspaces.
+#[rstest]
+#[case::any(3)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn promises_hold_while_keys_and_limits_change(#[case] seed: u64) {
+    soak(seed, Duration::from_secs(10), Profile::Workspaces).await;
+}
+
 /// Seeds of the environment, one after the other.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 #[ignore = "takes half a minute for each seed"]
@@ -292,5 +333,6 @@
     for seed in number(from)..number(to) {
         soak(seed, Duration::from_secs(20), Profile::Mixed).await;
         soak(seed, Duration::from_secs(20), Profile::Minions).await;
+        soak(seed, Duration::from_secs(20), Profile::Workspaces).await;
     }
 }
