Jobs beyond the weight of their workspace come last

Callers of a workspace saw their checks late, or never begun, while another workspace sent more than its weight: in the played load of tests/batch_shares.rs, where one of two sends ten times its weight, the other's jobs waited 0.76 to 0.94 s at first and then did not start within the 20 s played. Cause: the order of service knew jobs only by priority and due time, and what had waited long was late and fell behind what was new, whoever sent it.

Hand-ins within the last second are held against the weight, which is in jobs a second; those beyond it come behind all others, and nothing is stopped for them. Lasting work is not concerned. It is reckoned from the acceptance times in the ledger, so a new leader knows the same. In the played load every job of the calm workspace now starts within what its objective leaves to spare (0.75 s).

Deployments without workspaces decide as before.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -39,6 +39,7 @@
                     if let Some(job) = ledger.jobs.get(job) {
                         self.profiles.declared(job);
                     }
+                    self.take_hand_in(ledger, *job);
                     self.dirty_jobs.insert(*job);
                     self.schedule_next(ledger, *job);
                 }
@@ -150,6 +151,7 @@
             age: ledger.clock.saturating_sub(job.accepted),
         });
         self.forget_knowledge(id);
+        self.shares.forget(id);
         remove_job(&mut self.observed, id);
         let steps = StepId::all_of(id);
         let all = *steps.start().tasks().start()..=*steps.end().tasks().end();
--- a/src/batch/dispatch/census.rs
+++ b/src/batch/dispatch/census.rs
@@ -69,6 +69,7 @@
             room: with_room.count(),
             asked: knowledge.is_some_and(|k| k.is_asked()),
             limited: !self.is_allowed(step, spec),
+            surplus: step.is_surplus(),
         }
     }
 
--- a/src/batch/dispatch/claims.rs
+++ b/src/batch/dispatch/claims.rs
@@ -289,7 +289,8 @@
         !waited.is_empty()
     }
 
-    /// A job that is late already earns no more than the work that would yield.
+    /// A job that is late already, or beyond what its workspace may count on, earns no more than the
+    /// work that would yield.
     fn may_stop_for(&self, waiting: Waiting) -> bool {
         let Waiting {
             now,
@@ -302,6 +303,7 @@
         self.cfg.mechanisms.has(Mechanism::Preemption)
             && self.least_urgent > step.queue.priority
             && !step.is_late(unix)
+            && !step.is_surplus()
             && (waiting.is_overdue() || !self.room_to_ask_about(now, id, step, spec))
     }
 
--- a/src/batch/dispatch/mechanisms.rs
+++ b/src/batch/dispatch/mechanisms.rs
@@ -25,11 +25,13 @@
     TightFit,
     /// Questions to the policy service about steps whose turn is to come.
     AskAhead,
+    /// Jobs beyond the weight of their workspace behind all others.
+    SurplusLast,
 }
 
 impl Mechanism {
     /// All of them, in the order of the operators' page.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Claims,
         Self::Backfill,
         Self::Preemption,
@@ -40,6 +42,7 @@
         Self::Progress,
         Self::TightFit,
         Self::AskAhead,
+        Self::SurplusLast,
     ];
 
     /// Name on the command line.
@@ -55,6 +58,7 @@
             Self::Progress => "progress",
             Self::TightFit => "tight-fit",
             Self::AskAhead => "ask-ahead",
+            Self::SurplusLast => "surplus-last",
         }
     }
 }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -28,6 +28,7 @@
 mod restarts;
 mod run;
 mod scarcity;
+mod share;
 mod speed;
 
 use std::cell::RefCell;
@@ -108,6 +109,8 @@
     releases: RefCell<HashMap<MinionNumber, (Timestamp, forecast::Releases)>>,
     /// Limits of workspaces, and what counts against them.
     quotas: quota::Quotas,
+    /// Jobs beyond what their workspaces may count on.
+    shares: share::Shares,
     /// Room kept for tasks that wait, in the present round.
     claims: claims::Claims,
     /// What the next batch will hold.
@@ -170,6 +173,7 @@
             levels: scarcity::Levels::default(),
             releases: RefCell::new(HashMap::new()),
             quotas: quota::Quotas::default(),
+            shares: share::Shares::default(),
             claims: claims::Claims::default(),
             batch: Batch::default(),
             touched: BTreeSet::new(),
@@ -197,6 +201,7 @@
             d.add_minion(minion);
         }
         d.renew_limits(ledger);
+        d.restore_hand_ins(ledger);
         for job in ledger.jobs.values() {
             d.profiles.declared(job);
         }
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -16,6 +16,8 @@
 pub(super) struct OrderKey {
     /// Lasting tasks first: a service that is down serves nobody, however full the cell is.
     class: u8,
+    /// Beyond what its workspace may count on; then behind all that is not.
+    surplus: bool,
     /// The queue's priority.
     priority: u32,
     /// Unix time by which the job should be done.
@@ -54,6 +56,11 @@
         self.key.due.saturating_sub(unix)
     }
 
+    /// Whether its job is beyond what its workspace may count on.
+    pub(super) fn is_surplus(&self) -> bool {
+        self.key.surplus
+    }
+
     /// Whether a job that ends is clearly past its objective.
     pub(super) fn is_late(&self, unix: Timestamp) -> bool {
         !self.is_lasting() && self.lateness(unix) > 0
@@ -157,6 +164,7 @@
         let times = self.times(job, id);
         let key = OrderKey {
             class: if lasting { LASTING_FIRST } else { FINITE },
+            surplus: !lasting && self.is_surplus(id.job),
             priority: job.queue.priority,
             due: due(job, id, times.allowed),
             step: Reverse(id.step),
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -44,6 +44,14 @@
 }
 
 impl Ledger {
+    /// A workspace of the configuration, or one that it names no more and that has open jobs.
+    pub fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        let declared = self.config.as_ref();
+        let declared = declared.and_then(|config| config.parsed.workspaces.as_ref());
+        let declared = declared.and_then(|w| w.by_name.get(name));
+        declared.or_else(|| self.removed.get(name))
+    }
+
     /// Workspaces with a limit to keep: those of the configuration, and those that it names no more
     /// while they have open jobs.
     pub fn workspaces(&self) -> impl Iterator<Item = (&WorkspaceName, &Workspace)> {
--- a/src/batch/note.rs
+++ b/src/batch/note.rs
@@ -216,6 +216,8 @@
         asked: bool,
         /// Whether it waits for the limit of its workspace.
         limited: bool,
+        /// Whether its job is beyond what its workspace may count on.
+        surplus: bool,
     },
     /// What a workspace has running and what waits.
     WorkspaceUse {
--- a/src/batch/telling.rs
+++ b/src/batch/telling.rs
@@ -116,9 +116,10 @@
             room,
             asked,
             limited,
+            surplus,
         } => info!(log, "step waits"; "step" => %step, "waiting" => waiting,
             "age_ms" => ms(age), "good" => good, "tickets" => tickets, "room" => room,
-            "asked" => asked, "limited" => limited),
+            "asked" => asked, "limited" => limited, "surplus" => surplus),
         Note::WorkspaceUse {
             workspace,
             used,
--- /dev/null
+++ b/tests/batch_world/cell.rs
@@ -0,0 +1,99 @@
+//! Minions that a load is played on.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use yuccahold::batch::dispatch::{Answer, HoldAnswer, ListedEnd, Listing, StartOrder};
+use yuccahold::batch::model::{EndKind, MinionNumber, TaskId};
+
+use super::{World, listed};
+
+/// Minions that carry out what they are told, at once.
+#[derive(Default)]
+pub struct Cell {
+    /// Runs under way, with the time of their end if they have one.
+    pub runs: BTreeMap<TaskId, (MinionNumber, StartOrder, Option<Duration>)>,
+    /// Ends of each minion so far.
+    ends: BTreeMap<MinionNumber, u64>,
+    pub gone: BTreeSet<MinionNumber>,
+    pub started: Vec<(Duration, TaskId)>,
+    /// Runs that were told to stop.
+    pub stopped: usize,
+}
+
+impl Cell {
+    /// Begins what was ordered, ends what is over, answers holds.
+    pub fn work(&mut self, world: &mut World, lasts: impl Fn(&StartOrder) -> Option<Duration>) {
+        for (minion, start) in world.take_starts() {
+            let clock = Some(world.now);
+            let until = lasts(&start).map(|time| world.now + time);
+            self.started.push((world.now, start.task));
+            let (task, run) = (start.task, start.run);
+            self.runs.insert(task, (minion, start, until));
+            let (now, answer) = (world.now, Answer::Done { clock });
+            let ledger = &world.ledger;
+            world
+                .leader
+                .started(now, minion, (task, run), now, answer, ledger);
+        }
+        let stops: BTreeSet<_> = world.take_stops().iter().map(|s| (s.1, s.2)).collect();
+        self.stopped += stops.len();
+        for (task, run) in &stops {
+            let minion = self.runs.get(task).map(|(minion, ..)| *minion);
+            if let Some(minion) = minion {
+                let clock = Some(world.now);
+                let (now, answer) = (world.now, Answer::Done { clock });
+                world
+                    .leader
+                    .stopped(now, minion, (*task, *run), now, answer);
+            }
+        }
+        let over = self
+            .runs
+            .iter()
+            .filter_map(|(task, (minion, start, until))| {
+                let stopped = stops.contains(&(*task, start.run));
+                let done = until.is_some_and(|until| until <= world.now);
+                let kind = if stopped {
+                    EndKind::Stopped
+                } else {
+                    EndKind::Done
+                };
+                (stopped || done).then_some((*task, *minion, start.run, kind))
+            });
+        let mut listings: BTreeMap<MinionNumber, Vec<ListedEnd>> = BTreeMap::new();
+        for (task, minion, run, kind) in over.collect::<Vec<_>>() {
+            self.runs.remove(&task);
+            let number = self.ends.entry(minion).or_default();
+            *number += 1;
+            listings.entry(minion).or_default().push(ListedEnd {
+                number: *number,
+                task,
+                run,
+                kind,
+                checkpoint: "saved".into(),
+            });
+        }
+        for (minion, _) in world.take_holds() {
+            if self.gone.contains(&minion) {
+                world.silent_hold(minion);
+            } else {
+                listings.entry(minion).or_default();
+            }
+        }
+        for (minion, ended) in listings {
+            let mine = self.runs.values().filter(|(m, ..)| *m == minion);
+            let running = mine.map(|(_, start, _)| listed(start)).collect();
+            let listing = Listing {
+                clock: world.now,
+                running,
+                ended,
+                ..Listing::default()
+            };
+            let answer = HoldAnswer::Listing(listing);
+            let (now, ledger) = (world.now, &world.ledger);
+            world.leader.held(now, minion, now, answer, ledger);
+        }
+        world.decide();
+    }
+}
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod cell;
 pub mod hosts;
 mod life;
 
@@ -244,15 +245,33 @@
         self.accept(job, queue, Some(owner.into()), steps);
     }
 
-    /// Puts limits on what workspaces may run, in cores, and gives all the weight 1.
+    /// Puts limits on what workspaces may run, in cores, and gives all a weight without end.
     pub fn limit(&mut self, version: u64, limits: &[(&str, u32)]) {
-        let by_name = limits.iter().map(|(name, cores)| {
+        let workspaces = limits.iter().map(|(name, cores)| {
             let limit = Resources::new(*cores, 0, 0);
-            let workspace = Workspace { weight: 1.0, limit };
-            ((*name).into(), workspace)
+            let weight = f64::INFINITY;
+            (*name, Workspace { weight, limit })
         });
+        self.put_workspaces(version, workspaces);
+    }
+
+    /// Gives weights to workspaces, without limits.
+    pub fn weigh(&mut self, version: u64, weights: &[(&str, f64)]) {
+        let workspaces = weights.iter().map(|(name, weight)| {
+            let limit = Resources::ZERO;
+            let weight = *weight;
+            (*name, Workspace { weight, limit })
+        });
+        self.put_workspaces(version, workspaces);
+    }
+
+    fn put_workspaces<'a>(
+        &mut self,
+        version: u64,
+        workspaces: impl Iterator<Item = (&'a str, Workspace)>,
+    ) {
         let workspaces = Workspaces {
-            by_name: by_name.collect(),
+            by_name: workspaces.map(|(name, w)| (name.into(), w)).collect(),
             keys: BTreeMap::new(),
         };
         self.apply(&Command::PutConfig {
