--- a/tests/batch_world/life.rs
+++ b/tests/batch_world/life.rs
@@ -74,6 +74,12 @@
         needs.fold(Resources::ZERO, |sum, need| sum.saturating_add(need))
     }
 
+    /// What runs of some tasks take.
+    pub fn millicores_of(&self, wanted: impl Fn(&TaskId) -> bool) -> u32 {
+        let running = self.running.iter().filter(|(task, _)| wanted(task));
+        running.map(|(_, running)| running.need.millicores).sum()
+    }
+
     pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
     }
