--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -105,7 +105,8 @@
     }
 
     /// Tasks whose starts are not sent although they are agreed: the log may take seconds, and the
-    /// minion has shrunk, leaves or is gone meanwhile, or a limit was lowered. A gang would wait in vain for a member.
+    /// minion has shrunk, leaves or is gone meanwhile, or a limit was lowered. A gang would wait in
+    /// vain for a member.
     fn held_back(&self, starts: &[Start], ledger: &Ledger) -> BTreeSet<TaskId> {
         let is_refused = |start: &&Start| {
             let run = self.proposed(start);
--- a/src/batch/dispatch/quota.rs
+++ b/src/batch/dispatch/quota.rs
@@ -196,9 +196,10 @@
         if self.quotas.times(owner, &wanted) > 0 {
             return LimitState::Open;
         }
-        match owner.is_some_and(|owner| self.quotas.keep(owner, &wanted)) {
-            true => LimitState::Next,
-            false => LimitState::Behind,
+        if owner.is_some_and(|owner| self.quotas.keep(owner, &wanted)) {
+            LimitState::Next
+        } else {
+            LimitState::Behind
         }
     }
 
