What a leader agreed has a file of its own

`ledger::commands` and `ledger::records` imported each other; the types of a batch now stand in `ledger::batch`, which both import. Nothing is decided differently.

--- a/src/batch/ledger/mod.rs
+++ b/src/batch/ledger/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Deterministic: the same commands in the same order give the same ledger on every replica.
 
+mod batch;
 mod commands;
 mod format_2;
 mod queries;
@@ -18,7 +19,8 @@
 use crate::error::{Error, Result, Step};
 use crate::ids::{MinionId, Timestamp, WorkspaceName};
 
-pub use commands::{Batch, Certainty, Command, Crash, End, Reply, Start};
+pub use batch::{Batch, Certainty, Crash, End, Start};
+pub use commands::{Command, Reply};
 pub use records::{Crashes, Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState};
 
 /// Version of the snapshot and of the commands; another one is refused by number.
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::commands::Certainty;
+use super::batch::Certainty;
 use crate::batch::model::{
     Checkpoint, JobSpec, JobState, MinionNumber, MinionReport, Queue, RunNumber, StepSpec,
 };
--- a/tests/batch_quota_faults.rs
+++ b/tests/batch_quota_faults.rs
@@ -75,7 +75,13 @@
         cell.run(ms(rng.random_range(5..150)));
     }
     assert_eq!(cell.broken, [""; 0], "seed {seed}");
-    let peak = cell.peaks.values().max().copied().unwrap_or_default();
+    let peak = cell
+        .limits
+        .peaks
+        .values()
+        .max()
+        .copied()
+        .unwrap_or_default();
     (
         cell.starts.len(),
         f64::from(peak) / f64::from(LIMITS.end * 1_000),
--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -14,6 +14,7 @@
 use yuccahold::resources::Resources;
 
 use super::life::{Life, Pending};
+use super::limits::Limits;
 use super::{World, ms, report};
 
 const TICK: Duration = ms(5);
@@ -24,8 +25,6 @@
 const CALL_TIMEOUT: Duration = ms(200);
 /// Time from a change of leaders until starts count against what a task may have.
 const STEADY_AFTER: Duration = ms(3_000);
-/// Time for which a former limit counts: that in which a start may be carried out.
-const LIMIT_NOTICE: Duration = ms(1_300);
 /// Time for an answer to come back.
 const WAY_BACK: Duration = ms(2);
 
@@ -101,11 +100,7 @@
     pub broken: Vec<String>,
     done: BTreeSet<TaskId>,
     specs: BTreeMap<JobId, Vec<StepSpec>>,
-    owners: BTreeMap<JobId, &'static str>,
-    /// Limits of each workspace in thousandths of a core, with the time until which each counts.
-    limits: BTreeMap<&'static str, Vec<(u32, Duration)>>,
-    /// The most that each workspace had running.
-    pub peaks: BTreeMap<&'static str, u32>,
+    pub limits: Limits,
 }
 
 impl Cell {
@@ -131,9 +126,7 @@
             broken: Vec::new(),
             done: BTreeSet::new(),
             specs: BTreeMap::new(),
-            owners: BTreeMap::new(),
-            limits: BTreeMap::new(),
-            peaks: BTreeMap::new(),
+            limits: Limits::default(),
         };
         for port in ports {
             let host = Host {
@@ -186,42 +179,16 @@
         steps: Vec<StepSpec>,
     ) {
         self.specs.insert(job, steps.clone());
-        self.owners.insert(job, owner);
+        self.limits.owners.insert(job, owner);
         self.world.submit_for(owner, job, queue, steps);
     }
 
-    /// Limits come in force, in cores. The former ones count while orders are on their way.
+    /// Limits come in force, in cores.
     pub fn limit(&mut self, version: u64, limits: &[(&'static str, u32)]) {
-        let notice = self.world.now + LIMIT_NOTICE;
-        for (owner, cores) in limits {
-            let known = self.limits.entry(owner).or_default();
-            for (_, until) in known.iter_mut() {
-                *until = notice.min(*until);
-            }
-            known.push((*cores * 1_000, Duration::MAX));
-        }
+        self.limits.set(self.world.now, limits);
         self.world.limit(version, limits);
     }
 
-    /// Notes what a workspace has running after a start, and whether that is too much.
-    fn count_for_owner(&mut self, now: Duration, started: TaskId) {
-        let Some(owner) = self.owners.get(&started.step.job).copied() else {
-            return;
-        };
-        let lives = self.hosts.values().filter_map(|host| host.life.as_ref());
-        let mine = |task: &TaskId| self.owners.get(&task.step.job) == Some(&owner);
-        let used: u32 = lives.map(|life| life.millicores_of(mine)).sum();
-        let peak = self.peaks.entry(owner).or_default();
-        *peak = used.max(*peak);
-        let limits = self.limits.get(owner).into_iter().flatten();
-        let in_force = limits.filter(|(_, until)| now < *until);
-        let most = in_force.map(|(limit, _)| *limit).max();
-        if most.is_some_and(|most| used > most) {
-            self.broken
-                .push(format!("{started} brings {owner} to {used} of {most:?}"));
-        }
-    }
-
     /// Another leader takes over; answers to the earlier one are lost with it.
     pub fn new_leader(&mut self, term: u64) {
         self.deliveries.clear();
@@ -480,7 +447,8 @@
         if steady && self.crashes.get(&task).is_some_and(|n| *n >= 3) {
             *self.starts_too_many.entry(task).or_default() += 1;
         }
-        self.count_for_owner(now, task);
+        let lives = self.hosts.values().filter_map(|host| host.life.as_ref());
+        self.broken.extend(self.limits.exceeded(now, task, lives));
         let run = start.run;
         if !elsewhere.is_empty() {
             let text = format!("{task} run {run} on {port} beside one on {elsewhere:?}");
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -5,6 +5,7 @@
 pub mod cell;
 pub mod hosts;
 mod life;
+mod limits;
 
 use std::collections::BTreeMap;
 use std::ops::Range;
