--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -151,7 +151,7 @@
         spec: &Arc<JobSpec>,
     ) -> Reply {
         if let Some(held) = self.jobs.get(&id) {
-            return if held.owner == owner || held.owner.is_none() || owner.is_none() {
+            return if held.is_repeated_by(queue, owner.as_ref()) {
                 Reply::Accepted
             } else {
                 Reply::IdTaken
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -2,11 +2,28 @@
 
 use super::records::{Occurrence, StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
-use crate::batch::model::{ConfigVersion, JobId, JobState, MinionNumber, StepId, StepSpec, TaskId};
+use crate::batch::model::{
+    ConfigVersion, JobId, JobState, MinionNumber, Queue, StepId, StepSpec, TaskId,
+};
 use crate::batch::workspaces::Workspace;
 use crate::ids::WorkspaceName;
 
 impl Job {
+    /// Whether a hand-in of its id is a repetition of it. The queue may have become open to all, or
+    /// ceased to be, between the two.
+    pub(super) fn is_repeated_by(&self, queue: &Queue, owner: Option<&WorkspaceName>) -> bool {
+        let same_owner = match (&self.owner, owner) {
+            (Some(held), Some(owner)) => held == owner,
+            _ => true,
+        };
+        self.is_in(queue) && same_owner
+    }
+
+    /// Whether it was handed in to a queue.
+    pub(crate) fn is_in(&self, queue: &Queue) -> bool {
+        self.queue.host == queue.host && self.queue.prefix == queue.prefix
+    }
+
     /// Whether anything of it runs or may start.
     pub(super) fn may_run(&self) -> bool {
         !self.state.is_final() || self.active().next().is_some()
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -87,10 +87,7 @@
             (_, None) => return Admission::Answer(ClientReply::NoQueue),
         };
         let held = self.ledger.jobs.get(&job);
-        let known = held.filter(|j| {
-            let same_queue = j.queue.host == queue.host && j.queue.prefix == queue.prefix;
-            same_queue && caller.may_see(j.owner.as_ref())
-        });
+        let known = held.filter(|j| j.is_in(queue) && caller.may_see(j.owner.as_ref()));
         match call.action {
             ClientAction::Submit(_) if known.is_some() => Admission::Answer(ClientReply::Accepted),
             ClientAction::Submit(_) if held.is_some() => Admission::Answer(ClientReply::IdTaken),
--- a/tests/batch_workspaces.rs
+++ b/tests/batch_workspaces.rs
@@ -187,6 +187,29 @@
     assert_eq!(replies, [Reply::Accepted, Reply::IdTaken]);
 }
 
+/// The same between a workspace and a caller of a queue that is open to all.
+#[test]
+fn an_id_in_a_race_belongs_to_one_queue() {
+    let mut leader = Leader::with(TWO);
+    let id = "00000000000000c1";
+    let submit = |path: String, key: Option<&str>| ClientCall {
+        host: "h".into(),
+        path: path.into(),
+        key: key.map(|key| KeyHash::of(key.as_bytes())),
+        action: ClientAction::Submit(decode_job(br#"{"steps":[{"count":1}]}"#).expect("a job")),
+    };
+    let calls = [
+        submit(format!("/checks/{id}"), Some("a1")),
+        submit(format!("/open/{id}"), None),
+    ];
+    let proposals = calls.map(|call| match leader.machine.admit(call) {
+        Admission::Propose(command) => command,
+        Admission::Answer(reply) => panic!("{reply:?}"),
+    });
+    let replies = proposals.map(|command| leader.apply(&command));
+    assert_eq!(replies, [Reply::Accepted, Reply::IdTaken]);
+}
+
 /// A key that moves to another workspace takes the jobs of its former one along.
 #[test]
 fn a_key_that_moved_shows_the_jobs_of_its_new_workspace() {
