Names of what waits for a limit

Read once more as a newcomer would: `LimitState` says where a step stands, `is_allowed` stands beside what it is part of and is used by it, and a pair of counts has names. Nothing is decided differently.

--- a/src/batch/dispatch/census.rs
+++ b/src/batch/dispatch/census.rs
@@ -18,6 +18,14 @@
 /// Workspaces told of at once.
 const WORKSPACES_TOLD: usize = 64;
 
+/// Tasks of one workspace that wait.
+#[derive(Clone, Copy, Default)]
+struct WaitingTasks {
+    all: usize,
+    /// Those whose steps wait for the workspace's limit.
+    limited: usize,
+}
+
 impl Dispatcher {
     /// Tells how full the cell is and which steps wait, once a second.
     pub(super) fn take_census(&mut self, now: Timestamp, unix: Timestamp) {
@@ -75,14 +83,14 @@
 
     /// Workspaces with a limit, those that are nearest to it first.
     fn workspace_uses(&self) -> Vec<Note> {
-        let mut waiting: BTreeMap<&WorkspaceName, (usize, usize)> = BTreeMap::new();
+        let mut waiting: BTreeMap<&WorkspaceName, WaitingTasks> = BTreeMap::new();
         for (id, step) in &self.ready {
             let Some(owner) = &step.owner else { continue };
             let tasks = step.waiting.len();
             let counted = waiting.entry(owner).or_default();
-            counted.0 += tasks;
+            counted.all += tasks;
             if !self.is_allowed(step, &step.spec.steps[usize::from(id.step)]) {
-                counted.1 += tasks;
+                counted.limited += tasks;
             }
         }
         let mut uses: Vec<_> = self.quotas.uses().collect();
@@ -90,13 +98,13 @@
         uses.sort_by(|a, b| parts(b).total_cmp(&parts(a)));
         uses.truncate(WORKSPACES_TOLD);
         let uses = uses.into_iter().map(|(name, used, limit)| {
-            let (waiting, limited) = waiting.get(name).copied().unwrap_or_default();
+            let waiting = waiting.get(name).copied().unwrap_or_default();
             Note::WorkspaceUse {
                 workspace: name.clone(),
                 used,
                 limit,
-                waiting,
-                limited,
+                waiting: waiting.all,
+                limited: waiting.limited,
             }
         });
         uses.collect()
--- a/src/batch/dispatch/quota.rs
+++ b/src/batch/dispatch/quota.rs
@@ -33,14 +33,14 @@
     pub(super) lasting: bool,
 }
 
-/// Whether the limit of a step's workspace lets it start now.
+/// Where a step stands at the limit of its workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LimitState {
-    /// It does.
+    /// It may start.
     Open,
-    /// It does not, and the step is the first of its workspace that waits for that.
+    /// It waits for the limit, as the first of its workspace.
     Next,
-    /// It does not, and others of its workspace come first.
+    /// It waits for the limit, behind another one or in vain.
     Behind,
 }
 
@@ -188,14 +188,19 @@
         self.place_wanted = true;
     }
 
-    /// Whether the limit of a step's workspace lets any of its tasks start. Where it does not, the
-    /// first such step in the order of service has room of the limit kept for it.
+    /// Whether the limit of a step's workspace lets any of its tasks start.
+    pub(super) fn is_allowed(&self, step: &ReadyStep, spec: &StepSpec) -> bool {
+        self.quotas.times(step.owner.as_ref(), &wanted(step, spec)) > 0
+    }
+
+    /// Where a step stands at the limit of its workspace. The first in the order of service that the
+    /// limit does not let start has room of it kept.
     pub(super) fn limit_state(&mut self, step: &ReadyStep, spec: &StepSpec) -> LimitState {
-        let wanted = wanted(step, spec);
-        let owner = step.owner.as_ref();
-        if self.quotas.times(owner, &wanted) > 0 {
+        if self.is_allowed(step, spec) {
             return LimitState::Open;
         }
+        let wanted = wanted(step, spec);
+        let owner = step.owner.as_ref();
         if owner.is_some_and(|owner| self.quotas.keep(owner, &wanted)) {
             LimitState::Next
         } else {
@@ -260,9 +265,4 @@
         }
         after.fits_in(limit).then_some(victims)
     }
-
-    /// The same without keeping anything.
-    pub(super) fn is_allowed(&self, step: &ReadyStep, spec: &StepSpec) -> bool {
-        self.quotas.times(step.owner.as_ref(), &wanted(step, spec)) > 0
-    }
 }
