--- a/tests/batch_quota.rs
+++ b/tests/batch_quota.rs
@@ -215,8 +215,7 @@
     assert_eq!(world.take_starts().len(), 22);
 }
 
-/// Urgent work waits for the limit while long work of the same workspace, which loses nothing by a stop,
-/// uses it up.
+/// Urgent work waits while long work of its own workspace, which loses nothing by a stop, fills the limit.
 #[rstest]
 #[case::saves_progress(saving(10, 1000), 2)]
 #[case::would_lose_its_work(step(10, 1000), 0)]
--- a/tests/batch_shares.rs
+++ b/tests/batch_shares.rs
@@ -18,8 +18,7 @@
 /// Jobs of the workspace within its weight have even ids.
 const FIRST: JobId = 1_000;
 
-/// Waits until the first start of the jobs of a workspace that keeps within its weight, beside another
-/// one that sends `times` as much as its own.
+/// Waits of a workspace that keeps within its weight, beside one that sends `times` as much as its own.
 fn waits(times: u32) -> Vec<Duration> {
     let mut world = World::new();
     world.join_all("i", 1..3);
@@ -60,8 +59,7 @@
     waits
 }
 
-/// One workspace sends ten times what it may count on, and the work of another one, which does not,
-/// waits behind all of it.
+/// One workspace sends ten times what it may count on, and the work of another one waits behind it.
 #[test]
 fn a_workspace_within_its_weight_is_served_as_if_alone() {
     let alone = waits(0);
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -65,8 +65,7 @@
     CONFIG.replacen('{', &format!(r#"{{"tenants":[{tenants}],"#), 1)
 }
 
-/// A configuration that gives one key to two workspaces, or makes no sense, comes in force; or its
-/// refusal shows a key.
+/// A key of two workspaces, or nonsense about them, comes in force, or its refusal shows a key.
 #[rstest]
 #[case::shared_key(r#"{"name":"a","api_keys":["secret"]},{"name":"b","api_keys":["secret"]}"#)]
 #[case::name_twice(r#"{"name":"a","api_keys":["secret"]},{"name":"a"}"#)]
