Agents: orders and questions find their agent without a walk over all agents

Cause: each order to a minion weighed every connected agent, and each question searched all for the shortest backlog, under one lock. Work for an order grew with the agents, work in total with agents times minions.

Change: a hash ring for each availability zone; suspended agents leave it and come back. Questions take the first of an ordered set. The bench of decisions plays the fleet's load at up to 12,000 minions with 1,200 agents and measures the choice of agents with the encoding of messages.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -1,15 +1,19 @@
-//! CPU time of a leader's decisions in cells of several sizes with the same load per minion: about
-//! two starts a second, a policy service that allows a step on every second minion, and minions
-//! that answer within 2 ms. Time is simulated; the measurement covers the dispatcher and the
-//! ledger.
+//! Time of a leader's decisions in cells of several sizes with the same load per minion, a policy
+//! service that allows a step on every second minion, and minions that answer within 2 ms. Time in
+//! the cell is simulated. The measurement covers the dispatcher and the ledger, and separately the
+//! choice of agents with the encoding of their messages. It is wall time, so run it alone.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use yuccahold::batch::agents::{Agents, Batches};
+use yuccahold::batch::calls::{AgentMessage, ServerMessage};
 use yuccahold::batch::dispatch::{
     Advice, AdviceQuestion, Answer, DispatchConfig, Dispatcher, HoldAnswer, ListedEnd, ListedRun,
     Listing, Mechanisms, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder,
@@ -20,17 +24,36 @@
 };
 use yuccahold::resources::Resources;
 
-/// Numbers of minions: two sizes of the users' cells, and the size that they expect to reach.
-const SIZES: [u32; 3] = [350, 1_100, 1_904];
+/// A load per minion, and the numbers of minions at which it is played.
+struct Load {
+    name: &'static str,
+    /// Quick and long jobs per second and minion.
+    quick: f64,
+    long: f64,
+    sizes: &'static [u32],
+}
+
+/// Two starts a second and minion, as in the users' cells of up to 1,100 minions.
+const BUSY: Load = Load {
+    name: "busy",
+    quick: 32.0 / 350.0,
+    long: 4.2 / 350.0,
+    sizes: &[350, 1_100, 1_904],
+};
+/// The users' fleet: one start in six seconds and minion, as its tasks are larger.
+const FLEET: Load = Load {
+    name: "fleet",
+    quick: 40.6 / 6_000.0,
+    long: 4.99 / 6_000.0,
+    sizes: &[350, 1_904, 6_000, 12_000],
+};
 /// Simulated seconds before the measurement.
 const WARM_UP: u64 = 10;
 /// Simulated seconds of the measurement.
 const MEASURED: u64 = 20;
-/// Quick and long jobs per second and minion, as in the users' larger cells.
-const QUICK: f64 = 32.0 / 350.0;
-const LONG: f64 = 4.2 / 350.0;
 /// Minions per process that sends questions to the policy service.
 const MINIONS_PER_AGENT: u32 = 10;
+const ZONES: [&str; 6] = ["z0", "z1", "z2", "z3", "z4", "z5"];
 const UNIX: Duration = Duration::from_secs(1_700_000_000);
 
 enum Event {
@@ -54,7 +77,11 @@
 }
 
 struct Cell {
+    load: &'static Load,
     size: u32,
+    agents: Agents,
+    /// Receiver of each agent's messages; agent ids are their indices.
+    inboxes: Vec<UnboundedReceiver<ServerMessage>>,
     now: Duration,
     rng: ChaCha8Rng,
     ledger: Ledger,
@@ -65,6 +92,8 @@
     next: u64,
     jobs: u64,
     busy_time: Duration,
+    /// Time for choosing agents and encoding messages.
+    link_time: Duration,
     starts: u64,
     longest: Duration,
 }
@@ -95,7 +124,7 @@
 }
 
 impl Cell {
-    fn new(size: u32) -> Self {
+    fn new(load: &'static Load, size: u32) -> Self {
         let now = Duration::from_secs(3600);
         let ledger = Ledger::default();
         let cfg = DispatchConfig {
@@ -106,7 +135,10 @@
         };
         let leader = Dispatcher::new(cfg, 1, &ledger, now);
         let mut cell = Self {
+            load,
             size,
+            agents: Agents::default(),
+            inboxes: Vec::new(),
             now,
             rng: ChaCha8Rng::seed_from_u64(7),
             ledger,
@@ -117,11 +149,18 @@
             next: 0,
             jobs: 0,
             busy_time: Duration::ZERO,
+            link_time: Duration::ZERO,
             starts: 0,
             longest: Duration::ZERO,
         };
         let agents = size / MINIONS_PER_AGENT;
         cell.leader.set_agents(agents as usize);
+        for agent in 0..agents {
+            let (tx, rx) = unbounded_channel();
+            let zone = ZONES[agent as usize % ZONES.len()].into();
+            cell.agents.add(u64::from(agent), tx, zone, false);
+            cell.inboxes.push(rx);
+        }
         for i in 0..size {
             cell.leader.report(now, report(i));
         }
@@ -156,7 +195,8 @@
                 self.decide();
             }
             Event::Arrival => {
-                let gap = 1.0 / ((QUICK + LONG) * f64::from(self.size));
+                let per_minion = self.load.quick + self.load.long;
+                let gap = 1.0 / (per_minion * f64::from(self.size));
                 let gap = gap * self.rng.random_range(0.2..1.8);
                 self.at(Duration::from_secs_f64(gap), Event::Arrival);
                 self.submit();
@@ -199,7 +239,8 @@
 
     fn submit(&mut self) {
         self.jobs += 1;
-        let quick = self.rng.random_bool(QUICK / (QUICK + LONG));
+        let Load { quick, long, .. } = self.load;
+        let quick = self.rng.random_bool(quick / (quick + long));
         let steps = if quick {
             vec![step(10, 4_500, 16_000, 800), step(6, 4_500, 16_000, 800)]
         } else {
@@ -243,6 +284,7 @@
             let took = began.elapsed();
             self.busy_time += took;
             self.longest = self.longest.max(took);
+            self.forward(&orders);
             for order in orders {
                 self.carry_out(order);
             }
@@ -251,6 +293,45 @@
         }
     }
 
+    /// Passes orders to agents as the driver does, encodes the messages, and answers them at once.
+    fn forward(&mut self, orders: &[Order]) {
+        let orders: Vec<_> = orders
+            .iter()
+            .filter_map(|order| match order {
+                Order::Minion(target, order) => Some((target.clone(), order.clone())),
+                _ => None,
+            })
+            .collect();
+        let mut numbers = Vec::new();
+        let began = Instant::now();
+        let mut batches = Batches::default();
+        for (target, order) in orders {
+            self.agents.send(self.now, &mut batches, target, order);
+        }
+        let agents: Vec<_> = batches.agents().collect();
+        self.agents.flush(batches);
+        for agent in &agents {
+            while let Ok(message) = self.inboxes[*agent as usize].try_recv() {
+                black_box(postcard::to_allocvec(&message).expect("it is encodable"));
+                if let ServerMessage::Orders(orders) = message {
+                    numbers.extend(orders.iter().map(|(number, ..)| (*agent, *number)));
+                }
+            }
+        }
+        self.link_time += began.elapsed();
+        let clock = Some(self.now);
+        for (agent, number) in numbers {
+            let answers = vec![(number, MinionAnswer::Order(Answer::Done { clock }))];
+            let message = AgentMessage::OrderAnswers(answers);
+            let frame = postcard::to_allocvec(&message).expect("it is encodable");
+            let began = Instant::now();
+            if let Ok(AgentMessage::OrderAnswers(answers)) = postcard::from_bytes(&frame) {
+                black_box(self.agents.orders_answered(agent, answers));
+            }
+            self.link_time += began.elapsed();
+        }
+    }
+
     fn carry_out(&mut self, order: Order) {
         let round_trip = Duration::from_millis(2);
         match order {
@@ -375,7 +456,7 @@
         id: format!("i-{i}").into(),
         service: "desk".into(),
         addr: ([10, 0, (i / 200) as u8, (i % 200) as u8], 8000).into(),
-        zone: "mixco".into(),
+        zone: ZONES[i as usize % ZONES.len()].into(),
         capacity: Resources {
             millicores: 32_000,
             memory_mb: 131_072,
@@ -389,25 +470,31 @@
 }
 
 fn main() {
-    for size in SIZES {
-        measure(size);
+    for load in [&BUSY, &FLEET] {
+        for size in load.sizes {
+            measure(load, *size);
+        }
     }
 }
 
-fn measure(size: u32) {
-    let mut cell = Cell::new(size);
+fn measure(load: &'static Load, size: u32) {
+    let mut cell = Cell::new(load, size);
     cell.run_until(Duration::from_secs(3600 + WARM_UP));
     let (busy_time, starts, jobs) = (cell.busy_time, cell.starts, cell.jobs);
+    let link_time = cell.link_time;
     cell.longest = Duration::ZERO;
     cell.run_until(Duration::from_secs(3600 + WARM_UP + MEASURED));
     let busy_time = (cell.busy_time - busy_time).as_secs_f64();
+    let link_time = (cell.link_time - link_time).as_secs_f64();
     let starts = cell.starts - starts;
     println!(
-        "{size} minions, {:.0} jobs/s, {:.0} starts/s: {:.4} cores, {:.0} us a start, longest decision {:.2} ms",
+        "{}: {size} minions, {:.0} jobs/s, {:.0} starts/s: {:.4} cores, {:.0} us a start, longest decision {:.2} ms; agents {:.0} us a start",
+        load.name,
         (cell.jobs - jobs) as f64 / MEASURED as f64,
         starts as f64 / MEASURED as f64,
         busy_time / MEASURED as f64,
         busy_time * 1e6 / starts as f64,
         cell.longest.as_secs_f64() * 1e3,
+        link_time * 1e6 / starts as f64,
     );
 }
--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -4,7 +4,7 @@
 //! Agents hold no state. Every order carries the leader's fencing token and is idempotent, so when
 //! an agent fails, orders are repeated, but no lease is lost.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -12,9 +12,9 @@
 
 use super::calls::{OrderNumber, ServerMessage};
 use super::dispatch::{AdviceQuestion, MinionAnswer, MinionOrder, OrderKind, QuestionId, Target};
+use super::hash_ring::HashRing;
 use super::machine::OrderOutcome;
 use super::model::MinionNumber;
-use super::rendezvous::rendezvous_weight;
 use crate::ids::{Timestamp, ZoneName};
 
 /// Number of an agent's connection to the leader.
@@ -52,6 +52,12 @@
 #[derive(Default)]
 struct Pool {
     agents: BTreeMap<AgentId, Agent>,
+    /// Agents that get orders now, by availability zone. A zone without any has no ring.
+    rings: BTreeMap<ZoneName, HashRing>,
+    /// Suspended agents with the ends of their suspensions, earliest first.
+    suspended: VecDeque<(Timestamp, AgentId)>,
+    /// All agents by their backlog of questions.
+    by_backlog: BTreeSet<(Duration, AgentId)>,
     next_order: OrderNumber,
 }
 
@@ -77,7 +83,7 @@
             backlog: Duration::ZERO,
             questions: Vec::new(),
         };
-        self.lock().agents.insert(id, agent);
+        self.lock().add(id, agent);
     }
 
     /// Number of connected agents, stuck ones included.
@@ -88,7 +94,7 @@
     /// Removes an agent; returns its open orders and unanswered questions.
     pub(crate) fn remove(&self, id: AgentId) -> (Vec<OrderOutcome>, Vec<QuestionId>) {
         let mut pool = self.lock();
-        let Some(agent) = pool.agents.remove(&id) else {
+        let Some(agent) = pool.remove(id) else {
             return Default::default();
         };
         let open = agent.open.into_values().map(OpenOrder::into_unanswered);
@@ -106,7 +112,8 @@
         order: MinionOrder,
     ) -> Option<(Target, MinionOrder)> {
         let mut pool = self.lock();
-        let Some(id) = pool.choose_agent(now, &target) else {
+        pool.end_suspensions(now);
+        let Some(id) = pool.choose_agent(&target) else {
             return Some((target, order));
         };
         pool.next_order += 1;
@@ -146,7 +153,7 @@
     }
 
     /// Matches an agent's answers with its open orders; answers to expired orders are dropped.
-    pub(crate) fn orders_answered(
+    pub fn orders_answered(
         &self,
         id: AgentId,
         answers: Vec<(OrderNumber, MinionAnswer)>,
@@ -170,7 +177,8 @@
     pub(crate) fn expire(&self, now: Timestamp) -> Vec<OrderOutcome> {
         let mut pool = self.lock();
         let mut expired = Vec::new();
-        for agent in pool.agents.values_mut() {
+        let mut stuck = Vec::new();
+        for (id, agent) in &mut pool.agents {
             let late: Vec<_> = agent
                 .open
                 .iter()
@@ -180,9 +188,12 @@
             if late.is_empty() {
                 continue;
             }
-            agent.suspended_until = now + SUSPENSION;
+            stuck.push(*id);
             expired.extend(late.iter().filter_map(|n| agent.open.remove(n)));
         }
+        for id in stuck {
+            pool.suspend(id, now + SUSPENSION);
+        }
         expired
             .into_iter()
             .map(OpenOrder::into_unanswered)
@@ -194,10 +205,13 @@
     /// The policy service processes one question per host at a time, so questions queue at agents.
     pub fn ask(&self, question: AdviceQuestion) -> bool {
         let mut pool = self.lock();
-        let Some(agent) = pool.agents.values_mut().min_by_key(|a| a.backlog) else {
+        let Some((_, id)) = pool.by_backlog.first().copied() else {
+            return false;
+        };
+        pool.change_backlog(id, |backlog| backlog + question.cost);
+        let Some(agent) = pool.agents.get_mut(&id) else {
             return false;
         };
-        agent.backlog += question.cost;
         agent.questions.push((question.id, question.cost));
         agent.tx.send(ServerMessage::Advise(question)).is_ok()
     }
@@ -210,7 +224,7 @@
         };
         if let Some(i) = agent.questions.iter().position(|(q, _)| *q == question) {
             let (_, cost) = agent.questions.swap_remove(i);
-            agent.backlog -= cost;
+            pool.change_backlog(id, |backlog| backlog.saturating_sub(cost));
         }
     }
 
@@ -220,21 +234,81 @@
 }
 
 impl Pool {
-    /// Chooses the agent for a minion by rendezvous hashing: the highest weight among the agents in
-    /// the minion's zone, or among all agents if that zone has none.
+    fn add(&mut self, id: AgentId, agent: Agent) {
+        self.by_backlog.insert((agent.backlog, id));
+        self.agents.insert(id, agent);
+        self.join_ring(id);
+    }
+
+    fn remove(&mut self, id: AgentId) -> Option<Agent> {
+        self.leave_ring(id);
+        let agent = self.agents.remove(&id)?;
+        self.by_backlog.remove(&(agent.backlog, id));
+        Some(agent)
+    }
+
+    fn change_backlog(&mut self, id: AgentId, change: impl FnOnce(Duration) -> Duration) {
+        if let Some(agent) = self.agents.get_mut(&id) {
+            self.by_backlog.remove(&(agent.backlog, id));
+            agent.backlog = change(agent.backlog);
+            self.by_backlog.insert((agent.backlog, id));
+        }
+    }
+
+    fn join_ring(&mut self, id: AgentId) {
+        if let Some(agent) = self.agents.get(&id)
+            && !agent.on_leader_host
+        {
+            let ring = self.rings.entry(agent.zone.clone()).or_default();
+            ring.insert(id);
+        }
+    }
+
+    fn leave_ring(&mut self, id: AgentId) {
+        if let Some(agent) = self.agents.get(&id)
+            && let Some(ring) = self.rings.get_mut(&agent.zone)
+        {
+            ring.remove(id);
+            if ring.is_empty() {
+                self.rings.remove(&agent.zone);
+            }
+        }
+    }
+
+    fn suspend(&mut self, id: AgentId, until: Timestamp) {
+        self.leave_ring(id);
+        if let Some(agent) = self.agents.get_mut(&id) {
+            agent.suspended_until = until;
+            self.suspended.push_back((until, id));
+        }
+    }
+
+    fn end_suspensions(&mut self, now: Timestamp) {
+        while let Some((until, id)) = self.suspended.front().copied()
+            && until <= now
+        {
+            self.suspended.pop_front();
+            // It may have been suspended again since.
+            let over = self.agents.get(&id).map(|a| a.suspended_until <= now);
+            if over == Some(true) {
+                self.join_ring(id);
+            }
+        }
+    }
+
+    /// Chooses the agent for a minion: one in its zone, or in any zone if that one has none.
     ///
     /// Each agent that joins takes over its share of the minions and no more. A fixed assignment
     /// instead made a new leader give all 350 minions to the eight agents that connected first:
     /// 4,578 orders of the next ten seconds got no answer in time, and of the check jobs submitted
     /// during four of those seconds, only one in four was done in time.
-    fn choose_agent(&self, now: Timestamp, target: &Target) -> Option<AgentId> {
-        let eligible = |agent: &&Agent| !agent.on_leader_host && now >= agent.suspended_until;
-        let all = self.agents.iter().filter(|(_, agent)| eligible(agent));
-        let best = all.max_by_key(|(id, agent)| {
-            let weight = rendezvous_weight(target.minion, **id);
-            (agent.zone == target.zone, weight, **id)
-        });
-        best.map(|(id, _)| *id)
+    fn choose_agent(&self, target: &Target) -> Option<AgentId> {
+        let other = || {
+            let zone = target.minion as usize % self.rings.len().max(1);
+            self.rings.values().nth(zone)
+        };
+        let ring = self.rings.get(&target.zone).or_else(other)?;
+        ring.agent_of(target.minion)
     }
 }
 
@@ -252,3 +326,10 @@
 /// Orders collected for each agent, to be sent together.
 #[derive(Default)]
 pub struct Batches(BTreeMap<AgentId, Vec<(OrderNumber, Target, MinionOrder)>>);
+
+impl Batches {
+    /// Agents with orders.
+    pub fn agents(&self) -> impl Iterator<Item = AgentId> + '_ {
+        self.0.keys().copied()
+    }
+}
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -38,12 +38,15 @@
 }
 
 /// An order to a minion and its answer, or what stands for a missing one.
-pub(crate) struct OrderOutcome {
-    pub(crate) minion: MinionNumber,
-    pub(crate) order: OrderKind,
+pub struct OrderOutcome {
+    /// Minion that the order was for.
+    pub minion: MinionNumber,
+    /// Kind of the order, with the run that it was for.
+    pub order: OrderKind,
     /// When the order was sent, by the leader's monotonic clock.
-    pub(crate) sent: Timestamp,
-    pub(crate) answer: MinionAnswer,
+    pub sent: Timestamp,
+    /// The minion's answer, or what stands for a missing one.
+    pub answer: MinionAnswer,
 }
 
 /// How a caller's request is to be served.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -9,6 +9,7 @@
 mod election_watch;
 pub mod event;
 mod event_output;
+mod hash_ring;
 pub mod ledger;
 pub mod link;
 pub mod machine;
--- a/tests/batch_agents.rs
+++ b/tests/batch_agents.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rstest::rstest;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use yuccahold::batch::agents::{AgentId, Agents, Batches};
 use yuccahold::batch::calls::ServerMessage;
@@ -26,11 +27,11 @@
     rx
 }
 
-/// Sends one hold to each minion; returns the number of orders that each agent received.
-fn hold_all(
+/// Sends one hold to each minion; returns the minions whose orders each agent received.
+fn hold_each(
     agents: &Agents,
     channels: &mut BTreeMap<AgentId, UnboundedReceiver<ServerMessage>>,
-) -> BTreeMap<AgentId, usize> {
+) -> BTreeMap<AgentId, Vec<u32>> {
     let hold = MinionOrder::Hold(HoldOrder {
         deadline: None,
         token: 1,
@@ -50,14 +51,25 @@
     agents.flush(batches);
     let taken = channels.iter_mut().map(|(id, rx)| {
         let orders = match rx.try_recv() {
-            Ok(ServerMessage::Orders(orders)) => orders.len(),
-            _ => 0,
+            Ok(ServerMessage::Orders(orders)) => {
+                orders.iter().map(|(_, to, _)| to.minion).collect()
+            }
+            _ => Vec::new(),
         };
         (*id, orders)
     });
     taken.collect()
 }
 
+/// Sends one hold to each minion; returns the number of orders that each agent received.
+fn hold_all(
+    agents: &Agents,
+    channels: &mut BTreeMap<AgentId, UnboundedReceiver<ServerMessage>>,
+) -> BTreeMap<AgentId, usize> {
+    let taken = hold_each(agents, channels).into_iter();
+    taken.map(|(id, minions)| (id, minions.len())).collect()
+}
+
 /// Only a few agents are connected to a new leader at first, and they get the orders for all
 /// minions. Once the others connect, orders must be spread over all agents: if the first ones kept
 /// all orders, their links would saturate and starts would not be answered in time.
@@ -92,3 +104,26 @@
         BTreeMap::from([(1, 0), (2, 0), (3, MINIONS as usize)])
     );
 }
+
+/// An agent joins a cell of any size. If it moved minions between the others too, the orders of a
+/// minion would overtake each other on two connections, for all minions at once at each join.
+#[rstest]
+#[case::few(8)]
+#[case::many(1_200)]
+fn an_agent_that_joins_moves_no_minion_between_others(#[case] count: u64) {
+    let assigned = |count: u64| -> BTreeMap<u32, AgentId> {
+        let agents = Agents::default();
+        let mut channels: BTreeMap<_, _> = (0..count)
+            .map(|id| (id, add(&agents, id, "mixco")))
+            .collect();
+        let taken = hold_each(&agents, &mut channels).into_iter();
+        taken
+            .flat_map(|(id, minions)| minions.into_iter().map(move |m| (m, id)))
+            .collect()
+    };
+    let (before, after) = (assigned(count), assigned(count + 1));
+    let moved = after.iter().filter(|(m, id)| before[m] != **id);
+    let moved: Vec<_> = moved.map(|(_, id)| *id).collect();
+    assert!(moved.iter().all(|id| *id == count), "{moved:?}");
+    assert!(moved.len() <= 3 * MINIONS as usize / count as usize + 1);
+}
