Dispatcher: maintenance looks only at minions with a recent event or an expired timer

Cause: every 5 ms all minions were checked for holds that are due and leases that are over, and a minion that joins was compared with the addresses of all others.

Change: a timer for each minion with a hold to come, or that is silent; an index by address. What concerns the set of known minions moves to a module of its own.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -42,9 +42,9 @@
 const COLLECT_PAUSE: Duration = Duration::from_millis(15);
 /// Pause between two holds to a minion that still answers although its end was announced.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
-/// Time between two scans of all minions for what is due by time alone: a pause that is over or a
-/// lease that has expired. Small compared with these pauses and with a round trip.
-const SCAN_INTERVAL: Duration = Duration::from_millis(5);
+/// Time between two checks of a minion whose next event has no known time: the lease of a silent
+/// minion expires, or ends that delay a hold are committed. Small compared with a round trip.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// A silent, idle minion that sends no report for this long is removed.
 const REMOVE_IDLE_AFTER: Duration = Duration::from_secs(30);
 
@@ -52,24 +52,15 @@
     /// Sends the holds that are due and ends runs on silent minions whose lease is over.
     ///
     /// Called after every answer. Scanning all minions each time would make the work per answer
-    /// grow with the cell, so between full scans only minions with a recent event are checked.
+    /// grow with the cell, so only minions with a recent event or an expired timer are checked.
     pub(super) fn maintain_minions(&mut self, now: Timestamp) {
-        let changed = std::mem::take(&mut self.changed_minions);
-        let needs_maintenance = |m: &&Minion| m.needs_maintenance(now);
-        let due: Vec<_> = if now >= self.next_minion_scan {
-            self.next_minion_scan = now + SCAN_INTERVAL;
-            let due = self.minions.values().filter(needs_maintenance);
-            due.map(|m| m.number).collect()
-        } else {
-            let changed = changed.iter().filter_map(|number| self.minions.get(number));
-            changed
-                .filter(needs_maintenance)
-                .map(|m| m.number)
-                .collect()
-        };
+        let mut due = std::mem::take(&mut self.changed_minions);
+        due.extend(self.timers.take_due(now));
         for number in due {
             self.end_lapsed(number, now);
             self.hold_if_due(number, now);
+            let next = self.minions.get(&number).and_then(|m| next_check(m, now));
+            self.timers.set(number, next);
         }
     }
 
@@ -304,3 +295,17 @@
         }
     }
 }
+
+/// When a minion should be checked again if nothing changes until then; `None` for one with a
+/// pending hold, or without work.
+fn next_check(minion: &Minion, now: Timestamp) -> Option<Timestamp> {
+    let hold_at = match minion.hold {
+        HoldState::Due(at) if minion.wants_hold() && at > now => Some(at),
+        HoldState::Due(_) if minion.wants_hold() => Some(now + CHECK_INTERVAL),
+        _ => None,
+    };
+    if minion.failed_holds > 0 {
+        return Some(now + CHECK_INTERVAL);
+    }
+    hold_at
+}
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -393,12 +393,6 @@
         self.is_busy() || (in_doubt && !self.foreign)
     }
 
-    /// Whether a hold may be due, or its runs may have to be ended.
-    pub(super) fn needs_maintenance(&self, now: Timestamp) -> bool {
-        let due = matches!(self.hold, HoldState::Due(at) if now >= at);
-        self.failed_holds > 0 || (due && self.wants_hold())
-    }
-
     /// Whether no hold or order has failed since the last one that was answered. One that is still
     /// pending has not failed.
     pub(super) fn is_responsive(&self) -> bool {
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -28,17 +28,20 @@
 mod reports;
 mod reservations;
 mod restarts;
+mod roster;
 mod run;
 mod speed;
+mod timers;
 mod utilization;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::event::Event;
 use super::ledger::{Batch, Ledger, TaskRecord, TaskState};
-use super::model::{Configuration, JobId, MinionNumber, MinionReport, StepId, TaskId};
+use super::model::{JobId, MinionNumber, StepId, TaskId};
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
 
 use advice::StepAdvice;
@@ -84,6 +87,7 @@
     began: Timestamp,
     minions: BTreeMap<MinionNumber, Minion>,
     by_id: HashMap<MinionId, MinionNumber>,
+    by_addr: HashMap<SocketAddr, Vec<MinionNumber>>,
     racks: HashMap<String, usize>,
     /// Services of the configuration in force; `None` while there is none.
     services: Option<BTreeSet<ServiceName>>,
@@ -118,8 +122,8 @@
     batch: Batch,
     /// Minions whose state changed since their last maintenance.
     changed_minions: BTreeSet<MinionNumber>,
-    /// Time of the next maintenance of all minions.
-    next_minion_scan: Timestamp,
+    /// When minions are due for maintenance without such a change.
+    timers: timers::Timers,
     /// Minions with ends that were received and are not acknowledged.
     unacknowledged: BTreeSet<MinionNumber>,
     /// One entry for each uncommitted batch: the last end received from each minion. These are
@@ -159,8 +163,9 @@
             began: now,
             minions: BTreeMap::new(),
             by_id: HashMap::new(),
+            by_addr: HashMap::new(),
             racks: HashMap::new(),
-            services: ledger.config.as_ref().map(|c| services_of(&c.parsed)),
+            services: ledger.config.as_ref().map(|c| roster::services_of(&c.parsed)),
             next_minion: ledger.next_minion,
             runs: BTreeMap::new(),
             ready: BTreeMap::new(),
@@ -179,7 +184,7 @@
             reservations: reservations::Reservations::default(),
             batch: Batch::default(),
             changed_minions: BTreeSet::new(),
-            next_minion_scan: now,
+            timers: timers::Timers::default(),
             unacknowledged: BTreeSet::new(),
             uncommitted_ends: Default::default(),
             unreadable_logged_at: None,
@@ -270,56 +275,6 @@
         }
     }
 
-    /// Adds a new incarnation of a minion, also to the next batch.
-    fn add_incarnation(&mut self, minion: Minion) {
-        let report = minion.report.clone();
-        self.batch.joined.push((minion.number, report));
-        self.add_minion(minion);
-    }
-
-    fn add_minion(&mut self, mut minion: Minion) {
-        minion.foreign = self.is_foreign(&minion.report.service);
-        minion.rack = self.rack_of(&minion.report);
-        self.next_minion = self.next_minion.max(minion.number + 1);
-        self.by_id.insert(minion.report.id.clone(), minion.number);
-        self.changed_minions.insert(minion.number);
-        self.utilizations.changed();
-        self.minions.insert(minion.number, minion);
-    }
-
-    /// Index of a minion's rack, assigned at its first use.
-    fn rack_of(&mut self, report: &MinionReport) -> usize {
-        let rack = report.labels.iter().find(|l| is_rack(l));
-        let rack = rack.map_or_else(String::new, ToString::to_string);
-        let next = self.racks.len();
-        *self.racks.entry(rack).or_insert(next)
-    }
-
-    /// Drops all remaining state of an incarnation that was removed.
-    fn drop_minion_state(&mut self, minion: &Minion) {
-        if self.by_id.get(&minion.report.id) == Some(&minion.number) {
-            self.by_id.remove(&minion.report.id);
-        }
-        self.unacknowledged.remove(&minion.number);
-        self.forget_releases(minion.number);
-        self.stop_charging(&minion.orphaned_runs);
-        self.batch.gone.push(minion.number);
-    }
-
-    fn is_foreign(&self, service: &ServiceName) -> bool {
-        let services = self.services.as_ref();
-        services.is_some_and(|services| !services.contains(service))
-    }
-
-    /// Applies the services of a new configuration.
-    fn set_services(&mut self, config: &Configuration) {
-        let services = services_of(config);
-        for minion in self.minions.values_mut() {
-            minion.foreign = !services.contains(&minion.report.service);
-        }
-        self.services = Some(services);
-    }
-
     fn add_run(&mut self, id: TaskId, run: Run) {
         self.forget_releases(run.minion);
         self.changed_minions.insert(run.minion);
@@ -465,12 +420,3 @@
 fn max_lease_on_local_clock(lease: Duration) -> Duration {
     lease.mul_f64(1.0 / CLOCK_RATE) + LEASE_MARGIN
 }
-
-fn services_of(config: &Configuration) -> BTreeSet<ServiceName> {
-    config.services.iter().map(|s| s.name.clone()).collect()
-}
-
-/// Whether a label names a rack, such as `r1-3`; labels for the kind of minion are single letters.
-fn is_rack(label: &str) -> bool {
-    label.starts_with('r') && label.contains('-')
-}
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -16,10 +16,11 @@
             return;
         }
         // The minion known at this address may have ended; the next call to it will show.
-        let at_same_addr = |m: &&mut Minion| m.report.addr == report.addr;
-        for old in self.minions.values_mut().filter(at_same_addr) {
-            old.mark_displaced(now);
-            self.changed_minions.insert(old.number);
+        for number in self.by_addr.get(&report.addr).into_iter().flatten() {
+            if let Some(old) = self.minions.get_mut(number) {
+                old.mark_displaced(now);
+                self.changed_minions.insert(*number);
+            }
         }
         self.emit(Event::MinionJoined {
             minion: report.id.clone(),
@@ -57,6 +58,7 @@
             (report.capacity != minion.report.capacity).then_some(report.capacity);
         let unreported = minion.unreported;
         let started = report.started.or(minion.report.started);
+        let addr_before = (minion.report.addr != report.addr).then_some(minion.report.addr);
         minion.report = MinionReport { started, ..report };
         if draining && !minion.draining {
             minion.draining = true;
@@ -66,6 +68,9 @@
                 sequence,
             });
         }
+        if let Some(before) = addr_before {
+            self.addr_changed(number, before);
+        }
         if unreported {
             self.first_report(number);
         } else if let Some(capacity) = capacity_changed {
