Dispatcher: questions compare a bounded number of minions, those with room first

Cause: each question to the policy service walked all minions twice, once for their availability and once for their suitability, and the search for a minion that lacks only a ticket walked them again for each waiting step. Both grow with minions times questions, so with the square of the cell.

Change: an index of minions by service and by the free amount of each resource, kept at each start, end and change. Availability is reckoned only for a minion without room.

Test: minions examined for a start at 1,000 and 5,000 minions, and while nothing is due. It could not be run on the code before, which does not count; there each question examined all of them.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -261,12 +261,16 @@
         }
         let need = demand(spec);
         let step_advice = self.step_advice.get(&id);
-        self.minions.values().any(|minion| {
-            let open = || {
-                step_advice
-                    .is_none_or(|k| !k.forbids(minion.number) && !k.has_ticket(minion.number, now))
-            };
-            need.fits_in(&minion.free()) && open() && self.is_eligible(now, minion, id, step, spec)
+        let mut with_room = self.rooms.with_room(&step.queue.service, &need, id.job);
+        with_room.any(|number| {
+            self.count_examined();
+            let open =
+                || step_advice.is_none_or(|k| !k.forbids(number) && !k.has_ticket(number, now));
+            self.minions.get(&number).is_some_and(|minion| {
+                need.fits_in(&minion.free())
+                    && open()
+                    && self.is_eligible(now, minion, id, step, spec)
+            })
         })
     }
 
--- a/src/batch/dispatch/cell_report.rs
+++ b/src/batch/dispatch/cell_report.rs
@@ -35,6 +35,7 @@
             return;
         }
         self.next_cell_report = now + REPORT_INTERVAL;
+        debug_assert!(self.room_index_is_exact());
         let taking = || self.minions.values().filter(|m| m.takes_work(now));
         let sum = |sum: Resources, part: &Resources| sum.saturating_add(part);
         let cell = Event::Cell {
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -57,6 +57,7 @@
         let mut due = std::mem::take(&mut self.changed_minions);
         due.extend(self.timers.take_due(now));
         for number in due {
+            self.count_examined();
             self.end_lapsed(number, now);
             self.hold_if_due(number, now);
             let next = self.minions.get(&number).and_then(|m| next_check(m, now));
@@ -251,6 +252,7 @@
             minion.used = Resources::default();
             let orphans = std::mem::take(&mut minion.orphaned_runs);
             self.stop_charging(&orphans);
+            self.index_room(number);
         }
     }
 
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -241,6 +241,7 @@
             let stop = MinionOrder::Stop { task, run, token };
             self.out.push(Order::Minion(target, stop));
         }
+        self.index_room(number);
     }
 
     /// Ends runs that the minion lists neither as running nor as ended.
@@ -338,6 +339,7 @@
         if let Some(minion) = self.minions.get_mut(&number) {
             minion.used = minion.used.saturating_sub(&orphan.room);
         }
+        self.index_room(number);
         if let Some(charge) = orphan.charge(task, run) {
             self.quotas.remove(charge);
         }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -28,13 +28,14 @@
 mod reports;
 mod reservations;
 mod restarts;
+mod room_index;
 mod roster;
 mod run;
 mod speed;
 mod timers;
 mod utilization;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -88,6 +89,8 @@
     minions: BTreeMap<MinionNumber, Minion>,
     by_id: HashMap<MinionId, MinionNumber>,
     by_addr: HashMap<SocketAddr, Vec<MinionNumber>>,
+    /// All minions by their free resources.
+    rooms: room_index::RoomIndex,
     racks: HashMap<String, usize>,
     /// Services of the configuration in force; `None` while there is none.
     services: Option<BTreeSet<ServiceName>>,
@@ -106,8 +109,8 @@
     agents: usize,
     /// Runs that are being stopped and still occupy their resources.
     stopping: BTreeSet<TaskId>,
-    /// Free resources of all minions by priority of the work, with the time of their computation.
-    availabilities: HashMap<u32, (Timestamp, question_candidates::Availabilities)>,
+    /// Resources of minions that work of some priority could get.
+    availabilities: question_candidates::Availabilities,
     /// Utilization of each service.
     utilizations: utilization::Utilizations,
     /// Expected releases of resources on each minion, with the time of their computation.
@@ -139,6 +142,8 @@
     place_at: Timestamp,
     /// Next occurrence of each job with a timetable, by Unix time.
     timetable: BTreeSet<(Timestamp, JobId, u32)>,
+    /// Number of times that a minion was examined for a decision.
+    examined: Cell<u64>,
     /// Time of the next event on the state of the cell.
     next_cell_report: Timestamp,
     /// Highest priority number seen so far; higher numbers are less urgent.
@@ -164,8 +169,12 @@
             minions: BTreeMap::new(),
             by_id: HashMap::new(),
             by_addr: HashMap::new(),
+            rooms: room_index::RoomIndex::default(),
             racks: HashMap::new(),
-            services: ledger.config.as_ref().map(|c| roster::services_of(&c.parsed)),
+            services: ledger
+                .config
+                .as_ref()
+                .map(|c| roster::services_of(&c.parsed)),
             next_minion: ledger.next_minion,
             runs: BTreeMap::new(),
             ready: BTreeMap::new(),
@@ -176,7 +185,7 @@
             passed_over_at: now,
             agents: 1,
             stopping: BTreeSet::new(),
-            availabilities: HashMap::new(),
+            availabilities: Default::default(),
             utilizations: utilization::Utilizations::default(),
             releases: RefCell::new(HashMap::new()),
             quotas: quota::Quotas::default(),
@@ -192,6 +201,7 @@
             place_not_before: now,
             place_at: now,
             timetable: BTreeSet::new(),
+            examined: Cell::new(0),
             next_cell_report: now,
             least_urgent: 0,
             speeds: speed::CommonPace::default(),
@@ -286,6 +296,7 @@
             minion.trials += u32::from(run.suspicion == Suspicion::Trial);
             minion.runs.insert(id);
         }
+        self.index_room(run.minion);
         if let Some(charge) = run.charge(id) {
             self.quotas.add(charge);
         }
@@ -319,6 +330,7 @@
             minion.trials -= u32::from(run.suspicion == Suspicion::Trial);
             self.utilizations.changed();
             self.placement_requested = true;
+            self.index_room(run.minion);
         }
     }
 
@@ -402,6 +414,16 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Number of times that a minion was examined for a decision: a measure of the work that does
+    /// not depend on the machine.
+    pub fn minions_examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    fn count_examined(&self) {
+        self.examined.set(self.examined.get() + 1);
+    }
+
     /// Whether orders are pending.
     pub fn has_orders(&self) -> bool {
         !self.out.is_empty()
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -189,9 +189,11 @@
         list: impl Fn(&'a StepAdvice) -> I,
     ) -> Vec<&'a Minion> {
         if step.queue.advice.is_none() {
-            return self.minions.values().collect();
+            let all = self.minions.values();
+            return all.inspect(|_| self.count_examined()).collect();
         }
         let listed = self.step_advice.get(&id).into_iter().flat_map(list);
+        let listed = listed.inspect(|_| self.count_examined());
         listed
             .filter_map(|number| self.minions.get(&number))
             .collect()
--- a/src/batch/dispatch/question_candidates.rs
+++ b/src/batch/dispatch/question_candidates.rs
@@ -1,15 +1,15 @@
 //! Selection of the minions that a question to the policy service names: those that are likely to
 //! have free resources when the answer arrives.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::time::Duration;
 
-use super::advice::{MIN_MINIONS_PER_QUESTION, max_tasks_in};
+use super::advice::{MIN_MINIONS_PER_QUESTION, StepAdvice, max_tasks_in};
 use super::minion::Minion;
 use super::run::demand;
 use super::speed::Slowness;
 use super::{Dispatcher, ReadyStep};
-use crate::batch::model::{MinionNumber, PolicyConfig, StepId};
+use crate::batch::model::{MinionNumber, PolicyConfig, StepId, StepSpec};
 use crate::batch::rendezvous::rendezvous_weight;
 use crate::ids::Timestamp;
 use crate::resources::Resources;
@@ -30,31 +30,33 @@
 const WEIGHT_LATER: u32 = 2;
 /// Resources expected to be free within this time count as available soon.
 const SOON: Duration = Duration::from_millis(2000);
-/// Age up to which computed availabilities are used again. Every waiting step needs them, and the
-/// computation walks all runs.
+/// Age up to which computed availabilities are used again; each computation walks the runs of its
+/// minion.
 const AVAILABILITY_MAX_AGE: Duration = Duration::from_millis(100);
+/// Minions compared for a question, if these include enough candidates. The best of so many are
+/// nearly as good as the best of all, and the work does not grow with the cell.
+const MAX_COMPARED: usize = 8 * MAX_MINIONS_PER_QUESTION;
 
-impl Dispatcher {
-    /// The resources of each minion that are available to work of a priority, now and soon.
-    fn availabilities(&mut self, now: Timestamp, priority: u32) -> Availabilities {
-        if let Some((at, known)) = self.availabilities.get(&priority)
-            && now < *at + AVAILABILITY_MAX_AGE
-        {
-            return Arc::clone(known);
+/// Computed availabilities by priority of the work.
+#[derive(Debug, Default)]
+pub(super) struct Availabilities {
+    computed_from: Timestamp,
+    known: HashMap<(u32, MinionNumber), Availability>,
+}
+
+impl Availabilities {
+    /// Drops all availabilities when the oldest is too old.
+    fn refresh(&mut self, now: Timestamp) {
+        if now >= self.computed_from + AVAILABILITY_MAX_AGE {
+            self.computed_from = now;
+            self.known.clear();
         }
-        let all = self
-            .minions
-            .values()
-            .map(|m| (m.number, self.availability_of(m, now, priority)));
-        let all: Availabilities = all.collect();
-        self.availabilities
-            .insert(priority, (now, Arc::clone(&all)));
-        all
     }
+}
 
+impl Dispatcher {
     fn availability_of(&self, minion: &Minion, now: Timestamp, priority: u32) -> Availability {
         let mut available = Availability {
-            free: minion.free(),
             preemptible: minion.free(),
             soon: minion.free(),
         };
@@ -84,73 +86,21 @@
         policy: PolicyConfig,
     ) -> Vec<(MinionNumber, u32)> {
         let most = max_candidates(policy);
-        let waiting = step.waiting.len() as u32;
-        // New tickets should arrive before the current ones expire.
-        let lead_time = policy.base + policy.per_minion * most as u32;
-        let availabilities = self.availabilities(now, step.queue.priority);
-        let Some(step_advice) = self.step_advice.get(&id) else {
-            return Vec::new();
-        };
         let spec = &step.spec.steps[usize::from(id.step)];
-        let need = demand(spec);
-        let urgent = step.queue.priority == 0;
-        let mut candidates = Vec::new();
-        let mut availabilities = availabilities.iter().peekable();
-        for minion in self.minions.values() {
-            while availabilities
-                .next_if(|(n, _)| *n < minion.number)
-                .is_some()
-            {}
-            let Some((_, available)) = availabilities.peek().filter(|(n, _)| *n == minion.number)
-            else {
-                continue;
-            };
-            // A ticket for a minion that already runs its maximum of the step would be useless, and
-            // such minions could displace all others when few tasks are left.
-            if !self.is_eligible(now, minion, id, step, spec)
-                || step_advice.forbids(minion.number)
-                || step_advice.has_ticket(minion.number, now + lead_time)
-                || !need.fits_in(&minion.report.capacity)
-            {
-                continue;
-            }
-            let own = |most: u32| most.saturating_sub(self.tasks_of_step_on(minion, id));
-            let share = spec.max_per_minion.map_or(u32::MAX, own);
-            let fits =
-                |available: &Resources| max_tasks_in(available, &need).min(share.min(waiting));
-            let open = available
-                .free
-                .saturating_sub(&self.questions.earmarked(minion.number));
-            let (weight, places) = [
-                (WEIGHT_FREE, &open),
-                (WEIGHT_EARMARKED, &available.free),
-                (WEIGHT_PREEMPTIBLE, &available.preemptible),
-            ]
-            .into_iter()
-            .map(|(weight, available)| (weight, fits(available)))
-            .find(|(_, places)| *places > 0)
-            .unwrap_or_else(|| {
-                let soon = need.fits_in(&available.soon);
-                (if soon { WEIGHT_SOON } else { WEIGHT_LATER }, 0)
-            });
-            let allowed = step_advice.allows(minion.number);
-            let slowness = self.speeds.slowness(&minion.pace);
-            candidates.push(Candidate {
-                reserved: step.is_lasting()
-                    && self.reservations.tasks_of_step_on(minion.number, id) > 0,
-                weight: weight
-                    * if allowed {
-                        WEIGHT_ALLOWED
-                    } else {
-                        WEIGHT_UNKNOWN
-                    },
-                preferred: urgent == (slowness <= Slowness::Usual),
-                places,
-                tie: rendezvous_weight(minion.number, id.job),
-                minion: minion.number,
-                allowed,
-            });
-        }
+        let question = Question {
+            now,
+            id,
+            step,
+            spec,
+            need: demand(spec),
+            waiting: step.waiting.len() as u32,
+            // New tickets should arrive before the current ones expire.
+            lead_time: policy.base + policy.per_minion * most as u32,
+        };
+        let mut availabilities = std::mem::take(&mut self.availabilities);
+        availabilities.refresh(now);
+        let mut candidates = self.compared_candidates(&question, most, &mut availabilities);
+        self.availabilities = availabilities;
         // Only the best are named; sorting the others would cost more than the rest of this
         // function.
         if candidates.len() > most {
@@ -158,24 +108,139 @@
             candidates.truncate(most);
         }
         candidates.sort_unstable_by(|a, b| b.cmp(a));
-        best_candidates(&candidates, waiting, most)
+        best_candidates(&candidates, question.waiting, most)
+    }
+
+    /// Candidates among the minions known to be allowed, and then among others until enough are
+    /// compared, those with room first.
+    fn compared_candidates(
+        &self,
+        question: &Question,
+        most: usize,
+        availabilities: &mut Availabilities,
+    ) -> Vec<Candidate> {
+        let Some(step_advice) = self.step_advice.get(&question.id) else {
+            return Vec::new();
+        };
+        let service = &question.step.queue.service;
+        let start = question.id.job ^ u64::from(question.id.step);
+        let with_room = self.rooms.with_room(service, &question.need, start);
+        let without_room = self.rooms.without_room(service, &question.need, start);
+        let others = with_room
+            .chain(without_room)
+            .filter(|n| !step_advice.allows(*n));
+        let mut candidates = Vec::new();
+        for (compared, number) in step_advice.allowed().chain(others).enumerate() {
+            if compared >= MAX_COMPARED && candidates.len() >= most {
+                break;
+            }
+            self.count_examined();
+            let minion = self.minions.get(&number);
+            let candidate =
+                minion.and_then(|m| self.candidate(question, m, step_advice, availabilities));
+            candidates.extend(candidate);
+        }
+        candidates
+    }
+
+    /// A minion as a candidate for a question; `None` if a ticket for it would be useless.
+    fn candidate(
+        &self,
+        question: &Question,
+        minion: &Minion,
+        step_advice: &StepAdvice,
+        availabilities: &mut Availabilities,
+    ) -> Option<Candidate> {
+        let Question {
+            now,
+            id,
+            step,
+            spec,
+            need,
+            waiting,
+            lead_time,
+        } = question;
+        // A ticket for a minion that already runs its maximum of the step would be useless, and
+        // such minions could displace all others when few tasks are left.
+        if step_advice.forbids(minion.number)
+            || !self.is_eligible(*now, minion, *id, step, spec)
+            || step_advice.has_ticket(minion.number, *now + *lead_time)
+            || !need.fits_in(&minion.report.capacity)
+        {
+            return None;
+        }
+        let own = |most: u32| most.saturating_sub(self.tasks_of_step_on(minion, *id));
+        let share = spec.max_per_minion.map_or(u32::MAX, own).min(*waiting);
+        let fits = |available: &Resources| max_tasks_in(available, need).min(share);
+        let free = minion.free();
+        let open = free.saturating_sub(&self.questions.earmarked(minion.number));
+        let (weight, places) = match (fits(&open), fits(&free)) {
+            (places @ 1.., _) => (WEIGHT_FREE, places),
+            (0, places @ 1..) => (WEIGHT_EARMARKED, places),
+            (0, 0) => {
+                let available = self.availability(*now, minion, step, availabilities);
+                match fits(&available.preemptible) {
+                    0 if need.fits_in(&available.soon) => (WEIGHT_SOON, 0),
+                    0 => (WEIGHT_LATER, 0),
+                    places => (WEIGHT_PREEMPTIBLE, places),
+                }
+            }
+        };
+        let allowed = step_advice.allows(minion.number);
+        let slowness = self.speeds.slowness(&minion.pace);
+        let urgent = step.queue.priority == 0;
+        Some(Candidate {
+            reserved: step.is_lasting()
+                && self.reservations.tasks_of_step_on(minion.number, *id) > 0,
+            weight: weight
+                * if allowed {
+                    WEIGHT_ALLOWED
+                } else {
+                    WEIGHT_UNKNOWN
+                },
+            preferred: urgent == (slowness <= Slowness::Usual),
+            places,
+            tie: rendezvous_weight(minion.number, id.job),
+            minion: minion.number,
+            allowed,
+        })
+    }
+
+    fn availability(
+        &self,
+        now: Timestamp,
+        minion: &Minion,
+        step: &ReadyStep,
+        availabilities: &mut Availabilities,
+    ) -> Availability {
+        let priority = step.queue.priority;
+        let known = availabilities.known.entry((priority, minion.number));
+        *known.or_insert_with(|| self.availability_of(minion, now, priority))
     }
 }
 
+/// A step about which a question is considered.
+struct Question<'a> {
+    now: Timestamp,
+    id: StepId,
+    step: &'a ReadyStep,
+    spec: &'a StepSpec,
+    need: Resources,
+    /// Number of waiting tasks.
+    waiting: u32,
+    /// A ticket that is valid for longer is not asked for again.
+    lead_time: Duration,
+}
+
 /// Resources of one minion that are available to work of one priority.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Availability {
-    /// Free now.
-    free: Resources,
     /// Free, being freed, or used by runs that could be preempted.
     preemptible: Resources,
     /// The same plus runs that are expected to end within the validity of a ticket.
     soon: Resources,
 }
 
-/// Availabilities of all minions, sorted by number.
-pub(super) type Availabilities = Arc<[(MinionNumber, Availability)]>;
-
 /// A minion that a question could name; the greatest by field order is the best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -71,6 +71,7 @@
         if let Some(before) = addr_before {
             self.addr_changed(number, before);
         }
+        self.index_room(number);
         if unreported {
             self.first_report(number);
         } else if let Some(capacity) = capacity_changed {
--- a/src/batch/dispatch/roster.rs
+++ b/src/batch/dispatch/roster.rs
@@ -26,7 +26,9 @@
         at_addr.push(minion.number);
         self.changed_minions.insert(minion.number);
         self.utilizations.changed();
-        self.minions.insert(minion.number, minion);
+        let number = minion.number;
+        self.minions.insert(number, minion);
+        self.index_room(number);
     }
 
     /// Moves a minion in the index by address after its address changed from `before`.
@@ -47,6 +49,20 @@
         }
     }
 
+    /// Updates the index by free resources after a minion's free resources or its service changed.
+    pub(super) fn index_room(&mut self, number: MinionNumber) {
+        if let Some(minion) = self.minions.get(&number) {
+            self.rooms
+                .set(number, &minion.report.service, &minion.free());
+        }
+    }
+
+    /// Whether the index by free resources agrees with the minions.
+    pub(super) fn room_index_is_exact(&self) -> bool {
+        let entry = |m: &Minion| self.rooms.is_at(m.number, &m.report.service, &m.free());
+        self.rooms.len() == self.minions.len() && self.minions.values().all(entry)
+    }
+
     /// Index of a minion's rack, assigned at its first use.
     pub(super) fn rack_of(&mut self, report: &MinionReport) -> usize {
         let rack = report.labels.iter().find(|l| is_rack(l));
@@ -61,6 +77,7 @@
             self.by_id.remove(&minion.report.id);
         }
         self.forget_addr(minion.number, minion.report.addr);
+        self.rooms.remove(minion.number);
         self.timers.set(minion.number, None);
         self.unacknowledged.remove(&minion.number);
         self.forget_releases(minion.number);
--- /dev/null
+++ b/tests/batch_scale.rs
@@ -0,0 +1,108 @@
+//! Work of the leader's decisions in cells of several sizes, counted in minions examined.
+
+mod batch_world;
+
+use batch_world::{JOB, World, listed, ms, queue, report, step};
+use rstest::rstest;
+use yuccahold::batch::dispatch::{Advice, Listing};
+use yuccahold::batch::model::{PolicyConfig, Queue};
+
+/// How much more work a decision may take in a cell that is five times as large.
+const MAX_GROWTH: f64 = 1.3;
+
+fn advised_queue() -> Queue {
+    Queue {
+        advice: Some(PolicyConfig {
+            base: ms(30),
+            per_minion: ms(1),
+            validity: ms(2500),
+        }),
+        ..queue()
+    }
+}
+
+fn world_of(minions: u16) -> World {
+    let mut world = World::new();
+    for i in 0..minions {
+        world.join_as(report(&format!("i-{i}"), i));
+    }
+    world.leader.set_agents(usize::from(minions / 10));
+    world.take_holds();
+    world
+}
+
+/// Minions examined for each task until the tasks of 20 jobs have started. The minions are nearly
+/// full if `load` says so.
+fn examined_per_start(minions: u16, load: Load) -> f64 {
+    let mut world = world_of(minions);
+    if load == Load::NearlyFull {
+        world.submit(JOB, vec![step(u32::from(minions) * 9 / 10, 30_000)]);
+        for _ in 0..minions / 500 {
+            world.start_all();
+            world.advance(ms(10));
+        }
+        world.take_holds();
+    }
+    let before = world.leader.minions_examined();
+    let mut starts = 0;
+    for job in 1..=20 {
+        world.submit_to(job, advised_queue(), vec![step(13, 6_400)]);
+        for question in world.take_questions() {
+            let good = question
+                .minions
+                .iter()
+                .map(|m| (m.clone(), "ticket".into()));
+            let advice = Advice {
+                good: good.collect(),
+            };
+            world
+                .leader
+                .advice_received(world.now, question.id, Some(advice));
+            world.decide();
+        }
+        starts += world.start_all().len();
+    }
+    assert_eq!(starts, 20 * 13);
+    (world.leader.minions_examined() - before) as f64 / starts as f64
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Load {
+    Empty,
+    NearlyFull,
+}
+
+/// With each question about a step examining all minions, the leader of 12,000 minions needed a
+/// whole core for half of the users' load a minion.
+#[rstest]
+#[case::empty(Load::Empty)]
+#[case::nearly_full(Load::NearlyFull)]
+fn the_work_for_a_start_does_not_grow_with_the_cell(#[case] load: Load) {
+    let small = examined_per_start(1_000, load);
+    let large = examined_per_start(5_000, load);
+    assert!(large <= small * MAX_GROWTH, "{small} and {large}");
+}
+
+/// With all minions examined every few milliseconds, idle ones and those whose hold is pending used
+/// most of the leader's time in a large cell.
+#[test]
+fn minions_with_nothing_due_are_not_examined() {
+    let mut world = world_of(500);
+    world.submit(JOB, vec![step(500, 30_000)]);
+    let starts = world.start_all();
+    for (minion, _) in world.take_holds() {
+        let running = starts.iter().filter(|(m, _)| *m == minion);
+        let listing = Listing {
+            clock: world.now,
+            running: running.map(|(_, start)| listed(start)).collect(),
+            ..Listing::default()
+        };
+        world.listing(minion, listing);
+    }
+    world.take_holds();
+    let before = world.leader.minions_examined();
+    for _ in 0..20 {
+        world.advance(ms(5));
+    }
+    assert_eq!(world.leader.minions_examined(), before);
+}
