Reports of other programs change nothing about a minion

Cause, found by reading demands' New on the wire against the code: a report that lacked version, slots, cold_left_ms or clock_ms, had them of another type, or said born: null was taken for a minion's. A report of a service that is not configured replaced the record of the minion with its id, and a high sequence number in it made all later reports of that minion count as outdated; at the address of a minion it stopped new work there.

Change: all fields of the contract are required with their types. A report of an unknown service under a known minion's id is ignored, and displaces nobody at its address.

Test: both cases of a_report_of_an_unknown_service_does_not_affect_a_minion failed before the change.

--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -10,13 +10,22 @@
 
 impl Dispatcher {
     /// Handles a minion's report: its address, capacity, labels and readiness.
+    ///
+    /// A report of a service that is not configured may come from another program under the id or
+    /// the address of a minion. It must not change what is known of that minion: a high sequence
+    /// number in it would make all further reports of the minion count as outdated.
     pub fn report(&mut self, now: Timestamp, report: MinionReport) {
+        let foreign = self.is_foreign(&report.service);
         if let Some(number) = self.by_id.get(&report.id).copied() {
+            if foreign && self.minions.get(&number).is_some_and(|m| !m.foreign) {
+                return;
+            }
             self.update_report(now, number, report);
             return;
         }
         // The minion known at this address may have ended; the next call to it will show.
-        for number in self.by_addr.get(&report.addr).into_iter().flatten() {
+        let at_addr = self.by_addr.get(&report.addr).filter(|_| !foreign);
+        for number in at_addr.into_iter().flatten() {
             if let Some(old) = self.minions.get_mut(number) {
                 old.mark_displaced(now);
                 self.changed_minions.insert(*number);
--- a/src/batch/dispatch/roster.rs
+++ b/src/batch/dispatch/roster.rs
@@ -85,7 +85,7 @@
         self.batch.gone.push(minion.number);
     }
 
-    fn is_foreign(&self, service: &ServiceName) -> bool {
+    pub(super) fn is_foreign(&self, service: &ServiceName) -> bool {
         let services = self.services.as_ref();
         services.is_some_and(|services| !services.contains(service))
     }
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use http::StatusCode;
 use metrics::counter;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 
 use super::client::{Client, Failure};
@@ -332,15 +332,20 @@
     service: CompactString,
     addr: SocketAddr,
     zone: CompactString,
+    #[serde(rename = "version")]
+    _version: CompactString,
+    #[serde(rename = "slots")]
+    _slots: u32,
+    #[serde(rename = "cold_left_ms")]
+    _cold_left_ms: f64,
     state: CompactString,
     capacity: CapacityBody,
     labels: Vec<CompactString>,
     #[serde(default)]
     remaining_ms: Option<f64>,
-    #[serde(default)]
     clock_ms: f64,
     /// Unix time in ms at which the minion started.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "some_u64")]
     born: Option<u64>,
     seq: u64,
 }
@@ -355,10 +360,16 @@
     gpu: u32,
 }
 
+/// A value that may be left out but must not be null.
+fn some_u64<'de, D: Deserializer<'de>>(input: D) -> Result<Option<u64>, D::Error> {
+    u64::deserialize(input).map(Some)
+}
+
 /// Parses a minion's report of its state; the error is one sentence.
 ///
-/// A report that lacks a field needed for placement comes from a program that is not a minion. With
-/// zero as a default the scheduler would still send holds and orders to it.
+/// A report that lacks a field of the contract, or has one of another type, comes from a program
+/// that is not a minion. With zero as a default the scheduler would still send holds and orders to
+/// it.
 pub fn decode_report(id: &str, body: &[u8]) -> Result<MinionReport, String> {
     let report: ReportBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let readiness = match report.state.as_str() {
--- a/tests/batch_leases.rs
+++ b/tests/batch_leases.rs
@@ -5,10 +5,11 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use batch_world::{JOB, World, lasting, ms, report, step};
+use batch_world::{JOB, World, draining, lasting, ms, report, step};
+use rstest::rstest;
 use yuccahold::batch::dispatch::{Answer, CallFailure, Listing};
 use yuccahold::batch::ledger::Command;
-use yuccahold::batch::model::{Configuration, Service};
+use yuccahold::batch::model::{Configuration, MinionReport, Readiness, Service};
 
 /// A minion stops answering for good while the leader keeps sending holds to it. These must not
 /// extend the lease, or the leader would wait forever for the end of a lease that it renews itself,
@@ -112,25 +113,27 @@
     }
 }
 
-/// A report names a service that is not configured. Its sender may not be a minion at all, so it
-/// isn't called. When a configuration adds the service, the minion gets a hold.
-#[test]
-fn a_minion_of_an_unknown_service_gets_no_calls() {
-    let mut world = World::new();
-    let config = |version, names: &[&str]| Command::PutConfig {
+/// A configuration with these services.
+fn config(version: u64, services: &[&str]) -> Command {
+    let services = services.iter().map(|name| Service {
+        name: (*name).into(),
+        ..Service::default()
+    });
+    Command::PutConfig {
         version,
         document: Default::default(),
         parsed: Arc::new(Configuration {
-            services: names
-                .iter()
-                .map(|name| Service {
-                    name: (*name).into(),
-                    ..Service::default()
-                })
-                .collect(),
+            services: services.collect(),
             ..Configuration::default()
         }),
-    };
+    }
+}
+
+/// A report names a service that is not configured. Its sender may not be a minion at all, so it
+/// isn't called. When a configuration adds the service, the minion gets a hold.
+#[test]
+fn a_minion_of_an_unknown_service_gets_no_calls() {
+    let mut world = World::new();
     world.apply(&config(1, &["other"]));
     world.leader.report(world.now, report("i-1", 1));
     world.advance(ms(10));
@@ -139,3 +142,26 @@
     world.advance(ms(10));
     assert_eq!(world.take_holds().len(), 1);
 }
+
+/// Another program sends a report of an unknown service under the id or the address of a minion.
+/// The minion must keep getting work, and its own reports must still count.
+#[rstest]
+#[case::its_id("i-1")]
+#[case::its_address("stranger")]
+fn a_report_of_an_unknown_service_does_not_affect_a_minion(#[case] id: &str) {
+    let mut world = World::new();
+    world.apply(&config(1, &["desk"]));
+    world.join("i-1", 1);
+    let stranger = MinionReport {
+        service: "other".into(),
+        sequence: 1_000_000,
+        readiness: Readiness::Draining { remaining: None },
+        ..report(id, 1)
+    };
+    world.leader.report(world.now, stranger);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    assert_eq!(world.start_all().len(), 1);
+    world.leader.report(world.now, draining("i-1", 1));
+    world.submit(JOB + 1, vec![step(1, 1_000)]);
+    assert_eq!(world.start_all().len(), 0);
+}
