Agents: a silent agent gives back all its orders and questions, and gets none until it is heard

Cause: an agent that was cut off was found by the time limits of single orders (0.8 s and the wait of a hold), its other orders and its questions were waited for, and after 2 s it got orders again, for as long as its connection stayed open (5 s).

Change: an order is overdue 200 ms after the agent's own time limit for it. If nothing was heard from the agent since the order was sent, all its orders and questions come back at once. A suspended agent gets orders and questions again only once it is heard. Limits are kept in an ordered set, so the check, now every 50 ms, costs only what is overdue.

--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -4,7 +4,7 @@
 //! Agents hold no state. Every order carries the leader's fencing token and is idempotent, so when
 //! an agent fails, orders are repeated, but no lease is lost.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -20,9 +20,10 @@
 /// Number of an agent's connection to the leader.
 pub type AgentId = u64;
 
-/// Time allowed for an agent's answer beyond what a hold may wait; then the agent counts as stuck.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time for which a stuck agent gets no orders.
+/// Time allowed for an agent's answer beyond the time after which the agent itself gives up on the
+/// minion: several round trips to a busy host. Then the agent counts as stuck.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// Shortest time for which a stuck agent gets no orders.
 const SUSPENSION: Duration = Duration::from_secs(2);
 
 /// An order handed to an agent that has no answer yet.
@@ -42,21 +43,40 @@
     on_leader_host: bool,
     /// Orders without an answer.
     open: BTreeMap<OrderNumber, OpenOrder>,
-    suspended_until: Timestamp,
+    /// When its last message arrived.
+    heard: Timestamp,
+    /// When it was last found stuck; `None` while it gets orders.
+    suspended: Option<Timestamp>,
     /// Sum of the expected times of the unanswered questions.
     backlog: Duration,
     /// Unanswered questions with their expected times.
     questions: Vec<(QuestionId, Duration)>,
 }
 
+/// Orders and questions that an agent will not answer.
+#[derive(Default)]
+pub struct Unanswered {
+    /// Orders, with what stands for their answers.
+    pub orders: Vec<OrderOutcome>,
+    /// Questions to the policy service.
+    pub questions: Vec<QuestionId>,
+}
+
+impl Unanswered {
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.orders.is_empty() && self.questions.is_empty()
+    }
+}
+
 #[derive(Default)]
 struct Pool {
     agents: BTreeMap<AgentId, Agent>,
     /// Agents that get orders now, by availability zone. A zone without any has no ring.
     rings: BTreeMap<ZoneName, HashRing>,
-    /// Suspended agents with the ends of their suspensions, earliest first.
-    suspended: VecDeque<(Timestamp, AgentId)>,
-    /// All agents by their backlog of questions.
+    /// Times by which orders must be answered.
+    deadlines: BTreeSet<(Timestamp, AgentId, OrderNumber)>,
+    /// Agents that are not suspended, by their backlog of questions.
     by_backlog: BTreeSet<(Duration, AgentId)>,
     next_order: OrderNumber,
 }
@@ -79,7 +99,8 @@
             zone,
             on_leader_host,
             open: BTreeMap::new(),
-            suspended_until: Timestamp::ZERO,
+            heard: Timestamp::ZERO,
+            suspended: None,
             backlog: Duration::ZERO,
             questions: Vec::new(),
         };
@@ -92,14 +113,20 @@
     }
 
     /// Removes an agent; returns its open orders and unanswered questions.
-    pub(crate) fn remove(&self, id: AgentId) -> (Vec<OrderOutcome>, Vec<QuestionId>) {
+    pub(crate) fn remove(&self, id: AgentId) -> Unanswered {
         let mut pool = self.lock();
         let Some(agent) = pool.remove(id) else {
             return Default::default();
         };
+        for (number, sent) in &agent.open {
+            pool.deadlines.remove(&(sent.expires_at, id, *number));
+        }
         let open = agent.open.into_values().map(OpenOrder::into_unanswered);
         let questions = agent.questions.into_iter().map(|(question, _)| question);
-        (open.collect(), questions.collect())
+        Unanswered {
+            orders: open.collect(),
+            questions: questions.collect(),
+        }
     }
 
     /// Adds an order to the batch of the agent chosen for the minion. Returns the order when there
@@ -112,7 +139,6 @@
         order: MinionOrder,
     ) -> Option<(Target, MinionOrder)> {
         let mut pool = self.lock();
-        pool.end_suspensions(now);
         let Some(id) = pool.choose_agent(&target) else {
             return Some((target, order));
         };
@@ -121,18 +147,16 @@
         let Some(agent) = pool.agents.get_mut(&id) else {
             return Some((target, order));
         };
-        let wait = match &order {
-            MinionOrder::Hold(hold) => hold.wait,
-            _ => Duration::ZERO,
-        };
         let sent = OpenOrder {
             minion: target.minion,
             order: order.kind(),
             missing_answer: order.not_called(),
             sent: now,
-            expires_at: now + wait + ANSWER_TIMEOUT,
+            expires_at: now + order.timeout() + ANSWER_MARGIN,
         };
+        let deadline = (sent.expires_at, id, number);
         agent.open.insert(number, sent);
+        pool.deadlines.insert(deadline);
         batches
             .0
             .entry(id)
@@ -159,11 +183,8 @@
         answers: Vec<(OrderNumber, MinionAnswer)>,
     ) -> Vec<OrderOutcome> {
         let mut pool = self.lock();
-        let Some(agent) = pool.agents.get_mut(&id) else {
-            return Vec::new();
-        };
         let known = answers.into_iter().filter_map(|(number, answer)| {
-            let sent = agent.open.remove(&number)?;
+            let sent = pool.take_open(id, number)?;
             Some(OrderOutcome {
                 answer,
                 ..sent.into_unanswered()
@@ -172,32 +193,58 @@
         known.collect()
     }
 
+    /// Records that a message of an agent arrived. A suspended agent gets orders again once it is
+    /// heard after its suspension; one that is cut off would lose them for as long as its
+    /// connection stays open.
+    pub fn heard(&self, id: AgentId, now: Timestamp) {
+        let mut pool = self.lock();
+        let Some(agent) = pool.agents.get_mut(&id) else {
+            return;
+        };
+        agent.heard = now;
+        if agent
+            .suspended
+            .is_some_and(|since| now >= since + SUSPENSION)
+        {
+            agent.suspended = None;
+            let backlog = agent.backlog;
+            pool.by_backlog.insert((backlog, id));
+            pool.join_ring(id);
+        }
+    }
+
     /// Expires orders whose agent is stuck: stopped, hung, or behind a stalled connection.
     /// Otherwise the dispatcher would wait for their answers forever.
-    pub(crate) fn expire(&self, now: Timestamp) -> Vec<OrderOutcome> {
+    ///
+    /// If nothing has been heard from the agent since an overdue order was sent, its other orders
+    /// and its questions are not waited for any longer: each hold would delay the ends on its minion
+    /// by up to its own time limit, and each question its step by seconds.
+    pub fn expire(&self, now: Timestamp) -> Unanswered {
         let mut pool = self.lock();
         let mut expired = Vec::new();
-        let mut stuck = Vec::new();
-        for (id, agent) in &mut pool.agents {
-            let late: Vec<_> = agent
-                .open
-                .iter()
-                .filter(|(_, sent)| sent.expires_at < now)
-                .map(|(number, _)| *number)
-                .collect();
-            if late.is_empty() {
+        let mut questions = Vec::new();
+        while let Some((_, id, number)) = pool.deadlines.first().filter(|d| d.0 < now).copied() {
+            let Some(overdue) = pool.take_open(id, number) else {
+                pool.deadlines.pop_first();
                 continue;
+            };
+            pool.suspend(id, now);
+            let is_silent = pool
+                .agents
+                .get(&id)
+                .is_some_and(|a| a.heard <= overdue.sent);
+            expired.push(overdue);
+            if is_silent {
+                let rest: Vec<_> = pool.agents[&id].open.keys().copied().collect();
+                expired.extend(rest.into_iter().filter_map(|n| pool.take_open(id, n)));
+                questions.extend(pool.take_questions(id));
             }
-            stuck.push(*id);
-            expired.extend(late.iter().filter_map(|n| agent.open.remove(n)));
         }
-        for id in stuck {
-            pool.suspend(id, now + SUSPENSION);
+        let orders = expired.into_iter().map(OpenOrder::into_unanswered);
+        Unanswered {
+            orders: orders.collect(),
+            questions,
         }
-        expired
-            .into_iter()
-            .map(OpenOrder::into_unanswered)
-            .collect()
     }
 
     /// Sends a question to the agent with the shortest backlog; false when there is no agent.
@@ -249,9 +296,11 @@
 
     fn change_backlog(&mut self, id: AgentId, change: impl FnOnce(Duration) -> Duration) {
         if let Some(agent) = self.agents.get_mut(&id) {
-            self.by_backlog.remove(&(agent.backlog, id));
+            let listed = self.by_backlog.remove(&(agent.backlog, id));
             agent.backlog = change(agent.backlog);
-            self.by_backlog.insert((agent.backlog, id));
+            if listed {
+                self.by_backlog.insert((agent.backlog, id));
+            }
         }
     }
 
@@ -275,25 +324,28 @@
         }
     }
 
-    fn suspend(&mut self, id: AgentId, until: Timestamp) {
+    fn suspend(&mut self, id: AgentId, now: Timestamp) {
         self.leave_ring(id);
         if let Some(agent) = self.agents.get_mut(&id) {
-            agent.suspended_until = until;
-            self.suspended.push_back((until, id));
+            agent.suspended = Some(now);
+            self.by_backlog.remove(&(agent.backlog, id));
         }
     }
 
-    fn end_suspensions(&mut self, now: Timestamp) {
-        while let Some((until, id)) = self.suspended.front().copied()
-            && until <= now
-        {
-            self.suspended.pop_front();
-            // It may have been suspended again since.
-            let over = self.agents.get(&id).map(|a| a.suspended_until <= now);
-            if over == Some(true) {
-                self.join_ring(id);
-            }
-        }
+    fn take_questions(&mut self, id: AgentId) -> Vec<QuestionId> {
+        let Some(agent) = self.agents.get_mut(&id) else {
+            return Vec::new();
+        };
+        agent.backlog = Duration::ZERO;
+        let questions = std::mem::take(&mut agent.questions).into_iter();
+        questions.map(|(question, _)| question).collect()
+    }
+
+    /// Removes and returns an order without an answer.
+    fn take_open(&mut self, id: AgentId, number: OrderNumber) -> Option<OpenOrder> {
+        let sent = self.agents.get_mut(&id)?.open.remove(&number)?;
+        self.deadlines.remove(&(sent.expires_at, id, number));
+        Some(sent)
     }
 
     /// Chooses the agent for a minion: one in its zone, or in any zone if that one has none.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -51,8 +51,8 @@
 use minion::{CLOCK_RATE, Minion};
 pub use order::{
     Advice, AdviceQuestion, Answer, CallFailure, ConfigOrder, HoldAnswer, HoldOrder, ListedEnd,
-    ListedRun, Listing, MinionAnswer, MinionOrder, Order, OrderKind, QuestionId, StartOrder,
-    StartRefusal, Target,
+    ListedRun, Listing, MinionAnswer, MinionOrder, ORDER_TIMEOUT, Order, OrderKind, QuestionId,
+    StartOrder, StartRefusal, Target,
 };
 use ready::ReadyStep;
 use run::{Run, RunState, StopState, demand};
--- a/src/batch/dispatch/order.rs
+++ b/src/batch/dispatch/order.rs
@@ -11,6 +11,12 @@
 use crate::batch::model::{Checkpoint, EndKind, MinionNumber, RunNumber, StepId, TaskId};
 use crate::ids::{MinionId, Term, Timestamp, ZoneName};
 
+/// Time for a start or a stop to be answered: a round trip across availability zones takes 2 ms,
+/// and a minion answers immediately. Orders are idempotent, so a slow one may safely be retried.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for the answer to a hold, in addition to the wait that the hold asks for.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Recipient of an order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -91,6 +97,21 @@
             _ => MinionAnswer::Order(Answer::Silent(CallFailure::NotCalled)),
         }
     }
+
+    /// Time after which the caller gives up on the minion's answer.
+    pub fn timeout(&self) -> Duration {
+        match self {
+            Self::Hold(order) => order.timeout(),
+            _ => ORDER_TIMEOUT,
+        }
+    }
+}
+
+impl HoldOrder {
+    /// Time after which the caller gives up on the minion's answer.
+    pub fn timeout(&self) -> Duration {
+        self.wait + HOLD_TIMEOUT
+    }
 }
 
 /// Kind of an order, used to match its answer.
--- a/src/batch/driver.rs
+++ b/src/batch/driver.rs
@@ -17,8 +17,8 @@
 use crate::ids::Term;
 use crate::replication::{ReplicaHandle, monotonic_now};
 
-/// Interval between checks for orders whose agent did not answer in time.
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between checks for orders whose agent did not answer in time; each finds only those.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Calls to minions. Calls are idempotent; one without an answer may still be executed later.
 pub trait Minions: Clone + Send + Sync + 'static {
@@ -127,7 +127,7 @@
         let expired = agents.expire(monotonic_now());
         if !expired.is_empty() {
             replica
-                .update_machine(move |m, now| m.orders_answered(now, expired))
+                .update_machine(move |m, now| m.unanswered(now, expired))
                 .await;
         }
     }
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::agents::Unanswered;
 use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply, RETRY_AFTER};
 use super::dispatch::{
     Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind, QuestionId,
@@ -160,6 +161,14 @@
         }
     }
 
+    /// Passes orders and questions that will not be answered to the dispatcher.
+    pub(crate) fn unanswered(&mut self, now: Timestamp, unanswered: Unanswered) {
+        self.orders_answered(now, unanswered.orders);
+        for question in unanswered.questions {
+            self.advice_received(now, question, None);
+        }
+    }
+
     /// Sets the number of connected agents. Kept for the time when this replica leads.
     pub(crate) fn set_agents(&mut self, agents: usize) {
         self.agents = agents;
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -19,7 +19,7 @@
 use super::machine::{Admission, Machine};
 use crate::error::{Error, Result, Step};
 use crate::ids::ZoneName;
-use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus};
+use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus, monotonic_now};
 use crate::task::AbortOnDrop;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
@@ -170,14 +170,11 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let writing = tokio::spawn(write_all(writer, rx));
         let done = self.read_all(reader, id, &tx).await;
-        let (orders, questions) = self.agents.remove(id);
+        let unanswered = self.agents.remove(id);
         let agents = self.agents.count();
         let reported = self.replica.update_machine(move |m, now| {
             m.set_agents(agents);
-            m.orders_answered(now, orders);
-            for question in questions {
-                m.advice_received(now, question, None);
-            }
+            m.unanswered(now, unanswered);
         });
         reported.await;
         drop(tx);
@@ -226,6 +223,7 @@
             tokio::select! {
                 message = frames.recv() => {
                     last_received = Instant::now();
+                    self.agents.heard(id, monotonic_now());
                     match message {
                         None => return Ok(()),
                         Some(AgentMessage::Hello(peer_zone)) => {
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -14,7 +14,7 @@
 use super::settings::Boot;
 use crate::batch::dispatch::{
     Advice, AdviceQuestion, Answer, CallFailure, HoldAnswer, HoldOrder, ListedEnd, ListedRun,
-    Listing, StartOrder, StartRefusal, Target,
+    Listing, ORDER_TIMEOUT, StartOrder, StartRefusal, Target,
 };
 use crate::batch::driver::{Minions, Policy};
 use crate::batch::link::AgentCalls;
@@ -23,11 +23,6 @@
 use crate::ids::Term;
 use crate::resources::Resources;
 
-/// Time for an order to be answered: a round trip across availability zones takes 2 ms, and a
-/// minion answers immediately. Orders are idempotent, so a slow one may safely be retried.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time for the answer to a hold, in addition to the wait that the hold asks for.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for the policy service's answer, in addition to the expected cost of the question: other
 /// questions from the same host may be queued before it.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -177,10 +172,13 @@
             acked_upto: order.acked,
             wait_ms: whole_ms(order.wait),
         };
-        let timeout = order.wait + HOLD_TIMEOUT;
-        let call = self
-            .0
-            .post(to.addr, "/yuccahold/hold", Some(&to.id), &body, timeout);
+        let call = self.0.post(
+            to.addr,
+            "/yuccahold/hold",
+            Some(&to.id),
+            &body,
+            order.timeout(),
+        );
         let (status, body) = match call.await {
             Ok(answered) => answered,
             Err(failure) => return HoldAnswer::Silent(to_call_failure(failure)),
--- a/tests/batch_agents.rs
+++ b/tests/batch_agents.rs
@@ -7,7 +7,10 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use yuccahold::batch::agents::{AgentId, Agents, Batches};
 use yuccahold::batch::calls::ServerMessage;
-use yuccahold::batch::dispatch::{HoldOrder, MinionOrder, Target};
+use yuccahold::batch::dispatch::{
+    AdviceQuestion, HoldOrder, MinionOrder, ORDER_TIMEOUT, QuestionId, Target,
+};
+use yuccahold::batch::model::{StepId, TaskId};
 
 const MINIONS: u32 = 350;
 const AGENTS: u64 = 35;
@@ -21,6 +24,43 @@
     }
 }
 
+fn hold(wait: Duration) -> MinionOrder {
+    MinionOrder::Hold(HoldOrder {
+        deadline: None,
+        token: 1,
+        acked: 0,
+        wait,
+    })
+}
+
+fn stop() -> MinionOrder {
+    MinionOrder::Stop {
+        task: first_step_task(),
+        run: 1,
+        token: 1,
+    }
+}
+
+fn first_step_task() -> TaskId {
+    let step = StepId {
+        job: 1,
+        occurrence: 0,
+        step: 0,
+    };
+    TaskId { step, index: 0 }
+}
+
+fn question() -> AdviceQuestion {
+    AdviceQuestion {
+        id: QuestionId {
+            step: first_step_task().step,
+            number: 1,
+        },
+        minions: Vec::new(),
+        cost: Duration::from_millis(30),
+    }
+}
+
 fn add(agents: &Agents, id: AgentId, zone: &str) -> UnboundedReceiver<ServerMessage> {
     let (tx, rx) = unbounded_channel();
     agents.add(id, tx, zone.into(), false);
@@ -32,12 +72,7 @@
     agents: &Agents,
     channels: &mut BTreeMap<AgentId, UnboundedReceiver<ServerMessage>>,
 ) -> BTreeMap<AgentId, Vec<u32>> {
-    let hold = MinionOrder::Hold(HoldOrder {
-        deadline: None,
-        token: 1,
-        acked: 0,
-        wait: Duration::ZERO,
-    });
+    let hold = hold(Duration::ZERO);
     let mut batches = Batches::default();
     for minion in 0..MINIONS {
         let back = agents.send(
@@ -127,3 +162,50 @@
     assert!(moved.iter().all(|id| *id == count), "{moved:?}");
     assert!(moved.len() <= 3 * MINIONS as usize / count as usize + 1);
 }
+
+/// An entry host is cut off from the leader with orders on the way. If the leader waited for the
+/// time limit of each hold, and tried the host again after a while, ends on its minions and steps
+/// with questions there would be delayed by seconds, again and again.
+#[test]
+fn an_agent_that_fell_silent_gives_everything_back_at_once() {
+    let agents = Agents::default();
+    let mut channels = BTreeMap::from([(1, add(&agents, 1, "mixco"))]);
+    let send = |now, minion, order: MinionOrder| {
+        let mut batches = Batches::default();
+        let back = agents.send(now, &mut batches, target(minion), order);
+        agents.flush(batches);
+        back.is_none()
+    };
+    let (sent, second) = (Duration::from_secs(1), Duration::from_secs(1));
+    assert!(send(sent, 1, hold(Duration::from_secs(2))));
+    assert!(send(sent, 2, stop()));
+    assert!(agents.ask(question()));
+    channels.insert(2, add(&agents, 2, "mixco"));
+
+    let found = agents.expire(sent + ORDER_TIMEOUT + Duration::from_millis(300));
+    assert_eq!((found.orders.len(), found.questions.len()), (2, 1));
+    for seconds in 1..20 {
+        assert!(send(sent + second * seconds, 1, stop()));
+        agents.heard(2, sent + second * seconds);
+    }
+    let silent = channels.get_mut(&1).expect("added");
+    let messages = std::iter::from_fn(|| silent.try_recv().ok());
+    let orders = messages.filter(|m| matches!(m, ServerMessage::Orders(_)));
+    assert_eq!(orders.count(), 2, "none after it was found silent");
+}
+
+/// An agent that is heard again gets its share of the orders again.
+#[test]
+fn an_agent_that_is_heard_again_gets_orders() {
+    let agents = Agents::default();
+    let _channel = add(&agents, 1, "mixco");
+    let mut batches = Batches::default();
+    let sent = Duration::from_secs(1);
+    agents.send(sent, &mut batches, target(1), stop());
+    agents.expire(sent + Duration::from_secs(1));
+    let later = sent + Duration::from_secs(5);
+    let refused = agents.send(later, &mut batches, target(1), stop());
+    agents.heard(1, later);
+    let taken = agents.send(later, &mut batches, target(1), stop());
+    assert_eq!((refused.is_some(), taken.is_none()), (true, true));
+}
