Calls to the leader: reads are never in doubt, nor is what was not written

Cause: a read whose leader fell silent was answered 504 after up to 2.9 s, and a call that still waited in this process when its connection ended counted as sent.

Change: a read that gets no answer is refused as not run, with a delay to come back after. Calls not yet written when a connection ends are sent to the next leader, or refused as not run. Whatever has changed nothing is given up once there has been no leader for a second, also when the leader was lost while it waited; only changes that were written wait for their answer until the caller's deadline.

Test: two new tests of tests/batch_link.rs with real connections. Not run on the old code, where the error for a call that was not sent had another name; there every case but those of changes was InDoubt by reading.

--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -100,6 +100,20 @@
     GetConfig,
 }
 
+impl Call {
+    /// Whether it changes nothing, so that it can be refused although it may have been sent.
+    pub fn is_read(&self) -> bool {
+        match self {
+            Self::Client(call) => matches!(
+                call.action,
+                ClientAction::State | ClientAction::PendingCount
+            ),
+            Self::GetConfig => true,
+            Self::Report(_) | Self::Left(_) | Self::PutConfig(_) => false,
+        }
+    }
+}
+
 /// Answer to a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallReply {
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -59,12 +59,23 @@
 /// Reason why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
-    /// The call was never sent.
-    NotSent,
+    /// The call changed nothing: it was never sent, or it only reads.
+    NotRun,
     /// The call was sent and may have been executed.
     InDoubt,
 }
 
+impl CallError {
+    /// The error for a call that was sent and not answered.
+    pub(super) fn of_unanswered(call: &Call) -> Self {
+        if call.is_read() {
+            Self::NotRun
+        } else {
+            Self::InDoubt
+        }
+    }
+}
+
 /// What this process needs to act as an agent of the leader.
 #[derive(Clone)]
 pub struct AgentCalls<M, P> {
@@ -84,7 +95,7 @@
 /// Handle for calls to the leader; cheap to clone.
 #[derive(Clone)]
 pub struct LeaderLink {
-    current: watch::Receiver<Option<mpsc::UnboundedSender<PendingCall>>>,
+    current: CurrentLeader,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     /// When the last leader was lost; before the first one is found, when the search began.
     lost_at: Arc<Mutex<Instant>>,
@@ -140,56 +151,66 @@
         (!self.is_connected()).then(|| now.saturating_duration_since(lost_at))
     }
 
-    /// Calls the current leader until one answers or the deadline passes.
+    /// Calls the current leader until one answers or the deadline passes. A call that has changed
+    /// nothing is given up once there has been no leader for `LEADER_WAIT`.
     ///
     /// A call whose connection broke is sent again to the next leader. That is safe because every
     /// call is idempotent: a job by its id, a configuration by its version, a report by its
     /// sequence number.
     pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, CallError> {
         let mut current = self.current.clone();
-        let mut sent = false;
-        let no_answer = |sent| {
-            if sent {
-                CallError::InDoubt
-            } else {
-                CallError::NotSent
-            }
-        };
+        let mut no_answer = CallError::NotRun;
+        let if_sent = CallError::of_unanswered(&call);
         loop {
-            let connected = timeout_at(deadline, current.wait_for(Option::is_some)).await;
+            let until = match no_answer {
+                CallError::NotRun => deadline.min(self.leader_wait_end()),
+                CallError::InDoubt => deadline,
+            };
+            let connected = timeout_at(until, current.wait_for(Option::is_some)).await;
             let Ok(Ok(tx)) = connected.map(|found| found.map(|tx| tx.clone())) else {
-                return Err(no_answer(sent));
+                return Err(no_answer);
             };
+            let Some(tx) = tx else { continue };
             let (reply, rx) = oneshot::channel();
             let call = call.clone();
-            let Some(tx) = tx.filter(|tx| tx.send(PendingCall { call, reply }).is_ok()) else {
-                sleep(PASS_DELAY / 4).await;
+            if tx.send(PendingCall { call, reply }).is_err() {
+                wait_for_change(&mut current, &tx, deadline).await;
                 continue;
-            };
+            }
             match timeout_at(deadline, rx).await {
                 Ok(Ok(CallReply::NotLeader(_))) => {
                     // Nothing was done. `LeaderSearch` finds the new leader in the background.
                     wait_for_change(&mut current, &tx, deadline).await;
                 }
                 Ok(Ok(reply)) => return Ok(reply),
-                Ok(Err(_)) => sent = true,
-                Err(_) => return Err(CallError::InDoubt),
+                Ok(Err(_)) => no_answer = if_sent,
+                Err(_) => return Err(if_sent),
             }
         }
     }
+
+    /// When a call that waits for a leader is given up.
+    fn leader_wait_end(&self) -> Instant {
+        let now = Instant::now();
+        now + leader_wait(self.leaderless_for(now).unwrap_or_default())
+    }
 }
 
+/// Waits until the connection `old` is lost or replaced.
 async fn wait_for_change(
-    current: &mut watch::Receiver<Option<mpsc::UnboundedSender<PendingCall>>>,
+    current: &mut CurrentLeader,
     old: &mpsc::UnboundedSender<PendingCall>,
     deadline: Instant,
 ) {
     let other = |now: &Option<mpsc::UnboundedSender<PendingCall>>| {
-        now.as_ref().is_some_and(|tx| !tx.same_channel(old))
+        now.as_ref().is_none_or(|tx| !tx.same_channel(old))
     };
     let _ = timeout_at(deadline, current.wait_for(other)).await;
 }
 
+/// The connection to the leader; `None` while there is none.
+type CurrentLeader = watch::Receiver<Option<mpsc::UnboundedSender<PendingCall>>>;
+
 struct LeaderSearch<M, P> {
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     /// Addresses of the members, and of the connected leader.
@@ -304,7 +325,8 @@
 
     /// Exchanges messages with the leader until the connection fails or the peer no longer leads.
     async fn serve(&mut self, mut reader: FrameReader, mut writer: FrameWriter) -> Result<()> {
-        let (tx, mut rx) = mpsc::unbounded_channel::<PendingCall>();
+        let (tx, rx) = mpsc::unbounded_channel::<PendingCall>();
+        let mut rx = Unwritten(rx);
         let (agent_tx, mut answers) = mpsc::unbounded_channel::<AgentMessage>();
         let (done_tx, mut done) = mpsc::unbounded_channel::<(OrderNumber, MinionAnswer)>();
         let (message_tx, mut messages) = mpsc::channel::<ServerMessage>(64);
@@ -329,7 +351,7 @@
             };
             let next_check = pinged_at.map_or(last_received + ping_after, |at| at + PONG_TIMEOUT);
             tokio::select! {
-                outgoing = rx.recv() => {
+                outgoing = rx.0.recv() => {
                     let Some(first) = outgoing else { return Ok(()) };
                     if open.is_empty() && pinged_at.is_none() {
                         last_received = Instant::now();
@@ -339,7 +361,7 @@
                         number += 1;
                         open.insert(number, reply);
                         writer.queue(&AgentMessage::Call(number, call))?;
-                        next = rx.try_recv().ok();
+                        next = rx.0.try_recv().ok();
                     }
                     flush(&mut writer).await?;
                 }
@@ -425,6 +447,20 @@
     }
 }
 
+/// Calls that are not written to the connection yet. When it ends, they are answered as not run;
+/// those that were written have an unknown outcome.
+struct Unwritten(mpsc::UnboundedReceiver<PendingCall>);
+
+impl Drop for Unwritten {
+    fn drop(&mut self) {
+        self.0.close();
+        while let Ok(pending) = self.0.try_recv() {
+            // The caller may have stopped waiting.
+            let _ = pending.reply.send(CallReply::NotLeader(None));
+        }
+    }
+}
+
 async fn flush(writer: &mut FrameWriter) -> Result<()> {
     match timeout(PONG_TIMEOUT, writer.flush()).await {
         Ok(done) => done,
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -362,7 +362,7 @@
             match timeout(deadline - Instant::now(), self.local.answer(call.clone())).await {
                 Ok(CallReply::NotLeader(_)) => {}
                 Ok(reply) => return Ok(reply),
-                Err(_) => return Err(CallError::InDoubt),
+                Err(_) => return Err(CallError::of_unanswered(&call)),
             }
         }
         self.link.call(call, deadline).await
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -17,7 +17,7 @@
 use super::jobs::{self, PendingBody};
 use super::settings::METRICS_PATH;
 use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply};
-use crate::batch::link::{CallError, LeaderLink, leader_wait, retry_after};
+use crate::batch::link::{CallError, LeaderLink, retry_after};
 use crate::batch::machine::parse_job_id;
 use crate::batch::model::Limits;
 use crate::batch::workspaces::KeyHash;
@@ -79,8 +79,6 @@
         };
         let path = call.path.clone();
         let timeout = timeout.saturating_sub(ANSWER_RESERVE);
-        let leaderless = self.link.leaderless_for(received);
-        let timeout = leaderless.map_or(timeout, |leaderless| timeout.min(leader_wait(leaderless)));
         let reply = self.link.call(Call::Client(call), received + timeout).await;
         let took = received.elapsed();
         let outcome = outcome(&reply);
@@ -103,7 +101,7 @@
         Ok(CallReply::Client(ClientReply::NoQueue)) => "unknown queue",
         Ok(CallReply::Client(ClientReply::Unauthenticated)) => "unknown key",
         Ok(CallReply::Client(ClientReply::Invalid(_) | ClientReply::IdTaken)) => "invalid",
-        Ok(CallReply::Client(ClientReply::Unavailable(_))) | Err(CallError::NotSent) => "not run",
+        Ok(CallReply::Client(ClientReply::Unavailable(_))) | Err(CallError::NotRun) => "not run",
         Ok(CallReply::Client(ClientReply::InDoubt)) | Err(CallError::InDoubt) => "in doubt",
         Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) => "no leader",
     }
@@ -139,7 +137,7 @@
             ClientReply::Unavailable(after) => unavailable(after),
             ClientReply::InDoubt => in_doubt(),
         },
-        Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) | Err(CallError::NotSent) => {
+        Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) | Err(CallError::NotRun) => {
             unavailable(retry)
         }
         Err(CallError::InDoubt) => in_doubt(),
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -81,7 +81,7 @@
             }
             Ok(CallReply::Operator(OperatorReply::Unavailable))
             | Ok(CallReply::Client(_) | CallReply::NotLeader(_))
-            | Err(CallError::NotSent) => retry_later(
+            | Err(CallError::NotRun) => retry_later(
                 StatusCode::SERVICE_UNAVAILABLE,
                 RETRY_AFTER,
                 "no leader can be reached",
--- a/tests/batch_link.rs
+++ b/tests/batch_link.rs
@@ -1,6 +1,7 @@
 //! The link to the leader, tested with simulated control daemons over real connections.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -8,13 +9,15 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::{Instant, timeout};
-use yuccahold::batch::calls::{AgentMessage, Call, CallReply, OperatorReply, ServerMessage};
+use yuccahold::batch::calls::{
+    AgentMessage, Call, CallReply, ClientAction, ClientCall, OperatorReply, ServerMessage,
+};
 use yuccahold::batch::dispatch::{
     Advice, AdviceQuestion, Answer, CallFailure, HoldAnswer, HoldOrder, StartOrder, Target,
 };
 use yuccahold::batch::driver::{Minions, Policy};
-use yuccahold::batch::link::{AgentCalls, LeaderLink, leader_wait, retry_after};
-use yuccahold::batch::model::{RunNumber, TaskId};
+use yuccahold::batch::link::{AgentCalls, CallError, LeaderLink, leader_wait, retry_after};
+use yuccahold::batch::model::{JobSpec, RunNumber, TaskId};
 use yuccahold::ids::Term;
 use yuccahold::wire::{self, CellKey, CellKeys};
 
@@ -204,3 +207,77 @@
     assert_eq!(leader_wait(ms(absent)), ms(wait));
     assert_eq!(retry_after(ms(absent)), ms(retry));
 }
+
+fn client_call(action: ClientAction) -> Call {
+    Call::Client(ClientCall {
+        host: "example".into(),
+        path: "/checks/5c0e7a21d94b36f8".into(),
+        key: None,
+        action,
+    })
+}
+
+fn submission(payload_bytes: usize) -> Call {
+    client_call(ClientAction::Submit(Arc::new(JobSpec {
+        payload: "x".repeat(payload_bytes).into(),
+        steps: Vec::new(),
+        timetable: None,
+    })))
+}
+
+/// The leader is lost with calls on the way, and no other one is found. A read has changed nothing,
+/// so it is refused as not run once callers no longer wait for a leader. If it were in doubt, the
+/// caller of a job that was accepted and done might never learn so. A change stays in doubt.
+#[rstest]
+#[case::state(client_call(ClientAction::State), CallError::NotRun)]
+#[case::count(client_call(ClientAction::PendingCount), CallError::NotRun)]
+#[case::configuration(Call::GetConfig, CallError::NotRun)]
+#[case::submission(submission(10), CallError::InDoubt)]
+#[case::cancellation(client_call(ClientAction::Cancel), CallError::InDoubt)]
+#[tokio::test]
+async fn only_changes_are_in_doubt(#[case] call: Call, #[case] expected: CallError) {
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    assert!(matches!(leader.receive().await, AgentMessage::Hello(_)));
+    let began = Instant::now();
+    let limit = Duration::from_secs(4);
+    let lose_leader = async {
+        assert!(matches!(leader.receive().await, AgentMessage::Call(..)));
+        let _ = connection.send(lead_message(false, 1, leader.addr, &[]));
+    };
+    let (outcome, ()) = tokio::join!(link.call(call, began + limit), lose_leader);
+    assert_eq!(outcome, Err(expected));
+    if expected == CallError::NotRun {
+        assert!(began.elapsed() < limit / 2, "{:?}", began.elapsed());
+    }
+}
+
+/// The leader stops reading while a large call is being written, and a second call waits behind it.
+/// The second one never leaves this process, so its refusal says so; only the first is in doubt.
+#[tokio::test]
+async fn a_call_that_was_not_written_is_not_in_doubt() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let (reader, mut writer) = wire::accept(stream, &keys()).await.expect("the same keys");
+        let lead = lead_message(true, 1, addr, &[]);
+        writer.write(&lead).await.expect("it reads");
+        tokio::time::sleep(TEST_TIMEOUT).await;
+        drop(reader);
+    });
+    let link = link_from(addr);
+    while !link.is_connected() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let deadline = Instant::now() + Duration::from_secs(4);
+    let first = link.call(submission(12 * 1024 * 1024), deadline);
+    let second = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        link.call(submission(10), deadline).await
+    };
+    let outcomes = tokio::join!(first, second);
+    assert_eq!(outcomes, (Err(CallError::InDoubt), Err(CallError::NotRun)));
+}
