--- a/tests/platform_cell/minion.rs
+++ b/tests/platform_cell/minion.rs
@@ -309,7 +309,7 @@
                 state.sequence += 1;
                 let body = json!({
                     "service": "desk", "addr": self.proxy.addr().to_string(), "zone": "z-a",
-                    "version": "v1", "slots": 8,
+                    "version": "v1", "slots": 8, "cold_left_ms": 0,
                     "state": if state.draining { "draining" } else { "ready" },
                     "capacity": {
                         "cpu": capacity.millicores, "mem_mb": capacity.memory_mb, "gpu": 0,
