Reports of minions reach the leader in batches

Cause: each minion reports every 3 s, so a leader of 6,000 minions gets 2,000 reports a second, each a message, a task, a wake-up of the control thread and an answer: more than all its other messages, and it grows with the minions.

--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -98,6 +98,8 @@
     PutConfig(ConfigOrder),
     /// An operator reads the configuration.
     GetConfig,
+    /// Periodic reports of several minions.
+    Reports(Vec<MinionReport>),
 }
 
 impl Call {
@@ -109,7 +111,7 @@
                 ClientAction::State | ClientAction::PendingCount
             ),
             Self::GetConfig => true,
-            Self::Report(_) | Self::Left(_) | Self::PutConfig(_) => false,
+            Self::Report(_) | Self::Reports(_) | Self::Left(_) | Self::PutConfig(_) => false,
         }
     }
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -15,5 +15,6 @@
 pub mod machine;
 pub mod model;
 mod rendezvous;
+pub mod report_batch;
 pub mod server;
 pub mod workspaces;
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -88,6 +88,14 @@
                 let reported = self.replica.leased(move |m, now| m.report(now, *report));
                 accepted(reported.await)
             }
+            Call::Reports(reports) => {
+                let reported = self.replica.leased(move |m, now| {
+                    for report in reports {
+                        m.report(now, report);
+                    }
+                });
+                accepted(reported.await)
+            }
             Call::Left(id) => {
                 let reported = self.replica.leased(move |m, now| m.minion_left(now, &id));
                 accepted(reported.await)
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -19,6 +19,7 @@
 use crate::batch::link::LeaderLink;
 use crate::batch::machine::Machine;
 use crate::batch::model::Limits;
+use crate::batch::report_batch::ReportBatcher;
 use crate::batch::server::{CallServer, LeaderClient};
 use crate::error::{Error, Result, Step};
 use crate::exit_codes::ExitCode;
@@ -117,11 +118,13 @@
     let server = CallServer::new(replica.clone(), keys, agents, boot.ip, log.clone());
     tokio::spawn(server.clone().serve(calls));
     let (_stop, stopping) = watch::channel(false);
+    let leader = LeaderClient {
+        local: server,
+        link: link.clone(),
+    };
     let handler = ControlHandler {
-        leader: LeaderClient {
-            local: server,
-            link: link.clone(),
-        },
+        reports: ReportBatcher::start(leader.clone()),
+        leader,
         log: log.clone(),
     };
     tokio::spawn(http::serve(control, handler, Limits::default(), stopping));
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -13,6 +13,7 @@
 use super::{config, minions};
 use crate::batch::calls::{Call, CallReply, OperatorReply, RETRY_AFTER};
 use crate::batch::link::CallError;
+use crate::batch::report_batch::ReportBatcher;
 use crate::batch::server::LeaderClient;
 
 /// Largest accepted body: the platform contract's limit for a minion's report. Configurations with
@@ -25,6 +26,7 @@
 #[derive(Clone)]
 pub(super) struct ControlHandler {
     pub(super) leader: LeaderClient,
+    pub(super) reports: ReportBatcher,
     pub(super) log: Logger,
 }
 
@@ -40,7 +42,7 @@
                     Err(e) => return body_error_reply(e),
                 };
                 match minions::decode_report(id, &body) {
-                    Ok(report) => self.call(Call::Report(Box::new(report)), deadline).await,
+                    Ok(report) => to_http(self.reports.report(report, deadline).await),
                     Err(why) => error_reply(StatusCode::BAD_REQUEST, &why),
                 }
             }
@@ -74,22 +76,24 @@
 
 impl ControlHandler {
     async fn call(&self, call: Call, deadline: Instant) -> Reply {
-        match self.leader.call(call, deadline).await {
-            Ok(CallReply::Operator(OperatorReply::Accepted)) => empty(StatusCode::OK),
-            Ok(CallReply::Operator(OperatorReply::Document(text))) => {
-                json_bytes(StatusCode::OK, text)
-            }
-            Ok(CallReply::Operator(OperatorReply::Unavailable))
-            | Ok(CallReply::Client(_) | CallReply::NotLeader(_))
-            | Err(CallError::NotRun) => retry_later(
-                StatusCode::SERVICE_UNAVAILABLE,
-                RETRY_AFTER,
-                "no leader can be reached",
-            ),
-            Err(CallError::InDoubt) => error_reply(
-                StatusCode::GATEWAY_TIMEOUT,
-                "the outcome is not known; send it again",
-            ),
-        }
+        to_http(self.leader.call(call, deadline).await)
+    }
+}
+
+fn to_http(reply: Result<CallReply, CallError>) -> Reply {
+    match reply {
+        Ok(CallReply::Operator(OperatorReply::Accepted)) => empty(StatusCode::OK),
+        Ok(CallReply::Operator(OperatorReply::Document(text))) => json_bytes(StatusCode::OK, text),
+        Ok(CallReply::Operator(OperatorReply::Unavailable))
+        | Ok(CallReply::Client(_) | CallReply::NotLeader(_))
+        | Err(CallError::NotRun) => retry_later(
+            StatusCode::SERVICE_UNAVAILABLE,
+            RETRY_AFTER,
+            "no leader can be reached",
+        ),
+        Err(CallError::InDoubt) => error_reply(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the outcome is not known; send it again",
+        ),
     }
 }
