A new leader's first holds are few at a time, those of minions with runs first

Cause: a new leader sent a hold to each of its minions in its first decision, through the agents that had connected by then; without any it called them all itself. 6,000 holds at once queue for longer than their time limit at entry hosts of 0.12 cores.

Change: at most eight first holds without an answer for each connected agent; minions with runs come first.

Test: a_new_leader_holds_minions_with_runs_first_and_few_at_a_time; without the limit, 200 at once.

--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -45,6 +45,9 @@
 /// Time between two checks of a minion whose next event has no known time: the lease of a silent
 /// minion expires, or ends that delay a hold are committed. Small compared with a round trip.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// First holds of a new leader that one agent may have to answer at a time: an agent sends as many
+/// within a few round trips.
+const FIRST_HOLDS_PER_AGENT: usize = 8;
 /// A silent, idle minion that sends no report for this long is removed.
 const REMOVE_IDLE_AFTER: Duration = Duration::from_secs(30);
 
@@ -56,6 +59,9 @@
     pub(super) fn maintain_minions(&mut self, now: Timestamp) {
         let mut due = std::mem::take(&mut self.changed_minions);
         due.extend(self.timers.take_due(now));
+        // A new leader holds all minions for the first time, those with runs first.
+        let mut due: Vec<_> = due.into_iter().collect();
+        due.sort_by_key(|number| self.minions.get(number).is_none_or(|m| m.runs.is_empty()));
         for number in due {
             self.count_examined();
             self.end_lapsed(number, now);
@@ -90,6 +96,9 @@
             .filter(|_| minion.failed_holds == 0);
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(wait);
+        if !minion.fenced {
+            self.first_holds.insert(number);
+        }
         // A silent minion may have restarted and numbers its ends from the start again.
         let acked = if minion.failed_holds == 0 {
             minion.acked_end
@@ -121,7 +130,15 @@
         } else {
             Duration::ZERO
         };
-        minion.wants_hold() && now >= at + pause
+        let allowed = minion.fenced || self.first_holds.len() < self.max_first_holds();
+        minion.wants_hold() && now >= at + pause && allowed
+    }
+
+    /// Most first holds without an answer. Without a limit, a new leader of 6,000 minions sends as
+    /// many holds through the few agents that have connected by then, and they are answered too
+    /// late.
+    fn max_first_holds(&self) -> usize {
+        self.agents.max(1) * FIRST_HOLDS_PER_AGENT
     }
 
     /// How long a minion may wait for a run to end before it answers its next hold.
@@ -167,6 +184,7 @@
             return;
         }
         self.changed_minions.insert(number);
+        self.first_holds.remove(&number);
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -127,6 +127,8 @@
     changed_minions: BTreeSet<MinionNumber>,
     /// When minions are due for maintenance without such a change.
     timers: timers::Timers,
+    /// Minions whose first hold of this leader is not answered.
+    first_holds: BTreeSet<MinionNumber>,
     /// Minions with ends that were received and are not acknowledged.
     unacknowledged: BTreeSet<MinionNumber>,
     /// One entry for each uncommitted batch: the last end received from each minion. These are
@@ -194,6 +196,7 @@
             batch: Batch::default(),
             changed_minions: BTreeSet::new(),
             timers: timers::Timers::default(),
+            first_holds: BTreeSet::new(),
             unacknowledged: BTreeSet::new(),
             uncommitted_ends: Default::default(),
             unreadable_logged_at: None,
--- a/src/batch/dispatch/roster.rs
+++ b/src/batch/dispatch/roster.rs
@@ -79,6 +79,7 @@
         self.forget_addr(minion.number, minion.report.addr);
         self.rooms.remove(minion.number);
         self.timers.set(minion.number, None);
+        self.first_holds.remove(&minion.number);
         self.unacknowledged.remove(&minion.number);
         self.forget_releases(minion.number);
         self.stop_charging(&minion.orphaned_runs);
--- a/tests/batch_scale.rs
+++ b/tests/batch_scale.rs
@@ -2,7 +2,9 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, listed, ms, queue, report, step};
+use std::collections::BTreeSet;
+
+use batch_world::{JOB, World, listed, ms, one_per_minion, queue, report, step};
 use rstest::rstest;
 use yuccahold::batch::dispatch::{Advice, Listing};
 use yuccahold::batch::model::{PolicyConfig, Queue};
@@ -106,3 +108,37 @@
     }
     assert_eq!(world.leader.minions_examined(), before);
 }
+
+/// A new leader is elected while few agents have connected. With a hold sent to each minion at once,
+/// the agents answered most of them too late, and the minions with work counted as silent.
+#[test]
+fn a_new_leader_holds_minions_with_runs_first_and_few_at_a_time() {
+    const AGENTS: usize = 3;
+    let mut world = world_of(200);
+    world.submit(JOB, vec![one_per_minion(20, 1_000)]);
+    let busy: BTreeSet<_> = world.start_all().iter().map(|(m, _)| *m).collect();
+    world.new_leader(2);
+    world.leader.set_agents(AGENTS);
+    let mut held = BTreeSet::new();
+    for round in 0..100 {
+        world.advance(ms(5));
+        let holds: BTreeSet<_> = world.take_holds().into_iter().map(|(m, _)| m).collect();
+        let first = holds.difference(&held).count();
+        assert!(first <= 8 * AGENTS, "{first} at once");
+        if round == 0 {
+            assert!(busy.is_subset(&holds));
+        }
+        for minion in holds {
+            held.insert(minion);
+            let clock = world.now;
+            world.listing(
+                minion,
+                Listing {
+                    clock,
+                    ..Listing::default()
+                },
+            );
+        }
+    }
+    assert_eq!(held.len(), 200);
+}
