--- a/src/batch/report_batch.rs
+++ b/src/batch/report_batch.rs
@@ -3,6 +3,7 @@
 //! Reports are the most frequent calls to the leader: each minion sends one every few seconds. Sent
 //! one by one, each costs the leader a message and an answer.
 
+use std::future::Future;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
@@ -11,7 +12,6 @@
 use super::calls::{Call, CallReply};
 use super::link::CallError;
 use super::model::{MinionReport, Readiness};
-use super::server::LeaderClient;
 
 /// Time for which reports are collected: short compared with the time that a minion waits for the
 /// answer.
@@ -19,7 +19,14 @@
 /// Most reports in one call.
 const MAX_REPORTS: usize = 1000;
 
-type Outcome = Result<CallReply, CallError>;
+/// Answer to a call, or why there is none.
+pub type Outcome = Result<CallReply, CallError>;
+
+/// A way to call the leader.
+pub trait LeaderCalls: Clone + Send + Sync + 'static {
+    /// Calls the current leader until one answers or the deadline passes.
+    fn call(&self, call: Call, deadline: Instant) -> impl Future<Output = Outcome> + Send;
+}
 
 struct WaitingReport {
     report: MinionReport,
@@ -29,14 +36,14 @@
 
 /// Handle for sending reports; cheap to clone.
 #[derive(Clone)]
-pub struct ReportBatcher {
-    leader: LeaderClient,
+pub struct ReportBatcher<L> {
+    leader: L,
     tx: mpsc::UnboundedSender<WaitingReport>,
 }
 
-impl ReportBatcher {
+impl<L: LeaderCalls> ReportBatcher<L> {
     /// Starts collecting reports for the leader.
-    pub fn start(leader: LeaderClient) -> Self {
+    pub fn start(leader: L) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         tokio::spawn(send_batches(rx, leader.clone()));
         Self { leader, tx }
@@ -65,9 +72,10 @@
 }
 
 /// Sends collected reports until all handles are dropped.
-async fn send_batches(mut rx: mpsc::UnboundedReceiver<WaitingReport>, leader: LeaderClient) {
+async fn send_batches(mut rx: mpsc::UnboundedReceiver<WaitingReport>, leader: impl LeaderCalls) {
     let mut batch = Vec::new();
-    while rx.recv_many(&mut batch, 1).await > 0 {
+    while let Some(first) = rx.recv().await {
+        batch.push(first);
         sleep(COLLECT_TIME).await;
         while batch.len() < MAX_REPORTS
             && let Ok(waiting) = rx.try_recv()
@@ -78,7 +86,7 @@
     }
 }
 
-async fn send_batch(batch: Vec<WaitingReport>, leader: LeaderClient) {
+async fn send_batch(batch: Vec<WaitingReport>, leader: impl LeaderCalls) {
     let Some(deadline) = batch.iter().map(|waiting| waiting.deadline).min() else {
         return;
     };
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -17,6 +17,7 @@
 use super::ledger::{Command, Reply};
 use super::link::{CallError, LeaderLink};
 use super::machine::{Admission, Machine};
+use super::report_batch::{LeaderCalls, Outcome};
 use crate::error::{Error, Result, Step};
 use crate::ids::ZoneName;
 use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus, monotonic_now};
@@ -363,9 +364,8 @@
     pub link: LeaderLink,
 }
 
-impl LeaderClient {
-    /// Calls the current leader until one answers or the deadline passes.
-    pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, CallError> {
+impl LeaderCalls for LeaderClient {
+    async fn call(&self, call: Call, deadline: Instant) -> Outcome {
         if self.local.leads() {
             match timeout(deadline - Instant::now(), self.local.answer(call.clone())).await {
                 Ok(CallReply::NotLeader(_)) => {}
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -13,7 +13,7 @@
 use super::{config, minions};
 use crate::batch::calls::{Call, CallReply, OperatorReply, RETRY_AFTER};
 use crate::batch::link::CallError;
-use crate::batch::report_batch::ReportBatcher;
+use crate::batch::report_batch::{LeaderCalls, Outcome, ReportBatcher};
 use crate::batch::server::LeaderClient;
 
 /// Largest accepted body: the platform contract's limit for a minion's report. Configurations with
@@ -26,7 +26,7 @@
 #[derive(Clone)]
 pub(super) struct ControlHandler {
     pub(super) leader: LeaderClient,
-    pub(super) reports: ReportBatcher,
+    pub(super) reports: ReportBatcher<LeaderClient>,
     pub(super) log: Logger,
 }
 
@@ -80,7 +80,7 @@
     }
 }
 
-fn to_http(reply: Result<CallReply, CallError>) -> Reply {
+fn to_http(reply: Outcome) -> Reply {
     match reply {
         Ok(CallReply::Operator(OperatorReply::Accepted)) => empty(StatusCode::OK),
         Ok(CallReply::Operator(OperatorReply::Document(text))) => json_bytes(StatusCode::OK, text),
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -207,7 +207,9 @@
 
 async fn soak(seed: u64, length: Duration, profile: Profile) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let name = format!("soak-{profile:?}-{seed}").to_lowercase();
+    // With the process in the name, a further play keeps the logs of one that failed.
+    let process = std::process::id();
+    let name = format!("soak-{profile:?}-{seed}-{process}").to_lowercase();
     let mut system = System::start(&name, CONTROLS, ENTRIES, MINIONS).await;
     system.write_settings(false);
     if profile == Profile::Workspaces {
