--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -5,6 +5,7 @@
 //! an agent fails, orders are repeated, but no lease is lost.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -26,6 +27,11 @@
 /// Shortest time for which a stuck agent gets no orders.
 const SUSPENSION: Duration = Duration::from_secs(2);
 
+/// Agents in each availability zone that pass on requests of others: two, as one may be cut off.
+const RELAYS_PER_ZONE: usize = 2;
+/// Least time between two announcements of the relays, each a message to every agent.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// An order handed to an agent that has no answer yet.
 struct OpenOrder {
     minion: MinionNumber,
@@ -43,6 +49,8 @@
     on_leader_host: bool,
     /// Orders without an answer.
     open: BTreeMap<OrderNumber, OpenOrder>,
+    /// Address at which it passes on requests of others; `None` if it does not.
+    relay: Option<SocketAddr>,
     /// When its last message arrived.
     heard: Timestamp,
     /// When it was last found stuck; `None` while it gets orders.
@@ -76,6 +84,11 @@
     rings: BTreeMap<ZoneName, HashRing>,
     /// Times by which orders must be answered.
     deadlines: BTreeSet<(Timestamp, AgentId, OrderNumber)>,
+    /// Relays that the agents were told of.
+    announced: Vec<SocketAddr>,
+    announced_at: Timestamp,
+    /// Whether the relays may have changed since.
+    relays_changed: bool,
     /// Agents that are not suspended, by their backlog of questions.
     by_backlog: BTreeSet<(Duration, AgentId)>,
     next_order: OrderNumber,
@@ -99,6 +112,7 @@
             zone,
             on_leader_host,
             open: BTreeMap::new(),
+            relay: None,
             heard: Timestamp::ZERO,
             suspended: None,
             backlog: Duration::ZERO,
@@ -107,6 +121,34 @@
         self.lock().add(id, agent);
     }
 
+    /// Records that an agent passes on requests of others at `addr`.
+    pub fn set_relay(&self, id: AgentId, addr: SocketAddr) {
+        let mut pool = self.lock();
+        if let Some(agent) = pool.agents.get_mut(&id) {
+            agent.relay = Some(addr);
+            pool.relays_changed = true;
+        }
+    }
+
+    /// Tells all agents which of them pass on requests, if that has changed.
+    pub fn announce_relays(&self, now: Timestamp) {
+        let mut pool = self.lock();
+        if !pool.relays_changed || now < pool.announced_at + ANNOUNCE_INTERVAL {
+            return;
+        }
+        pool.relays_changed = false;
+        let relays = pool.relays();
+        if relays == pool.announced {
+            return;
+        }
+        pool.announced_at = now;
+        for agent in pool.agents.values() {
+            // A connection that has just closed is removed by its server task.
+            let _ = agent.tx.send(ServerMessage::Relays(relays.clone()));
+        }
+        pool.announced = relays;
+    }
+
     /// Number of connected agents, stuck ones included.
     pub fn count(&self) -> usize {
         self.lock().agents.len()
@@ -282,6 +324,10 @@
 
 impl Pool {
     fn add(&mut self, id: AgentId, agent: Agent) {
+        if !self.announced.is_empty() {
+            // A connection that has just closed is removed by its server task.
+            let _ = agent.tx.send(ServerMessage::Relays(self.announced.clone()));
+        }
         self.by_backlog.insert((agent.backlog, id));
         self.agents.insert(id, agent);
         self.join_ring(id);
@@ -291,9 +337,22 @@
         self.leave_ring(id);
         let agent = self.agents.remove(&id)?;
         self.by_backlog.remove(&(agent.backlog, id));
+        self.relays_changed |= agent.relay.is_some();
         Some(agent)
     }
 
+    /// In each zone, the relays that have been connected for longest and are not suspended.
+    fn relays(&self) -> Vec<SocketAddr> {
+        let mut by_zone: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        for agent in self.agents.values().filter(|a| a.suspended.is_none()) {
+            let zone = by_zone.entry(&agent.zone).or_default();
+            if zone.len() < RELAYS_PER_ZONE {
+                zone.extend(agent.relay);
+            }
+        }
+        by_zone.into_values().flatten().collect()
+    }
+
     fn change_backlog(&mut self, id: AgentId, change: impl FnOnce(Duration) -> Duration) {
         if let Some(agent) = self.agents.get_mut(&id) {
             let listed = self.by_backlog.remove(&(agent.backlog, id));
@@ -327,6 +386,7 @@
     fn suspend(&mut self, id: AgentId, now: Timestamp) {
         self.leave_ring(id);
         if let Some(agent) = self.agents.get_mut(&id) {
+            self.relays_changed |= agent.relay.is_some();
             agent.suspended = Some(now);
             self.by_backlog.remove(&(agent.backlog, id));
         }
--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -143,6 +143,11 @@
     Advice(QuestionId, Option<Advice>),
     /// Checks the connection; answered by a `Pong` with the same number.
     Ping(u64),
+    /// Sent by agents that pass on requests of others: the address for these.
+    RelayAt(SocketAddr),
+    /// A request that the receiver passes on to the leader but not to another relay, with the time
+    /// left for its answer.
+    Relayed(CallNumber, ClientCall, Duration),
 }
 
 /// Messages from a control daemon to entry hosts and followers.
@@ -167,4 +172,6 @@
     Advise(AdviceQuestion),
     /// Answer to a ping, with its number.
     Pong(u64),
+    /// Addresses of agents that pass on requests.
+    Relays(Vec<SocketAddr>),
 }
--- a/src/batch/driver.rs
+++ b/src/batch/driver.rs
@@ -125,6 +125,7 @@
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         let expired = agents.expire(monotonic_now());
+        agents.announce_relays(monotonic_now());
         if !expired.is_empty() {
             replica
                 .update_machine(move |m, now| m.unanswered(now, expired))
--- /dev/null
+++ b/src/batch/leader_search.rs
@@ -0,0 +1,300 @@
+//! The search for the leader, and the messages exchanged with it while it leads.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use slog::{Logger, info};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use super::calls::{AgentMessage, CallNumber, CallReply, OrderNumber, ServerMessage};
+use super::dispatch::MinionAnswer;
+use super::driver::{Minions, Policy, send_order};
+use super::election_watch::{ElectedLeader, Members};
+use super::link::{AgentCalls, Contact, PendingCall};
+use crate::error::{Error, Result, Step};
+use crate::ids::Term;
+use crate::task::AbortOnDrop;
+use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
+
+/// Timeout for opening and authenticating a connection and receiving the first message, in the
+/// first pass over all addresses: several round trips within a region. An unreachable peer delays
+/// the search by no more than this.
+const FIRST_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same timeout in later passes, with room for slow hosts.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Delay after a pass over all known addresses that found no leader.
+const PASS_DELAY: Duration = Duration::from_millis(60);
+/// Time without messages after which the peer is pinged while calls await answers.
+const PING_AFTER: Duration = Duration::from_millis(350);
+/// Time without messages after which the peer is pinged on an idle connection.
+const PING_AFTER_IDLE: Duration = Duration::from_millis(1500);
+/// Time to wait for the answer to a ping.
+const PONG_TIMEOUT: Duration = Duration::from_millis(400);
+
+pub(super) struct LeaderSearch<M, P> {
+    pub(super) contact: Contact,
+    pub(super) seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Addresses of the members, and of the connected leader.
+    pub(super) members: watch::Sender<Members>,
+    /// Newest leader reported by another member.
+    pub(super) elected: watch::Receiver<Option<ElectedLeader>>,
+    /// Highest term seen in messages of members.
+    pub(super) term: Term,
+    /// Address to try before all others: a member named it as the leader's.
+    pub(super) next_addr: Option<SocketAddr>,
+    pub(super) keys: CellKeys,
+    pub(super) calls: AgentCalls<M, P>,
+    pub(super) current: watch::Sender<Option<mpsc::UnboundedSender<PendingCall>>>,
+    pub(super) lost_at: Arc<Mutex<Instant>>,
+    pub(super) log: Logger,
+}
+
+impl<M: Minions, P: Policy> LeaderSearch<M, P> {
+    pub(super) async fn run(mut self) {
+        let mut next = 0;
+        let mut connect_timeout = FIRST_CONNECT_TIMEOUT;
+        loop {
+            let addr = match self.next_addr.take().or_else(|| self.newly_elected()) {
+                Some(addr) => addr,
+                None => {
+                    let all = self.addresses();
+                    if next >= all.len() {
+                        next = 0;
+                        connect_timeout = CONNECT_TIMEOUT;
+                        sleep(PASS_DELAY).await;
+                    }
+                    let Some(addr) = all.get(next).copied() else {
+                        continue;
+                    };
+                    next += 1;
+                    addr
+                }
+            };
+            let connected = timeout(connect_timeout, self.connect(addr)).await;
+            let Ok(Ok((reader, writer, is_leader))) = connected else {
+                continue;
+            };
+            if !is_leader {
+                continue;
+            }
+            next = 0;
+            connect_timeout = FIRST_CONNECT_TIMEOUT;
+            self.members
+                .send_modify(|members| members.leader = Some(addr));
+            info!(self.log, "leader found"; "leader" => %addr, "term" => self.term);
+            let why = self.serve(reader, writer).await;
+            *self.lost_at.lock().expect("no holder panics") = Instant::now();
+            self.current.send_replace(None);
+            self.members.send_modify(|members| members.leader = None);
+            let why = why.map_or_else(|e| e.to_string(), |()| "it no longer leads".to_owned());
+            info!(self.log, "leader lost"; "leader" => %addr, "why" => why);
+        }
+    }
+
+    /// A reported leader with a higher term than any seen before; returned only once.
+    fn newly_elected(&mut self) -> Option<SocketAddr> {
+        let elected = (*self.elected.borrow_and_update())?;
+        if elected.term <= self.term {
+            return None;
+        }
+        self.term = elected.term;
+        Some(elected.addr)
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().expect("no holder panics").clone();
+        let members = self.members.borrow();
+        let discovered = members.all.iter().copied().filter(|a| !seeds.contains(a));
+        let discovered: Vec<_> = discovered.collect();
+        seeds.into_iter().chain(discovered).collect()
+    }
+
+    async fn connect(&mut self, addr: SocketAddr) -> Result<(FrameReader, FrameWriter, bool)> {
+        let stream = wire::dial(addr, PONG_TIMEOUT * 2).await?;
+        let (mut reader, mut writer) = wire::client_handshake(stream, &self.keys).await?;
+        writer
+            .write(&AgentMessage::Hello(self.calls.zone.clone()))
+            .await?;
+        if let Some(addr) = self.calls.relay_addr {
+            writer.write(&AgentMessage::RelayAt(addr)).await?;
+        }
+        match reader.read::<ServerMessage>().await? {
+            Some(ServerMessage::Lead {
+                is_leader,
+                term,
+                leader,
+                members,
+            }) => {
+                self.term = self.term.max(term);
+                self.update_members(is_leader, leader, members, addr);
+                Ok((reader, writer, is_leader))
+            }
+            _ => Err(Error::new(Step::Handshake, "the peer sent no greeting").with_peer(addr)),
+        }
+    }
+
+    fn update_members(
+        &mut self,
+        is_leader: bool,
+        leader: Option<SocketAddr>,
+        members: Vec<SocketAddr>,
+        from: SocketAddr,
+    ) {
+        if !members.is_empty() {
+            let all = members.into_iter().collect();
+            self.members.send_modify(|members| members.all = all);
+        }
+        self.next_addr = leader.filter(|addr| !is_leader && *addr != from);
+    }
+
+    /// Exchanges messages with the leader until the connection fails or the peer no longer leads.
+    async fn serve(&mut self, mut reader: FrameReader, mut writer: FrameWriter) -> Result<()> {
+        let (tx, rx) = mpsc::unbounded_channel::<PendingCall>();
+        let mut rx = Unwritten(rx);
+        let (agent_tx, mut answers) = mpsc::unbounded_channel::<AgentMessage>();
+        let (done_tx, mut done) = mpsc::unbounded_channel::<(OrderNumber, MinionAnswer)>();
+        let (message_tx, mut messages) = mpsc::channel::<ServerMessage>(64);
+        let reading = tokio::spawn(async move {
+            while let Ok(Some(message)) = reader.read::<ServerMessage>().await {
+                if message_tx.send(message).await.is_err() {
+                    break;
+                }
+            }
+        });
+        let _reading = AbortOnDrop(reading);
+        self.current.send_replace(Some(tx));
+        let mut open: HashMap<CallNumber, oneshot::Sender<CallReply>> = HashMap::new();
+        let mut number: CallNumber = 0;
+        let mut last_received = Instant::now();
+        let mut pinged_at: Option<Instant> = None;
+        loop {
+            let ping_after = if open.is_empty() {
+                PING_AFTER_IDLE
+            } else {
+                PING_AFTER
+            };
+            let next_check = pinged_at.map_or(last_received + ping_after, |at| at + PONG_TIMEOUT);
+            tokio::select! {
+                outgoing = rx.0.recv() => {
+                    let Some(first) = outgoing else { return Ok(()) };
+                    if open.is_empty() && pinged_at.is_none() {
+                        last_received = Instant::now();
+                    }
+                    let mut next = Some(first);
+                    while let Some(PendingCall { call, reply }) = next {
+                        number += 1;
+                        open.insert(number, reply);
+                        writer.queue(&AgentMessage::Call(number, call))?;
+                        next = rx.0.try_recv().ok();
+                    }
+                    flush(&mut writer).await?;
+                }
+                message = answers.recv() => {
+                    if let Some(message) = message {
+                        writer.queue(&message)?;
+                        flush(&mut writer).await?;
+                    }
+                }
+                first = done.recv() => {
+                    if let Some(first) = first {
+                        let mut answers = vec![first];
+                        while let Ok(next) = done.try_recv() {
+                            answers.push(next);
+                        }
+                        writer.queue(&AgentMessage::OrderAnswers(answers))?;
+                        flush(&mut writer).await?;
+                    }
+                }
+                message = messages.recv() => {
+                    last_received = Instant::now();
+                    *self.contact.heard.lock().expect("no holder panics") = last_received;
+                    pinged_at = None;
+                    match message {
+                        None => return Err(Error::new(Step::Transfer, "the connection ended")),
+                        Some(ServerMessage::Reply(number, reply)) => {
+                            let not_leader = matches!(reply, CallReply::NotLeader(_));
+                            if let CallReply::NotLeader(leader) = &reply {
+                                self.next_addr = *leader;
+                            }
+                            if let Some(tx) = open.remove(&number) {
+                                let _ = tx.send(reply);
+                            }
+                            if not_leader {
+                                return Ok(());
+                            }
+                        }
+                        Some(ServerMessage::Lead { is_leader, term, leader, members }) => {
+                            self.term = self.term.max(term);
+                            let from = writer.peer().parse();
+                            if let Ok(from) = from {
+                                self.update_members(is_leader, leader, members, from);
+                            }
+                            if !is_leader {
+                                return Ok(());
+                            }
+                        }
+                        Some(ServerMessage::Advise(question)) => {
+                            let (policy, agent_tx) = (self.calls.policy.clone(), agent_tx.clone());
+                            tokio::spawn(async move {
+                                let advice = policy.advise(&question).await;
+                                let _ = agent_tx.send(AgentMessage::Advice(question.id, advice));
+                            });
+                        }
+                        Some(ServerMessage::Orders(orders)) => {
+                            for (number, target, order) in orders {
+                                let (minions, done) = (self.calls.minions.clone(), done_tx.clone());
+                                tokio::spawn(async move {
+                                    let answer = send_order(&minions, &target, &order).await;
+                                    let _ = done.send((number, answer));
+                                });
+                            }
+                        }
+                        Some(ServerMessage::Relays(relays)) => {
+                            *self.contact.relays.lock().expect("no holder panics") = relays;
+                        }
+                        Some(ServerMessage::Pong(_)) => {}
+                    }
+                }
+                Ok(()) = self.elected.changed() => {
+                    if let Some(addr) = self.newly_elected() {
+                        self.next_addr = Some(addr);
+                        return Err(Error::new(Step::Transfer, "another leader was elected"));
+                    }
+                }
+                () = sleep_until(next_check) => {
+                    // An established connection can stall permanently while new ones work.
+                    if pinged_at.is_some() {
+                        return Err(Error::new(Step::Transfer, "the connection fell silent"));
+                    }
+                    pinged_at = Some(Instant::now());
+                    writer.queue(&AgentMessage::Ping(number))?;
+                    flush(&mut writer).await?;
+                }
+            }
+        }
+    }
+}
+
+/// Calls that are not written to the connection yet. When it ends, they are answered as not run;
+/// those that were written have an unknown outcome.
+struct Unwritten(mpsc::UnboundedReceiver<PendingCall>);
+
+impl Drop for Unwritten {
+    fn drop(&mut self) {
+        self.0.close();
+        while let Ok(pending) = self.0.try_recv() {
+            // The caller may have stopped waiting.
+            let _ = pending.reply.send(CallReply::NotLeader(None));
+        }
+    }
+}
+
+async fn flush(writer: &mut FrameWriter) -> Result<()> {
+    match timeout(PONG_TIMEOUT, writer.flush()).await {
+        Ok(done) => done,
+        Err(_) => Err(Error::new(Step::Transfer, "the peer does not read")),
+    }
+}
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -1,40 +1,21 @@
-//! The connection of entry hosts and followers to the leader. It is reestablished whenever it
-//! breaks, its peer stops answering, or its peer no longer leads.
+//! Calls of entry hosts and followers to the leader. Their connection to it is reestablished
+//! whenever it breaks, its peer stops answering, or its peer no longer leads.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use slog::{Logger, info};
+use slog::Logger;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::calls::{
-    AgentMessage, Call, CallNumber, CallReply, OrderNumber, RETRY_AFTER, ServerMessage,
-};
-use super::dispatch::MinionAnswer;
-use super::driver::{Minions, Policy, send_order};
-use super::election_watch::{ElectedLeader, Members, watch_elections};
-use crate::error::{Error, Result, Step};
-use crate::ids::{Term, ZoneName};
-use crate::task::AbortOnDrop;
-use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
-
-/// Timeout for opening and authenticating a connection and receiving the first message, in the
-/// first pass over all addresses: several round trips within a region. An unreachable peer delays
-/// the search by no more than this.
-const FIRST_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// The same timeout in later passes, with room for slow hosts.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay after a pass over all known addresses that found no leader.
-const PASS_DELAY: Duration = Duration::from_millis(60);
-/// Time without messages after which the peer is pinged while calls await answers.
-const PING_AFTER: Duration = Duration::from_millis(350);
-/// Time without messages after which the peer is pinged on an idle connection.
-const PING_AFTER_IDLE: Duration = Duration::from_millis(1500);
-/// Time to wait for the answer to a ping.
-const PONG_TIMEOUT: Duration = Duration::from_millis(400);
+use super::calls::{Call, CallReply, ClientAction, ClientCall, RETRY_AFTER};
+use super::driver::{Minions, Policy};
+use super::election_watch::{Members, watch_elections};
+use super::leader_search::LeaderSearch;
+use super::relay::call_by_relay;
+use crate::ids::ZoneName;
+use crate::wire::CellKeys;
 
 /// How long calls wait for a new leader, counted from the loss of the last one: nearly all leader
 /// changes complete within this time. Later calls are refused immediately: waiting would likely be
@@ -56,6 +37,14 @@
     leaderless.clamp(RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
+/// Time without a message of the leader after which a call is passed through a relay as well: it
+/// usually takes a tenth of this.
+const RELAY_AFTER: Duration = Duration::from_millis(250);
+/// Delay before relays are tried again.
+const RELAY_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Longest time for which relays are tried for a call. Later its caller has more use of a refusal.
+const RELAY_PERIOD: Duration = Duration::from_millis(1500);
+
 /// Reason why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -85,11 +74,13 @@
     pub policy: P,
     /// Availability zone of this process.
     pub zone: ZoneName,
+    /// Address at which this process passes on requests of others; `None` if it does not.
+    pub relay_addr: Option<SocketAddr>,
 }
 
-struct PendingCall {
-    call: Call,
-    reply: oneshot::Sender<CallReply>,
+pub(super) struct PendingCall {
+    pub(super) call: Call,
+    pub(super) reply: oneshot::Sender<CallReply>,
 }
 
 /// Handle for calls to the leader; cheap to clone.
@@ -99,6 +90,19 @@
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     /// When the last leader was lost; before the first one is found, when the search began.
     lost_at: Arc<Mutex<Instant>>,
+    contact: Contact,
+    keys: CellKeys,
+}
+
+/// What this process has heard from the leader; clones share it.
+#[derive(Clone)]
+pub(super) struct Contact {
+    /// When the last message of a leader arrived.
+    pub(super) heard: Arc<Mutex<Instant>>,
+    /// Entry hosts that pass on requests.
+    pub(super) relays: Arc<Mutex<Vec<SocketAddr>>>,
+    /// The address among them that is this process.
+    own_addr: Option<SocketAddr>,
 }
 
 impl LeaderLink {
@@ -115,13 +119,19 @@
         let (members, known_members) = watch::channel(Members::default());
         let (elected_tx, elected) = watch::channel(None);
         tokio::spawn(watch_elections(known_members, keys.clone(), elected_tx));
+        let contact = Contact {
+            heard: Arc::new(Mutex::new(Instant::now())),
+            relays: Arc::default(),
+            own_addr: calls.relay_addr,
+        };
         let search = LeaderSearch {
+            contact: contact.clone(),
             seeds: Arc::clone(&seeds),
             members,
             elected,
             term: 0,
             next_addr: None,
-            keys,
+            keys: keys.clone(),
             calls,
             current: tx,
             lost_at: Arc::clone(&lost_at),
@@ -132,6 +142,8 @@
             current,
             seeds,
             lost_at,
+            contact,
+            keys,
         }
     }
 
@@ -151,13 +163,77 @@
         (!self.is_connected()).then(|| now.saturating_duration_since(lost_at))
     }
 
+    /// Calls the leader, and passes a request about a job through a relay as well while the leader
+    /// is not heard. That is safe, as every call is idempotent.
+    pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, CallError> {
+        let request = match &call {
+            Call::Client(request) if request.action != ClientAction::PendingCount => {
+                request.clone()
+            }
+            _ => return self.call_leader(call, deadline).await,
+        };
+        let direct = self.call_leader(call, deadline);
+        let relayed = self.call_by_relay(request, deadline);
+        tokio::pin!(direct, relayed);
+        tokio::select! {
+            answered = &mut direct => match answered {
+                Ok(reply) => Ok(reply),
+                Err(e) => relayed.await.ok_or(e),
+            },
+            relayed = &mut relayed => match relayed {
+                Some(reply) => Ok(reply),
+                None => direct.await,
+            },
+        }
+    }
+
+    /// Passes a request through relays whenever the leader is not heard, until one gives an answer
+    /// that settles it, or nobody waits for it any longer.
+    async fn call_by_relay(&self, request: ClientCall, deadline: Instant) -> Option<CallReply> {
+        let until = deadline.min(Instant::now() + RELAY_PERIOD);
+        loop {
+            timeout_at(until, self.leader_unheard()).await.ok()?;
+            let mut relays = self
+                .contact
+                .relays
+                .lock()
+                .expect("no holder panics")
+                .clone();
+            relays.retain(|addr| Some(*addr) != self.contact.own_addr);
+            let reply = call_by_relay(&relays, &self.keys, &request, until).await;
+            if reply.is_some() {
+                return reply;
+            }
+            timeout_at(until, sleep(RELAY_RETRY_DELAY)).await.ok()?;
+        }
+    }
+
+    /// Waits until there is no connection to a leader, or nothing has arrived on it for
+    /// `RELAY_AFTER`, counted from now at the earliest.
+    async fn leader_unheard(&self) {
+        let began = Instant::now();
+        let mut current = self.current.clone();
+        while current.borrow_and_update().is_some() {
+            let heard = *self.contact.heard.lock().expect("no holder panics");
+            let unheard_at = heard.max(began) + RELAY_AFTER;
+            if Instant::now() >= unheard_at {
+                return;
+            }
+            let _ = timeout_at(unheard_at, current.changed()).await;
+        }
+    }
+
     /// Calls the current leader until one answers or the deadline passes. A call that has changed
     /// nothing is given up once there has been no leader for `LEADER_WAIT`.
     ///
     /// A call whose connection broke is sent again to the next leader. That is safe because every
     /// call is idempotent: a job by its id, a configuration by its version, a report by its
     /// sequence number.
-    pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, CallError> {
+    pub(super) async fn call_leader(
+        &self,
+        call: Call,
+        deadline: Instant,
+    ) -> Result<CallReply, CallError> {
         let mut current = self.current.clone();
         let mut no_answer = CallError::NotRun;
         let if_sent = CallError::of_unanswered(&call);
@@ -210,260 +286,3 @@
 
 /// The connection to the leader; `None` while there is none.
 type CurrentLeader = watch::Receiver<Option<mpsc::UnboundedSender<PendingCall>>>;
-
-struct LeaderSearch<M, P> {
-    seeds: Arc<Mutex<Vec<SocketAddr>>>,
-    /// Addresses of the members, and of the connected leader.
-    members: watch::Sender<Members>,
-    /// Newest leader reported by another member.
-    elected: watch::Receiver<Option<ElectedLeader>>,
-    /// Highest term seen in messages of members.
-    term: Term,
-    /// Address to try before all others: a member named it as the leader's.
-    next_addr: Option<SocketAddr>,
-    keys: CellKeys,
-    calls: AgentCalls<M, P>,
-    current: watch::Sender<Option<mpsc::UnboundedSender<PendingCall>>>,
-    lost_at: Arc<Mutex<Instant>>,
-    log: Logger,
-}
-
-impl<M: Minions, P: Policy> LeaderSearch<M, P> {
-    async fn run(mut self) {
-        let mut next = 0;
-        let mut connect_timeout = FIRST_CONNECT_TIMEOUT;
-        loop {
-            let addr = match self.next_addr.take().or_else(|| self.newly_elected()) {
-                Some(addr) => addr,
-                None => {
-                    let all = self.addresses();
-                    if next >= all.len() {
-                        next = 0;
-                        connect_timeout = CONNECT_TIMEOUT;
-                        sleep(PASS_DELAY).await;
-                    }
-                    let Some(addr) = all.get(next).copied() else {
-                        continue;
-                    };
-                    next += 1;
-                    addr
-                }
-            };
-            let connected = timeout(connect_timeout, self.connect(addr)).await;
-            let Ok(Ok((reader, writer, is_leader))) = connected else {
-                continue;
-            };
-            if !is_leader {
-                continue;
-            }
-            next = 0;
-            connect_timeout = FIRST_CONNECT_TIMEOUT;
-            self.members
-                .send_modify(|members| members.leader = Some(addr));
-            info!(self.log, "leader found"; "leader" => %addr, "term" => self.term);
-            let why = self.serve(reader, writer).await;
-            *self.lost_at.lock().expect("no holder panics") = Instant::now();
-            self.current.send_replace(None);
-            self.members.send_modify(|members| members.leader = None);
-            let why = why.map_or_else(|e| e.to_string(), |()| "it no longer leads".to_owned());
-            info!(self.log, "leader lost"; "leader" => %addr, "why" => why);
-        }
-    }
-
-    /// A reported leader with a higher term than any seen before; returned only once.
-    fn newly_elected(&mut self) -> Option<SocketAddr> {
-        let elected = (*self.elected.borrow_and_update())?;
-        if elected.term <= self.term {
-            return None;
-        }
-        self.term = elected.term;
-        Some(elected.addr)
-    }
-
-    fn addresses(&self) -> Vec<SocketAddr> {
-        let seeds = self.seeds.lock().expect("no holder panics").clone();
-        let members = self.members.borrow();
-        let discovered = members.all.iter().copied().filter(|a| !seeds.contains(a));
-        let discovered: Vec<_> = discovered.collect();
-        seeds.into_iter().chain(discovered).collect()
-    }
-
-    async fn connect(&mut self, addr: SocketAddr) -> Result<(FrameReader, FrameWriter, bool)> {
-        let stream = wire::dial(addr, PONG_TIMEOUT * 2).await?;
-        let (mut reader, mut writer) = wire::client_handshake(stream, &self.keys).await?;
-        writer
-            .write(&AgentMessage::Hello(self.calls.zone.clone()))
-            .await?;
-        match reader.read::<ServerMessage>().await? {
-            Some(ServerMessage::Lead {
-                is_leader,
-                term,
-                leader,
-                members,
-            }) => {
-                self.term = self.term.max(term);
-                self.update_members(is_leader, leader, members, addr);
-                Ok((reader, writer, is_leader))
-            }
-            _ => Err(Error::new(Step::Handshake, "the peer sent no greeting").with_peer(addr)),
-        }
-    }
-
-    fn update_members(
-        &mut self,
-        is_leader: bool,
-        leader: Option<SocketAddr>,
-        members: Vec<SocketAddr>,
-        from: SocketAddr,
-    ) {
-        if !members.is_empty() {
-            let all = members.into_iter().collect();
-            self.members.send_modify(|members| members.all = all);
-        }
-        self.next_addr = leader.filter(|addr| !is_leader && *addr != from);
-    }
-
-    /// Exchanges messages with the leader until the connection fails or the peer no longer leads.
-    async fn serve(&mut self, mut reader: FrameReader, mut writer: FrameWriter) -> Result<()> {
-        let (tx, rx) = mpsc::unbounded_channel::<PendingCall>();
-        let mut rx = Unwritten(rx);
-        let (agent_tx, mut answers) = mpsc::unbounded_channel::<AgentMessage>();
-        let (done_tx, mut done) = mpsc::unbounded_channel::<(OrderNumber, MinionAnswer)>();
-        let (message_tx, mut messages) = mpsc::channel::<ServerMessage>(64);
-        let reading = tokio::spawn(async move {
-            while let Ok(Some(message)) = reader.read::<ServerMessage>().await {
-                if message_tx.send(message).await.is_err() {
-                    break;
-                }
-            }
-        });
-        let _reading = AbortOnDrop(reading);
-        self.current.send_replace(Some(tx));
-        let mut open: HashMap<CallNumber, oneshot::Sender<CallReply>> = HashMap::new();
-        let mut number: CallNumber = 0;
-        let mut last_received = Instant::now();
-        let mut pinged_at: Option<Instant> = None;
-        loop {
-            let ping_after = if open.is_empty() {
-                PING_AFTER_IDLE
-            } else {
-                PING_AFTER
-            };
-            let next_check = pinged_at.map_or(last_received + ping_after, |at| at + PONG_TIMEOUT);
-            tokio::select! {
-                outgoing = rx.0.recv() => {
-                    let Some(first) = outgoing else { return Ok(()) };
-                    if open.is_empty() && pinged_at.is_none() {
-                        last_received = Instant::now();
-                    }
-                    let mut next = Some(first);
-                    while let Some(PendingCall { call, reply }) = next {
-                        number += 1;
-                        open.insert(number, reply);
-                        writer.queue(&AgentMessage::Call(number, call))?;
-                        next = rx.0.try_recv().ok();
-                    }
-                    flush(&mut writer).await?;
-                }
-                message = answers.recv() => {
-                    if let Some(message) = message {
-                        writer.queue(&message)?;
-                        flush(&mut writer).await?;
-                    }
-                }
-                first = done.recv() => {
-                    if let Some(first) = first {
-                        let mut answers = vec![first];
-                        while let Ok(next) = done.try_recv() {
-                            answers.push(next);
-                        }
-                        writer.queue(&AgentMessage::OrderAnswers(answers))?;
-                        flush(&mut writer).await?;
-                    }
-                }
-                message = messages.recv() => {
-                    last_received = Instant::now();
-                    pinged_at = None;
-                    match message {
-                        None => return Err(Error::new(Step::Transfer, "the connection ended")),
-                        Some(ServerMessage::Reply(number, reply)) => {
-                            let not_leader = matches!(reply, CallReply::NotLeader(_));
-                            if let CallReply::NotLeader(leader) = &reply {
-                                self.next_addr = *leader;
-                            }
-                            if let Some(tx) = open.remove(&number) {
-                                let _ = tx.send(reply);
-                            }
-                            if not_leader {
-                                return Ok(());
-                            }
-                        }
-                        Some(ServerMessage::Lead { is_leader, term, leader, members }) => {
-                            self.term = self.term.max(term);
-                            let from = writer.peer().parse();
-                            if let Ok(from) = from {
-                                self.update_members(is_leader, leader, members, from);
-                            }
-                            if !is_leader {
-                                return Ok(());
-                            }
-                        }
-                        Some(ServerMessage::Advise(question)) => {
-                            let (policy, agent_tx) = (self.calls.policy.clone(), agent_tx.clone());
-                            tokio::spawn(async move {
-                                let advice = policy.advise(&question).await;
-                                let _ = agent_tx.send(AgentMessage::Advice(question.id, advice));
-                            });
-                        }
-                        Some(ServerMessage::Orders(orders)) => {
-                            for (number, target, order) in orders {
-                                let (minions, done) = (self.calls.minions.clone(), done_tx.clone());
-                                tokio::spawn(async move {
-                                    let answer = send_order(&minions, &target, &order).await;
-                                    let _ = done.send((number, answer));
-                                });
-                            }
-                        }
-                        Some(ServerMessage::Pong(_)) => {}
-                    }
-                }
-                Ok(()) = self.elected.changed() => {
-                    if let Some(addr) = self.newly_elected() {
-                        self.next_addr = Some(addr);
-                        return Err(Error::new(Step::Transfer, "another leader was elected"));
-                    }
-                }
-                () = sleep_until(next_check) => {
-                    // An established connection can stall permanently while new ones work.
-                    if pinged_at.is_some() {
-                        return Err(Error::new(Step::Transfer, "the connection fell silent"));
-                    }
-                    pinged_at = Some(Instant::now());
-                    writer.queue(&AgentMessage::Ping(number))?;
-                    flush(&mut writer).await?;
-                }
-            }
-        }
-    }
-}
-
-/// Calls that are not written to the connection yet. When it ends, they are answered as not run;
-/// those that were written have an unknown outcome.
-struct Unwritten(mpsc::UnboundedReceiver<PendingCall>);
-
-impl Drop for Unwritten {
-    fn drop(&mut self) {
-        self.0.close();
-        while let Ok(pending) = self.0.try_recv() {
-            // The caller may have stopped waiting.
-            let _ = pending.reply.send(CallReply::NotLeader(None));
-        }
-    }
-}
-
-async fn flush(writer: &mut FrameWriter) -> Result<()> {
-    match timeout(PONG_TIMEOUT, writer.flush()).await {
-        Ok(done) => done,
-        Err(_) => Err(Error::new(Step::Transfer, "the peer does not read")),
-    }
-}
--- /dev/null
+++ b/src/batch/relay.rs
@@ -0,0 +1,160 @@
+//! A second way to the leader: an entry host that does not reach it passes callers' requests through
+//! another entry host.
+//!
+//! Only the leader knows all entry hosts. It tells each the addresses of a few relays in every
+//! availability zone. A relay passes a request on over its own connection to the leader and never to
+//! another relay, so a request takes at most one more hop.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use slog::{Logger, debug};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
+use super::link::{CallError, LeaderLink};
+use crate::error::{Error, Result, Step};
+use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
+
+/// Timeout for opening and authenticating a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time without messages after which a relay closes a connection. Each connection is for one
+/// request.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Delay after a failed accept, most likely for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Relays that are tried for one request, one after the other.
+const MAX_TRIES: usize = 2;
+
+/// Passes requests of other entry hosts on to the leader; clones share its link.
+#[derive(Clone)]
+pub struct RelayServer {
+    link: LeaderLink,
+    keys: CellKeys,
+    log: Logger,
+}
+
+impl RelayServer {
+    /// Creates a relay that calls the leader over `link`.
+    pub fn new(link: LeaderLink, keys: CellKeys, log: Logger) -> Self {
+        Self { link, keys, log }
+    }
+
+    /// Accepts connections; never returns.
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let server = self.clone();
+                    tokio::spawn(async move {
+                        if let Err(e) = server.connection(stream).await {
+                            debug!(server.log, "a relayed connection ended"; "error" => %e);
+                        }
+                    });
+                }
+                Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+    }
+
+    async fn connection(&self, stream: TcpStream) -> Result<()> {
+        let accepted = timeout(IDLE_TIMEOUT, wire::accept(stream, &self.keys)).await;
+        let (mut reader, mut writer) = accepted.map_err(|_| silent())??;
+        let (tx, mut rx) = mpsc::channel(1);
+        loop {
+            tokio::select! {
+                message = timeout(IDLE_TIMEOUT, reader.read::<AgentMessage>()) => {
+                    match message.map_err(|_| silent())?? {
+                        Some(AgentMessage::Relayed(number, call, left)) => {
+                            let (server, tx) = (self.clone(), tx.clone());
+                            tokio::spawn(async move {
+                                let reply = server.pass_on(call, left).await;
+                                // The connection may have ended meanwhile.
+                                let _ = tx.send(ServerMessage::Reply(number, reply)).await;
+                            });
+                        }
+                        Some(_) => {
+                            return Err(Error::new(Step::Transfer, "a relay takes only requests"));
+                        }
+                        None => return Ok(()),
+                    }
+                }
+                Some(reply) = rx.recv() => writer.write(&reply).await?,
+            }
+        }
+    }
+
+    async fn pass_on(&self, call: ClientCall, left: Duration) -> CallReply {
+        metrics::counter!("yuccahold_batch_requests_relayed_total").increment(1);
+        if !self.link.is_connected() {
+            return CallReply::NotLeader(None);
+        }
+        let deadline = Instant::now() + left;
+        match self.link.call_leader(Call::Client(call), deadline).await {
+            Ok(reply) => reply,
+            Err(CallError::NotRun) => CallReply::NotLeader(None),
+            Err(CallError::InDoubt) => CallReply::Client(ClientReply::InDoubt),
+        }
+    }
+}
+
+fn silent() -> Error {
+    Error::new(Step::Transfer, "the connection fell silent")
+}
+
+/// Passes a request through one of `relays`; `None` if none of those tried gave an answer that
+/// settles it.
+pub(super) async fn call_by_relay(
+    relays: &[SocketAddr],
+    keys: &CellKeys,
+    call: &ClientCall,
+    deadline: Instant,
+) -> Option<CallReply> {
+    let tried = relays.iter().copied().sample(&mut rand::rng(), MAX_TRIES);
+    for addr in tried {
+        let answered = timeout_at(deadline, ask(addr, keys, call, deadline)).await;
+        if let Ok(Ok(reply)) = answered
+            && settles(&reply)
+        {
+            return Some(reply);
+        }
+    }
+    None
+}
+
+async fn ask(
+    addr: SocketAddr,
+    keys: &CellKeys,
+    call: &ClientCall,
+    deadline: Instant,
+) -> Result<CallReply> {
+    let connected = timeout(CONNECT_TIMEOUT, connect(addr, keys)).await;
+    let (mut reader, mut writer) = connected
+        .map_err(|_| Error::new(Step::Connect, "no connection in time").with_peer(addr))??;
+    let left = deadline.saturating_duration_since(Instant::now());
+    let message = AgentMessage::Relayed(0, call.clone(), left);
+    writer.write(&message).await?;
+    match reader.read::<ServerMessage>().await? {
+        Some(ServerMessage::Reply(0, reply)) => Ok(reply),
+        _ => Err(Error::new(Step::Transfer, "the relay gave no answer").with_peer(addr)),
+    }
+}
+
+async fn connect(addr: SocketAddr, keys: &CellKeys) -> Result<(FrameReader, FrameWriter)> {
+    let stream = wire::dial(addr, CONNECT_TIMEOUT).await?;
+    wire::client_handshake(stream, keys).await
+}
+
+/// Whether an answer holds for all copies of the request. A refusal holds for one copy only: another
+/// one may have been executed.
+fn settles(reply: &CallReply) -> bool {
+    match reply {
+        CallReply::Client(reply) => {
+            !matches!(reply, ClientReply::Unavailable(_) | ClientReply::InDoubt)
+        }
+        CallReply::Operator(_) | CallReply::NotLeader(_) => false,
+    }
+}
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -196,9 +196,13 @@
         id: AgentId,
         tx: &mpsc::UnboundedSender<ServerMessage>,
         zone: &ZoneName,
+        relay: Option<SocketAddr>,
         on_this_host: bool,
     ) {
         self.agents.add(id, tx.clone(), zone.clone(), on_this_host);
+        if let Some(addr) = relay {
+            self.agents.set_relay(id, addr);
+        }
         let agents = self.agents.count();
         self.replica
             .update_machine(move |m, _| m.set_agents(agents))
@@ -216,6 +220,7 @@
         let _ = tx.send(message);
         // Peers that send a hello act as agents; others only follow leader changes.
         let mut zone: Option<ZoneName> = None;
+        let mut relay: Option<SocketAddr> = None;
         let on_this_host =
             reader.peer().split(':').next() == Some(self.host_ip.to_string().as_str());
         let (frames_tx, mut frames) = mpsc::channel::<AgentMessage>(64);
@@ -237,10 +242,14 @@
                         None => return Ok(()),
                         Some(AgentMessage::Hello(peer_zone)) => {
                             if last_sent.0 {
-                                self.add_agent(id, tx, &peer_zone, on_this_host).await;
+                                self.add_agent(id, tx, &peer_zone, relay, on_this_host).await;
                             }
                             zone = Some(peer_zone);
                         }
+                        Some(AgentMessage::RelayAt(addr)) => {
+                            relay = Some(addr);
+                            self.agents.set_relay(id, addr);
+                        }
                         Some(message) => self.handle(id, tx, message).await,
                     }
                 }
@@ -261,7 +270,7 @@
                             && next.0
                             && !last_sent.0
                         {
-                            self.add_agent(id, tx, zone, on_this_host).await;
+                            self.add_agent(id, tx, zone, relay, on_this_host).await;
                         }
                         last_sent = next;
                     }
@@ -303,7 +312,12 @@
                 let _ = tx.send(ServerMessage::Pong(number));
             }
             // Handled by `read_all`.
-            AgentMessage::Hello(_) => {}
+            AgentMessage::Hello(_) | AgentMessage::RelayAt(_) => {}
+            // Only relays take these.
+            AgentMessage::Relayed(number, ..) => {
+                let refused = CallReply::NotLeader(None);
+                let _ = tx.send(ServerMessage::Reply(number, refused));
+            }
         }
     }
 }
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -13,6 +13,7 @@
 use super::settings::Boot;
 use crate::batch::link::LeaderLink;
 use crate::batch::model::Limits;
+use crate::batch::relay::RelayServer;
 use crate::error::Result;
 
 /// Runs the entry daemon until SIGTERM.
@@ -24,8 +25,12 @@
     serve_metrics(&boot, &log).await?;
     let front = bind(boot.front, "callers").await?;
     let ready = bind(boot.ready, "the balancer").await?;
-    let calls = calls(&boot, Client::default());
-    let link = LeaderLink::start(boot.seed_calls(), open_cell_keys()?, calls, log.clone());
+    let relay = bind(Some(boot.call_addr()), "requests of other entry hosts").await?;
+    let mut calls = calls(&boot, Client::default());
+    calls.relay_addr = Some(boot.call_addr());
+    let keys = open_cell_keys()?;
+    let link = LeaderLink::start(boot.seed_calls(), keys.clone(), calls, log.clone());
+    tokio::spawn(RelayServer::new(link.clone(), keys, log.clone()).serve(relay));
     let (stop, stopping) = watch::channel(false);
     let limits = Limits::default();
     let callers = CallerHandler {
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -28,7 +28,8 @@
 /// Time for an answer when the header is absent or not a number; the users' routes have the same
 /// timeout.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
-/// Part of the caller's time that is reserved for returning the answer.
+/// Time that is reserved for returning the answer, but no more than a quarter of the caller's time:
+/// a last try may come with 100 ms left, in which a job can still be accepted.
 const ANSWER_RESERVE: Duration = Duration::from_millis(100);
 
 /// Authorization scheme of callers' keys.
@@ -78,7 +79,7 @@
             action,
         };
         let path = call.path.clone();
-        let timeout = timeout.saturating_sub(ANSWER_RESERVE);
+        let timeout = timeout.saturating_sub(ANSWER_RESERVE.min(timeout / 4));
         let reply = self.link.call(Call::Client(call), received + timeout).await;
         let took = received.elapsed();
         let outcome = outcome(&reply);
--- a/src/platform/minions.rs
+++ b/src/platform/minions.rs
@@ -284,6 +284,7 @@
             addr: boot.policy,
         },
         zone: boot.zone.clone(),
+        relay_addr: None,
     }
 }
 
--- a/tests/batch_link.rs
+++ b/tests/batch_link.rs
@@ -1,144 +1,20 @@
 //! The link to the leader, tested with simulated control daemons over real connections.
 
-use std::net::SocketAddr;
+mod link_support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use link_support::{Behavior, Control, TEST_TIMEOUT, client_call, keys, lead_message, link_from};
 use rstest::rstest;
-use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use yuccahold::batch::calls::{
-    AgentMessage, Call, CallReply, ClientAction, ClientCall, OperatorReply, ServerMessage,
-};
-use yuccahold::batch::dispatch::{
-    Advice, AdviceQuestion, Answer, CallFailure, HoldAnswer, HoldOrder, StartOrder, Target,
+    AgentMessage, Call, CallReply, ClientAction, OperatorReply, ServerMessage,
 };
-use yuccahold::batch::driver::{Minions, Policy};
-use yuccahold::batch::link::{AgentCalls, CallError, LeaderLink, leader_wait, retry_after};
-use yuccahold::batch::model::{JobSpec, RunNumber, TaskId};
-use yuccahold::ids::Term;
-use yuccahold::wire::{self, CellKey, CellKeys};
-
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
-
-fn keys() -> CellKeys {
-    CellKeys::new([CellKey::from_text("a key for tests")]).expect("one key")
-}
-
-/// Client whose calls all fail.
-#[derive(Clone)]
-struct NoMinions;
-
-impl Minions for NoMinions {
-    async fn start(&self, _: &Target, _: &StartOrder) -> Answer {
-        Answer::Silent(CallFailure::Lost)
-    }
-
-    async fn stop(&self, _: &Target, _: TaskId, _: RunNumber, _: Term) -> Answer {
-        Answer::Silent(CallFailure::Lost)
-    }
-
-    async fn hold(&self, _: &Target, _: &HoldOrder) -> HoldAnswer {
-        HoldAnswer::Silent(CallFailure::Lost)
-    }
-}
-
-impl Policy for NoMinions {
-    async fn advise(&self, _: &AdviceQuestion) -> Option<Advice> {
-        None
-    }
-}
-
-/// A simulated control daemon: the messages it receives, and a sender for each connection.
-struct Control {
-    addr: SocketAddr,
-    received: UnboundedReceiver<AgentMessage>,
-    connections: UnboundedReceiver<UnboundedSender<ServerMessage>>,
-}
-
-/// Whether a control daemon answers pings.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Behavior {
-    Responsive,
-    Hung,
-}
-
-impl Control {
-    async fn start(behavior: Behavior) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = listener.local_addr().expect("bound");
-        let (received_tx, received) = mpsc::unbounded_channel();
-        let (connections_tx, connections) = mpsc::unbounded_channel();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let Ok((mut reader, mut writer)) = wire::accept(stream, &keys()).await else {
-                    continue;
-                };
-                let (tx, mut rx) = mpsc::unbounded_channel::<ServerMessage>();
-                let (received, pongs) = (received_tx.clone(), tx.clone());
-                tokio::spawn(async move {
-                    while let Ok(Some(message)) = reader.read::<AgentMessage>().await {
-                        if let (AgentMessage::Ping(number), Behavior::Responsive) =
-                            (&message, behavior)
-                        {
-                            let _ = pongs.send(ServerMessage::Pong(*number));
-                        }
-                        let _ = received.send(message);
-                    }
-                });
-                tokio::spawn(async move {
-                    while let Some(message) = rx.recv().await {
-                        if writer.write(&message).await.is_err() {
-                            return;
-                        }
-                    }
-                });
-                let _ = connections_tx.send(tx);
-            }
-        });
-        Self {
-            addr,
-            received,
-            connections,
-        }
-    }
-
-    async fn connection(&mut self) -> UnboundedSender<ServerMessage> {
-        let opened = timeout(TEST_TIMEOUT, self.connections.recv()).await;
-        opened.expect("a connection in time").expect("it listens")
-    }
-
-    async fn receive(&mut self) -> AgentMessage {
-        let received = timeout(TEST_TIMEOUT, self.received.recv()).await;
-        received.expect("a message in time").expect("it listens")
-    }
-}
-
-fn link_from(seed: SocketAddr) -> LeaderLink {
-    let calls = AgentCalls {
-        minions: NoMinions,
-        policy: NoMinions,
-        zone: "mixco".into(),
-    };
-    let log = Logger::root(Discard, o!());
-    LeaderLink::start(vec![seed], keys(), calls, log)
-}
-
-fn lead_message(
-    is_leader: bool,
-    term: Term,
-    leader: SocketAddr,
-    members: &[SocketAddr],
-) -> ServerMessage {
-    ServerMessage::Lead {
-        is_leader,
-        term,
-        leader: Some(leader),
-        members: members.to_vec(),
-    }
-}
+use yuccahold::batch::link::{CallError, leader_wait, retry_after};
+use yuccahold::batch::model::JobSpec;
+use yuccahold::wire;
 
 /// The leader hangs: its connection stays open without messages. Another member reports the newly
 /// elected leader, and the next call must go there. Without the report, the link would first have
@@ -208,15 +84,6 @@
     assert_eq!(retry_after(ms(absent)), ms(retry));
 }
 
-fn client_call(action: ClientAction) -> Call {
-    Call::Client(ClientCall {
-        host: "example".into(),
-        path: "/checks/5c0e7a21d94b36f8".into(),
-        key: None,
-        action,
-    })
-}
-
 fn submission(payload_bytes: usize) -> Call {
     client_call(ClientAction::Submit(Arc::new(JobSpec {
         payload: "x".repeat(payload_bytes).into(),
--- /dev/null
+++ b/tests/batch_relay.rs
@@ -0,0 +1,131 @@
+//! Requests of an entry host that does not reach the leader, passed through another entry host.
+
+mod link_support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use link_support::{Behavior, Control, client_call, keys, lead_message, link_from};
+use rstest::rstest;
+use slog::{Discard, Logger, o};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep, timeout};
+use yuccahold::batch::calls::{
+    AgentMessage, Call, CallReply, ClientAction, ClientReply, ServerMessage,
+};
+use yuccahold::batch::link::{CallError, LeaderLink};
+use yuccahold::batch::model::JobState;
+use yuccahold::batch::relay::RelayServer;
+use yuccahold::wire;
+
+/// Time within which a request must be answered by a second way; a check may be late by as much.
+const MAX_DETOUR: Duration = Duration::from_millis(700);
+const DEADLINE: Duration = Duration::from_secs(3);
+
+/// An entry host that passes on requests over `link`.
+async fn relay(link: LeaderLink) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let log = Logger::root(Discard, o!());
+    tokio::spawn(RelayServer::new(link, keys(), log).serve(listener));
+    addr
+}
+
+/// An entry host whose connection to the leader is open and silent, and that knows these relays.
+async fn cut_off(relays: Vec<SocketAddr>) -> LeaderLink {
+    let mut leader = Control::start(Behavior::Hung).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    let _ = connection.send(ServerMessage::Relays(relays));
+    tokio::spawn(async move {
+        while leader.received.recv().await.is_some() {}
+        drop(connection);
+    });
+    while !link.is_connected() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(50)).await;
+    link
+}
+
+/// A leader that answers each call in the same way, and a link that is connected to it.
+async fn leader_answering(reply: ClientReply) -> LeaderLink {
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    tokio::spawn(async move {
+        while let Some(message) = leader.received.recv().await {
+            if let AgentMessage::Call(number, _) = message {
+                let reply = CallReply::Client(reply.clone());
+                let _ = connection.send(ServerMessage::Reply(number, reply));
+            }
+        }
+    });
+    while !link.is_connected() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    link
+}
+
+/// Entry hosts are cut off from all control hosts but reach each other. Without a second way, all
+/// their callers were without service, and the outcome of what they had sent stayed in doubt.
+#[rstest]
+#[case::a_state(ClientAction::State, ClientReply::State(JobState::Done))]
+#[case::a_cancellation(ClientAction::Cancel, ClientReply::Accepted)]
+#[tokio::test]
+async fn a_host_that_is_cut_off_passes_requests_through_another(
+    #[case] action: ClientAction,
+    #[case] reply: ClientReply,
+) {
+    let reachable = relay(leader_answering(reply.clone()).await).await;
+    let link = cut_off(vec![reachable]).await;
+    let began = Instant::now();
+    let answered = link.call(client_call(action), began + DEADLINE).await;
+    assert_eq!(answered, Ok(CallReply::Client(reply)));
+    assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
+}
+
+/// The leader refuses the copy that came through a relay. The one that was written before may have
+/// been executed, so the caller must not be told that nothing was.
+#[tokio::test]
+async fn a_refusal_through_a_relay_does_not_settle_a_change() {
+    let refused = ClientReply::Unavailable(Duration::from_secs(1));
+    let refusing = relay(leader_answering(refused).await).await;
+    let link = cut_off(vec![refusing]).await;
+    let call = client_call(ClientAction::Cancel);
+    let answered = link.call(call, Instant::now() + DEADLINE).await;
+    assert_eq!(answered, Err(CallError::InDoubt));
+}
+
+/// A relay that has no leader itself must not pass requests on to a further relay: among hosts that
+/// are all cut off, a request would be passed around until its deadline.
+#[tokio::test]
+async fn a_relay_passes_nothing_on_to_another_relay() {
+    let last = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let last_addr = last.local_addr().expect("bound");
+    let first = relay(cut_off(vec![last_addr]).await).await;
+    let link = cut_off(vec![first]).await;
+    let call = client_call(ClientAction::State);
+    let answered = link.call(call, Instant::now() + DEADLINE).await;
+    assert_eq!(answered, Err(CallError::NotRun));
+    let connected = timeout(Duration::from_millis(100), last.accept()).await;
+    assert!(connected.is_err(), "a relay connected to another");
+}
+
+/// A relay takes only requests of callers: a stray agent's message ends the connection, and the
+/// relay goes on serving others.
+#[tokio::test]
+async fn a_relay_refuses_other_messages() {
+    let addr = relay(leader_answering(ClientReply::Accepted).await).await;
+    let (mut reader, mut writer) = wire::connect(addr, &keys()).await.expect("it listens");
+    let report = AgentMessage::Call(1, Call::GetConfig);
+    writer.write(&report).await.expect("it reads");
+    let ended = reader.read::<ServerMessage>().await;
+    assert!(!matches!(ended, Ok(Some(_))), "{ended:?}");
+    let link = cut_off(vec![addr]).await;
+    let call = client_call(ClientAction::Cancel);
+    let answered = link.call(call, Instant::now() + DEADLINE).await;
+    assert_eq!(answered, Ok(CallReply::Client(ClientReply::Accepted)));
+}
