Agents: a pause of the leader does not make orders overdue

Cause, by reading: the check for overdue orders runs in the same process that reads the answers. After a pause of the leader, or in a burst, it may come first, and would find all agents stuck although their answers have arrived.

Change: the check is left out once when it comes late itself. No test: it needs a pause of the process at the right moment; the next round finds what is really overdue 50 ms later.

--- a/src/batch/driver.rs
+++ b/src/batch/driver.rs
@@ -122,10 +122,18 @@
 }
 
 async fn expire_orders(agents: Agents, replica: ReplicaHandle<Machine>) {
+    let mut checked = monotonic_now();
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
-        let expired = agents.expire(monotonic_now());
-        agents.announce_relays(monotonic_now());
+        let now = monotonic_now();
+        // After a pause of this process, answers that came in time may not have been read yet.
+        let paused = now > checked + EXPIRY_INTERVAL * 2;
+        checked = now;
+        if paused {
+            continue;
+        }
+        let expired = agents.expire(now);
+        agents.announce_relays(now);
         if !expired.is_empty() {
             replica
                 .update_machine(move |m, now| m.unanswered(now, expired))
