Relays: no refusal while a copy may have been executed; a relay serves one request at a time

Cause, found by reading: a submission could be refused as not run although its copy through a relay had been written and not answered, or refused by the leader while that copy was on its way. Such a job may start, so the refusal would be false.

Change: copies that were written and not refused are counted; while there is one, only an answer that settles the request is returned, and a change without one is in doubt. The relay's loop needs no task and no channel, as a connection carries one request after the other.

Test: a_copy_that_a_relay_does_not_answer_is_in_doubt; by reading, NotRun before.

--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -13,7 +13,7 @@
 use super::driver::{Minions, Policy};
 use super::election_watch::{Members, watch_elections};
 use super::leader_search::LeaderSearch;
-use super::relay::call_by_relay;
+use super::relay::{Copies, call_by_relay, settles};
 use crate::ids::ZoneName;
 use crate::wire::CellKeys;
 
@@ -164,7 +164,8 @@
     }
 
     /// Calls the leader, and passes a request about a job through a relay as well while the leader
-    /// is not heard. That is safe, as every call is idempotent.
+    /// is not heard. That is safe, as every call is idempotent. A refusal of one copy is returned only
+    /// if no other copy may have been executed.
     pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, CallError> {
         let request = match &call {
             Call::Client(request) if request.action != ClientAction::PendingCount => {
@@ -172,10 +173,12 @@
             }
             _ => return self.call_leader(call, deadline).await,
         };
+        let unanswered = CallError::of_unanswered(&call);
+        let copies = Copies::default();
         let direct = self.call_leader(call, deadline);
-        let relayed = self.call_by_relay(request, deadline);
+        let relayed = self.call_by_relay(request, deadline, &copies);
         tokio::pin!(direct, relayed);
-        tokio::select! {
+        let outcome = tokio::select! {
             answered = &mut direct => match answered {
                 Ok(reply) => Ok(reply),
                 Err(e) => relayed.await.ok_or(e),
@@ -184,12 +187,22 @@
                 Some(reply) => Ok(reply),
                 None => direct.await,
             },
+        };
+        match outcome {
+            Ok(reply) if settles(&reply) => Ok(reply),
+            _ if copies.may_be_executed() => Err(unanswered),
+            refused => refused,
         }
     }
 
     /// Passes a request through relays whenever the leader is not heard, until one gives an answer
     /// that settles it, or nobody waits for it any longer.
-    async fn call_by_relay(&self, request: ClientCall, deadline: Instant) -> Option<CallReply> {
+    async fn call_by_relay(
+        &self,
+        request: ClientCall,
+        deadline: Instant,
+        copies: &Copies,
+    ) -> Option<CallReply> {
         let until = deadline.min(Instant::now() + RELAY_PERIOD);
         loop {
             timeout_at(until, self.leader_unheard()).await.ok()?;
@@ -200,7 +213,7 @@
                 .expect("no holder panics")
                 .clone();
             relays.retain(|addr| Some(*addr) != self.contact.own_addr);
-            let reply = call_by_relay(&relays, &self.keys, &request, until).await;
+            let reply = call_by_relay(&relays, &self.keys, &request, until, copies).await;
             if reply.is_some() {
                 return reply;
             }
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -6,12 +6,12 @@
 //! another relay, so a request takes at most one more hop.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
@@ -21,8 +21,7 @@
 
 /// Timeout for opening and authenticating a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time without messages after which a relay closes a connection. Each connection is for one
-/// request.
+/// Time without a message after which a relay closes a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -63,26 +62,15 @@
     async fn connection(&self, stream: TcpStream) -> Result<()> {
         let accepted = timeout(IDLE_TIMEOUT, wire::accept(stream, &self.keys)).await;
         let (mut reader, mut writer) = accepted.map_err(|_| silent())??;
-        let (tx, mut rx) = mpsc::channel(1);
         loop {
-            tokio::select! {
-                message = timeout(IDLE_TIMEOUT, reader.read::<AgentMessage>()) => {
-                    match message.map_err(|_| silent())?? {
-                        Some(AgentMessage::Relayed(number, call, left)) => {
-                            let (server, tx) = (self.clone(), tx.clone());
-                            tokio::spawn(async move {
-                                let reply = server.pass_on(call, left).await;
-                                // The connection may have ended meanwhile.
-                                let _ = tx.send(ServerMessage::Reply(number, reply)).await;
-                            });
-                        }
-                        Some(_) => {
-                            return Err(Error::new(Step::Transfer, "a relay takes only requests"));
-                        }
-                        None => return Ok(()),
-                    }
+            let message = timeout(IDLE_TIMEOUT, reader.read::<AgentMessage>()).await;
+            match message.map_err(|_| silent())?? {
+                Some(AgentMessage::Relayed(number, call, left)) => {
+                    let reply = self.pass_on(call, left).await;
+                    writer.write(&ServerMessage::Reply(number, reply)).await?;
                 }
-                Some(reply) = rx.recv() => writer.write(&reply).await?,
+                Some(_) => return Err(Error::new(Step::Transfer, "a relay takes only requests")),
+                None => return Ok(()),
             }
         }
     }
@@ -105,6 +93,28 @@
     Error::new(Step::Transfer, "the connection fell silent")
 }
 
+/// Copies of one request that were sent through relays.
+#[derive(Default)]
+pub(super) struct Copies {
+    /// Number that may have been executed.
+    open: AtomicUsize,
+}
+
+impl Copies {
+    /// Whether one may have been executed.
+    pub(super) fn may_be_executed(&self) -> bool {
+        self.open.load(Ordering::Relaxed) > 0
+    }
+
+    fn sent(&self) {
+        self.open.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn refused(&self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Passes a request through one of `relays`; `None` if none of those tried gave an answer that
 /// settles it.
 pub(super) async fn call_by_relay(
@@ -112,10 +122,11 @@
     keys: &CellKeys,
     call: &ClientCall,
     deadline: Instant,
+    copies: &Copies,
 ) -> Option<CallReply> {
     let tried = relays.iter().copied().sample(&mut rand::rng(), MAX_TRIES);
     for addr in tried {
-        let answered = timeout_at(deadline, ask(addr, keys, call, deadline)).await;
+        let answered = timeout_at(deadline, ask(addr, keys, call, deadline, copies)).await;
         if let Ok(Ok(reply)) = answered
             && settles(&reply)
         {
@@ -130,15 +141,22 @@
     keys: &CellKeys,
     call: &ClientCall,
     deadline: Instant,
+    copies: &Copies,
 ) -> Result<CallReply> {
     let connected = timeout(CONNECT_TIMEOUT, connect(addr, keys)).await;
     let (mut reader, mut writer) = connected
         .map_err(|_| Error::new(Step::Connect, "no connection in time").with_peer(addr))??;
     let left = deadline.saturating_duration_since(Instant::now());
     let message = AgentMessage::Relayed(0, call.clone(), left);
+    copies.sent();
     writer.write(&message).await?;
     match reader.read::<ServerMessage>().await? {
-        Some(ServerMessage::Reply(0, reply)) => Ok(reply),
+        Some(ServerMessage::Reply(0, reply)) => {
+            if is_refusal(&reply) {
+                copies.refused();
+            }
+            Ok(reply)
+        }
         _ => Err(Error::new(Step::Transfer, "the relay gave no answer").with_peer(addr)),
     }
 }
@@ -150,11 +168,15 @@
 
 /// Whether an answer holds for all copies of the request. A refusal holds for one copy only: another
 /// one may have been executed.
-fn settles(reply: &CallReply) -> bool {
-    match reply {
-        CallReply::Client(reply) => {
-            !matches!(reply, ClientReply::Unavailable(_) | ClientReply::InDoubt)
-        }
-        CallReply::Operator(_) | CallReply::NotLeader(_) => false,
-    }
+pub(super) fn settles(reply: &CallReply) -> bool {
+    let in_doubt = matches!(reply, CallReply::Client(ClientReply::InDoubt));
+    matches!(reply, CallReply::Client(_)) && !in_doubt && !is_refusal(reply)
+}
+
+/// Whether the copy with this answer was not executed.
+fn is_refusal(reply: &CallReply) -> bool {
+    matches!(
+        reply,
+        CallReply::NotLeader(_) | CallReply::Client(ClientReply::Unavailable(_))
+    )
 }
--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -129,3 +129,33 @@
     let answered = link.call(call, Instant::now() + DEADLINE).await;
     assert_eq!(answered, Ok(CallReply::Client(ClientReply::Accepted)));
 }
+
+/// The leader is lost before a change was written to it, and the copy through a relay gets no answer.
+/// That copy may have been executed, so the caller must not be told that nothing was.
+#[tokio::test]
+async fn a_copy_that_a_relay_does_not_answer_is_in_doubt() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let relay_addr = silent.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = silent.accept().await {
+            tokio::spawn(async move {
+                let (mut reader, writer) = wire::accept(stream, &keys()).await.expect("same keys");
+                while let Ok(Some(_)) = reader.read::<AgentMessage>().await {}
+                drop(writer);
+            });
+        }
+    });
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    let _ = connection.send(ServerMessage::Relays(vec![relay_addr]));
+    sleep(Duration::from_millis(100)).await;
+    let _ = connection.send(lead_message(false, 1, leader.addr, &[]));
+    while link.is_connected() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let call = client_call(ClientAction::Cancel);
+    let answered = link.call(call, Instant::now() + DEADLINE).await;
+    assert_eq!(answered, Err(CallError::InDoubt));
+}
