A request is not held for relays once the leader was given up; none is sent with no time left

A last try with 10 ms left got no answer at all.

Change: when the call to the leader is given up, only attempts under way are waited for, and relays that did not reach the leader are not tried again for 300 ms by any request. With less than 40 ms for the leader a request is refused as not run at once.

Test: an_outage_of_all_control_hosts_is_told_at_once; both cases took 1.5 s before, by reading.

--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -40,7 +40,8 @@
 /// Time without a message of the leader after which a call is passed through a relay as well: it
 /// usually takes a tenth of this.
 const RELAY_AFTER: Duration = Duration::from_millis(250);
-/// Delay before relays are tried again.
+/// Delay before relays are tried again after those tried did not reach the leader. In an outage of
+/// all control hosts, requests in between are refused without a detour.
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest time for which relays are tried for a call. Later its caller has more use of a refusal.
 const RELAY_PERIOD: Duration = Duration::from_millis(1500);
@@ -103,6 +104,24 @@
     pub(super) relays: Arc<Mutex<Vec<SocketAddr>>>,
     /// The address among them that is this process.
     own_addr: Option<SocketAddr>,
+    /// No relay is tried before this time, as those tried last did not reach the leader either.
+    next_relay: Arc<Mutex<Instant>>,
+}
+
+impl Contact {
+    /// Relays that may be tried at `now`.
+    fn usable_relays(&self, now: Instant) -> Vec<SocketAddr> {
+        if now < *self.next_relay.lock().expect("no holder panics") {
+            return Vec::new();
+        }
+        let relays = self.relays.lock().expect("no holder panics");
+        let others = relays.iter().filter(|addr| Some(**addr) != self.own_addr);
+        others.copied().collect()
+    }
+
+    fn relays_failed(&self, now: Instant) {
+        *self.next_relay.lock().expect("no holder panics") = now + RELAY_RETRY_DELAY;
+    }
 }
 
 impl LeaderLink {
@@ -123,6 +142,7 @@
             heard: Arc::new(Mutex::new(Instant::now())),
             relays: Arc::default(),
             own_addr: calls.relay_addr,
+            next_relay: Arc::new(Mutex::new(Instant::now())),
         };
         let search = LeaderSearch {
             contact: contact.clone(),
@@ -181,7 +201,10 @@
         let outcome = tokio::select! {
             answered = &mut direct => match answered {
                 Ok(reply) => Ok(reply),
-                Err(e) => relayed.await.ok_or(e),
+                Err(e) => {
+                    copies.end_after_this_round();
+                    relayed.await.ok_or(e)
+                }
             },
             relayed = &mut relayed => match relayed {
                 Some(reply) => Ok(reply),
@@ -196,7 +219,7 @@
     }
 
     /// Passes a request through relays whenever the leader is not heard, until one gives an answer
-    /// that settles it, or nobody waits for it any longer.
+    /// that settles it, or the call to the leader was given up.
     async fn call_by_relay(
         &self,
         request: ClientCall,
@@ -206,18 +229,18 @@
         let until = deadline.min(Instant::now() + RELAY_PERIOD);
         loop {
             timeout_at(until, self.leader_unheard()).await.ok()?;
-            let mut relays = self
-                .contact
-                .relays
-                .lock()
-                .expect("no holder panics")
-                .clone();
-            relays.retain(|addr| Some(*addr) != self.contact.own_addr);
+            let relays = self.contact.usable_relays(Instant::now());
             let reply = call_by_relay(&relays, &self.keys, &request, until, copies).await;
             if reply.is_some() {
                 return reply;
             }
-            timeout_at(until, sleep(RELAY_RETRY_DELAY)).await.ok()?;
+            if !relays.is_empty() {
+                self.contact.relays_failed(Instant::now());
+            }
+            tokio::select! {
+                () = copies.last_round() => return None,
+                delayed = timeout_at(until, sleep(RELAY_RETRY_DELAY)) => delayed.ok()?,
+            }
         }
     }
 
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -12,6 +12,7 @@
 use rand::seq::IteratorRandom;
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
@@ -98,6 +99,8 @@
 pub(super) struct Copies {
     /// Number that may have been executed.
     open: AtomicUsize,
+    /// Notified when relays should not be tried again.
+    last_round: Notify,
 }
 
 impl Copies {
@@ -106,6 +109,16 @@
         self.open.load(Ordering::Relaxed) > 0
     }
 
+    /// Ends the attempts once those under way have ended.
+    pub(super) fn end_after_this_round(&self) {
+        self.last_round.notify_one();
+    }
+
+    /// Waits until no further attempts should be made.
+    pub(super) async fn last_round(&self) {
+        self.last_round.notified().await;
+    }
+
     fn sent(&self) {
         self.open.fetch_add(1, Ordering::Relaxed);
     }
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -32,6 +32,9 @@
 /// a last try may come with 100 ms left, in which a job can still be accepted.
 const ANSWER_RESERVE: Duration = Duration::from_millis(100);
 
+/// Time below which a request is refused at once: the leader could hardly answer in it.
+const MIN_CALL_TIME: Duration = Duration::from_millis(40);
+
 /// Authorization scheme of callers' keys.
 const KEY_SCHEME: &str = "Bearer";
 
@@ -80,7 +83,11 @@
         };
         let path = call.path.clone();
         let timeout = timeout.saturating_sub(ANSWER_RESERVE.min(timeout / 4));
-        let reply = self.link.call(Call::Client(call), received + timeout).await;
+        let reply = if timeout < MIN_CALL_TIME {
+            Err(CallError::NotRun)
+        } else {
+            self.link.call(Call::Client(call), received + timeout).await
+        };
         let took = received.elapsed();
         let outcome = outcome(&reply);
         counter!("yuccahold_batch_requests_total", "outcome" => outcome).increment(1);
--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -159,3 +159,38 @@
     let answered = link.call(call, Instant::now() + DEADLINE).await;
     assert_eq!(answered, Err(CallError::InDoubt));
 }
+
+/// All control hosts are down, so no relay reaches the leader either. Once callers no longer wait for
+/// a leader, a request must be refused without waiting for further attempts through relays.
+#[rstest]
+#[case::no_relay_is_known(0)]
+#[case::the_relay_has_no_leader(1)]
+#[tokio::test]
+async fn an_outage_of_all_control_hosts_is_told_at_once(#[case] relays: usize) {
+    let nowhere: SocketAddr = ([127, 0, 0, 1], 1).into();
+    let mut known = Vec::new();
+    if relays > 0 {
+        known.push(relay(link_from(nowhere)).await);
+    }
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    let _ = connection.send(ServerMessage::Relays(known));
+    sleep(Duration::from_millis(100)).await;
+    let _ = connection.send(lead_message(false, 1, leader.addr, &[]));
+    while link.is_connected() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(1_100)).await;
+    let began = Instant::now();
+    let answered = link
+        .call(client_call(ClientAction::Cancel), began + DEADLINE)
+        .await;
+    assert_eq!(answered, Err(CallError::NotRun));
+    assert!(
+        began.elapsed() < Duration::from_millis(100),
+        "{:?}",
+        began.elapsed()
+    );
+}
