Gangs: places are sought among minions with a ticket, not among all

Cause, found by reading the whole change again: each attempt to place a gang walked all minions, most of which are left out at once for lack of a ticket of the queue's policy.

Change: only minions with a ticket are looked at, as for single tasks. The result is the same: a minion without a ticket was never a place, and places are sorted by a score that ends in the minion's number. Without a policy all are looked at, as before; no queue of the users is without one.

Test: the new case of the_work_for_a_start_does_not_grow_with_the_cell; before, each attempt looked at 1,000 and 5,000 minions, which were not counted, so the case was not run there.

Conclusion: no walk over all minions is left on the path of a start where the queue has a policy.

--- a/src/batch/dispatch/gangs.rs
+++ b/src/batch/dispatch/gangs.rs
@@ -61,7 +61,7 @@
     ) -> SlotsByRack {
         let need = demand(spec);
         let mut places = SlotsByRack::new();
-        for minion in self.minions.values() {
+        for minion in self.candidates(id, step) {
             if !self.may_run(now, minion, id, step, spec, &need) {
                 continue;
             }
--- a/tests/batch_scale.rs
+++ b/tests/batch_scale.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use batch_world::{JOB, World, listed, ms, one_per_minion, queue, report, step};
+use batch_world::{JOB, World, gang, listed, ms, one_per_minion, queue, report, step};
 use rstest::rstest;
 use yuccahold::batch::dispatch::{Advice, Listing};
 use yuccahold::batch::model::{PolicyConfig, Queue};
@@ -48,7 +48,11 @@
     let before = world.leader.minions_examined();
     let mut starts = 0;
     for job in 1..=20 {
-        world.submit_to(job, advised_queue(), vec![step(13, 6_400)]);
+        let tasks = match load {
+            Load::Gangs => gang(13, 6_400),
+            Load::Empty | Load::NearlyFull => step(13, 6_400),
+        };
+        world.submit_to(job, advised_queue(), vec![tasks]);
         for question in world.take_questions() {
             let good = question
                 .minions
@@ -72,6 +76,8 @@
 enum Load {
     Empty,
     NearlyFull,
+    /// An empty cell and gangs.
+    Gangs,
 }
 
 /// With each question about a step examining all minions, the leader of 12,000 minions needed a
@@ -79,6 +85,7 @@
 #[rstest]
 #[case::empty(Load::Empty)]
 #[case::nearly_full(Load::NearlyFull)]
+#[case::gangs(Load::Gangs)]
 fn the_work_for_a_start_does_not_grow_with_the_cell(#[case] load: Load) {
     let small = examined_per_start(1_000, load);
     let large = examined_per_start(5_000, load);
