Crashes: a run that had worked for a while is a possible cause, not the likely one

Cause: any crash within 500 ms of a start counted as strong evidence against the run, though a task that crashes its minion does so within some 10 ms.

Change: a crash is confirmed or in doubt for a run only if the minion was down within 100 ms of the last start order before it; up to 500 ms it is possible, of which a job bears three.

Tests: runs_that_had_worked_for_a_while_are_not_the_likely_cause_of_a_crash and starts_that_were_long_unanswered_are_not_the_likely_cause_of_a_crash; both ended as Failed on the code before. The bounds on starts and crashes of tasks that do crash their minions hold unchanged (tests/batch_crashes, batch_restarts).

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -40,6 +40,7 @@
         run.state = RunState::Starting;
         run.tries += 1;
         run.ordered.get_or_insert(now);
+        run.last_ordered = Some(now);
         run.deadline = run.deadline.max(deadline);
         minion.lease = minion.lease.max(deadline);
         let step_advice = self.step_advice.get(&id.step);
--- a/src/batch/dispatch/crashes.rs
+++ b/src/batch/dispatch/crashes.rs
@@ -18,6 +18,9 @@
 
 /// Run time after which a crash of the minion is not blamed on the start of a run.
 const HARMLESS_AFTER: Duration = Duration::from_millis(500);
+/// Time from a start order within which a crash is likely caused by the start: a task that crashes
+/// its minions does so within milliseconds, and a broken connection shows it soon after.
+const LIKELY_CAUSE_WINDOW: Duration = Duration::from_millis(100);
 /// Least time between a crash and the first answer of the next incarnation.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 /// Time for which a run on trial must be listed as running to pass its trial.
@@ -162,25 +165,37 @@
 
 /// How certain it is that a run crashed its minion; `None` if it did not. A call sent at `sent`
 /// showed the crash.
+///
+/// A run that had worked for a while, or whose order went unanswered for as long, was more likely
+/// hit by a crash with another cause. It counts as a possible cause only: counted as a likely one, it
+/// failed jobs whose tasks had crashed nothing, some of them not even started.
 fn crash_certainty(run: &Run, minion: &Minion, sent: Timestamp) -> Option<Certainty> {
+    let likely_start = start_before_crash(run, minion);
     match (run.state, run.ordered) {
         (RunState::Proposed | RunState::Ending, _) => None,
         (RunState::Transferred | RunState::TransferredInDoubt, _) => run.suspected,
         (RunState::Running(since), _) if minion.was_up_after(since + HARMLESS_AFTER) => None,
-        (RunState::Running(since), Some(_)) if minion.was_down_by(since + HARMLESS_AFTER) => {
-            Some(Certainty::Confirmed)
-        }
+        (RunState::Running(_), _) if likely_start.is_some() => Some(Certainty::Confirmed),
         // The start was lost, or it reached the next incarnation.
         (RunState::Starting | RunState::InDoubt, Some(ordered))
             if sent < ordered + RESTART_TIME =>
         {
             None
         }
-        (RunState::Starting | RunState::InDoubt, Some(ordered))
-            if minion.is_known_up(ordered) && minion.was_down_by(ordered + HARMLESS_AFTER) =>
+        (RunState::Starting | RunState::InDoubt, _)
+            if likely_start.is_some_and(|ordered| minion.is_known_up(ordered)) =>
         {
             Some(Certainty::InDoubt)
         }
         _ => Some(Certainty::Possible),
     }
 }
+
+/// When the last start order before the crash of the minion was sent, if the crash followed within
+/// `LIKELY_CAUSE_WINDOW`.
+fn start_before_crash(run: &Run, minion: &Minion) -> Option<Timestamp> {
+    let down = minion.down_by()?;
+    let last = run.last_ordered.filter(|ordered| *ordered <= down);
+    let ordered = last.or(run.ordered)?;
+    (down <= ordered + LIKELY_CAUSE_WINDOW).then_some(ordered)
+}
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -316,10 +316,10 @@
         self.record_up(if waited { now } else { sent });
     }
 
-    /// Whether it is known to have been down by `at`. Calls without any reaction do not count: the
-    /// minion may be cut off instead.
-    pub(super) fn was_down_by(&self, at: Timestamp) -> bool {
-        self.down_by.is_some_and(|down| down <= at)
+    /// Earliest time by which it is known to have been down. Calls without any reaction do not
+    /// count: the minion may be cut off instead.
+    pub(super) fn down_by(&self) -> Option<Timestamp> {
+        self.down_by
     }
 
     /// Records that a call sent at `sent` got no answer.
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -65,6 +65,8 @@
     pub(super) tries: u32,
     /// When this leader sent the first start order.
     pub(super) ordered: Option<Timestamp>,
+    /// When this leader sent the latest start order.
+    pub(super) last_ordered: Option<Timestamp>,
     /// Whether it may crash its minion.
     pub(super) suspicion: Suspicion,
     /// How certain it is that the run crashed the previous incarnation of its minion; `None` when
@@ -118,6 +120,7 @@
             deadline: Duration::ZERO,
             tries: 0,
             ordered: None,
+            last_ordered: None,
             suspicion: Suspicion::None,
             suspected: None,
             proposed: now,
--- a/tests/batch_crashes.rs
+++ b/tests/batch_crashes.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
-use batch_world::hosts::{Cell, StartAnswer};
+use batch_world::hosts::{Cell, Restart, StartAnswer};
 use batch_world::{JOB, first_step, gang, lasting, ms, step};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use yuccahold::batch::model::{JobId, JobState};
+use yuccahold::batch::model::{JobId, JobState, StepSpec};
 
 /// Most starts of a task that is given up because minions crashed under it. Not every crash can be
 /// attributed, so there may be more starts than `MOST_CRASHES`.
@@ -227,3 +227,61 @@
     let record = cell.world.ledger.task(task).expect("it is known");
     assert_eq!((record.run, record.crashes.any()), (2, false));
 }
+
+/// Guards against a job that is failed although its task crashed nothing: a run whose end was lost
+/// in a crash, and one that had worked for a while, counted like runs that had just been started.
+#[test]
+fn runs_that_had_worked_for_a_while_are_not_the_likely_cause_of_a_crash() {
+    let mut cell = Cell::new(1..2);
+    cell.restart = Restart::SameName;
+    cell.restart_delay = ms(1_000);
+    cell.listing_delay = ms(50);
+    cell.crash_loses_listings = true;
+    let short = StepSpec {
+        estimate: ms(400),
+        ..step(1, 1_000)
+    };
+    cell.submit(JOB, vec![short]);
+    let task = first_step(JOB).task(0);
+    cell.run_until("the first run to begin", |cell| {
+        cell.starts.contains_key(&task)
+    });
+    cell.run_until("its end", |cell| cell.ports_of(task).is_empty());
+    cell.run(ms(20));
+    cell.crash(1);
+    cell.run_until("the second run to begin", |cell| cell.starts[&task] == 2);
+    cell.run(ms(230));
+    cell.crash(1);
+    cell.run(ms(10_000));
+    assert_eq!(
+        (cell.state(JOB), cell.crashes[&task]),
+        (Some(JobState::Done), 1)
+    );
+    assert_eq!(cell.violations, [""; 0]);
+}
+
+/// Guards against a job that is failed although its task was never started: orders that got no
+/// answer for a while counted as the cause of a crash.
+#[test]
+fn starts_that_were_long_unanswered_are_not_the_likely_cause_of_a_crash() {
+    let mut cell = Cell::new(1..2);
+    cell.restart = Restart::SameName;
+    cell.restart_delay = ms(100);
+    cell.submit(JOB, vec![lasting(1, 1_000)]);
+    cell.run(ms(500));
+    cell.start_delay = ms(2_500);
+    cell.submit(JOB + 1, vec![step(1, 1_000)]);
+    let task = first_step(JOB + 1).task(0);
+    for run in 1..=3 {
+        cell.run_until("the next order to start it", |cell| {
+            cell.world.ledger.task(task).is_some_and(|t| t.run >= run)
+        });
+        cell.run(ms(350));
+        cell.crash(1);
+    }
+    cell.start_delay = Duration::ZERO;
+    cell.run(ms(20_000));
+    assert_eq!(cell.state(JOB + 1), Some(JobState::Done));
+    assert_eq!(cell.starts[&task], 1);
+    assert_eq!(cell.violations, [""; 0]);
+}
--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -82,6 +82,8 @@
     pub restart_delay: Duration,
     /// Additional network delay of answers to holds.
     pub listing_delay: Duration,
+    /// Whether a crash loses the answers to holds that are on the way, as a reset connection does.
+    pub crash_loses_listings: bool,
     /// If not zero, starts are executed after this time and their answers are lost.
     pub start_delay: Duration,
     /// Time from the start of an incarnation to its first report.
@@ -115,6 +117,7 @@
             restart: Restart::NewName,
             restart_delay: ms(3_000),
             listing_delay: Duration::ZERO,
+            crash_loses_listings: false,
             start_delay: Duration::ZERO,
             first_report_delay: Duration::ZERO,
             starts: BTreeMap::new(),
@@ -251,15 +254,24 @@
         let Some(inc) = host.inc.take() else {
             return;
         };
+        let host_name = host.name.clone();
         host.restarts_at = now + self.restart_delay;
         self.crashed += 1;
         for task in inc.tasks() {
             *self.crashes.entry(task).or_default() += 1;
             self.break_gang(task);
         }
+        let broken = MinionAnswer::Hold(HoldAnswer::Silent(CallFailure::Broken));
         if let Some(hold) = inc.pending {
-            let answer = MinionAnswer::Hold(HoldAnswer::Silent(CallFailure::Broken));
-            self.answer(now + NET_DELAY, hold.to, OrderKind::Hold, hold.sent, answer);
+            self.answer(now + NET_DELAY, hold.to, OrderKind::Hold, hold.sent, broken);
+        } else if self.crash_loses_listings {
+            let number = self.world.ledger.minion_number(&host_name.into());
+            let holds = self.deliveries.iter_mut();
+            let holds = holds.filter(|d| d.kind == OrderKind::Hold && Some(d.minion) == number);
+            for delivery in holds {
+                delivery.at = now + NET_DELAY;
+                delivery.answer = broken.clone();
+            }
         }
     }
 
