Forwarded requests are returned where no slot is left to serve them

What callers saw: requests held until their deadline of 10 s and then answered "unknown, no whole answer came before the deadline", up to six at once, while two entry hosts had 24 free slots. Seen in the test connections_between_daemons_that_went_silent_are_replaced, which then takes 12 s in place of 3 s and passes.

Evidence: 24 runs beside eight busy processes, three or four side by side, with the routing status of each entry host printed; three took 12.7 to 13.0 s. In each, the entry host that had lost its minions with its lease showed `waiting: 4, slots: 0, peers: [24, 0]` until the deadline. Had the connection stayed silent (the other hypothesis), there would be no new connection; all three were replaced within 2.9 s.

Cause: an entry host without slots refused a forwarded request only if it knew of no slots at its peers either. With peers it queued the request, but a forwarded request is never forwarded again; and requests queued before the minions were lost stayed.

Change: a forwarded request is refused as not run as soon as no slot here can serve it, on arrival or in the queue. The entry host that forwarded it sends it elsewhere. In batch/ there is no such queue: a relay passes a request to the leader at once or refuses it.

--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -71,14 +71,14 @@
         };
         let service = pending.request.service.clone();
         let from_caller = pending.request.origin == Origin::Caller;
-        if self.slots_here(now, &service) == 0 && self.peers.total(&service).0 == 0 {
-            if self.announced.get(&service).copied().unwrap_or(0) == 0 {
+        if self.slots_here(now, &service) == 0 {
+            let announced = self.announced.get(&service).copied().unwrap_or(0);
+            if announced == 0 && self.peers.total(&service).0 == 0 {
                 let reason = format_compact!("no minion of {service} is announced");
                 return self.fail_not_run(now, id, reason, Duration::from_secs(1), out);
             }
             if !from_caller {
-                let reason = CompactString::const_new("no slot is usable here");
-                return self.fail_not_run(now, id, reason, RETRY_AFTER_MIN, out);
+                return self.return_forwarded(now, id, out);
             }
         }
         if from_caller && let Some(peer) = self.peer_with_shorter_queue(now, id, &service) {
@@ -87,6 +87,38 @@
         self.enqueue(now, id, out);
     }
 
+    /// Refuses a forwarded request: it can't be served here and may not be forwarded again.
+    fn return_forwarded(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
+        let reason = CompactString::const_new("no slot is usable here");
+        self.fail_not_run(now, id, reason, RETRY_AFTER_MIN, out);
+    }
+
+    /// Refuses the queued requests of a service that were forwarded here if no slot is left for
+    /// them, so that the entry hosts that forwarded them can send them elsewhere.
+    pub(super) fn return_unservable(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        out: &mut Vec<Effect>,
+    ) {
+        let waiting = self.services.get(service).map(|state| &state.queue);
+        let Some(queue) = waiting.filter(|queue| !queue.is_empty()) else {
+            return;
+        };
+        if self.slots_here(now, service) > 0 {
+            return;
+        }
+        let forwarded = |id: &RequestId| {
+            let pending = self.requests.get(id);
+            pending.is_some_and(|pending| pending.request.origin != Origin::Caller)
+        };
+        let mut ids: Vec<_> = queue.ids().filter(forwarded).collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.return_forwarded(now, id, out);
+        }
+    }
+
     /// The peer with the shortest queue, if the request would wait much less there than here.
     fn peer_with_shorter_queue(
         &self,
--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -72,6 +72,11 @@
         self.waiting.is_empty()
     }
 
+    /// The waiting requests, in no particular order.
+    pub(super) fn ids(&self) -> impl Iterator<Item = RequestId> {
+        self.waiting.keys().copied()
+    }
+
     /// Waiting requests of this or a higher priority: the most that can be served before a new one.
     pub fn ahead_of(&self, priority: QueuePriority) -> usize {
         let levels = &self.levels[priority as usize..];
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -372,6 +372,7 @@
         service: &ServiceName,
         out: &mut Vec<Effect>,
     ) {
+        self.return_unservable(now, service, out);
         loop {
             let here = self.has_free(now, service);
             if !here && !self.peers.any_free(service) {
