Minions that would return to their owner are not moved

What callers saw: an entry host got no minion back for as long as the test looked (9 s), and one minion was idle for a part of each second while it was released and assigned again.

Cause: balancing chose the first minions of the entry host that owns the most. One in that entry host's own availability zone is assigned to it again, since an entry host of another zone counts as owning one more. So the same minion was moved at each check, and none reached the other entry host.

Change: only minions that would be assigned elsewhere are moved; the assignment's own rule decides.

Test: a_minion_that_would_return_to_its_owner_is_not_moved; before, m0 was released in place of m2.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 
 use super::machine::{Command, Machine};
-use crate::ids::{EntryId, MinionId, TaskIndex, Timestamp};
+use crate::ids::{MinionId, TaskIndex, Timestamp};
 use crate::placement::{Decision, Placer};
 use crate::resources::Resources;
 use crate::state::{Cell, JobNumber, Place, PlaceJob, RunOrder, Start, WorkerNumber};
@@ -83,14 +83,14 @@
 }
 
 /// Minions to move away from the entry host that owns the most; empty while earlier moves are in
-/// progress or when the difference is less than two.
+/// progress or when the difference is less than two. A minion that would be assigned to the same
+/// entry host again, because it is in that one's availability zone, is not moved.
 fn minions_to_move(cell: &Cell) -> Vec<MinionId> {
     let moving = cell
         .minions
         .values()
         .any(|minion| minion.release || minion.owner.is_none());
-    let open = cell.entries.iter().filter(|(_, entry)| !entry.leaving);
-    let shares: BTreeMap<&EntryId, usize> = open.map(|(id, _)| (id, cell.owned_by(id))).collect();
+    let mut shares = cell.shares();
     let most = shares.iter().max_by_key(|(_, owned)| **owned);
     let fewest = shares.values().min();
     let (Some((from, most)), Some(fewest)) = (most, fewest) else {
@@ -100,14 +100,28 @@
     if moving || surplus == 0 {
         return Vec::new();
     }
+    let from = *from;
     let owned = cell
         .minions
         .iter()
-        .filter(|(_, minion)| minion.owner.as_ref() == Some(*from));
-    owned
-        .take(surplus.min(MAX_MOVES_PER_CHECK))
-        .map(|(id, _)| id.clone())
-        .collect()
+        .filter(|(_, minion)| minion.owner.as_ref() == Some(from));
+    let mut moved = Vec::new();
+    for (id, minion) in owned {
+        if moved.len() >= surplus.min(MAX_MOVES_PER_CHECK) {
+            break;
+        }
+        let mut after = shares.clone();
+        after.entry(from).and_modify(|owned| *owned -= 1);
+        let Some(to) = cell.best_owner(&minion.announced.zone, &after) else {
+            break;
+        };
+        if to != from {
+            after.entry(to).and_modify(|owned| *owned += 1);
+            shares = after;
+            moved.push(id.clone());
+        }
+    }
+    moved
 }
 
 fn commands_from(cell: &Cell, decisions: Vec<Decision>) -> Vec<Command> {
--- a/src/state/commands/entries.rs
+++ b/src/state/commands/entries.rs
@@ -1,5 +1,6 @@
 //! Entry hosts and minions joining and leaving, and the ownership of minions by entry hosts.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{Reply, refuse};
@@ -189,7 +190,7 @@
             let Some(zone) = self.minions.get(&id).map(|m| m.announced.zone.clone()) else {
                 continue;
             };
-            let owner = self.best_owner(&zone);
+            let owner = self.best_owner(&zone, &self.shares()).cloned();
             if let Some(minion) = self.minions.get_mut(&id).filter(|_| owner.is_some()) {
                 minion.owner = owner;
                 minion.epoch += 1;
@@ -197,11 +198,27 @@
         }
     }
 
-    fn best_owner(&self, zone: &ZoneName) -> Option<EntryId> {
+    /// The entry host that a minion of this availability zone is assigned to, given the number of
+    /// minions that each entry host owns.
+    pub(crate) fn best_owner<'a>(
+        &self,
+        zone: &ZoneName,
+        shares: &BTreeMap<&'a EntryId, usize>,
+    ) -> Option<&'a EntryId> {
+        let load = |id: &EntryId, owned: usize| {
+            let in_zone = self.entries.get(id).is_some_and(|e| e.zone == *zone);
+            owned + usize::from(!in_zone)
+        };
+        let best = shares
+            .iter()
+            .min_by_key(|(id, owned)| (load(id, **owned), **id));
+        best.map(|(id, _)| *id)
+    }
+
+    /// Number of minions owned by each entry host that may get further ones.
+    pub(crate) fn shares(&self) -> BTreeMap<&EntryId, usize> {
         let open = self.entries.iter().filter(|(_, entry)| !entry.leaving);
-        let load = |entry: &EntryId| self.owned_by(entry);
-        open.min_by_key(|(id, entry)| (load(id) + usize::from(entry.zone != *zone), *id))
-            .map(|(id, _)| id.clone())
+        open.map(|(id, _)| (id, self.owned_by(id))).collect()
     }
 
     /// Number of minions that an entry host owns, including those it must release.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -11,7 +11,8 @@
 use yuccahold::resources::Resources;
 use yuccahold::state::Reply;
 use yuccahold::wire::{
-    EndedRun, EntryHello, EntryReport, JobPhase, JobSubmission, StopKind, WorkerPoll, WorkerTasks,
+    EndedRun, EntryHello, EntryReport, JobPhase, JobSubmission, MinionAnnouncement, StopKind,
+    WorkerPoll, WorkerTasks,
 };
 use yuccahold::workload::{RunEnd, TaskId, TaskRun, WorkerSpec};
 
@@ -419,3 +420,57 @@
     let counts = report.objectives[0].counts;
     assert_eq!((counts.good, counts.bad, counts.unknown), (1, 1, 0));
 }
+
+/// Guards against a minion that is moved back and forth for ever: its owner's zone is preferred, so
+/// it returned to the owner that had released it, and the entry host without minions got none.
+#[test]
+fn a_minion_that_would_return_to_its_owner_is_not_moved() {
+    let mut leader = Leader::new();
+    let entry_up = |n: u64, zone: &str| {
+        Command::EntryUp(EntryHello {
+            entry: format!("e{n}").into(),
+            zone: zone.into(),
+            ..hello(n)
+        })
+    };
+    leader.apply(entry_up(1, "bern-a"));
+    leader.apply(entry_up(2, "bern-b"));
+    for (id, zone) in [("m0", "bern-a"), ("m1", "bern-b"), ("m2", "olten")] {
+        leader.apply(minion(id, zone));
+    }
+    leader.apply(entry_up(3, "olten"));
+    let owned = |leader: &Leader| {
+        let owned_by = |entry: &str| leader.machine.cell().owned_by(&entry.into());
+        ["e1", "e2", "e3"].map(owned_by)
+    };
+    assert_eq!(owned(&leader), [2, 1, 0]);
+    leader.pass(Duration::from_secs(2));
+    assert_eq!(to_release(&leader), ["m2"]);
+    leader.apply(Command::ReleaseMinions {
+        entry: "e1".into(),
+        minions: vec!["m2".into()],
+    });
+    assert_eq!(owned(&leader), [1, 1, 1]);
+    leader.pass(Duration::from_secs(2));
+    assert_eq!(to_release(&leader), [""; 0]);
+}
+
+fn minion(id: &str, zone: &str) -> Command {
+    Command::AnnounceMinion(MinionAnnouncement {
+        id: id.into(),
+        process: 1,
+        service: "s".into(),
+        addr: "127.0.0.1:2".parse().unwrap(),
+        zone: zone.into(),
+        slots: 8,
+        connections: 64,
+        ttl: Duration::from_secs(60),
+    })
+}
+
+/// Minions that their owners have been asked to release.
+fn to_release(leader: &Leader) -> Vec<&str> {
+    let minions = leader.machine.cell().minions.iter();
+    let released = minions.filter(|(_, minion)| minion.release);
+    released.map(|(id, _)| id.as_str()).collect()
+}
