A silent connection to control is noticed by an idle entry host too

What callers saw: an entry host whose connection to control went silent while it had neither callers with keys nor announcements never replaced it. Its lease expired, its minions were taken away, and it served nothing until it was restarted. With callers but no keys, the report of service-level counts noticed it after up to 11.5 s.

Cause: the connection counted as dead when a call had waited for 1.5 s, but calls that had expired no longer counted, and the only regular call, the renewal of the lease, expires after 1 s.

Change: the time since an answer has been due is kept apart from the calls, from the first call that was sent until anything is received. In batch/ the leader's connection is pinged when idle; nothing to change there.

Test: an_idle_entry_host_replaces_a_silent_connection_to_control, failed before.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whether its caller waits no longer.
+    pub(super) fn is_expired(&self, now: Instant) -> bool {
+        self.deadline <= now
+    }
+
     pub(super) fn expire(self) {
         let answer = if self.sent {
             Ok(Answer::Unknown)
@@ -190,7 +195,7 @@
         }
     }
     let now = Instant::now();
-    let (live, expired): (Vec<_>, Vec<_>) = waiting.drain(..).partition(|p| p.deadline > now);
+    let (live, expired): (Vec<_>, Vec<_>) = waiting.drain(..).partition(|p| !p.is_expired(now));
     *waiting = live;
     expired.into_iter().for_each(PendingCall::expire);
     true
--- a/src/entry/link_connection.rs
+++ b/src/entry/link_connection.rs
@@ -19,7 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged.
 pub(super) const USER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time after a call without any frame received, after which the connection counts as dead.
+/// Time without any frame received while an answer is due, after which the connection counts as
+/// dead.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval between checks for expired calls and a dead connection.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -41,9 +42,11 @@
     peer: String,
     writer: FrameWriter,
     frames: mpsc::Receiver<FromControl>,
-    calls: HashMap<CallId, (PendingCall, Instant)>,
+    calls: HashMap<CallId, PendingCall>,
     next_id: CallId,
-    last_received: Instant,
+    /// Since when an answer has been due and nothing was received; none while no answer is due.
+    /// Calls may expire meanwhile, as renewals do.
+    unanswered_since: Option<Instant>,
 }
 
 impl Connection {
@@ -70,7 +73,7 @@
             frames,
             calls: HashMap::new(),
             next_id: 1,
-            last_received: Instant::now(),
+            unanswered_since: None,
         })
     }
 
@@ -92,8 +95,7 @@
             Ok(()) => self.run(queue, feed).await,
             Err(_) => ConnectionEnd::Broken,
         };
-        let calls = self.calls.into_values().map(|(pending, _)| pending);
-        (lost, calls.collect())
+        (lost, self.calls.into_values().collect())
     }
 
     async fn run(
@@ -116,10 +118,10 @@
                 }
                 frame = self.frames.recv() => {
                     let Some(frame) = frame else { return ConnectionEnd::Broken };
-                    self.last_received = Instant::now();
                     if let Some(lost) = self.handle_message(frame, feed) {
                         return lost;
                     }
+                    self.unanswered_since = self.awaits_answer().then(Instant::now);
                 }
                 _ = check.tick() => {
                     self.expire();
@@ -142,7 +144,10 @@
         match self.writer.queue(&message) {
             Ok(()) => {
                 pending.sent = true;
-                self.calls.insert(id, (pending, Instant::now()));
+                if is_prompt(&pending.call) {
+                    self.unanswered_since.get_or_insert_with(Instant::now);
+                }
+                self.calls.insert(id, pending);
             }
             Err(e) => drop(pending.reply.send(Err(e))),
         }
@@ -156,10 +161,10 @@
         match frame {
             FromControl::Answer { id, answer } => {
                 // The answer to an expired call matches no entry and is dropped.
-                let (mut pending, sent) = self.calls.remove(&id)?;
+                let mut pending = self.calls.remove(&id)?;
                 if let Answer::NotLeader(leader) = answer {
                     pending.sent = false;
-                    self.calls.insert(id, (pending, sent));
+                    self.calls.insert(id, pending);
                     return Some(ConnectionEnd::NotLeader(leader));
                 }
                 let _ = pending.reply.send(Ok(answer));
@@ -174,28 +179,30 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let late = self
-            .calls
-            .iter()
-            .filter(|(_, (pending, _))| pending.deadline <= now);
-        let ids: Vec<_> = late.map(|(id, _)| *id).collect();
+        let expired = self.calls.iter().filter(|(_, call)| call.is_expired(now));
+        let ids: Vec<_> = expired.map(|(id, _)| *id).collect();
         for id in ids {
-            if let Some((pending, _)) = self.calls.remove(&id) {
+            if let Some(pending) = self.calls.remove(&id) {
                 pending.expire();
             }
         }
     }
 
-    /// Whether a call other than a long poll has waited too long without any frame received.
+    fn awaits_answer(&self) -> bool {
+        self.calls.values().any(|pending| is_prompt(&pending.call))
+    }
+
     fn is_silent(&self) -> bool {
-        let prompt = |call: &Call| !matches!(call, Call::PollWorker(_));
-        let waits = |(pending, sent): &(PendingCall, Instant)| {
-            prompt(&pending.call) && self.last_received.max(*sent).elapsed() > SILENCE_TIMEOUT
-        };
-        self.calls.values().any(waits)
+        let since = self.unanswered_since;
+        since.is_some_and(|since| since.elapsed() > SILENCE_TIMEOUT)
     }
 }
 
+/// Whether control answers the call without waiting for an event.
+fn is_prompt(call: &Call) -> bool {
+    !matches!(call, Call::PollWorker(_))
+}
+
 async fn read_frames(mut reader: FrameReader, frames: mpsc::Sender<FromControl>) {
     while let Ok(Some(frame)) = reader.read().await {
         if frames.send(frame).await.is_err() {
--- a/tests/entry_faults.rs
+++ b/tests/entry_faults.rs
@@ -151,6 +151,23 @@
     cell.check();
 }
 
+/// Guards against an idle entry host that keeps a silent connection to control for ever: its only
+/// calls, renewals, time out before the silence was noticed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_entry_host_replaces_a_silent_connection_to_control() {
+    let mut cell = Cell::start(document(), 0, 0).await;
+    let proxy = TcpProxy::start(cell.control.addr, 1).await.unwrap();
+    let idle = settings("entry-0", proxy.addr());
+    cell.entries.push(TestEntry::start(idle).await);
+    cell.settled(0).await;
+    proxy.apply(Fault::SilenceOpen);
+    until("a new connection to control", || async {
+        proxy.counts().connections > 1
+    })
+    .await;
+    cell.settled(0).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn overload_is_refused_at_once() {
     // A hundred concurrent requests with a short deadline go to one minion with eight slots. Those
