A lease is granted after the feed that it is based on

Cause: an entry host whose lease has just been declared expired joins again with its next renewal, within a few ms. The feed says that its minions have other owners, but changes are collected for 10 ms, and the answer with the new lease was not held back for it. So for some ms, longer on a busy host, the former owner used the minions under a valid lease beside the new one. Also, the entry host handled lease and feed as two messages of two tasks.

Change: control answers a renewal when the connection has sent all feed changes that preceded the grant. The entry host applies the latest feed before it uses a lease. In batch/ there is no second path: the leader grants leases to minions itself and fences by its term.

--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::entries::RenewStep;
@@ -63,11 +64,16 @@
     G: Group<Machine<P>>,
 {
     /// Answers one call. `hello` is the first message of the entry host on this connection;
-    /// renewals require it.
-    pub async fn answer(&self, hello: Option<&EntryHello>, call: Call) -> Answer {
+    /// renewals require it. `feed_sent` is the number of feed changes that the connection has sent.
+    pub async fn answer(
+        &self,
+        hello: Option<&EntryHello>,
+        feed_sent: watch::Receiver<u64>,
+        call: Call,
+    ) -> Answer {
         let answered = match call {
             Call::Renew(report) => match hello {
-                Some(hello) => self.renew(hello.clone(), report).await,
+                Some(hello) => self.renew(hello.clone(), report, feed_sent).await,
                 None => Ok(refusal(
                     RefusalKind::Invalid,
                     "a renewal needs a hello first",
@@ -110,29 +116,44 @@
         }
     }
 
-    async fn renew(&self, hello: EntryHello, report: EntryReport) -> Result<Answer, Answer> {
-        self.grant_lease(move |m, now| m.renew_entry(now, &hello, &report))
-            .await
+    /// Renews an entry host's lease. The answer follows the feed that the grant is based on:
+    /// otherwise an entry host that joins again right after its lease expired would use minions
+    /// under the new lease that its last feed still assigns to it, beside their new owners.
+    async fn renew(
+        &self,
+        hello: EntryHello,
+        report: EntryReport,
+        mut feed_sent: watch::Receiver<u64>,
+    ) -> Result<Answer, Answer> {
+        let check = move |m: &mut Machine<P>, now| m.renew_entry(now, &hello, &report);
+        let (ttl, changes) = self.grant_lease(check).await?;
+        let sent = feed_sent.wait_for(|sent| *sent >= changes).await;
+        sent.map_err(|_| Answer::Unknown)?;
+        Ok(Answer::Lease(ttl))
     }
 
     async fn announce(&self, minion: MinionAnnouncement) -> Result<Answer, Answer> {
-        self.grant_lease(move |m, now| m.announce(now, &minion))
-            .await
+        let check = move |m: &mut Machine<P>, now| m.announce(now, &minion);
+        let (ttl, _) = self.grant_lease(check).await?;
+        Ok(Answer::Lease(ttl))
     }
 
+    /// Grants a lease; returns its length and the number of feed changes at that time.
     async fn grant_lease(
         &self,
         check: impl Fn(&mut Machine<P>, Duration) -> RenewStep + Clone + Send + 'static,
-    ) -> Result<Answer, Answer> {
+    ) -> Result<(Duration, u64), Answer> {
         let mut rounds = 0;
         loop {
             let check = check.clone();
-            match self.read(move |m, now| check(m, now)).await? {
-                RenewStep::Granted(ttl) => return Ok(Answer::Lease(ttl)),
+            let checked = move |m: &mut Machine<P>, now| (check(m, now), m.cell.feed_changes());
+            let (step, changes) = self.read(checked).await?;
+            match step {
+                RenewStep::Granted(ttl) => return Ok((ttl, changes)),
                 RenewStep::Propose(commands) => self.propose_round(commands, &mut rounds).await?,
                 RenewStep::Held => {
                     let message = "another process of this name may still hold the lease";
-                    return Ok(refuse_with_retry(RefusalKind::Conflict, message));
+                    return Err(refuse_with_retry(RefusalKind::Conflict, message));
                 }
             }
         }
--- a/src/control/connections.rs
+++ b/src/control/connections.rs
@@ -105,21 +105,23 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(write_queued(tx, queue));
         let mut hello: Option<Arc<EntryHello>> = None;
+        let feed_sent = watch::Sender::new(0);
         while let Some(message) = rx.read::<ToControl>().await? {
             while tasks.try_join_next().is_some() {}
             match message {
                 ToControl::Hello(received) => {
                     let held = received.in_force;
                     hello = Some(Arc::new(received));
-                    tasks.spawn(Arc::clone(&self).feed(held, sender.clone()));
+                    let sent = feed_sent.clone();
+                    tasks.spawn(Arc::clone(&self).feed(held, sender.clone(), sent));
                 }
                 ToControl::Call { id, call } => {
                     if tasks.len() > MAX_CALLS_IN_FLIGHT {
                         tasks.join_next().await;
                     }
-                    let task =
-                        Arc::clone(&self).answer_call(hello.clone(), id, call, sender.clone());
-                    tasks.spawn(task);
+                    let (server, sender) = (Arc::clone(&self), sender.clone());
+                    let feed_sent = feed_sent.subscribe();
+                    tasks.spawn(server.answer_call(hello.clone(), feed_sent, id, call, sender));
                 }
             }
         }
@@ -129,6 +131,7 @@
     async fn answer_call(
         self: Arc<Self>,
         hello: Option<Arc<EntryHello>>,
+        feed_sent: watch::Receiver<u64>,
         id: CallId,
         call: Call,
         sender: mpsc::Sender<FromControl>,
@@ -136,7 +139,7 @@
         let answer = match call {
             Call::Http(_) if hello.is_some() && !self.signed_in => sign_in_required(),
             Call::Http(call) => self.operate(call).await,
-            call => self.calls.answer(hello.as_deref(), call).await,
+            call => self.calls.answer(hello.as_deref(), feed_sent, call).await,
         };
         let _ = sender.send(FromControl::Answer { id, answer }).await;
     }
@@ -151,12 +154,19 @@
 
     /// Sends the complete feed first, then its changes. Only reads with confirmed leadership are
     /// used, because a replica that is cut off from the group could send an outdated document.
-    async fn feed(self: Arc<Self>, held: Revision, sender: mpsc::Sender<FromControl>) {
+    /// Reports the number of changes that have been sent.
+    async fn feed(
+        self: Arc<Self>,
+        held: Revision,
+        sender: mpsc::Sender<FromControl>,
+        feed_sent: watch::Sender<u64>,
+    ) {
         let mut changes = self.feed.clone();
         let mut sent: Option<Arc<Feed>> = None;
         loop {
             changes.mark_unchanged();
-            let Ok(latest) = self.calls.read(|m, _| m.latest_feed()).await else {
+            let read = |m: &mut Machine<P>, _| (m.latest_feed(), m.cell().feed_changes());
+            let Ok((latest, covered)) = self.calls.read(read).await else {
                 tokio::time::sleep(FEED_RETRY).await;
                 continue;
             };
@@ -166,6 +176,7 @@
                 return;
             }
             sent = Some(latest);
+            feed_sent.send_replace(covered);
             if changes.changed().await.is_err() {
                 return;
             }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -44,13 +44,15 @@
     /// Runtime of the request-handling threads, for connections to peers.
     pub(super) request_runtime: Handle,
     pub(super) control_status: Arc<ControlStatus>,
+    /// The feed last applied.
+    pub(super) feed: Arc<Feed>,
     pub(super) lease: Lease,
     pub(super) renewals_in_flight: u32,
     pub(super) period: watch::Sender<Duration>,
 }
 
 /// Message: the control plane sent a new feed.
-struct FeedChanged(Arc<Feed>);
+struct FeedChanged;
 
 /// Message: a renewal is due.
 struct Renew;
@@ -77,6 +79,7 @@
             core,
             request_runtime,
             control_status,
+            feed: feed.borrow().clone(),
             lease: Lease::default(),
             renewals_in_flight: 0,
             period,
@@ -86,6 +89,21 @@
         tokio::spawn(renew_periodically(periods, released, address));
     }
 
+    /// Applies the latest feed from the control plane, unless it was applied before.
+    fn apply_feed(&mut self) {
+        let latest = self.link.feed().borrow().clone();
+        if Arc::ptr_eq(&latest, &self.feed) {
+            return;
+        }
+        self.feed = latest.clone();
+        self.core
+            .peers
+            .set(&self.core, &self.request_runtime, &latest.entries);
+        self.core.handle(Event::Feed(latest));
+        self.core.close_unowned();
+        self.control_status.has_feed.store(true, Ordering::Relaxed);
+    }
+
     fn report(&self) -> EntryReport {
         let (in_force, released) = self
             .core
@@ -101,13 +119,8 @@
 impl<L: ControlLink> Handler<FeedChanged> for Control<L> {
     type Return = ();
 
-    async fn handle(&mut self, FeedChanged(feed): FeedChanged, _cx: &mut Context<Self>) {
-        self.core
-            .peers
-            .set(&self.core, &self.request_runtime, &feed.entries);
-        self.core.handle(Event::Feed(feed));
-        self.core.close_unowned();
-        self.control_status.has_feed.store(true, Ordering::Relaxed);
+    async fn handle(&mut self, _: FeedChanged, _cx: &mut Context<Self>) {
+        self.apply_feed();
     }
 }
 
@@ -142,6 +155,8 @@
             metrics::counter!("yuccahold_entry_renewals_failed_total").increment(1);
             return;
         };
+        // The feed that preceded the grant may have taken minions away.
+        self.apply_feed();
         self.lease.renewed(sent, length);
         self.core.handle(Event::Leased(self.lease.until()));
         self.period.send_replace(length / RENEWALS_PER_LEASE);
@@ -153,8 +168,8 @@
     address: Address<Control<L>>,
 ) {
     while feed.changed().await.is_ok() {
-        let latest = feed.borrow_and_update().clone();
-        if address.send(FeedChanged(latest)).await.is_err() {
+        feed.borrow_and_update();
+        if address.send(FeedChanged).await.is_err() {
             return;
         }
     }
