Tests: a connection's source is looked up apart, and never before its process is known

What was seen: connections_between_daemons_that_went_silent_are_replaced "waited too long for new connections to control" beside builds (listed). Two causes, both in the test's own network:

A connection that a daemon opened before its process id was noted was taken for one of an unknown process. The fault was then not applied to it, so it was rightly never replaced. The look-up reads /proc/net/tcp, one connection after the other, on the threads that also forward all traffic. Tests of requests that run once leave tens of thousands of sockets in TIME_WAIT; one read then takes 0.1 to 0.45 s, entry hosts give up connecting after 1 s and never connect again.

Change: a daemon is started and noted under the lock that look-ups take; each look-up runs on a thread of its own and holds up its own connection alone. The checks are the same.

--- a/src/fault/tcp.rs
+++ b/src/fault/tcp.rs
@@ -173,12 +173,12 @@
 
 impl SourceProxy {
     /// Listens on a free loopback port and forwards to `upstream`. `source` returns the name of the
-    /// process that opened a connection, given the client's address and the proxy's. `seed`
-    /// determines the jitter.
+    /// process that opened a connection, given the client's address and the proxy's. It may block:
+    /// each call runs apart, and holds up only its own connection. `seed` determines the jitter.
     pub async fn start(
         upstream: SocketAddr,
         seed: u64,
-        source: impl Fn(SocketAddr, SocketAddr) -> CompactString + Send + 'static,
+        source: impl Fn(SocketAddr, SocketAddr) -> CompactString + Send + Sync + 'static,
     ) -> Result<Self> {
         let (listener, addr) = listen().await?;
         let lanes = Arc::new(Lanes {
@@ -187,7 +187,16 @@
             by_source: Mutex::default(),
         });
         let shared = lanes.clone();
-        let accept = move |client, peer| shared.of(&source(peer, addr)).accept(client);
+        let source = Arc::new(source);
+        let accept = move |client, peer| {
+            let (shared, source) = (shared.clone(), source.clone());
+            tokio::spawn(async move {
+                let found = tokio::task::spawn_blocking(move || source(peer, addr)).await;
+                if let Ok(name) = found {
+                    shared.of(&name).accept(client);
+                }
+            });
+        };
         Ok(Self {
             addr,
             lanes,
--- a/tests/cell/daemon.rs
+++ b/tests/cell/daemon.rs
@@ -73,16 +73,14 @@
             .append(true)
             .open(self.log_file())
             .unwrap();
-        let child = Command::new(self.binary)
+        let mut command = Command::new(self.binary);
+        command
             .args(args)
             .arg(self.folder.join("settings.yaml"))
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        self.pids.add(child.id(), &self.name);
-        self.child = Some(child);
+            .stderr(log);
+        self.child = Some(self.pids.spawn(&self.name, &mut command));
     }
 
     pub fn pid(&self) -> u32 {
--- a/tests/cell/net.rs
+++ b/tests/cell/net.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
+use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 
 use compact_str::CompactString;
@@ -13,8 +14,13 @@
 pub struct Pids(Arc<Mutex<BTreeMap<u32, CompactString>>>);
 
 impl Pids {
-    pub fn add(&self, pid: u32, name: &str) {
-        self.0.lock().unwrap().insert(pid, name.into());
+    /// Starts a daemon's process. Lookups wait meanwhile: the process may connect before its id is
+    /// known here.
+    pub fn spawn(&self, name: &str, command: &mut Command) -> Child {
+        let mut pids = self.0.lock().unwrap();
+        let child = command.spawn().unwrap();
+        pids.insert(child.id(), name.into());
+        child
     }
 
     /// Name of the daemon whose process holds the connection between two addresses.
