A claim of a key is waited for until the deadline nears, not for two seconds

The refusal came after 3 s, of a deadline of 10 s.

Cause: the entry host gave a claim up after 2 s whatever time the request had left.

Change: a claim that was sent is waited for until a quarter of the time left, at most 1 s, remains for settling it. One that could not be sent, since no leader was found, is still refused after 2 s, so that its caller can use another entry host.

Test: a_key_is_claimed_although_control_answers_late, 503 before.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -33,8 +33,11 @@
 
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 256;
-/// Timeout of claiming a key, if the deadline is not earlier.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest part of the time to the deadline that is kept for settling a key whose claim was not
+/// answered.
+const SETTLE_RESERVE: Duration = Duration::from_secs(1);
+/// The part kept of a shorter time, as a divisor.
+const SETTLE_RESERVE_DIVISOR: u32 = 4;
 /// Retry-after time when the control plane is unreachable.
 const CONTROL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -265,10 +268,7 @@
     key_guard: KeyGuard,
     disconnected: CancellationToken,
 ) -> Routed {
-    let timeout = context
-        .core
-        .left(service_request.deadline)
-        .min(CLAIM_TIMEOUT);
+    let timeout = claim_timeout(context.core.left(service_request.deadline));
     let claim = key_guard.claim(&service_request);
     let answer = context.link.call(claim, timeout).await;
     match answer {
@@ -298,6 +298,14 @@
     (reply_to(&completed.result), Some(completed))
 }
 
+/// How long to wait for the answer to a claim with `left` until the deadline.
+///
+/// Control answers late while its disk is slow. The request can still be served then, and a refusal
+/// would send its caller to another entry host that waits for the same disk.
+fn claim_timeout(left: Duration) -> Duration {
+    left - (left / SETTLE_RESERVE_DIVISOR).min(SETTLE_RESERVE)
+}
+
 fn dropped_error() -> RouteError {
     RouteError::Unknown {
         reason: CompactString::const_new("the entry host dropped the request"),
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -15,6 +15,9 @@
 
 /// Maximum calls queued for the connection.
 const MAX_QUEUED_CALLS: usize = 4096;
+/// Longest time that a claim waits to be sent. Without a leader its request is refused as not run,
+/// so that the caller can use another entry host.
+const CLAIM_SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay before connecting to the next replica.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
@@ -32,6 +35,8 @@
 pub(super) struct PendingCall {
     pub(super) call: Call,
     pub(super) deadline: Instant,
+    /// When it expires if it was not sent.
+    pub(super) send_deadline: Instant,
     pub(super) sent: bool,
     pub(super) reply: oneshot::Sender<Result<Answer>>,
 }
@@ -52,7 +57,12 @@
 
     /// Whether its caller waits no longer.
     pub(super) fn is_expired(&self, now: Instant) -> bool {
-        self.deadline <= now
+        let end = if self.sent {
+            self.deadline
+        } else {
+            self.send_deadline
+        };
+        end <= now
     }
 
     pub(super) fn expire(self) {
@@ -78,9 +88,15 @@
 impl ControlLink for RemoteLink {
     async fn call(&self, call: Call, timeout: Duration) -> Result<Answer> {
         let (reply, answer) = oneshot::channel();
+        let now = Instant::now();
+        let send_timeout = match &call {
+            Call::ClaimKey(_) => timeout.min(CLAIM_SEND_TIMEOUT),
+            _ => timeout,
+        };
         let pending = PendingCall {
             call,
-            deadline: Instant::now() + timeout,
+            deadline: now + timeout,
+            send_deadline: now + send_timeout,
             sent: false,
             reply,
         };
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -149,6 +149,18 @@
     assert_eq!(cell.check()["rent-7"], 1);
 }
 
+/// Guards against a request that is refused although control is only slow, as with a slow disk.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_claimed_although_control_answers_late() {
+    let cell = Cell::start(document(), 1, 1).await;
+    cell.control.delay_claims(Duration::from_millis(2_500));
+    let request = cell.client.post(cell.url(0, "/v1/services/desk/pay"));
+    let reply = request.header("idempotency-key", "rent-8").send().await;
+    let reply = reply.unwrap();
+    assert_eq!((reply.status().as_u16(), outcome(&reply)), (200, "done"));
+    assert_eq!(cell.check()["rent-8"], 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_minion_gets_nothing_new_and_a_dead_owner_is_replaced() {
     // A minion announces that it leaves, so requests must go to the other one only. Then the owner
--- a/tests/support/fake_control.rs
+++ b/tests/support/fake_control.rs
@@ -25,6 +25,7 @@
     jobs: BTreeMap<String, JobView>,
     lease: Duration,
     advertised: BTreeMap<EntryId, SocketAddr>,
+    claim_delay: Duration,
 }
 
 /// A running fake. Dropping it kills it and its connections.
@@ -49,6 +50,7 @@
             jobs: BTreeMap::new(),
             lease,
             advertised: BTreeMap::new(),
+            claim_delay: Duration::ZERO,
         };
         let state = Arc::new(Mutex::new(state));
         let listener = TcpListener::bind((ip, 0)).await.unwrap();
@@ -91,6 +93,11 @@
         lock(&self.state).advertised.insert(entry.into(), addr);
     }
 
+    /// Answers claims of keys only after this time; other calls are answered meanwhile.
+    pub fn delay_claims(&self, delay: Duration) {
+        lock(&self.state).claim_delay = delay;
+    }
+
     pub fn feed(&self) -> Feed {
         lock(&self.state).feed.clone()
     }
@@ -124,16 +131,28 @@
     });
     let mut changes = feed.subscribe();
     changes.mark_changed();
+    let (late_tx, mut late) = tokio::sync::mpsc::unbounded_channel();
     loop {
         let message = tokio::select! {
             call = calls.recv() => match call {
                 Some(ToControl::Call { id, call }) => {
+                    let is_claim = matches!(call, Call::ClaimKey(_));
                     let answer = lock(&state).answer(&hello, call);
+                    let delay = lock(&state).claim_delay;
+                    if is_claim && !delay.is_zero() {
+                        let late_tx = late_tx.clone();
+                        tokio::spawn(async move {
+                            tokio::time::sleep(delay).await;
+                            let _ = late_tx.send(FromControl::Answer { id, answer });
+                        });
+                        continue;
+                    }
                     feed.send_modify(|n| *n += 1);
                     FromControl::Answer { id, answer }
                 }
                 _ => break,
             },
+            Some(answer) = late.recv() => answer,
             _ = changes.changed() => FromControl::Feed(lock(&state).feed.clone()),
         };
         if writer.write(&message).await.is_err() {
