--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -86,6 +86,8 @@
     pub crash_loses_listings: bool,
     /// If not zero, starts are executed after this time and their answers are lost.
     pub start_delay: Duration,
+    /// The same for single ports.
+    pub start_delays: BTreeMap<u16, Duration>,
     /// Time from the start of an incarnation to its first report.
     pub first_report_delay: Duration,
     /// Number of executed starts of each task.
@@ -119,6 +121,7 @@
             listing_delay: Duration::ZERO,
             crash_loses_listings: false,
             start_delay: Duration::ZERO,
+            start_delays: BTreeMap::new(),
             first_report_delay: Duration::ZERO,
             starts: BTreeMap::new(),
             excess_starts: BTreeMap::new(),
@@ -384,11 +387,14 @@
 
     fn send(&mut self, now: Duration, target: Target, order: MinionOrder) {
         let is_start = matches!(order, MinionOrder::Start(_));
-        let up = self.hosts[&target.addr.port()].inc.is_some();
-        if is_start && up && !self.start_delay.is_zero() {
+        let port = target.addr.port();
+        let up = self.hosts[&port].inc.is_some();
+        let delay = self.start_delays.get(&port).copied();
+        let delay = delay.unwrap_or(self.start_delay);
+        if is_start && up && !delay.is_zero() {
             let lost = MinionAnswer::Order(Answer::Silent(CallFailure::Lost));
             self.answer(now + CALL_TIMEOUT, target.minion, order.kind(), now, lost);
-            let at = now + self.start_delay;
+            let at = now + delay;
             self.late_orders.push(LateOrder { at, target, order });
             return;
         }
