--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -13,8 +13,10 @@
 };
 use yuccahold::resources::Resources;
 
+use super::deliveries::{Delivery, LateOrder};
 use super::incarnation::{Incarnation, PendingHold};
 use super::limits::Limits;
+pub use super::options::{Restart, StartAnswer};
 use super::{World, ms, report};
 
 const TICK: Duration = ms(5);
@@ -28,20 +30,6 @@
 /// Network delay of an answer.
 const NET_DELAY: Duration = ms(2);
 
-/// Whether the answer to a start that crashes its minion is delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartAnswer {
-    Delivered,
-    Lost,
-}
-
-/// Name under which a minion restarts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Restart {
-    NewName,
-    SameName,
-}
-
 struct Host {
     port: u16,
     name: String,
@@ -53,21 +41,6 @@
     restarts_at: Duration,
 }
 
-struct Delivery {
-    at: Duration,
-    minion: MinionNumber,
-    kind: OrderKind,
-    sent: Duration,
-    answer: MinionAnswer,
-}
-
-/// A start that is executed late, if the incarnation at its address still has the same name.
-struct LateOrder {
-    at: Duration,
-    target: Target,
-    order: MinionOrder,
-}
-
 /// A leader and hosts, each of which runs successive incarnations of one minion.
 pub struct Cell {
     pub world: World,
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -3,9 +3,11 @@
 #![allow(dead_code)]
 
 pub mod cell;
+mod deliveries;
 pub mod hosts;
 mod incarnation;
 mod limits;
+mod options;
 
 use std::collections::BTreeMap;
 use std::ops::Range;
