A task waits until unanswered orders for its last run have expired

A task could run on two minions at once: a start order got no answer, its minion restarted under its id, the run counted as over by a confirmed stop, by its deadline on the former clock or by the word of the next incarnation, and the task started elsewhere. A later incarnation knows of no stop and no fencing token, so the order, up to 5 s late, started the run once more.

Ruled out: a missing stop to the later incarnation, which is sent at once but may arrive after the order.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -117,6 +117,7 @@
             }
             Answer::Silent(_) => {
                 run.state = RunState::InDoubt;
+                run.unanswered = run.unanswered.max(Some(sent));
                 if let Some(minion) = self.minions.get_mut(&number) {
                     let start = UnansweredStart {
                         task: id,
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -154,6 +154,7 @@
         if run.state == RunState::Ending {
             return;
         }
+        let over = run.clone();
         run.state = RunState::Ending;
         let checkpoint = if checkpoint.is_empty() {
             std::mem::take(&mut run.checkpoint)
@@ -162,6 +163,9 @@
         };
         let run = run.clone();
         self.release_resources(task, &run);
+        if kind != EndKind::Done {
+            self.hold_for_late_start(as_of, task, &over);
+        }
         let id = self.minions.get(&run.minion).map(|m| m.report.id.clone());
         self.emit(Event::RunEnded {
             task,
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod forecast;
 mod gangs;
 mod holds;
+mod late_starts;
 mod listings;
 mod mechanisms;
 mod minion;
@@ -119,6 +120,8 @@
     quotas: quota::Quotas,
     /// Jobs submitted above the weights of their workspaces.
     excess: excess::ExcessJobs,
+    /// Tasks that wait until an unanswered start order for them has expired.
+    late_starts: late_starts::LateStarts,
     /// Resources reserved for waiting tasks in the current placement round.
     reservations: reservations::Reservations,
     /// Changes collected for the next batch.
@@ -194,6 +197,7 @@
             releases: RefCell::new(HashMap::new()),
             quotas: quota::Quotas::default(),
             excess: excess::ExcessJobs::default(),
+            late_starts: late_starts::LateStarts::default(),
             reservations: reservations::Reservations::default(),
             batch: Batch::default(),
             changed_minions: BTreeSet::new(),
@@ -349,6 +353,7 @@
     pub fn decide(&mut self, now: Timestamp, unix: Timestamp, ledger: &Ledger) -> Option<Batch> {
         self.begin_due_occurrences(unix);
         self.refresh_capacities(now);
+        self.release_held_tasks(now);
         self.refresh_ready(now, ledger);
         self.maintain_minions(now);
         let may_propose = self.uncommitted_ends.len() < MAX_UNCOMMITTED_BATCHES;
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -146,8 +146,9 @@
         let spec = &job.spec.steps[usize::from(id.step)];
         let tasks = &job.occurrences[&id.occurrence].steps[usize::from(id.step)].tasks;
         let waits = |index: &u32| {
+            let task = id.task(*index);
             let waiting = tasks[*index as usize].state == TaskState::Waiting;
-            waiting && !self.runs.contains_key(&id.task(*index))
+            waiting && !self.runs.contains_key(&task) && !self.awaits_late_start(task, spec)
         };
         let waiting: Vec<u32> = (0..tasks.len() as u32).filter(waits).collect();
         // A gang starts again only after every member of its last run is known to have ended.
--- a/src/batch/dispatch/restarts.rs
+++ b/src/batch/dispatch/restarts.rs
@@ -138,6 +138,9 @@
         let Some(mut run) = self.runs.remove(&task) else {
             return;
         };
+        if run.state == RunState::Starting {
+            run.unanswered = run.unanswered.max(run.last_ordered);
+        }
         run.state = if may_still_start(&run) {
             RunState::TransferredInDoubt
         } else {
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -67,6 +67,8 @@
     pub(super) ordered: Option<Timestamp>,
     /// When this leader sent the latest start order.
     pub(super) last_ordered: Option<Timestamp>,
+    /// When this leader sent the latest start order that got no answer.
+    pub(super) unanswered: Option<Timestamp>,
     /// Whether it may crash its minion.
     pub(super) suspicion: Suspicion,
     /// How certain it is that the run crashed the previous incarnation of its minion; `None` when
@@ -121,6 +123,7 @@
             tries: 0,
             ordered: None,
             last_ordered: None,
+            unanswered: None,
             suspicion: Suspicion::None,
             suspected: None,
             proposed: now,
--- a/tests/batch_late_orders.rs
+++ b/tests/batch_late_orders.rs
@@ -13,10 +13,15 @@
 
 const PORTS: std::ops::Range<u16> = 1..7;
 
-/// Guards against a task that runs twice because a minion restarts again, just before a late order
-/// reaches it, after it had confirmed that it would not start the run.
+/// Guards against a task that runs twice because a restarted minion executes a late order for a run
+/// that counts as over: it had confirmed that it would not start the run, the deadline of the run had
+/// passed on its former clock, or the run had ended.
 #[rstest]
 #[case::a_minion_restarts_again(188)]
+#[case::a_later_run_is_done(185)]
+#[case::a_minion_restarts_once(208)]
+#[case::a_run_is_given_up(209)]
+#[case::the_run_itself_is_done(67)]
 fn late_orders_run_nothing_twice_on_minions_that_restart(#[case] seed: u64) {
     assert_eq!(violations(seed), [""; 0]);
 }
