Ledger: an active task may have a copy; format 4

A step may allow copies of its tasks, which nothing used. The ledger records the second run beside the task's own, numbers runs over both, makes the task done at the first end as done, and makes the copy the task's run when the first run ends in another way. Formats 2 and 3 are read; a test shows it for 3.

Weighed: a field in each task's record, which would repeat all records of format 3 in the reader; a map beside the jobs needs only the new map there.

Nothing starts copies yet.

--- a/src/batch/dispatch/mechanisms.rs
+++ b/src/batch/dispatch/mechanisms.rs
@@ -30,11 +30,15 @@
     ExcessLast,
     /// At a workspace's limit, stops its own less urgent runs for its more urgent tasks.
     LimitPreemption,
+    /// Starts copies of late tasks where their step allows it.
+    Copies,
+    /// Refuses jobs that can't be served in useful time.
+    Admission,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order of the operators' documentation.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 14] = [
         Self::Reservations,
         Self::Backfill,
         Self::Preemption,
@@ -47,6 +51,8 @@
         Self::AskAhead,
         Self::ExcessLast,
         Self::LimitPreemption,
+        Self::Copies,
+        Self::Admission,
     ];
 
     /// Name on the command line, as taken by [`Mechanisms::without`]. Two differ from the variants:
@@ -65,6 +71,8 @@
             Self::AskAhead => "ask-ahead",
             Self::ExcessLast => "surplus-last",
             Self::LimitPreemption => "limit-preemption",
+            Self::Copies => "copies",
+            Self::Admission => "admission",
         }
     }
 }
--- a/src/batch/ledger/batch.rs
+++ b/src/batch/ledger/batch.rs
@@ -31,6 +31,8 @@
     pub due: Vec<(JobId, u32)>,
     /// Runs to start. Their orders are sent only after this entry is committed.
     pub starts: Vec<Start>,
+    /// Copies of active tasks to start, under the same condition.
+    pub copies: Vec<Start>,
 }
 
 impl Batch {
@@ -46,6 +48,7 @@
             && self.gone.is_empty()
             && self.due.is_empty()
             && self.starts.is_empty()
+            && self.copies.is_empty()
     }
 }
 
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -9,7 +9,9 @@
 
 use super::batch::{Batch, Crash, End, Start};
 use super::records::TaskState;
-use super::{FORMAT_VERSION, Job, Ledger, MinionRecord, StoredConfig, format_2, unknown_format};
+use super::{
+    FORMAT_VERSION, Job, Ledger, MinionRecord, StoredConfig, format_2, format_3, unknown_format,
+};
 use crate::batch::model::{
     ConfigVersion, Configuration, EndKind, Grouping, JobId, JobSpec, JobState, Lifetime,
     MinionNumber, Queue, RunNumber, TaskId,
@@ -72,12 +74,13 @@
             .map_err(|e| Error::caused(Step::Codec, "encoding a command", e))
     }
 
-    /// Decodes a command of the current format or of format 2.
+    /// Decodes a command of the current format or an earlier one.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
         let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
             .map_err(|e| Error::caused(Step::Codec, "decoding a command", e))?;
         let read = match version {
             FORMAT_VERSION => postcard::from_bytes(rest),
+            format_3::VERSION => postcard::from_bytes::<format_3::Command>(rest).map(Into::into),
             format_2::VERSION => postcard::from_bytes::<format_2::Command>(rest).map(Into::into),
             _ => return Err(unknown_format("command", version)),
         };
@@ -137,8 +140,9 @@
         let declared = self.config.as_ref();
         let declared = declared.and_then(|config| config.parsed.workspaces.as_ref());
         before.retain(|name, _| declared.is_none_or(|w| !w.by_name.contains_key(name)));
-        let open = self.jobs.values().filter(|job| job.may_run());
-        let owners: BTreeSet<_> = open.filter_map(|job| job.owner.as_ref()).collect();
+        let may_run = |id, job: &Job| !job.state.is_final() || self.has_active_runs(id);
+        let open = self.jobs.iter().filter(|(id, job)| may_run(**id, job));
+        let owners: BTreeSet<_> = open.filter_map(|(_, job)| job.owner.as_ref()).collect();
         before.retain(|name, _| owners.contains(name));
         self.removed_workspaces = before;
     }
@@ -215,10 +219,14 @@
         for start in &batch.starts {
             self.start_run(start);
         }
+        for start in &batch.copies {
+            self.start_copy(start);
+        }
         Reply::Accepted
     }
 
     fn reassign_run(&mut self, id: TaskId, run: RunNumber, number: MinionNumber) {
+        self.reassign_copy(id, run, number);
         if let Some(task) = self.task_mut(id)
             && task.is_active_run(run)
         {
@@ -228,13 +236,14 @@
 
     fn start_run(&mut self, start: &Start) {
         let id = start.task.step.job;
+        let next_run = self.next_run(start.task);
         let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.state.is_final()) else {
             return;
         };
         let Some(task) = job.task_mut(start.task) else {
             return;
         };
-        if task.state == TaskState::Waiting && start.run > task.run {
+        if task.state == TaskState::Waiting && start.run >= next_run {
             task.state = TaskState::Active(start.minion);
             task.run = start.run;
             job.state = JobState::Running;
@@ -244,6 +253,7 @@
 
     fn end_run(&mut self, end: &End) {
         let id = end.task.step.job;
+        self.swap_ended_copy(end);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -292,6 +302,7 @@
             }
             _ => {}
         }
+        self.promote_copy(end.task);
     }
 
     /// Counts a crash against a task and fails the job after too many. Otherwise a task that
@@ -353,6 +364,7 @@
     fn finish_job(&mut self, id: JobId, state: JobState) {
         self.unstarted.remove(&id);
         self.ended.push_back((self.clock, id));
+        self.remove_former_copies(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -368,11 +380,7 @@
             && self.clock > at + ENDED_RETENTION
         {
             self.ended.pop_front();
-            if self
-                .jobs
-                .get(&id)
-                .is_some_and(|job| job.active().next().is_some())
-            {
+            if self.has_active_runs(id) {
                 self.ended.push_back((self.clock, id));
                 break;
             }
--- a/src/batch/ledger/format_2.rs
+++ b/src/batch/ledger/format_2.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 
 use super::records::{MinionRecord, Occurrence};
-use super::{Batch, StoredConfig};
+use super::{StoredConfig, format_3};
 use crate::batch::model::{
     self, ConfigVersion, JobId, JobSpec, JobState, Limits, MinionNumber, PolicyConfig, Service,
 };
@@ -48,7 +48,7 @@
     Cancel {
         job: JobId,
     },
-    Batch(Batch),
+    Batch(format_3::Batch),
 }
 
 #[derive(Deserialize)]
@@ -100,6 +100,7 @@
             next_minion: old.next_minion,
             ended: old.ended,
             removed_workspaces: BTreeMap::new(),
+            copies: BTreeMap::new(),
         }
     }
 }
@@ -123,7 +124,7 @@
                 spec,
             },
             Command::Cancel { job } => Self::Cancel { job },
-            Command::Batch(batch) => Self::Batch(batch),
+            Command::Batch(batch) => Self::Batch(batch.into()),
         }
     }
 }
--- a/src/batch/ledger/mod.rs
+++ b/src/batch/ledger/mod.rs
@@ -4,7 +4,9 @@
 
 mod batch;
 mod commands;
+mod copies;
 mod format_2;
+mod format_3;
 mod queries;
 mod records;
 
@@ -14,17 +16,19 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::model::{ConfigVersion, Configuration, JobId, MinionNumber};
+use super::model::{ConfigVersion, Configuration, JobId, MinionNumber, TaskId};
 use super::workspaces::Workspace;
 use crate::error::{Error, Result, Step};
 use crate::ids::{MinionId, Timestamp, WorkspaceName};
 
 pub use batch::{Batch, Certainty, Crash, End, Start};
 pub use commands::{Command, Reply};
-pub use records::{Crashes, Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState};
+pub use records::{
+    CopyRecord, Crashes, Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState,
+};
 
-/// Version of the encoding of snapshots and commands. Only this one and format 2 can be read.
-pub const FORMAT_VERSION: u16 = 3;
+/// Version of the encoding of snapshots and commands. Formats 2 and 3 can be read too.
+pub const FORMAT_VERSION: u16 = 4;
 
 /// The configuration in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -55,6 +59,8 @@
     /// Workspaces that the configuration no longer declares but that still have open jobs, as last
     /// declared.
     pub(crate) removed_workspaces: BTreeMap<WorkspaceName, Workspace>,
+    /// Runs beside those in the records of their tasks, by task.
+    pub(crate) copies: BTreeMap<TaskId, CopyRecord>,
 }
 
 impl Ledger {
@@ -64,12 +70,13 @@
             .map_err(|e| Error::caused(Step::Codec, "writing a snapshot", e))
     }
 
-    /// Decodes a snapshot of the current format or of format 2.
+    /// Decodes a snapshot of the current format or an earlier one.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
         let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
             .map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))?;
         let read = match version {
             FORMAT_VERSION => postcard::from_bytes(rest),
+            format_3::VERSION => postcard::from_bytes::<format_3::Ledger>(rest).map(Into::into),
             format_2::VERSION => postcard::from_bytes::<format_2::Ledger>(rest).map(Into::into),
             _ => return Err(unknown_format("snapshot", version)),
         };
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -24,11 +24,6 @@
         self.queue.host == queue.host && self.queue.prefix == queue.prefix
     }
 
-    /// Whether it has active runs or may start more.
-    pub(super) fn may_run(&self) -> bool {
-        !self.state.is_final() || self.active().next().is_some()
-    }
-
     pub(super) fn step_mut(&mut self, task: TaskId) -> Option<&mut StepRecord> {
         let occurrence = self.occurrences.get_mut(&task.step.occurrence)?;
         occurrence.steps.get_mut(usize::from(task.step.step))
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -91,6 +91,15 @@
     pub possible: u32,
 }
 
+/// The run of a task beside the one in its record, or the last such run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyRecord {
+    /// Number of the run.
+    pub run: RunNumber,
+    /// Incarnation that the run was given to; `None` once the run is over.
+    pub minion: Option<MinionNumber>,
+}
+
 /// One incarnation of a minion.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MinionRecord {
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -66,6 +66,32 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// Marks the key of a copy; a step has far fewer tasks.
+    const COPY_BIT: u32 = 1 << 31;
+
+    /// Key under which the copy of this task is tracked beside the task's first run.
+    pub(crate) fn copy(self) -> Self {
+        Self {
+            index: self.index | Self::COPY_BIT,
+            ..self
+        }
+    }
+
+    /// Whether this is the key of a copy.
+    pub(crate) fn is_copy(self) -> bool {
+        self.index & Self::COPY_BIT != 0
+    }
+
+    /// The task itself, also for the key of its copy.
+    pub(crate) fn original(self) -> Self {
+        Self {
+            index: self.index & !Self::COPY_BIT,
+            ..self
+        }
+    }
+}
+
 impl fmt::Display for StepId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}.{}.{}", self.job, self.occurrence, self.step)
--- a/tests/batch_ledger.rs
+++ b/tests/batch_ledger.rs
@@ -52,6 +52,25 @@
     assert_eq!(again, ledger);
 }
 
+/// Guards against snapshots and commands from before copies existed becoming unreadable. Format 3 has
+/// no copies; the current format writes them last.
+#[test]
+fn files_of_format_3_are_read() {
+    let as_format_3 = |mut bytes: Vec<u8>| {
+        assert_eq!(bytes.pop(), Some(0), "no copies");
+        bytes[0] = 3;
+        bytes
+    };
+    let mut world = World::new();
+    world.join("i-1", 1);
+    world.submit(JOB, vec![step(2, 1_000)]);
+    let snapshot = as_format_3(world.ledger.to_bytes().expect("writes"));
+    assert_eq!(Ledger::from_bytes(&snapshot).expect("reads"), world.ledger);
+    let batch = Command::Batch(Default::default());
+    let command = as_format_3(batch.to_bytes().expect("writes"));
+    assert_eq!(Command::from_bytes(&command).expect("reads"), batch);
+}
+
 /// Guards against jobs submitted before workspaces existed never being scheduled.
 #[test]
 fn jobs_of_format_2_continue_to_run() {
