A minion that fails everything gets one run at a time after its pause

Cause: each run that ended as done set the failure count of its minion to zero and ended its pause, also a run that had begun before the minion began to fail. Such a minion was given work all the time, several tasks at once, and used up the attempts of jobs.

Change: a success counts only if the run began after the last failure. After the pause, a minion with two failures or more gets one run at a time until one succeeds; a run that has worked for 1 s is a success. A finite run begun after a single failure counts after 1 s as well, since otherwise two failures of long tasks that are minutes apart would count as consecutive. A minion without failures costs one comparison.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -166,7 +166,7 @@
             }
             StartRefusal::Unhealthy => {
                 if let Some(minion) = self.minions.get_mut(&number) {
-                    minion.failed(now);
+                    minion.health.failed(now);
                 }
             }
             _ => {}
--- a/src/batch/dispatch/gangs.rs
+++ b/src/batch/dispatch/gangs.rs
@@ -51,7 +51,7 @@
     }
 
     /// Minions that can run members of a gang, by rack, the best score first. A minion with
-    /// reservations counts for one member only.
+    /// reservations, or on probation after failures, counts for one member only.
     fn gang_places(
         &self,
         now: Timestamp,
@@ -66,7 +66,8 @@
                 continue;
             }
             let most = spec.max_per_minion.unwrap_or(u32::MAX);
-            let slots = if self.reservations.is_open(minion.number) {
+            let single = minion.health.is_on_probation();
+            let slots = if self.reservations.is_open(minion.number) && !single {
                 max_tasks_in(&minion.free(), &need).min(most)
             } else {
                 1
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -183,7 +183,7 @@
             !run.declared.is_zero() && run.declared <= SHORT_RUN || run.is_stopping()
         };
         let mut runs = minion.runs.iter().filter_map(|id| self.runs.get(id));
-        minion.draining || runs.any(short)
+        minion.draining || minion.health.is_probed() || runs.any(short)
     }
 
     /// Handles the answer to the hold that was sent at `sent`.
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -107,7 +107,7 @@
         else {
             return;
         };
-        minion.succeeded();
+        minion.health.succeeded(run);
         let run_time = run.elapsed(now);
         self.profiles.learn(&run.queue, run.declared, run_time);
         if self.cfg.mechanisms.has(Mechanism::LearntSpeeds) {
@@ -133,9 +133,9 @@
             return;
         };
         if !run.ends && run.elapsed(now) >= PROVEN_HEALTHY_AFTER {
-            minion.succeeded();
+            minion.health.succeeded(run);
         } else {
-            minion.failed(now);
+            minion.health.failed(now);
         }
     }
 
@@ -204,6 +204,7 @@
                 run.record_progress(now, listed.percent);
             }
             self.seen_at_work(now, number, listed.task);
+            self.count_worked(now, number, listed.task);
             return;
         }
         self.stop_orphan(now, number, listed.task, listed.run, ledger);
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -5,6 +5,7 @@
 
 use super::ORDER_EXPIRY;
 use super::crashes::GoneEvidence;
+use super::health::Health;
 use super::order::{CallFailure, Target};
 use super::quota::Charge;
 use super::speed::Pace;
@@ -15,11 +16,6 @@
 
 /// Slowest rate of a minion's clock relative to this replica's, as the platform guarantees it.
 pub(super) const CLOCK_RATE: f64 = 0.98;
-/// Consecutive failures from which on a minion gets no new work for a while. With one run in twenty
-/// failing by its own fault, two in a row happen by chance once in 400.
-const AVOID_FROM_FAILURES: u32 = 2;
-/// First and shortest time without new work after such failures.
-const AVOID_MIN: Duration = Duration::from_secs(1);
 
 /// Age up to which a sign of life counts as evidence that a minion is up.
 const SIGN_OF_LIFE_MAX_AGE: Duration = Duration::from_millis(100);
@@ -164,12 +160,9 @@
     pub(super) lapsed: Vec<Crash>,
     /// Unanswered starts that the next incarnation of this id may still carry out.
     pub(super) unanswered_starts: Vec<UnansweredStart>,
-    /// Consecutive failed runs and refused starts.
-    pub(super) failures: u32,
+    pub(super) health: Health,
     /// Run times observed on it.
     pub(super) pace: Pace,
-    /// It gets no new work before this time.
-    pub(super) avoid_until: Timestamp,
 }
 
 impl Minion {
@@ -203,9 +196,8 @@
             trials: 0,
             lapsed: Vec::new(),
             unanswered_starts: Vec::new(),
-            failures: 0,
+            health: Health::default(),
             pace: Pace::default(),
-            avoid_until: Timestamp::ZERO,
         }
     }
 
@@ -406,7 +398,7 @@
 
     /// Whether it may get new work now.
     pub(super) fn takes_work(&self, now: Timestamp) -> bool {
-        let sound = self.is_responsive() && now >= self.avoid_until;
+        let sound = self.is_responsive() && self.health.takes_work(now);
         self.fenced && self.stays() && !self.foreign && !self.unreported && sound
     }
 
@@ -428,24 +420,6 @@
         !self.draining && self.presence == Presence::Present
     }
 
-    /// Records a failed run or a refused start. After several in a row the minion gets no new work
-    /// for a time that doubles with each, up to eight times `AVOID_MIN`, so that a minion that
-    /// fails everything does not use up the attempts of every task. A single failure is usually
-    /// caused by the task.
-    pub(super) fn failed(&mut self, now: Timestamp) {
-        self.failures += 1;
-        if self.failures >= AVOID_FROM_FAILURES {
-            let doubled = (self.failures - AVOID_FROM_FAILURES).min(3);
-            self.avoid_until = now + AVOID_MIN * 2_u32.pow(doubled);
-        }
-    }
-
-    /// Records a run that succeeded.
-    pub(super) fn succeeded(&mut self) {
-        self.failures = 0;
-        self.avoid_until = Timestamp::ZERO;
-    }
-
     pub(super) fn has_label(&self, label: &str) -> bool {
         self.report.labels.iter().any(|l| l == label)
     }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod excess;
 mod forecast;
 mod gangs;
+mod health;
 mod holds;
 mod late_starts;
 mod listings;
@@ -305,6 +306,7 @@
             minion.serving += u32::from(run.serves);
             minion.trials += u32::from(run.suspicion == Suspicion::Trial);
             minion.runs.insert(id);
+            minion.health.placed(id);
         }
         self.index_room(run.minion);
         if let Some(charge) = run.charge(id) {
@@ -334,6 +336,7 @@
         if let Some(minion) = self.minions.get_mut(&run.minion)
             && minion.runs.remove(&id)
         {
+            minion.health.released(id);
             minion.used = minion.used.saturating_sub(&run.need);
             minion.idle_cpu_demand -= run.idle_cpu_demand;
             minion.serving -= u32::from(run.serves);
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -155,6 +155,12 @@
         progress.record(now, percent);
     }
 
+    /// When the confirmed start order was sent, or else the first one of this leader; `None` when an
+    /// earlier leader sent it.
+    pub(super) fn began(&self) -> Option<Timestamp> {
+        self.begun.or(self.ordered)
+    }
+
     /// Time since the confirmed start order was sent; zero when an earlier leader sent it.
     pub(super) fn elapsed(&self, now: Timestamp) -> Duration {
         let begun = self.begun;
--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -23,6 +23,8 @@
 const HEARTBEAT: Duration = ms(500);
 /// Time from the start of a task in `crashers` to the crash of its minion.
 const CRASH_DELAY: Duration = ms(10);
+/// Time from the start of a task on a port in `failing` to its failure.
+const FAILURE_DELAY: Duration = ms(60);
 /// Timeout of a call without an answer.
 const CALL_TIMEOUT: Duration = ms(200);
 /// Time after a leader change during which `excess_starts` does not count starts.
@@ -49,6 +51,10 @@
     late_orders: Vec<LateOrder>,
     /// Tasks that crash every minion that starts them.
     pub crashers: BTreeSet<TaskId>,
+    /// Ports of minions that fail each run that they start.
+    pub failing: BTreeSet<u16>,
+    /// Number of runs that they failed.
+    pub failed: u32,
     pub start_answer: StartAnswer,
     pub restart: Restart,
     /// Time from a crash to the next incarnation.
@@ -88,6 +94,8 @@
             deliveries: VecDeque::new(),
             late_orders: Vec::new(),
             crashers: BTreeSet::new(),
+            failing: BTreeSet::new(),
+            failed: 0,
             start_answer: StartAnswer::Delivered,
             restart: Restart::NewName,
             restart_delay: ms(3_000),
@@ -199,6 +207,12 @@
         self.hosts.values().filter(runs).map(|h| h.port).collect()
     }
 
+    /// Number of runs on the host at a port.
+    pub fn runs_on(&self, port: u16) -> usize {
+        let inc = self.hosts[&port].inc.as_ref();
+        inc.map_or(0, |inc| inc.tasks().count())
+    }
+
     /// Creates the next report of the minion at a port; `None` while it is down.
     pub fn report_of(&mut self, port: u16) -> Option<MinionReport> {
         let now = self.world.now;
@@ -424,14 +438,19 @@
         let spec = &self.specs[&task.step.job][usize::from(task.step.step)];
         let crasher = self.crashers.contains(&task);
         let ends = spec.lifetime == Lifetime::Finite && !crasher;
-        let ends_at = ends.then_some(now + spec.estimate);
+        let fails = self.failing.contains(&port);
+        let end = match fails {
+            true => Some((now + FAILURE_DELAY, EndKind::Failed)),
+            false => ends.then_some((now + spec.estimate, EndKind::Done)),
+        };
         let other_ports = self.ports_of(task);
         let host = self.hosts.get_mut(&port).expect("a known host");
         let inc = host.inc.as_mut().expect("it is up");
-        let (begun, answer) = inc.begin(now, start, spec.need, ends_at);
+        let (begun, answer) = inc.begin(now, start, spec.need, end);
         if !begun {
             return (NET_DELAY, MinionAnswer::Order(answer));
         }
+        self.failed += u32::from(fails);
         if crasher {
             inc.crashes_at = Some(now + CRASH_DELAY);
         }
--- a/tests/batch_world/incarnation.rs
+++ b/tests/batch_world/incarnation.rs
@@ -14,7 +14,7 @@
 struct Running {
     run: RunNumber,
     need: Resources,
-    ends_at: Option<Duration>,
+    end: Option<(Duration, EndKind)>,
 }
 
 /// A hold that is answered when a run ends, or at `until`.
@@ -107,7 +107,7 @@
         now: Duration,
         start: &StartOrder,
         need: Resources,
-        ends_at: Option<Duration>,
+        end: Option<(Duration, EndKind)>,
     ) -> (bool, Answer) {
         let clock = self.clock(now);
         let refused = |why| Answer::Refused {
@@ -134,7 +134,7 @@
             return (false, done);
         }
         let run = start.run;
-        let running = Running { run, need, ends_at };
+        let running = Running { run, need, end };
         self.running.insert(start.task, running);
         (true, done)
     }
@@ -165,18 +165,15 @@
         });
     }
 
-    /// Ends runs that are done, and all runs once the lease has expired.
+    /// Ends runs that are due to end, and all runs once the lease has expired.
     pub fn advance(&mut self, now: Duration) {
         let lease_expired = self.clock(now) > self.lease;
-        let is_done = |r: &Running| r.ends_at.is_some_and(|at| at <= now);
+        let due = |r: &Running| r.end.filter(|(at, _)| *at <= now).map(|(_, kind)| kind);
         let ended = self
             .running
             .iter()
-            .filter(|(_, r)| lease_expired || is_done(r));
-        let kind = |r: &Running| match is_done(r) {
-            true => EndKind::Done,
-            false => EndKind::Lapsed,
-        };
+            .filter(|(_, r)| lease_expired || due(r).is_some());
+        let kind = |r: &Running| due(r).unwrap_or(EndKind::Lapsed);
         let ended: Vec<_> = ended.map(|(task, r)| (*task, kind(r))).collect();
         for (task, kind) in ended {
             self.end(task, kind);
