--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -16,6 +16,7 @@
 use super::deliveries::{Delivery, LateOrder};
 use super::incarnation::{Incarnation, PendingHold};
 use super::limits::Limits;
+use super::options::FAILURE_DELAY;
 pub use super::options::{Restart, StartAnswer};
 use super::{World, ms, report};
 
@@ -23,8 +24,6 @@
 const HEARTBEAT: Duration = ms(500);
 /// Time from the start of a task in `crashers` to the crash of its minion.
 const CRASH_DELAY: Duration = ms(10);
-/// Time from the start of a task on a port in `failing` to its failure.
-const FAILURE_DELAY: Duration = ms(60);
 /// Timeout of a call without an answer.
 const CALL_TIMEOUT: Duration = ms(200);
 /// Time after a leader change during which `excess_starts` does not count starts.
@@ -191,16 +190,6 @@
         self.world.ledger.job_state(job)
     }
 
-    /// Asserts that a job is done, or failed after two or more crashes under one of its tasks.
-    pub fn assert_done_or_given_up(&self, job: JobId, seed: u64) {
-        let state = self.state(job);
-        let crashes = self.crashes.iter().filter(|(t, _)| t.step.job == job);
-        let most = crashes.map(|(_, n)| *n).max().unwrap_or_default();
-        let given_up = state == Some(JobState::Failed) && most >= 2;
-        let ended = state == Some(JobState::Done) || given_up;
-        assert!(ended, "seed {seed}: {job:x} is {state:?}, {most} crashes");
-    }
-
     /// Ports of the hosts on which a task runs.
     pub fn ports_of(&self, task: TaskId) -> Vec<u16> {
         let runs = |host: &&Host| host.inc.as_ref().is_some_and(|inc| inc.runs(task));
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod cell;
+mod checks;
 mod deliveries;
 pub mod hosts;
 mod incarnation;
