--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts.rs
@@ -16,6 +16,7 @@
 use super::deliveries::{Delivery, LateOrder};
 use super::incarnation::{Incarnation, PendingHold};
 use super::limits::Limits;
+use super::options::FAILURE_DELAY;
 pub use super::options::{Restart, StartAnswer};
 use super::{World, ms, report};
 
@@ -49,6 +50,10 @@
     late_orders: Vec<LateOrder>,
     /// Tasks that crash every minion that starts them.
     pub crashers: BTreeSet<TaskId>,
+    /// Ports of minions that fail each run that they start.
+    pub failing: BTreeSet<u16>,
+    /// Number of runs that they failed.
+    pub failed: u32,
     pub start_answer: StartAnswer,
     pub restart: Restart,
     /// Time from a crash to the next incarnation.
@@ -88,6 +93,8 @@
             deliveries: VecDeque::new(),
             late_orders: Vec::new(),
             crashers: BTreeSet::new(),
+            failing: BTreeSet::new(),
+            failed: 0,
             start_answer: StartAnswer::Delivered,
             restart: Restart::NewName,
             restart_delay: ms(3_000),
@@ -183,22 +190,18 @@
         self.world.ledger.job_state(job)
     }
 
-    /// Asserts that a job is done, or failed after two or more crashes under one of its tasks.
-    pub fn assert_done_or_given_up(&self, job: JobId, seed: u64) {
-        let state = self.state(job);
-        let crashes = self.crashes.iter().filter(|(t, _)| t.step.job == job);
-        let most = crashes.map(|(_, n)| *n).max().unwrap_or_default();
-        let given_up = state == Some(JobState::Failed) && most >= 2;
-        let ended = state == Some(JobState::Done) || given_up;
-        assert!(ended, "seed {seed}: {job:x} is {state:?}, {most} crashes");
-    }
-
     /// Ports of the hosts on which a task runs.
     pub fn ports_of(&self, task: TaskId) -> Vec<u16> {
         let runs = |host: &&Host| host.inc.as_ref().is_some_and(|inc| inc.runs(task));
         self.hosts.values().filter(runs).map(|h| h.port).collect()
     }
 
+    /// Number of runs on the host at a port.
+    pub fn runs_on(&self, port: u16) -> usize {
+        let inc = self.hosts[&port].inc.as_ref();
+        inc.map_or(0, |inc| inc.tasks().count())
+    }
+
     /// Creates the next report of the minion at a port; `None` while it is down.
     pub fn report_of(&mut self, port: u16) -> Option<MinionReport> {
         let now = self.world.now;
@@ -424,14 +427,19 @@
         let spec = &self.specs[&task.step.job][usize::from(task.step.step)];
         let crasher = self.crashers.contains(&task);
         let ends = spec.lifetime == Lifetime::Finite && !crasher;
-        let ends_at = ends.then_some(now + spec.estimate);
+        let fails = self.failing.contains(&port);
+        let end = match fails {
+            true => Some((now + FAILURE_DELAY, EndKind::Failed)),
+            false => ends.then_some((now + spec.estimate, EndKind::Done)),
+        };
         let other_ports = self.ports_of(task);
         let host = self.hosts.get_mut(&port).expect("a known host");
         let inc = host.inc.as_mut().expect("it is up");
-        let (begun, answer) = inc.begin(now, start, spec.need, ends_at);
+        let (begun, answer) = inc.begin(now, start, spec.need, end);
         if !begun {
             return (NET_DELAY, MinionAnswer::Order(answer));
         }
+        self.failed += u32::from(fails);
         if crasher {
             inc.crashes_at = Some(now + CRASH_DELAY);
         }
