Runs that fail beside each other bring one pause of their minion

Each of nine runs that failed at once doubled the pause, so that a minion that was faulty for a moment got no work for 8 s. Now only a run that began after the last failure lengthens the pause. Tests of failing minions pass unchanged.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -166,7 +166,7 @@
             }
             StartRefusal::Unhealthy => {
                 if let Some(minion) = self.minions.get_mut(&number) {
-                    minion.health.failed(now);
+                    minion.health.failed(now, None);
                 }
             }
             _ => {}
--- a/src/batch/dispatch/health.rs
+++ b/src/batch/dispatch/health.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Health {
     failures: u32,
+    /// Pauses without new work since the last success.
+    pauses: u32,
     last_failure: Timestamp,
     /// It gets no new work before this time.
     avoid_until: Timestamp,
@@ -57,16 +59,20 @@
         }
     }
 
-    /// Records a failed run or a refused start. After several in a row the minion gets no new work
-    /// for a time that doubles with each, up to eight times `AVOID_MIN`, so that a minion that
-    /// fails everything does not use up the attempts of every task. A single failure is usually
-    /// caused by the task.
-    pub(super) fn failed(&mut self, now: Timestamp) {
+    /// Records a failed run or a refused start. `began` is when the run began; `None` if it did not.
+    ///
+    /// After several in a row the minion gets no new work for a time that doubles with each pause,
+    /// up to eight times `AVOID_MIN`, so that a minion that fails everything does not use up the
+    /// attempts of every task. Runs that fail beside each other bring one pause: counted one by one,
+    /// a minion that recovers soon was kept from work for the longest time. A single failure is
+    /// usually caused by the task.
+    pub(super) fn failed(&mut self, now: Timestamp, began: Option<Timestamp>) {
+        let is_later = began.is_none_or(|at| at > self.last_failure);
         self.failures += 1;
         self.last_failure = now;
-        if self.is_on_probation() {
-            let doubled = (self.failures - AVOID_FROM_FAILURES).min(3);
-            self.avoid_until = now + AVOID_MIN * 2_u32.pow(doubled);
+        if self.is_on_probation() && (self.pauses == 0 || is_later) {
+            self.pauses += 1;
+            self.avoid_until = now + AVOID_MIN * 2_u32.pow((self.pauses - 1).min(3));
         }
     }
 
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -135,7 +135,7 @@
         if !run.ends && run.elapsed(now) >= PROVEN_HEALTHY_AFTER {
             minion.health.succeeded(run);
         } else {
-            minion.health.failed(now);
+            minion.health.failed(now, run.began());
         }
     }
 
