--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -24,7 +24,8 @@
 /// that was delayed in the network must find the job that it repeats.
 const ENDED_RETENTION: Duration = Duration::from_secs(600);
 
-/// A change of the ledger.
+/// A change of the ledger. Commands are few and short-lived, so the size of a batch does not matter.
+#[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Replaces the configuration if the version is higher than that of the one in force.
