Copies of tasks whose run should end too late

Cause: tasks on a minion that is cut off wait until its lease is over, up to 5.8 s, also where the step allows copies and other minions have room.

Change: the dispatcher tracks a second run of a task under its own key, starts it at the end of a placement round when the first run should end too late, and stops the other run once the first end is committed. Runs are checked by timers, so a round without late runs costs one look at the earliest timer. Events, log lines, metrics, documentation and tests.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -305,12 +305,19 @@
         let spec = &step.spec.steps[usize::from(id.step)];
         let before = spec.after.iter().map(|step| StepId { step: *step, ..id });
         let runs = before.flat_map(|id| self.runs.range(id.tasks()));
-        runs.filter_map(|(_, run)| run.expected_end(now)).max()
+        let first_runs = runs.filter(|(id, _)| !id.is_copy());
+        let ends = first_runs.filter_map(|(id, run)| {
+            let copy = self.runs.get(&id.copy()).filter(|_| run.copyable);
+            let copy = copy.and_then(|copy| copy.expected_end(now));
+            run.expected_end(now).into_iter().chain(copy).min()
+        });
+        ends.max()
     }
 
     /// Removes the advice of a job's steps and stops counting their pending questions; late answers
     /// to these are ignored.
     pub(super) fn remove_step_advice(&mut self, job: JobId) {
+        self.copies.remove_job(job);
         for step_advice in remove_job(&mut self.step_advice, job).into_values() {
             if let Some(asked) = step_advice.pending {
                 self.questions.remove(&asked);
@@ -338,7 +345,9 @@
         let step = self.ready.get(&id).or_else(|| self.upcoming.get(&id));
         let validity = step
             .and_then(|step| step.queue.advice)
-            .map_or(Duration::ZERO, |policy| policy.validity);
+            .map(|policy| policy.validity)
+            .or_else(|| self.copies.ticket_validity(id))
+            .unwrap_or_default();
         let waiting = step.map_or(0, |step| step.waiting.len());
         let Some(step_advice) = self.step_advice.get_mut(&id) else {
             return;
--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -46,7 +46,7 @@
         let step_advice = self.step_advice.get(&id.step);
         let ticket = step_advice.and_then(|k| k.ticket(run.minion));
         let order = StartOrder {
-            task: id,
+            task: id.original(),
             run: run.run,
             payload: job.spec.payload.clone(),
             deadline,
@@ -89,7 +89,7 @@
         &mut self,
         now: Timestamp,
         number: MinionNumber,
-        (id, run_number): (TaskId, RunNumber),
+        (task, run_number): (TaskId, RunNumber),
         sent: Timestamp,
         answer: Answer,
         ledger: &Ledger,
@@ -99,10 +99,13 @@
             self.minion_gone(now, number, sent, GoneEvidence::OtherIncarnation);
             return;
         }
+        let Some(id) = self.run_key(task, run_number) else {
+            return;
+        };
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        if run.run != run_number || run.minion != number || run.state != RunState::Starting {
+        if run.minion != number || run.state != RunState::Starting {
             return;
         }
         let tries = run.tries;
@@ -113,14 +116,14 @@
             }
             Answer::Refused { why, .. } => {
                 self.start_refused(now, number, id, why);
-                self.report_failed_start(number, id, run_number, why.as_str(), tries);
+                self.report_failed_start(number, task, run_number, why.as_str(), tries);
             }
             Answer::Silent(_) => {
                 run.state = RunState::InDoubt;
                 run.unanswered = run.unanswered.max(Some(sent));
                 if let Some(minion) = self.minions.get_mut(&number) {
                     let start = UnansweredStart {
-                        task: id,
+                        task,
                         run: run_number,
                         sent,
                     };
@@ -134,7 +137,7 @@
                 } else {
                     self.stop_run(now, id);
                 }
-                self.report_failed_start(number, id, run_number, "no answer", tries);
+                self.report_failed_start(number, task, run_number, "no answer", tries);
             }
             Answer::OtherIncarnation => {}
         }
@@ -207,6 +210,7 @@
         }
         let (Answer::Done { clock } | Answer::Refused { clock, .. }) = answer else {
             minion.record_unanswered(sent);
+            self.recheck_copies_on(now, number);
             return;
         };
         if let Some(clock) = clock {
@@ -220,7 +224,7 @@
         &mut self,
         now: Timestamp,
         number: MinionNumber,
-        (id, run_number): (TaskId, RunNumber),
+        (task, run_number): (TaskId, RunNumber),
         sent: Timestamp,
         answer: Answer,
     ) {
@@ -229,10 +233,11 @@
             self.minion_gone(now, number, sent, GoneEvidence::OtherIncarnation);
             return;
         }
-        let Some(run) = self.runs.get_mut(&id) else {
+        let key = self.run_key(task, run_number);
+        let Some(run) = key.and_then(|key| self.runs.get_mut(&key)) else {
             return;
         };
-        if run.run != run_number || run.minion != number {
+        if run.minion != number {
             return;
         }
         run.stop = match answer {
@@ -266,7 +271,7 @@
             }
             run.stop = StopState::Sent;
             let stop = MinionOrder::Stop {
-                task: *id,
+                task: id.original(),
                 run: run.run,
                 token,
             };
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -59,10 +59,12 @@
             self.acknowledge(seen);
         }
         for end in &batch.ends {
-            let ending = |run: &&Run| run.run == end.run && run.state == RunState::Ending;
-            if self.runs.get(&end.task).filter(ending).is_some() {
-                self.remove_run(end.task);
+            let key = self.run_key(end.task, end.run);
+            let ending = |key: &TaskId| self.runs[key].state == RunState::Ending;
+            if let Some(key) = key.filter(ending) {
+                self.remove_run(key);
             }
+            self.follow_ledger(now, ledger, end.task);
             self.dirty_jobs.insert(end.task.step.job);
         }
         for (job, _) in &batch.due {
@@ -78,6 +80,9 @@
             let may_send = !blocked_starts.contains(&start.task);
             self.start_committed(now, ledger, start, may_send);
         }
+        for start in &batch.copies {
+            self.copy_committed(now, ledger, start);
+        }
     }
 
     fn start_committed(&mut self, now: Timestamp, ledger: &Ledger, start: &Start, may_send: bool) {
@@ -130,7 +135,7 @@
     }
 
     /// Whether a run placed earlier still fits its minion and its workspace's limit.
-    fn can_still_start(&self, run: &Run) -> bool {
+    pub(super) fn can_still_start(&self, run: &Run) -> bool {
         let minion = self.minions.get(&run.minion);
         let fits = minion.is_some_and(|m| m.stays() && m.used.fits_in(&m.report.capacity));
         fits && !self.quotas.is_over(run.owner.as_ref())
--- a/src/batch/dispatch/cell_report.rs
+++ b/src/batch/dispatch/cell_report.rs
@@ -48,6 +48,7 @@
             steps: self.ready.len(),
             questions: self.questions.count(),
             agents: self.agents,
+            copies: self.active_copies(),
         };
         self.emit(cell);
         for event in self.workspace_uses() {
--- a/src/batch/dispatch/crashes.rs
+++ b/src/batch/dispatch/crashes.rs
@@ -148,7 +148,7 @@
             }
             Suspicion::Passed if now >= since + CRASHES_RESET_AFTER => {
                 run.suspicion = Suspicion::None;
-                self.batch.crashes_reset.push(task);
+                self.batch.crashes_reset.push(task.original());
             }
             _ => {}
         }
@@ -157,7 +157,7 @@
 
 fn crash_of(task: TaskId, run: &Run, certainty: Certainty) -> Crash {
     Crash {
-        task,
+        task: task.original(),
         run: run.run,
         certainty,
     }
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -242,6 +242,7 @@
                         runs: minion.runs.len(),
                     };
                     self.emit(event);
+                    self.recheck_copies_on(now, number);
                 }
                 let minion = &self.minions[&number];
                 if let HoldAnswer::Silent(failure) = answer
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -88,17 +88,14 @@
         if let Some(orphan) = minion.orphaned_runs.remove(&(end.task, end.run)) {
             self.orphan_ended(number, end.task, end.run, &orphan);
         }
-        let is_tracked = self
-            .runs
-            .get(&end.task)
-            .is_some_and(|r| r.run == end.run && r.minion == number);
-        if is_tracked {
+        let key = self.run_key(end.task, end.run);
+        if let Some(key) = key.filter(|key| self.runs[key].minion == number) {
             match end.kind {
-                EndKind::Done => self.record_done(now, number, end.task),
-                EndKind::Failed => self.record_failed(now, number, end.task),
+                EndKind::Done => self.record_done(now, number, key),
+                EndKind::Failed => self.record_failed(now, number, key),
                 _ => {}
             }
-            self.run_over(now, end.task, end.kind, end.checkpoint.clone());
+            self.run_over(now, key, end.kind, end.checkpoint.clone());
         }
     }
 
@@ -144,11 +141,11 @@
     pub(super) fn run_over(
         &mut self,
         as_of: Timestamp,
-        task: TaskId,
+        key: TaskId,
         kind: EndKind,
         checkpoint: Checkpoint,
     ) {
-        let Some(run) = self.runs.get_mut(&task) else {
+        let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
         if run.state == RunState::Ending {
@@ -156,13 +153,15 @@
         }
         let over = run.clone();
         run.state = RunState::Ending;
+        run.end = Some(kind);
         let checkpoint = if checkpoint.is_empty() {
             std::mem::take(&mut run.checkpoint)
         } else {
             checkpoint
         };
         let run = run.clone();
-        self.release_resources(task, &run);
+        self.release_resources(key, &run);
+        let task = key.original();
         if kind != EndKind::Done {
             self.hold_for_late_start(as_of, task, &over);
         }
@@ -174,6 +173,7 @@
             kind,
             age: as_of.saturating_sub(run.proposed),
         });
+        self.report_copy_over(key, &run);
         self.batch.ends.push(End {
             task,
             run: run.run,
@@ -189,8 +189,9 @@
         listed: &ListedRun,
         ledger: &Ledger,
     ) {
-        if let Some(run) = self.runs.get_mut(&listed.task)
-            && run.run == listed.run
+        let key = self.run_key(listed.task, listed.run);
+        if let Some(key) = key
+            && let Some(run) = self.runs.get_mut(&key)
             && run.minion == number
         {
             if !matches!(run.state, RunState::Running(_) | RunState::Ending) {
@@ -203,7 +204,7 @@
             if run.ends && self.cfg.mechanisms.has(Mechanism::Progress) {
                 run.record_progress(now, listed.percent);
             }
-            self.seen_at_work(now, number, listed.task);
+            self.seen_at_work(now, number, key);
             return;
         }
         self.stop_orphan(now, number, listed.task, listed.run, ledger);
@@ -276,7 +277,7 @@
             let Some(run) = self.runs.get(task) else {
                 continue;
             };
-            if listed(*task, run.run) {
+            if listed(task.original(), run.run) {
                 continue;
             }
             let stopped = matches!(run.stop, StopState::Confirmed(at) if at < sent);
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -383,6 +383,13 @@
         own && now > self.earlier_leases_until
     }
 
+    /// When `lease_over` holds if nothing extends the lease.
+    pub(super) fn lease_end(&self, now: Timestamp) -> Timestamp {
+        let left = |clock: ClockReading| self.lease.saturating_sub(clock.earliest(now));
+        let left = self.clock.map_or(Duration::ZERO, left);
+        (now + left.mul_f64(1.0 / CLOCK_RATE)).max(self.earlier_leases_until)
+    }
+
     pub(super) fn free(&self) -> Resources {
         self.report.capacity.saturating_sub(&self.used)
     }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -9,6 +9,8 @@
 mod answers;
 mod applied;
 mod cell_report;
+mod copies;
+mod copy_runs;
 mod crashes;
 mod excess;
 mod forecast;
@@ -122,6 +124,8 @@
     excess: excess::ExcessJobs,
     /// Tasks that wait until an unanswered start order for them has expired.
     late_starts: late_starts::LateStarts,
+    /// Runs that may get copies, and copies.
+    copies: copies::Copies,
     /// Resources reserved for waiting tasks in the current placement round.
     reservations: reservations::Reservations,
     /// Changes collected for the next batch.
@@ -198,6 +202,7 @@
             quotas: quota::Quotas::default(),
             excess: excess::ExcessJobs::default(),
             late_starts: late_starts::LateStarts::default(),
+            copies: copies::Copies::default(),
             reservations: reservations::Reservations::default(),
             batch: Batch::default(),
             changed_minions: BTreeSet::new(),
@@ -289,6 +294,7 @@
             run.owner = job.owner.clone();
             self.add_run(task_id, run);
         }
+        self.restore_copies(ledger, id, now);
         if !job.state.is_final() {
             self.dirty_jobs.insert(id);
             self.schedule_next(ledger, id);
@@ -314,6 +320,7 @@
             self.stopping.insert(id);
         }
         self.least_urgent = self.least_urgent.max(run.priority);
+        self.track_for_copies(id, &run);
         self.runs.insert(id, run);
     }
 
@@ -321,6 +328,7 @@
     fn remove_run(&mut self, id: TaskId) -> Option<Run> {
         let run = self.runs.remove(&id)?;
         self.stopping.remove(&id);
+        self.copies.remove_run(id);
         self.release_resources(id, &run);
         self.dirty_jobs.insert(id.step.job);
         Some(run)
@@ -440,10 +448,10 @@
         !self.out.is_empty()
     }
 
-    /// The record of a waiting task that has no tracked run.
+    /// The record of a waiting task that has no tracked run or copy.
     fn waiting_record<'a>(&self, ledger: &'a Ledger, id: TaskId) -> Option<&'a TaskRecord> {
         let task = ledger.task(id)?;
-        let waits = task.state == TaskState::Waiting && !self.runs.contains_key(&id);
+        let waits = task.state == TaskState::Waiting && !self.is_tracked(id);
         waits.then_some(task)
     }
 }
--- a/src/batch/dispatch/objective.rs
+++ b/src/batch/dispatch/objective.rs
@@ -106,7 +106,7 @@
     /// same time. With declared times alone, a render of four tasks that declared 0.8 s and took
     /// 2.7 s was ordered behind all other jobs with two of its tasks done, and waited for 36 s
     /// until no other work was left.
-    fn step_time(&self, job: &Job, id: StepId, step: &StepSpec) -> Duration {
+    pub(super) fn step_time(&self, job: &Job, id: StepId, step: &StepSpec) -> Duration {
         let learn = self.cfg.mechanisms.has(Mechanism::LearntTimes);
         let observed = self.observed.get(&id).filter(|_| learn);
         let observed = observed.and_then(ObservedRunTime::mean);
--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -63,6 +63,10 @@
         if self.cfg.mechanisms.has(Mechanism::AskAhead) {
             self.ask_ahead(now);
         }
+        // Waiting tasks come first.
+        if started < MAX_STARTS_PER_ROUND {
+            self.place_copies(now, unix, ledger);
+        }
         if self.reservations.are_many() {
             self.place_not_before = now + CROWDED_PAUSE;
         }
@@ -322,7 +326,7 @@
         let Some(record) = ledger.task(task) else {
             return;
         };
-        let run = (record.run + 1).max(gang_run);
+        let run = ledger.next_run(task).max(gang_run);
         let Some(minion) = self.minions.get(&number) else {
             return;
         };
--- a/src/batch/dispatch/quota.rs
+++ b/src/batch/dispatch/quota.rs
@@ -232,7 +232,11 @@
         let owner = step.owner.as_ref();
         let victims = owner.and_then(|o| self.victims_in_limit(now, o, step, spec));
         for (task, run) in victims.into_iter().flatten() {
-            self.emit(Event::RunPreempted { task, run, by: id });
+            self.emit(Event::RunPreempted {
+                task: task.original(),
+                run,
+                by: id,
+            });
             self.stop_run(now, task);
         }
     }
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -148,7 +148,11 @@
         let waits = |index: &u32| {
             let task = id.task(*index);
             let waiting = tasks[*index as usize].state == TaskState::Waiting;
-            waiting && !self.runs.contains_key(&task) && !self.awaits_late_start(task, spec)
+            let tracked = || match spec.copies_allowed {
+                true => self.is_tracked(task),
+                false => self.runs.contains_key(&task),
+            };
+            waiting && !tracked() && !self.awaits_late_start(task, spec)
         };
         let waiting: Vec<u32> = (0..tasks.len() as u32).filter(waits).collect();
         // A gang starts again only after every member of its last run is known to have ended.
@@ -161,7 +165,13 @@
         self.ready.insert(id, step);
     }
 
-    fn ready_step(&self, job: &Job, id: StepId, waiting: Vec<u32>, since: Timestamp) -> ReadyStep {
+    pub(super) fn ready_step(
+        &self,
+        job: &Job,
+        id: StepId,
+        waiting: Vec<u32>,
+        since: Timestamp,
+    ) -> ReadyStep {
         let spec = &job.spec.steps[usize::from(id.step)];
         let lasting = spec.lifetime == Lifetime::Lasting;
         let expected = self.expected_times(job, id);
--- a/src/batch/dispatch/reservations.rs
+++ b/src/batch/dispatch/reservations.rs
@@ -338,7 +338,8 @@
         for task in places.into_iter().flat_map(|place| place.victims) {
             let run = self.runs.get(&task).map_or(0, |r| r.run);
             let by = waiting.id;
-            self.emit(Event::RunPreempted { task, run, by });
+            let id = task.original();
+            self.emit(Event::RunPreempted { task: id, run, by });
             self.stop_run(waiting.now, task);
         }
     }
--- a/src/batch/dispatch/restarts.rs
+++ b/src/batch/dispatch/restarts.rs
@@ -97,8 +97,7 @@
         }
         // After a stop order, a minion refuses to start the run.
         for UnansweredStart { task, run, .. } in unanswered {
-            let transferred = self.runs.get(&task).is_some_and(|r| r.run == run);
-            if !transferred {
+            if self.run_key(task, run).is_none() {
                 let token = self.term;
                 let stop = MinionOrder::Stop { task, run, token };
                 self.out.push(Order::Minion(target.clone(), stop));
@@ -111,7 +110,7 @@
         let pending = former.runs.iter().filter_map(|task| {
             let run = self.runs.get(task)?;
             (run.state == RunState::Starting).then_some(UnansweredStart {
-                task: *task,
+                task: task.original(),
                 run: run.run,
                 sent: now,
             })
@@ -150,9 +149,11 @@
         if run.stop != StopState::No {
             run.stop = StopState::Due(now);
         }
-        let suspect = suspects.iter().find(|crash| crash.task == task);
+        let is_this = |crash: &&Crash| crash.task == task.original() && crash.run == run.run;
+        let suspect = suspects.iter().find(is_this);
         run.suspected = suspect.map(|crash| crash.certainty);
-        self.batch.reassigned.push((task, run.run, successor));
+        let id = task.original();
+        self.batch.reassigned.push((id, run.run, successor));
         self.add_run(task, run);
     }
 
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -9,7 +9,7 @@
 use super::quota::Charge;
 use crate::batch::ledger::Certainty;
 use crate::batch::model::{
-    Checkpoint, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec, TaskId,
+    Checkpoint, EndKind, Grouping, Lifetime, MinionNumber, Queue, RunNumber, StepSpec, TaskId,
 };
 use crate::ids::{Timestamp, WorkspaceName};
 use crate::resources::Resources;
@@ -96,6 +96,12 @@
     pub(super) ends: bool,
     /// Whether it can be preempted without loss of work.
     pub(super) preemptible: bool,
+    /// Whether its task may have a copy.
+    pub(super) copyable: bool,
+    /// Whether it was started as a copy; also true once it is the only run of its task.
+    pub(super) is_copy: bool,
+    /// How it ended; `None` while it may run.
+    pub(super) end: Option<EndKind>,
 }
 
 impl Run {
@@ -144,6 +150,11 @@
             preemptible: spec.saves_progress
                 && spec.lifetime == Lifetime::Finite
                 && spec.grouping == Grouping::Single,
+            copyable: spec.copies_allowed
+                && spec.lifetime == Lifetime::Finite
+                && spec.grouping == Grouping::Single,
+            is_copy: false,
+            end: None,
         }
     }
 
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -198,6 +198,26 @@
         /// Step that the resources are freed for.
         by: StepId,
     },
+    /// A copy of an active task was given to a minion.
+    CopyPlaced {
+        /// Task that the copy belongs to.
+        task: TaskId,
+        /// Number of the run.
+        run: RunNumber,
+        /// Incarnation that the run was given to.
+        minion: MinionId,
+        /// What makes the task's first run too late.
+        why: &'static str,
+    },
+    /// A run that was started as a copy has ended.
+    CopyOver {
+        /// Task that the copy belongs to.
+        task: TaskId,
+        /// Number of the run.
+        run: RunNumber,
+        /// Whether it completed the task: its end as done was the first.
+        won: bool,
+    },
     /// Periodic: a step has waiting tasks.
     StepWaits {
         /// Step that waits.
@@ -248,5 +268,7 @@
         questions: usize,
         /// Number of agents that questions can be sent through.
         agents: usize,
+        /// Number of active copies.
+        copies: usize,
     },
 }
--- a/src/batch/event_output.rs
+++ b/src/batch/event_output.rs
@@ -107,6 +107,15 @@
             "good" => good, "took_ms" => ms(took)),
         Event::RunPreempted { task, run, by } => info!(log, "run preempted";
             "task" => %task, "run" => run, "by" => %by),
+        Event::CopyPlaced {
+            task,
+            run,
+            minion,
+            why,
+        } => info!(log, "copy placed"; "task" => %task, "run" => run,
+            "minion" => minion.as_str(), "why" => why),
+        Event::CopyOver { task, run, won } => info!(log, "copy over";
+            "task" => %task, "run" => run, "won" => won),
         Event::StepWaits {
             step,
             waiting,
@@ -144,11 +153,12 @@
             steps,
             questions,
             agents,
+            copies,
         } => info!(log, "cell"; "minions" => minions, "used_millicores" => used.millicores,
             "millicores" => capacity.millicores, "used_mb" => used.memory_mb,
             "mb" => capacity.memory_mb, "used_accelerators" => used.accelerators,
             "accelerators" => capacity.accelerators, "waiting" => waiting, "steps" => steps,
-            "questions" => questions, "agents" => agents),
+            "questions" => questions, "agents" => agents, "copies" => copies),
         Event::ConfigInForce { version, queues } => info!(log, "configuration in force";
             "version" => version, "queues" => queues),
     }
@@ -212,6 +222,13 @@
         Event::RunPreempted { .. } => {
             counter!("yuccahold_batch_runs_preempted_total").increment(1);
         }
+        Event::CopyPlaced { why, .. } => {
+            counter!("yuccahold_batch_copies_placed_total", "why" => *why).increment(1);
+        }
+        Event::CopyOver { won, .. } => {
+            let won = if *won { "yes" } else { "no" };
+            counter!("yuccahold_batch_copies_over_total", "won" => won).increment(1);
+        }
         Event::StepWaits { .. } => {}
         Event::WorkspaceUse {
             workspace,
@@ -237,12 +254,14 @@
             used,
             capacity,
             waiting,
+            copies,
             ..
         } => {
             gauge!("yuccahold_batch_minions").set(*minions as f64);
             gauge!("yuccahold_batch_millicores_used").set(f64::from(used.millicores));
             gauge!("yuccahold_batch_millicores").set(f64::from(capacity.millicores));
             gauge!("yuccahold_batch_tasks_waiting").set(*waiting as f64);
+            gauge!("yuccahold_batch_copies").set(*copies as f64);
         }
         Event::ConfigInForce { version, .. } => {
             gauge!("yuccahold_batch_config_version").set(*version as f64);
--- a/tests/batch_world/hosts.rs
+++ b/tests/batch_world/hosts/mod.rs
@@ -1,11 +1,14 @@
 //! Simulated hosts whose minions run tasks, crash and restart on their own.
 
+mod checks;
+mod cuts;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{
-    Answer, CallFailure, HoldAnswer, HoldOrder, MinionAnswer, MinionOrder, Order, OrderKind,
-    StartOrder, StartRefusal, Target,
+    Answer, CallFailure, DispatchConfig, HoldAnswer, HoldOrder, MinionAnswer, MinionOrder, Order,
+    OrderKind, StartOrder, StartRefusal, Target,
 };
 use yuccahold::batch::model::{
     EndKind, Grouping, JobId, JobState, Lifetime, MinionNumber, MinionReport, Queue, StepSpec,
@@ -17,7 +20,7 @@
 use super::incarnation::{Incarnation, PendingHold};
 use super::limits::Limits;
 pub use super::options::{Restart, StartAnswer};
-use super::{World, ms, report};
+use super::{World, config, ms, report};
 
 const TICK: Duration = ms(5);
 const HEARTBEAT: Duration = ms(500);
@@ -77,13 +80,22 @@
     done: BTreeSet<TaskId>,
     specs: BTreeMap<JobId, Vec<StepSpec>>,
     pub limits: Limits,
+    /// Ports of the hosts that are cut off from the leader.
+    cut: BTreeSet<u16>,
+    /// All orders and events of the leaders, in their order.
+    pub orders: Vec<Order>,
 }
 
 impl Cell {
     /// Creates hosts with 32 cores at these ports, all up and held by the leader.
     pub fn new(ports: std::ops::Range<u16>) -> Self {
+        Self::with(ports, config())
+    }
+
+    /// The same with a leader of this configuration.
+    pub fn with(ports: std::ops::Range<u16>, cfg: DispatchConfig) -> Self {
         let mut cell = Self {
-            world: World::new(),
+            world: World::with(cfg),
             hosts: BTreeMap::new(),
             deliveries: VecDeque::new(),
             late_orders: Vec::new(),
@@ -105,6 +117,8 @@
             done: BTreeSet::new(),
             specs: BTreeMap::new(),
             limits: Limits::default(),
+            cut: BTreeSet::new(),
+            orders: Vec::new(),
         };
         for port in ports {
             let host = Host {
@@ -282,6 +296,7 @@
         self.deliver(now);
         self.world.decide();
         for order in std::mem::take(&mut self.world.orders) {
+            self.orders.push(order.clone());
             if let Order::Minion(target, order) = order {
                 self.send(now, target, order);
             }
@@ -307,7 +322,8 @@
             host.sequence = 0;
             host.reports_at = now + first_report_delay;
         }
-        if host.inc.is_some() && now >= host.reports_at {
+        let is_cut = self.cut.contains(&port);
+        if host.inc.is_some() && now >= host.reports_at && !is_cut {
             host.reports_at = now + HEARTBEAT;
             let report = self.report_of(port).expect("it is up");
             self.world.leader.report(now, report);
@@ -385,7 +401,8 @@
     ) -> Option<(Duration, MinionAnswer)> {
         let port = target.addr.port();
         let host = self.hosts.get_mut(&port)?;
-        let Some(inc) = &mut host.inc else {
+        let reachable = host.inc.as_mut().filter(|_| !self.cut.contains(&port));
+        let Some(inc) = reachable else {
             let failure = match order {
                 MinionOrder::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(CallFailure::Lost)),
                 _ => MinionAnswer::Order(Answer::Silent(CallFailure::Lost)),
@@ -435,28 +452,7 @@
         if crasher {
             inc.crashes_at = Some(now + CRASH_DELAY);
         }
-        let (used, capacity) = (inc.used(), host.capacity);
-        *self.starts.entry(task).or_default() += 1;
-        let leader_settled = now >= self.leader_since + LEADER_SETTLE_TIME;
-        if leader_settled && self.crashes.get(&task).is_some_and(|n| *n >= 3) {
-            *self.excess_starts.entry(task).or_default() += 1;
-        }
-        let incarnations = self.hosts.values().filter_map(|host| host.inc.as_ref());
-        self.violations
-            .extend(self.limits.exceeded(now, task, incarnations));
-        let run = start.run;
-        if !other_ports.is_empty() {
-            let text = format!("{task} run {run} on {port} beside one on {other_ports:?}");
-            self.violations.push(text);
-        }
-        if self.done.contains(&task) {
-            self.violations
-                .push(format!("{task} run {run} after it was done"));
-        }
-        if !used.fits_in(&capacity) {
-            self.violations
-                .push(format!("{task} brings {port} to {used:?} of {capacity:?}"));
-        }
+        self.check_start(now, port, start, &other_ports);
         if crasher && self.start_answer == StartAnswer::Lost {
             let lost = MinionAnswer::Order(Answer::Silent(CallFailure::Lost));
             return (CALL_TIMEOUT, lost);
