--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -71,6 +71,13 @@
     Unavailable(Duration),
     /// The request may or may not have been accepted.
     InDoubt,
+    /// The job was not accepted, for lack of capacity, and never runs.
+    Refused {
+        /// Time after which capacity is expected for this caller.
+        after: Duration,
+        /// Whether the job would still be in its useful time then.
+        useful: bool,
+    },
 }
 
 /// Answer to an operator or a minion.
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -30,6 +30,7 @@
             Command::Submit {
                 job, queue, owner, ..
             } => {
+                self.proposal_applied(*job);
                 if fresh {
                     self.emit(Event::JobAccepted {
                         job: *job,
@@ -41,6 +42,7 @@
                         self.profiles.declared(job);
                     }
                     self.count_submission(ledger, *job);
+                    self.record_arrival(now, ledger, *job);
                     self.dirty_jobs.insert(*job);
                     self.schedule_next(ledger, *job);
                 }
--- a/src/batch/dispatch/excess.rs
+++ b/src/batch/dispatch/excess.rs
@@ -38,6 +38,21 @@
         }
     }
 
+    /// Whether a submission at `at` would be above the weight of its workspace; `pending` of its
+    /// submissions within the weight are not recorded yet.
+    fn would_exceed(
+        &self,
+        owner: &WorkspaceName,
+        weight: f64,
+        at: Timestamp,
+        pending: usize,
+    ) -> bool {
+        let counted = self.recent.get(owner).map_or(0, |recent| {
+            recent.len() - recent.partition_point(|first| at >= *first + WINDOW)
+        });
+        (counted + pending) as f64 >= weight.max(1.0)
+    }
+
     /// Removes a finished job.
     pub(super) fn remove(&mut self, job: JobId) {
         self.jobs.remove(&job);
@@ -51,6 +66,20 @@
         self.cfg.mechanisms.has(Mechanism::ExcessLast) && self.excess.jobs.contains(&job)
     }
 
+    /// Whether a job submitted now would be above the weight of its workspace, where `pending` of
+    /// the workspace's submissions within the weight are not committed yet; never while the
+    /// mechanism is off.
+    pub(super) fn would_be_excess(
+        &self,
+        owner: &WorkspaceName,
+        weight: f64,
+        unix: Timestamp,
+        pending: usize,
+    ) -> bool {
+        self.cfg.mechanisms.has(Mechanism::ExcessLast)
+            && self.excess.would_exceed(owner, weight, unix, pending)
+    }
+
     /// Counts a new job against the weight of its workspace.
     pub(super) fn count_submission(&mut self, ledger: &Ledger, id: JobId) {
         let Some(job) = ledger.jobs.get(&id) else {
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -163,6 +163,7 @@
         };
         let run = run.clone();
         self.release_resources(task, &run);
+        self.record_release(as_of, &run, kind);
         if kind != EndKind::Done {
             self.hold_for_late_start(as_of, task, &over);
         }
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! sent only after its batch is committed. Each new leader rebuilds this state from the ledger and
 //! from the listings of the minions.
 
+mod admission;
 mod advice;
 mod answers;
 mod applied;
@@ -21,7 +22,9 @@
 mod objective;
 mod order;
 mod place;
+mod places;
 mod profile;
+mod proposals;
 mod question_candidates;
 mod questions;
 mod quota;
@@ -32,7 +35,9 @@
 mod room_index;
 mod roster;
 mod run;
+mod service_load;
 mod speed;
+mod throughput;
 mod timers;
 mod utilization;
 
@@ -46,6 +51,7 @@
 use super::model::{JobId, MinionNumber, StepId, TaskId};
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
 
+pub use admission::{Submission, Verdict};
 use advice::StepAdvice;
 use crashes::Suspicion;
 pub use mechanisms::{Mechanism, Mechanisms};
@@ -120,6 +126,8 @@
     quotas: quota::Quotas,
     /// Jobs submitted above the weights of their workspaces.
     excess: excess::ExcessJobs,
+    /// Load and refused callers, for the admission of jobs.
+    admission: admission::AdmissionState,
     /// Tasks that wait until an unanswered start order for them has expired.
     late_starts: late_starts::LateStarts,
     /// Resources reserved for waiting tasks in the current placement round.
@@ -197,6 +205,7 @@
             releases: RefCell::new(HashMap::new()),
             quotas: quota::Quotas::default(),
             excess: excess::ExcessJobs::default(),
+            admission: admission::AdmissionState::default(),
             late_starts: late_starts::LateStarts::default(),
             reservations: reservations::Reservations::default(),
             batch: Batch::default(),
--- a/src/batch/dispatch/profile.rs
+++ b/src/batch/dispatch/profile.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Typical run time in a queue; `None` until enough runs are measured.
+    pub(super) fn typical(&self, queue: &CompactString) -> Option<Duration> {
+        let profile = self.0.get(queue)?;
+        let measured = &profile.measured;
+        (measured.samples >= MIN_RUNS).then(|| Duration::from_secs_f64(measured.mean.exp()))
+    }
+
     /// Expected run time of a task with the declared time `declared`.
     ///
     /// Declared times of long work are off by a factor of two and more either way. Taken as they
--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -92,21 +92,40 @@
 const CLASS_FINITE: u8 = 1;
 /// Priority levels that a late job loses: it keeps a fifth of its value, which is about the value
 /// of a core-second of the users' least urgent work.
-const LATE_PENALTY: u32 = 2;
+pub(super) const LATE_PENALTY: u32 = 2;
 /// Priority levels that a job loses once it has no value any more.
 const EXPIRED_PENALTY: u32 = 6;
 /// A job has a value up to this multiple of its objective.
-const EXPIRY_FACTOR: u32 = 3;
+pub(super) const EXPIRY_FACTOR: u32 = 3;
 /// Part of the expected remaining run time that must fit before the due time. Expected times are
 /// inaccurate, so a job counts as late only when it clearly is.
 const MIN_REMAINING_PART: f64 = 0.8;
 
+impl OrderKey {
+    /// Key of the first step of a job of finite tasks that is not accepted yet.
+    pub(super) fn of_new_job(excess: bool, priority: u32, due: Timestamp) -> Self {
+        Self {
+            class: CLASS_FINITE,
+            excess,
+            priority,
+            due,
+            step: Reverse(0),
+        }
+    }
+}
+
 impl Dispatcher {
     /// Steps with waiting tasks, in the order of service at `unix`.
     ///
     /// Late jobs lose priority. Under overload, an order by due time alone would put jobs that are
     /// late already first and make the following ones late as well.
     pub(super) fn service_order(&self, unix: Timestamp) -> Vec<StepId> {
+        let order = self.keyed_order(unix).into_iter();
+        order.map(|(_, id)| id).collect()
+    }
+
+    /// The same with the sort keys.
+    pub(super) fn keyed_order(&self, unix: Timestamp) -> Vec<(OrderKey, StepId)> {
         let mut order: Vec<_> = self
             .ready
             .iter()
@@ -119,7 +138,7 @@
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, id)| id).collect()
+        order
     }
 
     /// Rebuilds the ready and upcoming steps of all changed jobs.
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -23,6 +23,27 @@
         /// Number of jobs in all queues of which no task has started.
         unstarted: usize,
     },
+    /// A job was refused for lack of capacity.
+    JobRefused {
+        /// Id of the job.
+        job: JobId,
+        /// Name of its queue.
+        queue: CompactString,
+        /// Workspace that submitted it.
+        workspace: WorkspaceName,
+        /// Time that it would have waited for capacity.
+        wait: Duration,
+        /// Time after which the caller should return.
+        after: Duration,
+        /// Whether it was above the weight of its workspace.
+        excess: bool,
+        /// Whether it would still be in its useful time then.
+        useful: bool,
+        /// Number of refused callers whose places are kept.
+        places: usize,
+        /// Whether it is logged; only the first refusals of each second are.
+        logged: bool,
+    },
     /// A job ended.
     JobEnded {
         /// Id of the job.
--- a/src/batch/event_output.rs
+++ b/src/batch/event_output.rs
@@ -19,6 +19,24 @@
         } => info!(log, "job accepted"; "job" => format!("{job:016x}"),
             "queue" => queue.as_str(), "workspace" => workspace.as_deref(),
             "unstarted" => unstarted),
+        Event::JobRefused {
+            job,
+            queue,
+            workspace,
+            wait,
+            after,
+            excess,
+            useful,
+            logged,
+            ..
+        } => {
+            if *logged {
+                info!(log, "job refused"; "job" => format!("{job:016x}"),
+                    "queue" => queue.as_str(), "workspace" => workspace.as_str(),
+                    "wait_ms" => ms(wait), "retry_after_ms" => ms(after), "excess" => excess,
+                    "useful" => useful);
+            }
+        }
         Event::JobEnded { job, state, age } => info!(log, "job ended";
             "job" => format!("{job:016x}"), "state" => state, "age_ms" => ms(age)),
         Event::RunPlaced {
@@ -161,6 +179,17 @@
             counter!("yuccahold_batch_jobs_accepted_total").increment(1);
             gauge!("yuccahold_batch_jobs_unstarted").set(*unstarted as f64);
         }
+        Event::JobRefused {
+            excess,
+            after,
+            places,
+            ..
+        } => {
+            let why = if *excess { "excess" } else { "late" };
+            counter!("yuccahold_batch_jobs_refused_total", "why" => why).increment(1);
+            histogram!("yuccahold_batch_retry_after_seconds").record(after.as_secs_f64());
+            gauge!("yuccahold_batch_places_kept").set(*places as f64);
+        }
         Event::JobEnded { state, age, .. } => {
             counter!("yuccahold_batch_jobs_ended_total", "state" => *state).increment(1);
             histogram!("yuccahold_batch_job_seconds").record(age.as_secs_f64());
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -13,7 +13,7 @@
 use super::driver::{Minions, Policy};
 use super::election_watch::{Members, watch_elections};
 use super::leader_search::LeaderSearch;
-use super::relay::{Copies, call_by_relay, settles};
+use super::relay::{Copies, call_by_relay, is_refusal, settles};
 use crate::ids::ZoneName;
 use crate::wire::CellKeys;
 
@@ -294,6 +294,10 @@
                     // Nothing was done. `LeaderSearch` finds the new leader in the background.
                     wait_for_change(&mut current, &tx, deadline).await;
                 }
+                // An earlier copy may have been executed, or may yet be.
+                Ok(Ok(reply)) if no_answer == CallError::InDoubt && is_refusal(&reply) => {
+                    return Err(no_answer);
+                }
                 Ok(Ok(reply)) => return Ok(reply),
                 Ok(Err(_)) => no_answer = if_sent,
                 Err(_) => return Err(if_sent),
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -9,7 +9,8 @@
 use super::agents::Unanswered;
 use super::calls::{ClientAction, ClientCall, ClientReply, OperatorReply, RETRY_AFTER};
 use super::dispatch::{
-    Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind, QuestionId,
+    Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind, QuestionId, Submission,
+    Verdict,
 };
 use super::ledger::{Batch, Command, Ledger, Reply};
 use super::model::{ConfigVersion, JobId, MinionNumber, MinionReport};
@@ -74,9 +75,9 @@
         }
     }
 
-    /// Decides how to serve a caller's request. Call it only while leadership is confirmed: on a
+    /// Decides how to serve a caller's request at `now`, in monotonic time. Call it only while leadership is confirmed: on a
     /// deposed leader the ledger may be stale.
-    pub fn admit(&self, call: ClientCall) -> Admission {
+    pub fn admit(&mut self, now: Timestamp, call: ClientCall) -> Admission {
         let Some(config) = &self.ledger.config else {
             return Admission::Answer(ClientReply::Unavailable(RETRY_AFTER));
         };
@@ -103,12 +104,15 @@
             ClientAction::Submit(_) if existing.is_some() => {
                 Admission::Answer(ClientReply::IdTaken)
             }
-            ClientAction::Submit(spec) => Admission::Propose(Box::new(Command::Submit {
-                job,
-                queue: Arc::new(queue.clone()),
-                owner: caller.into_owner(),
-                spec,
-            })),
+            ClientAction::Submit(spec) => {
+                let new = Submission {
+                    job,
+                    queue: Arc::new(queue.clone()),
+                    owner: caller.into_owner(),
+                    spec,
+                };
+                admit_job(self.dispatcher.as_mut(), now, &self.ledger, new)
+            }
             ClientAction::State => Admission::Answer(match visible {
                 Some(visible) => ClientReply::State(visible.state),
                 None => ClientReply::NotFound,
@@ -212,6 +216,25 @@
     }
 }
 
+/// Decides on a job that is not in the ledger.
+fn admit_job(
+    dispatcher: Option<&mut Dispatcher>,
+    now: Timestamp,
+    ledger: &Ledger,
+    new: Submission,
+) -> Admission {
+    let verdict = dispatcher.map(|d| d.admit(now, unix_now(), ledger, &new));
+    if let Some(Verdict::Refused { after, useful }) = verdict {
+        return Admission::Answer(ClientReply::Refused { after, useful });
+    }
+    Admission::Propose(Box::new(Command::Submit {
+        job: new.job,
+        queue: new.queue,
+        owner: new.owner,
+        spec: new.spec,
+    }))
+}
+
 /// Parses a job id; `None` unless the text is sixteen hexadecimal digits.
 pub fn parse_job_id(text: &str) -> Option<JobId> {
     let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -187,9 +187,10 @@
 }
 
 /// Whether the copy with this answer was not executed.
-fn is_refusal(reply: &CallReply) -> bool {
+pub(super) fn is_refusal(reply: &CallReply) -> bool {
     matches!(
         reply,
-        CallReply::NotLeader(_) | CallReply::Client(ClientReply::Unavailable(_))
+        CallReply::NotLeader(_)
+            | CallReply::Client(ClientReply::Unavailable(_) | ClientReply::Refused { .. })
     )
 }
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -78,7 +78,7 @@
     pub async fn answer(&self, call: Call) -> CallReply {
         match call {
             Call::Client(call) => {
-                let admitted = self.replica.leased(move |m, _| m.admit(call)).await;
+                let admitted = self.replica.leased(move |m, now| m.admit(now, call)).await;
                 match admitted {
                     Ok(Admission::Answer(reply)) => CallReply::Client(reply),
                     Ok(Admission::Propose(command)) => self.propose_for_client(*command).await,
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -8,11 +8,13 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
+use serde::Serialize;
 use slog::{Logger, info};
 use tokio::time::Instant;
 
 use super::http::{
     Handler, Reply, body_error_reply, empty, error_reply, json, read_body, retry_later, text,
+    with_retry_after,
 };
 use super::jobs::{self, PendingBody};
 use super::settings::METRICS_PATH;
@@ -111,6 +113,7 @@
         Ok(CallReply::Client(ClientReply::Invalid(_) | ClientReply::IdTaken)) => "invalid",
         Ok(CallReply::Client(ClientReply::Unavailable(_))) | Err(CallError::NotRun) => "not run",
         Ok(CallReply::Client(ClientReply::InDoubt)) | Err(CallError::InDoubt) => "in doubt",
+        Ok(CallReply::Client(ClientReply::Refused { .. })) => "refused",
         Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) => "no leader",
     }
 }
@@ -144,6 +147,7 @@
             ClientReply::Invalid(why) => error_reply(StatusCode::BAD_REQUEST, &why),
             ClientReply::Unavailable(after) => unavailable(after),
             ClientReply::InDoubt => in_doubt(),
+            ClientReply::Refused { after, useful } => refused(after, useful),
         },
         Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) | Err(CallError::NotRun) => {
             unavailable(retry)
@@ -152,6 +156,30 @@
     }
 }
 
+/// Body of the answer to a job that was refused for lack of capacity.
+#[derive(Serialize)]
+struct RefusedBody {
+    error: &'static str,
+    /// Rounded up, so that no caller returns too early.
+    retry_after_ms: u64,
+    /// Whether the job would still be in its useful time then.
+    useful: bool,
+}
+
+fn refused(after: Duration, useful: bool) -> Reply {
+    let error = if useful {
+        "not accepted and not run: capacity is short; come back later"
+    } else {
+        "not accepted and not run: capacity is short beyond the job's useful time"
+    };
+    let body = RefusedBody {
+        error,
+        retry_after_ms: after.as_micros().div_ceil(1_000) as u64,
+        useful,
+    };
+    with_retry_after(json(StatusCode::TOO_MANY_REQUESTS, &body), after)
+}
+
 fn unauthenticated() -> Reply {
     let mut reply = error_reply(StatusCode::UNAUTHORIZED, "the key is missing or not known");
     let scheme = HeaderValue::from_static(KEY_SCHEME);
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -121,9 +121,13 @@
     json_bytes(status, Bytes::from_static(b"{}"))
 }
 
-/// An error reply with `Retry-After`, rounded up to whole seconds and at least 1.
+/// An error reply with `Retry-After`.
 pub(super) fn retry_later(status: StatusCode, after: Duration, reason: &str) -> Reply {
-    let mut reply = error_reply(status, reason);
+    with_retry_after(error_reply(status, reason), after)
+}
+
+/// Adds `Retry-After` to a reply, rounded up to whole seconds and at least 1.
+pub(super) fn with_retry_after(mut reply: Reply, after: Duration) -> Reply {
     let seconds = after.as_secs_f64().ceil().max(1.0) as u64;
     reply.headers_mut().insert(RETRY_AFTER, seconds.into());
     reply
--- a/tests/batch_workspaces.rs
+++ b/tests/batch_workspaces.rs
@@ -75,7 +75,7 @@
             key: key.map(|key| KeyHash::of(key.as_bytes())),
             action,
         };
-        match self.machine.admit(call) {
+        match self.machine.admit(UNIX, call) {
             Admission::Answer(reply) => name(&reply),
             Admission::Propose(command) => match self.apply(&command) {
                 Reply::Accepted => "accepted",
@@ -181,7 +181,7 @@
             key: key.map(|key| KeyHash::of(key.as_bytes())),
             action: ClientAction::Submit(decode_job(br#"{"steps":[{"count":1}]}"#).expect("a job")),
         };
-        match leader.machine.admit(call) {
+        match leader.machine.admit(UNIX, call) {
             Admission::Propose(command) => command,
             Admission::Answer(reply) => panic!("{reply:?}"),
         }
--- a/tests/batch_world/cell.rs
+++ b/tests/batch_world/cell.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use yuccahold::batch::dispatch::{Answer, HoldAnswer, ListedEnd, Listing, StartOrder};
-use yuccahold::batch::model::{EndKind, MinionNumber, TaskId};
+use yuccahold::batch::model::{EndKind, JobId, MinionNumber, TaskId};
 
 use super::{World, listed};
 
@@ -19,6 +19,8 @@
     pub gone: BTreeSet<MinionNumber>,
     /// Executed starts, in order.
     pub started: Vec<(Duration, TaskId)>,
+    /// When the last run of each job ended as done.
+    pub done: BTreeMap<JobId, Duration>,
     /// Number of runs that were ordered to stop.
     pub stopped: usize,
 }
@@ -67,6 +69,9 @@
         let mut listings: BTreeMap<MinionNumber, Vec<ListedEnd>> = BTreeMap::new();
         for (task, minion, run, kind) in over.collect::<Vec<_>>() {
             self.runs.remove(&task);
+            if kind == EndKind::Done {
+                self.done.insert(task.step.job, world.now);
+            }
             let number = self.last_ends.entry(minion).or_default();
             *number += 1;
             listings.entry(minion).or_default().push(ListedEnd {
