--- a/src/batch/dispatch/service_load.rs
+++ b/src/batch/dispatch/service_load.rs
@@ -30,7 +30,11 @@
 struct ServiceLoad {
     /// Waiting steps in the order of service, each with the needs up to and including it.
     waiting: Vec<(OrderKey, Amounts)>,
+    /// Mean need of its recent runs.
+    typical: Resources,
+    /// Free resources that are not in blocks too small for such a run.
     free: Amounts,
+    /// `free` and what is in use.
     capacity: Amounts,
     /// Amounts per second that ending runs release; `None` where that is not known.
     rate: [Option<f64>; 3],
@@ -145,11 +149,19 @@
         for minion in self.minions.values().filter(|m| m.takes_work(now)) {
             let service = &minion.report.service;
             if !by_service.contains_key(service) {
-                by_service.insert(service.clone(), ServiceLoad::default());
+                let typical = throughputs.typical_need(now, service);
+                let load = ServiceLoad {
+                    typical,
+                    ..ServiceLoad::default()
+                };
+                by_service.insert(service.clone(), load);
             }
             if let Some(load) = by_service.get_mut(service) {
-                add(&mut load.free, &amounts(&minion.free(), 1));
-                add(&mut load.capacity, &amounts(&minion.report.capacity, 1));
+                let free = usable(&minion.free(), &load.typical);
+                let used = amounts(&minion.used, 1);
+                add(&mut load.free, &free);
+                add(&mut load.capacity, &used);
+                add(&mut load.capacity, &free);
             }
         }
         for (service, load) in &mut by_service {
@@ -242,5 +254,16 @@
     }
 }
 
+/// The part of `free` that whole runs with the need `typical` can use. On a full service the rest is
+/// several percent of its capacity, which estimates would count as free for each job.
+fn usable(free: &Resources, typical: &Resources) -> Amounts {
+    let times = typical.times_in(free);
+    let (free, typical) = (amounts(free, 1), amounts(typical, 1));
+    [0, 1, 2].map(|i| match typical[i] {
+        0.0 => free[i],
+        need => (need * f64::from(times)).min(free[i]),
+    })
+}
+
 /// What decides whether a task can be placed at all: service, label and need.
 type Shape<'a> = (&'a ServiceName, Option<&'a str>, Resources);
--- a/src/batch/dispatch/throughput.rs
+++ b/src/batch/dispatch/throughput.rs
@@ -85,6 +85,23 @@
         });
     }
 
+    /// Mean need of the runs that ended in the window; zero if there is none.
+    pub(super) fn typical_need(&self, now: Timestamp, service: &ServiceName) -> Resources {
+        let (mut sum, mut ends) = ([0.0; 3], 0.0);
+        let recent = self.releases.get(service);
+        for release in recent.into_iter().flat_map(|r| r.in_window(now)) {
+            add(&mut sum, &release.amounts);
+            ends += 1.0;
+        }
+        let [millicores, memory_mb, accelerators] =
+            sum.map(|amount| (amount / f64::max(ends, 1.0)) as u32);
+        Resources {
+            millicores,
+            memory_mb,
+            accelerators,
+        }
+    }
+
     /// Amounts per second that ends release when `capacity` is in use; `None` for a resource that
     /// too few ends in the window released.
     ///
