Admission: no capacity is kept for callers that do not return

Cause: refused callers that were told that returning is useless kept places, and newcomers were evaluated behind these. In tests/batch_admission.rs at 1.5 times the capacity, about half of what was left beside the work within the weights stayed idle. Change: a place is kept only while its caller's job would be useful, and newcomers are evaluated behind the share of due places that callers lately returned to.

--- a/src/batch/dispatch/admission.rs
+++ b/src/batch/dispatch/admission.rs
@@ -205,13 +205,18 @@
         let wait = backlog.wait(request.last_key(), &request.standing, &request.need);
         let due = state.return_time(now, &request, &backlog, number);
         let useful = due + request.chain <= first + request.useful_time();
-        self.admission.places.keep(Place {
-            caller: request.caller,
-            standing: request.standing,
-            need: request.need,
-            refused: first,
-            due,
-        });
+        if useful {
+            self.admission.places.keep(Place {
+                caller: request.caller,
+                standing: request.standing,
+                need: request.need,
+                refused: first,
+                due,
+            });
+        } else {
+            // The caller is told that it gains nothing by returning, so nothing is kept for it.
+            self.admission.places.remove(request.caller);
+        }
         let after = due - now;
         let logged = self.admission.may_log(now);
         self.emit(Event::JobRefused {
--- a/src/batch/dispatch/places.rs
+++ b/src/batch/dispatch/places.rs
@@ -24,6 +24,9 @@
 /// then available to others.
 const MAX_DELAY: Duration = Duration::from_millis(1_250);
 
+/// Callers whose return or absence is counted for the share that returns.
+const COUNTED_CALLERS: f64 = 100.0;
+
 /// Service and rank of a job; only places of the same or a better rank count against it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct Standing {
@@ -54,6 +57,24 @@
     pub(super) due: Timestamp,
 }
 
+/// Share of the refused callers that return, over about the last `COUNTED_CALLERS`.
+#[derive(Debug)]
+struct ReturnShare(f64);
+
+impl Default for ReturnShare {
+    /// All callers are expected to return until some have not.
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl ReturnShare {
+    fn learn(&mut self, returned: bool) {
+        let sample = f64::from(u8::from(returned));
+        self.0 += (sample - self.0) / COUNTED_CALLERS;
+    }
+}
+
 /// Places of refused callers.
 #[derive(Debug, Default)]
 pub(super) struct Places {
@@ -62,6 +83,7 @@
     last_number: PlaceNumber,
     /// Latest due time of each standing.
     last_due: BTreeMap<Standing, Timestamp>,
+    return_share: ReturnShare,
 }
 
 impl Places {
@@ -76,20 +98,22 @@
         Some((*number, self.by_number.get(number)?))
     }
 
-    /// Removes the place of a caller.
+    /// Removes the place of a caller that returned.
     pub(super) fn remove(&mut self, caller: CallerHash) {
         if let Some(number) = self.numbers.remove(&caller) {
+            self.return_share.learn(true);
             self.by_number.remove(&number);
         }
     }
 
     /// Removes expired places.
     pub(super) fn expire(&mut self, now: Timestamp) {
-        let numbers = &mut self.numbers;
+        let (numbers, share) = (&mut self.numbers, &mut self.return_share);
         self.by_number.retain(|_, place| {
             let stays = now < place.due + EXPIRES_AFTER;
             if !stays {
                 numbers.remove(&place.caller);
+                share.learn(false);
             }
             stays
         });
@@ -121,7 +145,9 @@
     }
 
     /// Whether the callers before place `before` that count for a standing, and should return from
-    /// now on until `until`, need more of a resource than `room`; `None` is unlimited.
+    /// now on until `until`, need more of a resource than `room`; `None` is unlimited. For a new
+    /// caller, without a place, only the share of them counts that is expected to return: without
+    /// this, the capacity of all others would stay idle.
     pub(super) fn exceed(
         &self,
         now: Timestamp,
@@ -131,7 +157,9 @@
         room: &[Option<f64>; 3],
     ) -> bool {
         let mut sum = [0.0; 3];
-        let exceeds = |sum: &Amounts| (0..3).any(|i| room[i].is_some_and(|room| sum[i] > room));
+        let share = before.map_or(self.return_share.0, |_| 1.0);
+        let exceeds =
+            |sum: &Amounts| (0..3).any(|i| room[i].is_some_and(|room| sum[i] * share > room));
         if exceeds(&sum) {
             return true;
         }
