--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -166,7 +166,8 @@
     useful: bool,
 }
 
-fn refused(after: Duration, useful: bool) -> Reply {
+/// The answer to a job that was refused for lack of capacity.
+pub fn refused(after: Duration, useful: bool) -> Reply {
     let error = if useful {
         "not accepted and not run: capacity is short; come back later"
     } else {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,6 +17,7 @@
 pub use config::decode as decode_config;
 pub use control::{parse_args as parse_control_args, run as run_control};
 pub use entry::run as run_entry;
+pub use front::refused as refusal_reply;
 pub use jobs::decode as decode_job;
 pub use minions::{decode_advice, decode_listing, decode_report};
 pub use settings::{Boot, BootProblems};
--- a/tests/batch_admission.rs
+++ b/tests/batch_admission.rs
@@ -6,9 +6,11 @@
 
 use batch_world::callers::{Caller, PATIENCE, Play, Scores, Stream, TASKS_PER_SECOND, submission};
 use batch_world::{World, lasting, low_priority_queue, ms, queue, step};
+use http_body_util::BodyExt;
 use rstest::rstest;
 use yuccahold::batch::dispatch::Verdict;
 use yuccahold::batch::model::{JobId, StepSpec};
+use yuccahold::platform::refusal_reply;
 
 const WARM_UP: Duration = ms(4_000);
 
@@ -295,3 +297,17 @@
     };
     assert_eq!(run(true), run(false));
 }
+
+/// Callers rely on the status, the header in whole seconds, and the exact time in the body. A header
+/// rounded down would bring them back before their time.
+#[tokio::test]
+async fn the_answer_to_a_refused_caller_has_its_time() {
+    let reply = refusal_reply(Duration::from_micros(2_100_500), true);
+    assert_eq!(reply.status(), 429);
+    assert_eq!(reply.headers()["retry-after"], "3");
+    let body = reply.into_body().collect().await.expect("a body");
+    let body: serde_json::Value = serde_json::from_slice(&body.to_bytes()).expect("JSON");
+    assert_eq!(body["retry_after_ms"], 2_101);
+    assert_eq!(body["useful"], true);
+    assert!(body["error"].is_string());
+}
