--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -161,6 +161,7 @@
         };
         let run = run.clone();
         self.release_resources(key, &run);
+        self.record_release(as_of, &run, kind);
         let task = key.original();
         if kind != EndKind::Done {
             self.hold_for_late_start(as_of, task, &over);
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! sent only after its batch is committed. Each new leader rebuilds this state from the ledger and
 //! from the listings of the minions.
 
+mod admission;
 mod advice;
 mod answers;
 mod applied;
@@ -24,7 +25,9 @@
 mod objective;
 mod order;
 mod place;
+mod places;
 mod profile;
+mod proposals;
 mod question_candidates;
 mod questions;
 mod quota;
@@ -35,7 +38,9 @@
 mod room_index;
 mod roster;
 mod run;
+mod service_load;
 mod speed;
+mod throughput;
 mod timers;
 mod utilization;
 
@@ -49,6 +54,7 @@
 use super::model::{JobId, MinionNumber, StepId, TaskId};
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
 
+pub use admission::{Submission, Verdict};
 use advice::StepAdvice;
 use crashes::Suspicion;
 pub use mechanisms::{Mechanism, Mechanisms};
@@ -123,6 +129,8 @@
     quotas: quota::Quotas,
     /// Jobs submitted above the weights of their workspaces.
     excess: excess::ExcessJobs,
+    /// Load and refused callers, for the admission of jobs.
+    admission: admission::AdmissionState,
     /// Tasks that wait until an unanswered start order for them has expired.
     late_starts: late_starts::LateStarts,
     /// Runs that may get copies, and copies.
@@ -202,6 +210,7 @@
             releases: RefCell::new(HashMap::new()),
             quotas: quota::Quotas::default(),
             excess: excess::ExcessJobs::default(),
+            admission: admission::AdmissionState::default(),
             late_starts: late_starts::LateStarts::default(),
             copies: copies::Copies::default(),
             reservations: reservations::Reservations::default(),
