Copies of late runs need evidence; checks follow the run time

Cause: the expected end of a run was computed from the estimate at its start, that of a copy from the current one. Work that declares too little would get copies as well, which take as long. Each run was checked at least every 0.5 s.

Change: both ends use the current estimate, and a run on a minion that answers gets a copy only if tasks of its step are done or its minion is known to be slow. The next check follows after a quarter of the expected run time, the cost of a copy.

--- a/src/batch/dispatch/copies.rs
+++ b/src/batch/dispatch/copies.rs
@@ -15,6 +15,7 @@
 use super::minion::Minion;
 use super::ready::{OrderKey, ReadyStep, remove_job};
 use super::run::{Run, RunState, demand};
+use super::speed::Slowness;
 use super::timers::Timers;
 use super::{Dispatcher, StepId, TaskId};
 use crate::batch::event::Event;
@@ -28,9 +29,8 @@
 const CONFIRM_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before another search for a minion, a ticket or a share of the resources.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// Shortest and longest time between two checks of a run that is in time.
+/// Shortest time between two checks of a run.
 const CHECK_PAUSE_MIN: Duration = Duration::from_millis(50);
-const CHECK_PAUSE_MAX: Duration = Duration::from_millis(500);
 /// A copy costs this part of the expected run time.
 const COST_DIVISOR: u32 = 4;
 /// Least cost of a copy: its start and the stop of the other run take two orders and two listings.
@@ -172,7 +172,7 @@
         if key.is_copy() {
             self.copies.runs.insert(key);
         } else if run.copyable && self.cfg.mechanisms.has(Mechanism::Copies) {
-            let at = run.proposed + CHECK_PAUSE_MIN;
+            let at = run.proposed + check_pause(run.expected);
             self.copies.checks.set(key, Some(at));
         }
     }
@@ -300,13 +300,12 @@
             return Check::Again(now + CHECK_PAUSE_MIN);
         }
         let Some((end, reason)) = self.end_and_reason(step, run) else {
-            return Check::Again(now + CHECK_PAUSE_MAX);
+            return Check::Again(now + check_pause(step.fresh));
         };
         if step.is_too_late(end) && step.is_worth_it(end) {
             return Check::Copy(reason);
         }
-        let pause = end.saturating_sub(now) / 2;
-        Check::Again(now + pause.clamp(CHECK_PAUSE_MIN, CHECK_PAUSE_MAX))
+        Check::Again(now + check_pause(step.fresh))
     }
 
     /// When a run should end, and why that may be too late; `None` if it can't be estimated.
@@ -318,12 +317,30 @@
         } else if in_doubt && run.unanswered.is_some() {
             CopyReason::UnansweredStart
         } else {
-            return Some((run.expected_end(step.now)?, CopyReason::Late));
+            let end = self.late_end(step, run, minion)?;
+            return Some((end, CopyReason::Late));
         };
         let lease_end = minion.lease_end(step.now);
         Some((lease_end.saturating_add(step.fresh), reason))
     }
 
+    /// When a run on a minion that answers should end; `None` without evidence that a fresh run
+    /// would be faster: finished tasks of the step, or a minion that is known to be slow.
+    ///
+    /// Declared times are off by a factor of two and more. Without such evidence, work that merely
+    /// declares too little would get copies that take as long. The current estimate is used instead
+    /// of the one at the run's start, as estimates of a queue change with its work.
+    fn late_end(&self, step: &CheckedStep, run: &Run, minion: &Minion) -> Option<Timestamp> {
+        let learnt = self.cfg.mechanisms.has(Mechanism::LearntTimes);
+        let is_known = learnt && self.observed.contains_key(&step.id);
+        if !is_known && self.speeds.slowness(&minion.pace) < Slowness::Slow {
+            return None;
+        }
+        let is_whole = !run.expected.is_zero();
+        let expected = if is_whole { step.fresh } else { Duration::ZERO };
+        run.expected_end_after(step.now, expected)
+    }
+
     /// Starts copies of these tasks as far as there are minions for them, and asks the policy
     /// service about the others.
     fn place_copies_of(
@@ -456,3 +473,9 @@
         self.add_run(task.copy(), run);
     }
 }
+
+/// Time between two checks of a run with this expected run time: what a copy costs. A copy that
+/// gains less is not worth it, so more frequent checks would find nothing more.
+fn check_pause(expected: Duration) -> Duration {
+    (expected / COST_DIVISOR).max(CHECK_PAUSE_MIN)
+}
--- a/src/batch/dispatch/forecast.rs
+++ b/src/batch/dispatch/forecast.rs
@@ -60,8 +60,17 @@
 impl Run {
     /// When the run should end, from its progress or else its declared time; `None` without either.
     pub(super) fn expected_end(&self, now: Timestamp) -> Option<Timestamp> {
+        self.expected_end_after(now, self.expected)
+    }
+
+    /// The same if its expected run time were `expected`.
+    pub(super) fn expected_end_after(
+        &self,
+        now: Timestamp,
+        expected: Duration,
+    ) -> Option<Timestamp> {
         let begun = self.begun.unwrap_or(self.proposed);
-        let declared = (!self.expected.is_zero()).then(|| begun + self.expected);
+        let declared = (!expected.is_zero()).then(|| begun + expected);
         let end = self.progress.and_then(|p| p.end()).or(declared)?;
         Some(expected_end(now, begun, end))
     }
