--- a/tests/batch_copies.rs
+++ b/tests/batch_copies.rs
@@ -159,7 +159,7 @@
 /// Guards against a task that is lost, done twice or never released by its two runs.
 #[rstest]
 #[case::nothing_else_happens(Fault::Nothing)]
-#[case::the_leader_is_lost_between_the_two_starts(Fault::NewLeader)]
+#[case::the_leader_is_lost_before_the_start_is_answered(Fault::NewLeader)]
 #[case::the_start_of_the_copy_is_not_answered(Fault::StartUnanswered)]
 #[case::the_first_minion_restarts(Fault::FirstMinionRestarts)]
 #[case::the_minion_of_the_copy_restarts(Fault::CopysMinionRestarts)]
--- a/tests/batch_copy_runs.rs
+++ b/tests/batch_copy_runs.rs
@@ -4,8 +4,11 @@
 
 use batch_world::{JOB, World, lasting, listed, ms, queue, step};
 use rstest::rstest;
-use yuccahold::batch::dispatch::{Advice, Answer, CallFailure, ListedEnd, Order, StartOrder};
+use yuccahold::batch::dispatch::{
+    Advice, Answer, CallFailure, HoldAnswer, ListedEnd, Listing, Order, StartOrder,
+};
 use yuccahold::batch::event::Event;
+use yuccahold::batch::ledger::{Batch, Command};
 use yuccahold::batch::model::{
     EndKind, JobId, JobState, MinionNumber, PolicyConfig, Queue, StepSpec,
 };
@@ -34,6 +37,21 @@
 impl TwoRuns {
     /// The minion of the first run doesn't answer a hold, so a copy is started, after its commit.
     fn new() -> Self {
+        let (mut world, base, first, batch) = Self::proposed();
+        world.commit(batch);
+        let copy = world.start_all().remove(0);
+        assert_eq!((copy.1.task, copy.1.run), (first.1.task, 2));
+        assert_ne!(copy.0, first.0);
+        Self {
+            world,
+            base,
+            first,
+            copy,
+        }
+    }
+
+    /// The same before the commit: the lasting tasks, the first run, and the batch with the copy.
+    fn proposed() -> (World, Vec<Assigned>, Assigned, Batch) {
         let mut world = World::new();
         world.join_all("i", 1..3);
         world.submit(BASE, vec![lasting(12, 2_000)]);
@@ -46,16 +64,7 @@
         assert_eq!(batch.copies.len(), 1);
         world.orders.extend(world.leader.take_orders());
         assert_eq!(world.take_starts().len(), 0, "started before the commit");
-        world.commit(batch);
-        let copy = world.start_all().remove(0);
-        assert_eq!((copy.1.task, copy.1.run), (first.1.task, 2));
-        assert_ne!(copy.0, first.0);
-        Self {
-            world,
-            base,
-            first,
-            copy,
-        }
+        (world, base, first, batch)
     }
 
     /// Both runs, the first one or the copy at the front.
@@ -202,6 +211,80 @@
     world.decide();
 }
 
+/// Lists these runs on both minions to a new leader, and nothing else.
+fn list_to_new_leader(world: &mut World, runs: &[Assigned]) {
+    for minion in [0, 1] {
+        let here = runs.iter().filter(|(m, _)| *m == minion);
+        let running = here.map(|(_, start)| listed(start)).collect();
+        world.list(minion, running, Vec::new());
+    }
+}
+
+/// A leader is lost after the commit of a copy and before it sends the start. The next one finds
+/// that the copy was never started, and lets the first run end.
+#[test]
+fn a_copy_that_was_recorded_and_not_started_is_over_for_the_next_leader() {
+    let (mut world, base, first, batch) = TwoRuns::proposed();
+    world.apply(&Command::Batch(batch));
+    world.new_leader(2);
+    let runs: Vec<_> = base.iter().chain([&first]).cloned().collect();
+    list_to_new_leader(&mut world, &runs);
+    world.advance(ms(1_000));
+    assert_eq!(used_and_copies(&mut world), (26_000, 0));
+    assert_eq!(world.take_starts().len(), 0);
+    assert_eq!(world.take_stops(), []);
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
+}
+
+/// A leader is lost after it has heard of the first end and before that is committed. The next one
+/// hears of it again, and stops the other run.
+#[test]
+fn an_end_that_was_heard_and_not_committed_is_taken_by_the_next_leader() {
+    let mut runs = TwoRuns::new();
+    let (copy, first) = (runs.copy.clone(), runs.first.clone());
+    let all: Vec<_> = runs.base.iter().chain([&first, &copy]).cloned().collect();
+    let world = &mut runs.world;
+    let ended = |start: &StartOrder| ListedEnd {
+        number: 1,
+        task: start.task,
+        run: start.run,
+        kind: EndKind::Done,
+        checkpoint: Default::default(),
+    };
+    let listing = Listing {
+        clock: world.now,
+        ended: vec![ended(&copy.1)],
+        ..Listing::default()
+    };
+    let (now, answer) = (world.now, HoldAnswer::Listing(listing));
+    let ledger = &world.ledger;
+    world.leader.hold_answered(now, copy.0, now, answer, ledger);
+    assert!(!world.propose_only().expect("the end").ends.is_empty());
+    world.new_leader(2);
+    list_to_new_leader(world, &all);
+    assert_eq!(used_and_copies(world), (28_000, 1));
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
+    runs.end(&copy, 1, EndKind::Done);
+    let world = &mut runs.world;
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Done));
+    assert_eq!(world.take_stops(), [(first.0, first.1.task, first.1.run)]);
+    runs.end(&first, 1, EndKind::Stopped);
+    assert_eq!(used_and_copies(&mut runs.world), (24_000, 0));
+}
+
+/// Millicores in use and active copies, as the leader reports them.
+fn used_and_copies(world: &mut World) -> (u32, usize) {
+    world.advance(ms(1_000));
+    let mut reports = world.orders.iter().rev().filter_map(|order| match order {
+        Order::Event(event) => match **event {
+            Event::Cell { used, copies, .. } => Some((used.millicores, copies)),
+            _ => None,
+        },
+        _ => None,
+    });
+    reports.next().expect("one a second")
+}
+
 /// Each failed run counts as an attempt, whichever of the two fails first.
 #[rstest]
 #[case::the_first_run_first(true)]
