A late job of the least urgent queue keeps its place

Cause: a late job loses levels of priority by an addition that overflows in a queue of priority or more. In builds with checks the leader panicked; without checks the number wraps round, and the job comes before all others.

Change: the addition saturates. Test the_least_urgent_queue_keeps_its_place_when_late in tests/batch_bad_input.rs, which panicked before.

--- a/src/batch/dispatch/ready.rs
+++ b/src/batch/dispatch/ready.rs
@@ -113,7 +113,7 @@
             .map(|(id, step)| {
                 let mut key = step.key;
                 if !step.is_lasting() && self.cfg.mechanisms.has(Mechanism::Lateness) {
-                    key.priority += step.late_penalty(unix);
+                    key.priority = key.priority.saturating_add(step.late_penalty(unix));
                 }
                 (key, *id)
             })
