Idle CPU beyond every minion is not placed

Cause: the check whether a task that uses idle CPU fits adds its declaration to that of the others on the minion. With a declaration near 2^32 millicores, which callers may send, the sum overflows: a panic of the leader in builds with checks, a placed task without them.

Change: the declaration is compared with what the others leave. Test idle_cpu_beyond_every_minion_is_not_placed in tests/batch_bad_input.rs, which panicked before.

--- a/src/batch/dispatch/place.rs
+++ b/src/batch/dispatch/place.rs
@@ -213,7 +213,11 @@
         minion.trials == 0
             && need.fits_in(&minion.free())
             && (!spec.uses_idle_cpu
-                || minion.idle_cpu_demand + spec.need.millicores <= minion.free().millicores)
+                || spec.need.millicores
+                    <= minion
+                        .free()
+                        .millicores
+                        .saturating_sub(minion.idle_cpu_demand))
             && self.respects_reservations(now, minion, step, spec, need)
             && self.has_permission(now, minion, id, step, spec)
     }
