Expected run times stay within a hundred years

Cause: the correction of declared times is learnt without a limit. After 60 runs that declared a ten-millionth of their time, a declaration of a hundred years was corrected to more than a duration can hold once multiplied by the waves of a step, and the leader panicked. The job is in the log, so each leader that has learnt as much ends too.

Change: expected times are limited to the longest declared time.

--- a/src/batch/dispatch/profile.rs
+++ b/src/batch/dispatch/profile.rs
@@ -13,6 +13,9 @@
 const WEIGHT: f64 = 0.02;
 /// Runs needed before measured run times are used.
 const MIN_RUNS: u32 = 20;
+/// Longest expected run time in seconds, a hundred years as for declared ones. A correction learnt
+/// from absurd declarations can exceed the range of durations, which would end the leader.
+const MAX_EXPECTED: f64 = 3.2e9;
 /// Weight of a job's declared time against the queue's mean declared time while there are too few
 /// measured runs to prefer either.
 const EQUAL_WEIGHT: f64 = 0.5;
@@ -99,7 +102,9 @@
     }
 }
 
-/// Weighted geometric mean of two times given as logarithms; `weight` is that of the second.
+/// Weighted geometric mean of two times given as logarithms, up to `MAX_EXPECTED`; `weight` is that
+/// of the second.
 fn geometric_mean(first: f64, second: f64, weight: f64) -> Duration {
-    Duration::from_secs_f64((first * (1.0 - weight) + second * weight).exp())
+    let secs = (first * (1.0 - weight) + second * weight).exp();
+    Duration::from_secs_f64(secs.min(MAX_EXPECTED))
 }
