A stretch above 1,000 is refused

Cause: any finite stretch of a route was accepted; the objective of a job is a multiple of its run time by this factor, and the multiplication panics once the result exceeds the range of durations. Such a configuration would end every leader with the first job.

Change: a stretch above 1,000 is refused with 400 and one line.

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -15,6 +15,9 @@
 
 /// Weights of this size and above are refused as mistakes.
 const MAX_WEIGHT: f64 = 1e9;
+/// Longest objective as a multiple of a job's run time. With more, the objective of the longest
+/// valid job exceeds the range of durations.
+const MAX_STRETCH: f64 = 1000.0;
 
 #[derive(Deserialize)]
 struct ConfigBody {
@@ -199,7 +202,7 @@
 }
 
 fn queue(route: RouteBody) -> Result<Queue, String> {
-    if !route.stretch.is_finite() || route.stretch < 0.0 {
+    if !(0.0..=MAX_STRETCH).contains(&route.stretch) {
         return Err(format!("route {}: stretch is not a factor", route.name));
     }
     let advice = match route.advice {
