Jobs are limited to 20,000 tasks and texts of 4,000 bytes

Cause: only the tasks of one step were limited. A body of 4 KB with 200 steps of 20,000 tasks makes 4 million task records of 100 bytes on each replica. Images, labels and racks were limited only by the body.

Change: all steps of a job have 20,000 tasks at most, and each of these texts 4,000 bytes, as the payload; otherwise 400 with one line.

--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -9,9 +9,9 @@
 use crate::batch::model::{Grouping, JobSpec, JobState, Lifetime, StepSpec, Timetable};
 use crate::resources::Resources;
 
-/// Longest payload in bytes, set by the platform's contract.
+/// Longest payload in bytes, set by the platform's contract; other texts are limited alike.
 const MAX_PAYLOAD: usize = 4000;
-/// Most tasks in a step. The contract sets no limit; the users' largest jobs have 50 tasks, and
+/// Most tasks in a job. The contract sets no limit; the users' largest jobs have 50 tasks, and
 /// each task takes 100 bytes of memory on every replica.
 const MAX_TASKS: u32 = 20_000;
 /// Most steps in a job, limited for the same reason.
@@ -85,6 +85,10 @@
         return Err(format!("a job has 1 to {MAX_STEPS} steps"));
     }
     let steps = job.steps.into_iter().enumerate().map(|(i, s)| step(i, s));
+    let steps = steps.collect::<Result<Vec<_>, _>>()?;
+    if steps.iter().map(|s| s.count).sum::<u32>() > MAX_TASKS {
+        return Err(format!("a job has at most {MAX_TASKS} tasks"));
+    }
     let timetable = if job.times > 0 {
         Some(Timetable {
             occurrences: job.times,
@@ -96,7 +100,7 @@
     };
     Ok(Arc::new(JobSpec {
         payload: job.spec,
-        steps: steps.collect::<Result<_, _>>()?,
+        steps,
         timetable,
     }))
 }
@@ -112,6 +116,16 @@
             "step {index}: depends_on names step {bad}, which is not earlier"
         ));
     }
+    let texts = [
+        ("image", &body.image),
+        ("required_label", &body.required_label),
+        ("data_rack", &body.data_rack),
+    ];
+    if let Some((name, _)) = texts.iter().find(|(_, text)| text.len() > MAX_PAYLOAD) {
+        return Err(format!(
+            "step {index}: {name} is longer than {MAX_PAYLOAD} bytes"
+        ));
+    }
     let nonzero = |number: u32| (number > 0).then_some(number);
     let text = |text: CompactString| (!text.is_empty()).then_some(text);
     Ok(StepSpec {
