--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -75,8 +75,8 @@
         }
     }
 
-    /// Decides how to serve a caller's request at `now`, in monotonic time. Call it only while leadership is confirmed: on a
-    /// deposed leader the ledger may be stale.
+    /// Decides how to serve a caller's request at `now`, in monotonic time. Call it only while
+    /// leadership is confirmed: on a deposed leader the ledger may be stale.
     pub fn admit(&mut self, now: Timestamp, call: ClientCall) -> Admission {
         let Some(config) = &self.ledger.config else {
             return Admission::Answer(ClientReply::Unavailable(RETRY_AFTER));
