Tests: a start sent before the first end may be carried out after it

The run is tracked and stopped; no order can call the first one back, so with two runs this must be allowed. Change: where a step allows copies, the check moves from the execution to the sending of a start: no start may be sent once an end as done is acknowledged. Sending is now checked for all steps, the execution as before for those without copies.

--- a/tests/batch_copies.rs
+++ b/tests/batch_copies.rs
@@ -307,7 +307,8 @@
 #[test]
 fn copies_keep_all_rules_under_random_faults() {
     let (mut won, mut lost) = (0, 0);
-    for seed in 1..=40 {
+    // 652: the first run starts late, after the copy is done.
+    for seed in (1..=40).chain([652]) {
         let cell = play_random(seed, config(), |job| job % 2 == 0);
         assert_eq!(cell.violations, [""; 0], "seed {seed}");
         for i in 0..60 {
--- a/tests/batch_world/hosts/checks.rs
+++ b/tests/batch_world/hosts/checks.rs
@@ -2,11 +2,22 @@
 
 use std::time::Duration;
 
-use yuccahold::batch::dispatch::StartOrder;
+use yuccahold::batch::dispatch::{MinionOrder, StartOrder};
 
 use super::{Cell, LEADER_SETTLE_TIME};
 
 impl Cell {
+    /// Checks that the leader sends no start of a task of which an end as done is committed.
+    pub(super) fn check_sent(&mut self, order: &MinionOrder) {
+        if let MinionOrder::Start(start) = order
+            && self.done.contains(&start.task)
+        {
+            let (task, run) = (start.task, start.run);
+            self.violations
+                .push(format!("{task} run {run} sent after it was done"));
+        }
+    }
+
     /// Checks a start that a host has executed. `other_ports` are those on which its task ran
     /// before. Two runs of a task are allowed where its step allows copies, on different hosts.
     pub(super) fn check_start(
@@ -31,7 +42,8 @@
             let text = format!("{task} run {run} on {port} beside one on {other_ports:?}");
             self.violations.push(text);
         }
-        if self.done.contains(&task) {
+        // With two runs, an order that was sent before the first end may be carried out after it.
+        if self.done.contains(&task) && !spec.copies_allowed {
             self.violations
                 .push(format!("{task} run {run} after it was done"));
         }
--- a/tests/batch_world/hosts/mod.rs
+++ b/tests/batch_world/hosts/mod.rs
@@ -375,6 +375,7 @@
     }
 
     fn send(&mut self, now: Duration, target: Target, order: MinionOrder) {
+        self.check_sent(&order);
         let is_start = matches!(order, MinionOrder::Start(_));
         let port = target.addr.port();
         let up = self.hosts[&port].inc.is_some();
