--- a/tests/batch_admission.rs
+++ b/tests/batch_admission.rs
@@ -16,7 +16,7 @@
 
 /// A calm workspace and one with less urgent work submit 0.55 of the capacity within their weights.
 /// After a while a third one submits the rest of `load` times the capacity, eight times its weight.
-/// `change` alters its steps' declared run times.
+/// `declared` is the declared run time of its tasks.
 fn competition(enabled: bool, load: f64, declared: Duration) -> Scores {
     let flood = load - 0.55;
     let weight = flood * TASKS_PER_SECOND / 2.0 / 8.0;
