--- a/tests/platform_cell/caller.rs
+++ b/tests/platform_cell/caller.rs
@@ -83,6 +83,7 @@
             duration_ms,
             fail_percent: 8,
             crashes: self.crash_share > 0.0 && self.rng.random_bool(self.crash_share),
+            copies: need.millicores.is_multiple_of(2),
         };
         let steps: Vec<_> = (0..self.rng.random_range(1..=2_u32))
             .map(|step| {
@@ -90,6 +91,7 @@
                     "count": self.rng.random_range(1..=4), "cpu": need.millicores,
                     "mem_mb": need.memory_mb, "est_ms": duration_ms,
                     "depends_on": (0..step).collect::<Vec<_>>(),
+                    "speculative": payload.copies,
                 })
             })
             .collect();
