--- a/src/batch/dispatch/mechanisms.rs
+++ b/src/batch/dispatch/mechanisms.rs
@@ -95,6 +95,11 @@
         Ok(Self { off })
     }
 
+    /// Switches a mechanism off.
+    pub fn switch_off(&mut self, mechanism: Mechanism) {
+        self.off.insert(mechanism);
+    }
+
     /// Whether a mechanism is in use, that is, not switched off.
     pub fn has(&self, mechanism: Mechanism) -> bool {
         !self.off.contains(&mechanism)
--- a/src/bin/control.rs
+++ b/src/bin/control.rs
@@ -21,6 +21,7 @@
       --log-format FORMAT   auto, human or json [default: auto]
       --log-level LEVEL     error, warning, info, debug or trace [default: info]
       --platform            take the settings from the platform's file and serve its contract
+      --admission           after --platform: refuse jobs of workspaces that would be served too late
       --without NAMES       after --platform: decide without these mechanisms, named with commas;
                             docs/OPERATIONS.md lists them
   -h, --help                print this
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -14,7 +14,7 @@
 use super::operator::ControlHandler;
 use super::settings::Boot;
 use crate::batch::agents::Agents;
-use crate::batch::dispatch::Mechanisms;
+use crate::batch::dispatch::{Mechanism, Mechanisms};
 use crate::batch::driver;
 use crate::batch::link::LeaderLink;
 use crate::batch::machine::Machine;
@@ -53,9 +53,11 @@
     })
 }
 
-/// Parses `--without NAME,...`, which switches off scheduling mechanisms; the error is one sentence.
+/// Parses `--without NAME,...`, which switches off scheduling mechanisms, and `--admission`, which
+/// switches on the one that is off by default; the error is one sentence.
 pub fn parse_args(args: impl Iterator<Item = OsString>) -> Result<Mechanisms, String> {
     let mut mechanisms = Mechanisms::default();
+    let mut admission = false;
     let mut parser = lexopt::Parser::from_args(args);
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
@@ -63,9 +65,13 @@
                 let names = parser.value().map_err(|e| e.to_string())?;
                 mechanisms = Mechanisms::without(&names.to_string_lossy())?;
             }
+            lexopt::Arg::Long("admission") => admission = true,
             other => return Err(other.unexpected().to_string()),
         }
     }
+    if !admission {
+        mechanisms.switch_off(Mechanism::Admission);
+    }
     Ok(mechanisms)
 }
 
