--- a/tests/platform_cell/minion.rs
+++ b/tests/platform_cell/minion.rs
@@ -382,14 +382,8 @@
             how: order.outcome(&body.task, body.run),
         };
         let capacity = self.capacity().granted(Instant::now());
-        self.recorder.run_started(
-            &body.task,
-            body.run,
-            &state.id,
-            run.need,
-            capacity,
-            order.copies,
-        );
+        self.recorder
+            .run_started(&body.task, body.run, &state.id, &order, capacity);
         if order.crashes {
             self.recorder.started_crasher(&body.task);
             state.crashes_at = Some(clock + CRASH_DELAY_MS);
--- a/tests/platform_cell/recorder.rs
+++ b/tests/platform_cell/recorder.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use super::payload::Payload;
 use super::workspaces::Workspaces;
 
 /// Resources that a task uses or that a minion has.
@@ -65,17 +66,16 @@
         self.records.lock().expect("no holder panics")
     }
 
-    /// Records that a minion with this capacity has started a run. `copies` is whether the task may
-    /// have a copy.
+    /// Records that a minion with this capacity has started a run.
     pub fn run_started(
         &self,
         task: &str,
         run: u32,
         minion: &str,
-        need: Resources,
+        order: &Payload,
         capacity: Resources,
-        copies: bool,
     ) {
+        let Payload { need, copies, .. } = *order;
         let mut records = self.lock();
         records.starts += 1;
         let others = records.running.get(task).cloned().unwrap_or_default();
