A task does not wait for late orders after an end that its minion listed

The wait of up to 5 s after an unanswered order applied also to a run that its minion had confirmed and listed as failed or stopped; that incarnation refuses the order. A gang whose member fails soon after such a start would have stood still for longer than the 3 s that callers may be left without a run.

--- a/src/batch/dispatch/late_starts.rs
+++ b/src/batch/dispatch/late_starts.rs
@@ -10,7 +10,7 @@
 
 use super::Dispatcher;
 use super::run::{Run, RunState};
-use crate::batch::model::{StepSpec, TaskId};
+use crate::batch::model::{EndKind, StepSpec, TaskId};
 use crate::ids::Timestamp;
 
 /// Tasks that may not start again before a point in time.
@@ -48,7 +48,24 @@
 impl Dispatcher {
     /// Holds back a task whose run is over while an order to start that run may be carried out by
     /// another incarnation of its minion.
-    pub(super) fn hold_for_late_start(&mut self, now: Timestamp, task: TaskId, run: &Run) {
+    ///
+    /// Not after an end that its minion listed of a run that it had confirmed: that incarnation is up
+    /// and refuses the order. With a wait there too, a job whose only tasks fail soon after their
+    /// start stood still for several seconds beside free room.
+    pub(super) fn hold_for_late_start(
+        &mut self,
+        now: Timestamp,
+        task: TaskId,
+        run: &Run,
+        kind: EndKind,
+    ) {
+        let listed = !matches!(
+            kind,
+            EndKind::Lapsed | EndKind::Crashed | EndKind::NeverStarted
+        );
+        if listed && matches!(run.state, RunState::Running(_)) {
+            return;
+        }
         let minion = self.minions.get(&run.minion);
         let keeps_id = minion.is_some_and(|m| m.report.started.is_some());
         let Some(until) = run
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -164,7 +164,7 @@
         self.record_release(as_of, &run, kind);
         let task = key.original();
         if kind != EndKind::Done {
-            self.hold_for_late_start(as_of, task, &over);
+            self.hold_for_late_start(as_of, task, &over, kind);
         }
         let id = self.minions.get(&run.minion).map(|m| m.report.id.clone());
         self.emit(Event::RunEnded {
