Logs: copies of a change that were not accepted, and refusals with the applied index

Symptom: after a restart of all of control a job ran whose submission had been refused. One line at the entry host and none at the leader say neither how many copies were sent, nor to which leader and term, nor what each was answered, nor how much of the log the leader had applied when it refused. Change: 'copy not accepted' at the sender of each copy, 'change not accepted' at the leader with term, committed and applied index, each at most 20 a second; a counter of leased reads that run behind the commit index. Leased reads get the point in the log at which they run. No decision changes.

--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -35,6 +35,16 @@
     PendingCount,
 }
 
+impl ClientAction {
+    /// Whether it changes a job.
+    pub fn is_change(&self) -> bool {
+        match self {
+            Self::Submit(_) | Self::Cancel => true,
+            Self::State | Self::PendingCount => false,
+        }
+    }
+}
+
 /// A caller's request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClientCall {
@@ -92,6 +102,23 @@
     Unavailable,
 }
 
+impl ClientReply {
+    /// Name for logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::State(_) | Self::PendingCount(_) => "read",
+            Self::NotFound => "unknown job",
+            Self::NoQueue => "unknown queue",
+            Self::Unauthenticated => "unknown key",
+            Self::IdTaken | Self::Invalid(_) => "invalid",
+            Self::Unavailable(_) => "not run",
+            Self::InDoubt => "in doubt",
+            Self::Refused { .. } => "refused",
+        }
+    }
+}
+
 /// A call to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Call {
@@ -113,10 +140,7 @@
     /// Whether it changes nothing, so that it can be refused although it may have been sent.
     pub fn is_read(&self) -> bool {
         match self {
-            Self::Client(call) => matches!(
-                call.action,
-                ClientAction::State | ClientAction::PendingCount
-            ),
+            Self::Client(call) => !call.action.is_change(),
             Self::GetConfig => true,
             Self::Report(_) | Self::Reports(_) | Self::Left(_) | Self::PutConfig(_) => false,
         }
@@ -134,6 +158,17 @@
     NotLeader(Option<SocketAddr>),
 }
 
+impl CallReply {
+    /// Name for logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Client(reply) => reply.as_str(),
+            Self::Operator(_) => "operator's answer",
+            Self::NotLeader(_) => "no leader",
+        }
+    }
+}
+
 /// Number of an order that an agent sends on the leader's behalf.
 pub type OrderNumber = u64;
 
--- a/src/batch/leader_search.rs
+++ b/src/batch/leader_search.rs
@@ -13,7 +13,7 @@
 use super::dispatch::MinionAnswer;
 use super::driver::{Minions, Policy, send_order};
 use super::election_watch::{ElectedLeader, Members};
-use super::link::{AgentCalls, Contact, PendingCall};
+use super::link::{AgentCalls, Contact, LeaderConnection, PendingCall};
 use crate::error::{Error, Result, Step};
 use crate::ids::Term;
 use crate::task::AbortOnDrop;
@@ -47,7 +47,7 @@
     pub(super) next_addr: Option<SocketAddr>,
     pub(super) keys: CellKeys,
     pub(super) calls: AgentCalls<M, P>,
-    pub(super) current: watch::Sender<Option<mpsc::UnboundedSender<PendingCall>>>,
+    pub(super) current: watch::Sender<Option<LeaderConnection>>,
     pub(super) lost_at: Arc<Mutex<Instant>>,
     pub(super) log: Logger,
 }
@@ -85,7 +85,7 @@
             self.members
                 .send_modify(|members| members.leader = Some(addr));
             info!(self.log, "leader found"; "leader" => %addr, "term" => self.term);
-            let why = self.serve(reader, writer).await;
+            let why = self.serve(addr, reader, writer).await;
             *self.lost_at.lock().expect("no holder panics") = Instant::now();
             self.current.send_replace(None);
             self.members.send_modify(|members| members.leader = None);
@@ -151,7 +151,12 @@
     }
 
     /// Exchanges messages with the leader until the connection fails or the peer no longer leads.
-    async fn serve(&mut self, mut reader: FrameReader, mut writer: FrameWriter) -> Result<()> {
+    async fn serve(
+        &mut self,
+        addr: SocketAddr,
+        mut reader: FrameReader,
+        mut writer: FrameWriter,
+    ) -> Result<()> {
         let (tx, rx) = mpsc::unbounded_channel::<PendingCall>();
         let mut rx = Unwritten(rx);
         let (agent_tx, mut answers) = mpsc::unbounded_channel::<AgentMessage>();
@@ -165,7 +170,11 @@
             }
         });
         let _reading = AbortOnDrop(reading);
-        self.current.send_replace(Some(tx));
+        self.current.send_replace(Some(LeaderConnection {
+            calls: tx,
+            addr,
+            term: self.term,
+        }));
         let mut open: HashMap<CallNumber, oneshot::Sender<CallReply>> = HashMap::new();
         let mut number: CallNumber = 0;
         let mut last_received = Instant::now();
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -5,16 +5,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::calls::{Call, CallReply, ClientAction, ClientCall, RETRY_AFTER};
+use super::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply, RETRY_AFTER};
 use super::driver::{Minions, Policy};
 use super::election_watch::{Members, watch_elections};
 use super::leader_search::LeaderSearch;
-use super::relay::{Copies, call_by_relay, is_refusal, settles};
-use crate::ids::ZoneName;
+use super::relay::{Copies, RelayWay, call_by_relay, is_refusal, settles};
+use crate::ids::{Term, ZoneName};
+use crate::replication::monotonic_now;
+use crate::telemetry::LineLimit;
 use crate::wire::CellKeys;
 
 /// How long calls wait for a new leader, counted from the loss of the last one: nearly all leader
@@ -45,6 +47,8 @@
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest time for which relays are tried for a call. Later its caller has more use of a refusal.
 const RELAY_PERIOD: Duration = Duration::from_millis(1500);
+/// Most log lines a second about copies of changes that were not accepted.
+const MAX_COPY_LINES: u32 = 20;
 
 /// Reason why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +97,40 @@
     lost_at: Arc<Mutex<Instant>>,
     contact: Contact,
     keys: CellKeys,
+    copies: CopyLog,
+}
+
+/// A connection to the leader.
+#[derive(Clone)]
+pub(super) struct LeaderConnection {
+    pub(super) calls: mpsc::UnboundedSender<PendingCall>,
+    pub(super) addr: SocketAddr,
+    pub(super) term: Term,
+}
+
+/// Logs the copies of changes that were not accepted: a request has one answer, but several copies
+/// of it may have been sent. Clones share a limit on the lines.
+#[derive(Clone)]
+pub(super) struct CopyLog {
+    limit: LineLimit,
+    log: Logger,
+}
+
+impl CopyLog {
+    /// Logs what became of a copy; `term` is that of the leader that it was sent to.
+    pub(super) fn not_accepted(
+        &self,
+        call: &Call,
+        (via, peer): (&str, SocketAddr),
+        term: Option<Term>,
+        outcome: &str,
+    ) {
+        let Call::Client(call) = call else { return };
+        if call.action.is_change() && self.limit.take(monotonic_now()) {
+            info!(self.log, "copy not accepted"; "path" => call.path.as_str(), "via" => via,
+                "peer" => %peer, "term" => term, "outcome" => outcome);
+        }
+    }
 }
 
 /// What this process has heard from the leader; clones share it.
@@ -144,6 +182,10 @@
             own_addr: calls.relay_addr,
             next_relay: Arc::new(Mutex::new(Instant::now())),
         };
+        let copies = CopyLog {
+            limit: LineLimit::per_second(MAX_COPY_LINES),
+            log: log.clone(),
+        };
         let search = LeaderSearch {
             contact: contact.clone(),
             seeds: Arc::clone(&seeds),
@@ -164,6 +206,7 @@
             lost_at,
             contact,
             keys,
+            copies,
         }
     }
 
@@ -230,7 +273,12 @@
         loop {
             timeout_at(until, self.leader_unheard()).await.ok()?;
             let relays = self.contact.usable_relays(Instant::now());
-            let reply = call_by_relay(&relays, &self.keys, &request, until, copies).await;
+            let way = RelayWay {
+                relays: &relays,
+                keys: &self.keys,
+                log: &self.copies,
+            };
+            let reply = call_by_relay(way, &request, until, copies).await;
             if reply.is_some() {
                 return reply;
             }
@@ -279,20 +327,25 @@
                 CallError::InDoubt => deadline,
             };
             let connected = timeout_at(until, current.wait_for(Option::is_some)).await;
-            let Ok(Ok(tx)) = connected.map(|found| found.map(|tx| tx.clone())) else {
+            let Ok(Ok(leader)) = connected.map(|found| found.map(|leader| leader.clone())) else {
                 return Err(no_answer);
             };
-            let Some(tx) = tx else { continue };
+            let Some(leader) = leader else { continue };
             let (reply, rx) = oneshot::channel();
-            let call = call.clone();
-            if tx.send(PendingCall { call, reply }).is_err() {
-                wait_for_change(&mut current, &tx, deadline).await;
+            let pending = PendingCall {
+                call: call.clone(),
+                reply,
+            };
+            if leader.calls.send(pending).is_err() {
+                wait_for_change(&mut current, &leader, deadline).await;
                 continue;
             }
-            match timeout_at(deadline, rx).await {
+            let answered = timeout_at(deadline, rx).await;
+            self.log_copy(&call, &leader, &answered);
+            match answered {
                 Ok(Ok(CallReply::NotLeader(_))) => {
                     // Nothing was done. `LeaderSearch` finds the new leader in the background.
-                    wait_for_change(&mut current, &tx, deadline).await;
+                    wait_for_change(&mut current, &leader, deadline).await;
                 }
                 // An earlier copy may have been executed, or may yet be.
                 Ok(Ok(reply)) if no_answer == CallError::InDoubt && is_refusal(&reply) => {
@@ -305,6 +358,23 @@
         }
     }
 
+    fn log_copy<E, T>(
+        &self,
+        call: &Call,
+        leader: &LeaderConnection,
+        answered: &Result<Result<CallReply, E>, T>,
+    ) {
+        let outcome = match answered {
+            Ok(Ok(CallReply::Client(ClientReply::Accepted))) => return,
+            Ok(Ok(reply)) => reply.as_str(),
+            Ok(Err(_)) => "connection lost",
+            Err(_) => "no answer in time",
+        };
+        let via = ("leader", leader.addr);
+        self.copies
+            .not_accepted(call, via, Some(leader.term), outcome);
+    }
+
     /// When a call that waits for a leader is given up.
     fn leader_wait_end(&self) -> Instant {
         let now = Instant::now();
@@ -313,16 +383,13 @@
 }
 
 /// Waits until the connection `old` is lost or replaced.
-async fn wait_for_change(
-    current: &mut CurrentLeader,
-    old: &mpsc::UnboundedSender<PendingCall>,
-    deadline: Instant,
-) {
-    let other = |now: &Option<mpsc::UnboundedSender<PendingCall>>| {
-        now.as_ref().is_none_or(|tx| !tx.same_channel(old))
+async fn wait_for_change(current: &mut CurrentLeader, old: &LeaderConnection, deadline: Instant) {
+    let other = |now: &Option<LeaderConnection>| {
+        now.as_ref()
+            .is_none_or(|leader| !leader.calls.same_channel(&old.calls))
     };
     let _ = timeout_at(deadline, current.wait_for(other)).await;
 }
 
 /// The connection to the leader; `None` while there is none.
-type CurrentLeader = watch::Receiver<Option<mpsc::UnboundedSender<PendingCall>>>;
+type CurrentLeader = watch::Receiver<Option<LeaderConnection>>;
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
-use super::link::{CallError, LeaderLink};
+use super::link::{CallError, CopyLog, LeaderLink};
 use crate::error::{Error, Result, Step};
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
@@ -128,18 +128,29 @@
     }
 }
 
-/// Passes a request through one of `relays`; `None` if none of those tried gave an answer that
+/// The way through relays.
+pub(super) struct RelayWay<'a> {
+    pub(super) relays: &'a [SocketAddr],
+    pub(super) keys: &'a CellKeys,
+    pub(super) log: &'a CopyLog,
+}
+
+/// Passes a request through one of the relays; `None` if none of those tried gave an answer that
 /// settles it.
 pub(super) async fn call_by_relay(
-    relays: &[SocketAddr],
-    keys: &CellKeys,
+    way: RelayWay<'_>,
     call: &ClientCall,
     deadline: Instant,
     copies: &Copies,
 ) -> Option<CallReply> {
-    let tried = relays.iter().copied().sample(&mut rand::rng(), MAX_TRIES);
+    let tried = way
+        .relays
+        .iter()
+        .copied()
+        .sample(&mut rand::rng(), MAX_TRIES);
     for addr in tried {
-        let answered = timeout_at(deadline, ask(addr, keys, call, deadline, copies)).await;
+        let answered = timeout_at(deadline, ask(addr, way.keys, call, deadline, copies)).await;
+        log_copy(way.log, addr, call, &answered);
         if let Ok(Ok(reply)) = answered
             && settles(&reply)
         {
@@ -149,6 +160,26 @@
     None
 }
 
+fn log_copy<T>(
+    log: &CopyLog,
+    relay: SocketAddr,
+    call: &ClientCall,
+    answered: &std::result::Result<Result<CallReply>, T>,
+) {
+    let error;
+    let outcome = match answered {
+        Ok(Ok(CallReply::Client(ClientReply::Accepted))) => return,
+        Ok(Ok(reply)) => reply.as_str(),
+        Ok(Err(e)) => {
+            error = e.to_string();
+            &error
+        }
+        Err(_) => "no answer in time",
+    };
+    let call = Call::Client(call.clone());
+    log.not_accepted(&call, ("relay", relay), None, outcome);
+}
+
 async fn ask(
     addr: SocketAddr,
     keys: &CellKeys,
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -20,8 +20,11 @@
 use super::report_batch::{LeaderCalls, Outcome};
 use crate::error::{Error, Result, Step};
 use crate::ids::ZoneName;
-use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus, monotonic_now};
+use crate::replication::{
+    ProposeError, ReadError, ReadPoint, ReplicaHandle, ReplicaStatus, monotonic_now,
+};
 use crate::task::AbortOnDrop;
+use crate::telemetry::LineLimit;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
 /// Timeout for the authentication of a new connection.
@@ -35,6 +38,8 @@
 /// stall without a reset when its peer is gone for good; orders and questions given to it would be
 /// lost.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most log lines a second about changes that were not accepted.
+const MAX_REFUSAL_LINES: u32 = 20;
 
 /// Answers calls from this replica's state; clones share it.
 #[derive(Clone)]
@@ -45,6 +50,7 @@
     /// Address of this host; agents that connect from it are not given orders.
     host_ip: IpAddr,
     connections: Arc<AtomicU64>,
+    refusals: LineLimit,
     log: Logger,
 }
 
@@ -63,6 +69,7 @@
             agents,
             host_ip,
             connections: Arc::default(),
+            refusals: LineLimit::per_second(MAX_REFUSAL_LINES),
             log,
         }
     }
@@ -78,27 +85,35 @@
     pub async fn answer(&self, call: Call) -> CallReply {
         match call {
             Call::Client(call) => {
-                let admitted = self.replica.leased(move |m, now| m.admit(now, call)).await;
+                let path = call.path.clone();
+                let changes = call.action.is_change();
+                let admit = move |m: &mut Machine, at: ReadPoint| (m.admit(at.now, call), at);
+                let admitted = self.replica.leased(admit).await;
                 match admitted {
-                    Ok(Admission::Answer(reply)) => CallReply::Client(reply),
-                    Ok(Admission::Propose(command)) => self.propose_for_client(*command).await,
+                    Ok((Admission::Answer(reply), at)) => {
+                        if changes && reply != ClientReply::Accepted {
+                            self.log_refusal(&path, &reply, at);
+                        }
+                        CallReply::Client(reply)
+                    }
+                    Ok((Admission::Propose(command), _)) => self.propose_for_client(*command).await,
                     Err(e) => not_leader(&e),
                 }
             }
             Call::Report(report) => {
-                let reported = self.replica.leased(move |m, now| m.report(now, *report));
+                let reported = self.replica.leased(move |m, at| m.report(at.now, *report));
                 accepted(reported.await)
             }
             Call::Reports(reports) => {
-                let reported = self.replica.leased(move |m, now| {
+                let reported = self.replica.leased(move |m, at| {
                     for report in reports {
-                        m.report(now, report);
+                        m.report(at.now, report);
                     }
                 });
                 accepted(reported.await)
             }
             Call::Left(id) => {
-                let reported = self.replica.leased(move |m, now| m.minion_left(now, &id));
+                let reported = self.replica.leased(move |m, at| m.minion_left(at.now, &id));
                 accepted(reported.await)
             }
             Call::PutConfig(order) => {
@@ -124,6 +139,15 @@
         }
     }
 
+    /// Logs a change that was not accepted, with how far the log was applied: a leader that answers
+    /// from an older state refuses what it should not.
+    fn log_refusal(&self, path: &str, reply: &ClientReply, at: ReadPoint) {
+        if self.refusals.take(at.now) {
+            info!(self.log, "change not accepted"; "path" => path, "outcome" => reply.as_str(),
+                "term" => at.term, "committed" => at.committed, "applied" => at.applied);
+        }
+    }
+
     async fn propose_for_client(&self, command: Command) -> CallReply {
         match self.propose(command).await {
             Ok(Reply::Accepted) => CallReply::Client(ClientReply::Accepted),
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -76,7 +76,7 @@
             }
             _ => return error_reply(StatusCode::METHOD_NOT_ALLOWED, "only GET, POST and DELETE"),
         };
-        let changes = matches!(action, ClientAction::Submit(_) | ClientAction::Cancel);
+        let changes = action.is_change();
         let call = ClientCall {
             host,
             path,
@@ -105,16 +105,9 @@
 
 fn outcome(reply: &Result<CallReply, CallError>) -> &'static str {
     match reply {
-        Ok(CallReply::Client(ClientReply::Accepted)) => "accepted",
-        Ok(CallReply::Client(ClientReply::State(_) | ClientReply::PendingCount(_))) => "read",
-        Ok(CallReply::Client(ClientReply::NotFound)) => "unknown job",
-        Ok(CallReply::Client(ClientReply::NoQueue)) => "unknown queue",
-        Ok(CallReply::Client(ClientReply::Unauthenticated)) => "unknown key",
-        Ok(CallReply::Client(ClientReply::Invalid(_) | ClientReply::IdTaken)) => "invalid",
-        Ok(CallReply::Client(ClientReply::Unavailable(_))) | Err(CallError::NotRun) => "not run",
-        Ok(CallReply::Client(ClientReply::InDoubt)) | Err(CallError::InDoubt) => "in doubt",
-        Ok(CallReply::Client(ClientReply::Refused { .. })) => "refused",
-        Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) => "no leader",
+        Ok(reply) => reply.as_str(),
+        Err(CallError::NotRun) => "not run",
+        Err(CallError::InDoubt) => "in doubt",
     }
 }
 
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -323,6 +323,11 @@
         }
     }
 
+    /// Last entry known to be committed.
+    pub(crate) fn committed(&self) -> LogIndex {
+        self.commit
+    }
+
     pub(crate) fn members(&self) -> &Membership {
         &self.members
     }
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -82,6 +82,19 @@
     pub call_addrs: Vec<SocketAddr>,
 }
 
+/// When a read runs, and how far the log is applied then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadPoint {
+    /// Monotonic time.
+    pub now: Timestamp,
+    /// Term that this replica leads.
+    pub term: Term,
+    /// Last entry known to be committed.
+    pub committed: LogIndex,
+    /// Last entry applied to the state that the read gets.
+    pub applied: LogIndex,
+}
+
 /// Why a command was not applied, or may not have been.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ProposeError {
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -10,5 +10,5 @@
     Body, Entry, HardState, HeartbeatMark, Member, Membership, Message, Payload, Recovered, Save,
     SaveSnapshot, Snapshot,
 };
-pub use machine::{ProposeError, ReadError, ReplicaStatus, Role, StateMachine};
+pub use machine::{ProposeError, ReadError, ReadPoint, ReplicaStatus, Role, StateMachine};
 pub use runtime::{Formation, Replica, ReplicaConfig, ReplicaHandle, monotonic_now, unix_now};
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -16,7 +16,9 @@
 use crate::error::Error;
 use crate::ids::{LogIndex, Term};
 use crate::replication::core::{Core, Effect, Entry, Payload, ReadId, Refused, Save};
-use crate::replication::machine::{ProposeError, ReadError, ReplicaStatus, StateMachine};
+use crate::replication::machine::{
+    ProposeError, ReadError, ReadPoint, ReplicaStatus, StateMachine,
+};
 
 /// Most commands that may wait to be committed.
 const MAX_PENDING: usize = 16 * 1024;
@@ -31,6 +33,9 @@
 pub(super) struct Control<M: StateMachine> {
     pub(super) core: Core,
     pub(super) machine: M,
+    /// Last entry applied to `machine`. The core counts an entry as applied once it has handed it
+    /// over.
+    pub(super) machine_applied: LogIndex,
     pub(super) disk: Option<DiskQueue>,
     /// The disk thread has a batch whose result it has not reported yet.
     pub(super) disk_busy: bool,
@@ -114,6 +119,7 @@
             Effect::Announce(message) => self.peers.announce(message, self.core.members().addrs()),
             Effect::Apply(entries) => entries.into_iter().for_each(|e| self.apply(e)),
             Effect::Restore(snapshot) => {
+                self.machine_applied = snapshot.index;
                 if let Err(e) = self.machine.restore(&snapshot.data) {
                     self.stop_on_failure(&e);
                 }
@@ -134,6 +140,7 @@
     }
 
     fn apply(&mut self, entry: Entry) {
+        self.machine_applied = entry.index;
         let Payload::Command(command) = &entry.payload else {
             return;
         };
@@ -160,7 +167,16 @@
         // Reads the clock again: this thread may have been paused since leadership was confirmed.
         let now = monotonic_now();
         if self.core.is_confirmed(now) {
-            job(Ok((&mut self.machine, now)));
+            let at = ReadPoint {
+                now,
+                term: self.core.term(),
+                committed: self.core.committed(),
+                applied: self.machine_applied,
+            };
+            if at.applied < at.committed {
+                metrics::counter!("yuccahold_replica_reads_behind_total").increment(1);
+            }
+            job(Ok((&mut self.machine, at)));
         } else {
             job(Err(self.not_leader_error()));
         }
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -19,7 +19,9 @@
 use crate::ids::Timestamp;
 use crate::replication::core::{Core, CoreConfig, Entry, HardState, Membership, Payload};
 use crate::replication::core::{Recovered, Save};
-use crate::replication::machine::{ProposeError, ReadError, ReplicaStatus, StateMachine};
+use crate::replication::machine::{
+    ProposeError, ReadError, ReadPoint, ReplicaStatus, StateMachine,
+};
 use crate::storage::{Files, RealFiles, Store, WriteError};
 
 /// Most messages queued for the control thread.
@@ -154,6 +156,7 @@
     let control = Control {
         core,
         machine,
+        machine_applied: 0,
         disk: Some(disk_tx),
         disk_busy: false,
         queued_saves: Vec::new(),
@@ -232,16 +235,17 @@
         &self,
         f: impl FnOnce(&mut M, Timestamp) -> R + Send + 'static,
     ) -> Result<R, ReadError> {
-        self.read_by(Confirmation::Round, f).await
+        let read = |machine: &mut M, at: ReadPoint| f(machine, at.now);
+        self.read_by(Confirmation::Round, read).await
     }
 
     /// Runs `f` on the state if this replica holds the leader lease. No heartbeat round is needed:
     /// voters do not elect another leader within their election timeout, and the clock used here
     /// includes suspensions, so the state that `f` gets was the newest at some moment after this
-    /// call.
+    /// call. `f` also gets the time and the point in the log at which it runs.
     pub async fn leased<R: Send + 'static>(
         &self,
-        f: impl FnOnce(&mut M, Timestamp) -> R + Send + 'static,
+        f: impl FnOnce(&mut M, ReadPoint) -> R + Send + 'static,
     ) -> Result<R, ReadError> {
         self.read_by(Confirmation::Lease, f).await
     }
@@ -249,11 +253,11 @@
     async fn read_by<R: Send + 'static>(
         &self,
         confirmation: Confirmation,
-        f: impl FnOnce(&mut M, Timestamp) -> R + Send + 'static,
+        f: impl FnOnce(&mut M, ReadPoint) -> R + Send + 'static,
     ) -> Result<R, ReadError> {
         let (tx, rx) = oneshot::channel();
-        let job = move |access: Result<(&mut M, Timestamp), ReadError>| {
-            let _ = tx.send(access.map(|(machine, now)| f(machine, now)));
+        let job = move |access: Result<(&mut M, ReadPoint), ReadError>| {
+            let _ = tx.send(access.map(|(machine, at)| f(machine, at)));
         };
         let sent = self
             .control
--- a/src/replication/runtime/messages.rs
+++ b/src/replication/runtime/messages.rs
@@ -5,7 +5,7 @@
 use crate::error::Error;
 use crate::ids::Timestamp;
 use crate::replication::core::Message;
-use crate::replication::machine::{ProposeError, ReadError, StateMachine};
+use crate::replication::machine::{ProposeError, ReadError, ReadPoint, StateMachine};
 
 /// Appends a command to the log.
 pub(super) struct Propose<M: StateMachine> {
@@ -14,7 +14,7 @@
 }
 
 /// Work on the state: runs with the state once leadership is confirmed, or else with the error.
-pub(super) type ReadJob<M> = Box<dyn FnOnce(Result<(&mut M, Timestamp), ReadError>) + Send>;
+pub(super) type ReadJob<M> = Box<dyn FnOnce(Result<(&mut M, ReadPoint), ReadError>) + Send>;
 
 /// How leadership is confirmed before a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
