A new leader answers leased reads only once its log is applied

After a restart of all replicas, a new leader could answer calls from a state that lacked entries acknowledged before: an empty ledger refuses a job that it holds, and reports of minions and their exits were confirmed and dropped, because the dispatcher did not exist yet.

Leadership counted as confirmed as soon as the first entry of the term was committed. The entries are applied, and the state machine is told that it leads, when the effects are executed, which is after a batch of up to 1,024 messages. A leased read handled in between passed the check.

The core now counts leadership as confirmed only once the effect that tells the state machine of this term's leadership is executed and reported back (`Core::leadership_applied`). The effect carries its term: a report for an earlier term changes nothing, and the state machine gets the term that the effect belongs to, even if the replica has stepped down and leads another one since. `Core::is_confirmed` remains the only condition, for leased reads, for reads with a heartbeat round and for the state machine's own commands.

A leased read that comes while leadership is not confirmed is decided after the effects of its batch, with the clock read again. It waits for the application of entries that it needs anyway; a refusal would make its caller close the connection and search for the leader again.

Two tests commit the first entry of a term while 50 leased reads are queued behind it.

--- a/src/replication/core/election.rs
+++ b/src/replication/core/election.rs
@@ -49,7 +49,7 @@
     /// Ends leadership or candidacy and follows `leader`, if given.
     pub(super) fn step_down(&mut self, now: Timestamp, leader: Option<ReplicaId>) {
         if self.leading.take().is_some_and(|l| l.first_entry_committed) {
-            self.effects.push(super::Effect::Leadership(false));
+            self.effects.push(super::Effect::Leadership(None));
         }
         self.role = self.non_leader_role();
         self.leader = leader;
--- a/src/replication/core/leader.rs
+++ b/src/replication/core/leader.rs
@@ -1,43 +1,34 @@
-//! The leader's side: proposals, replication, commits, reads and leadership transfer.
+//! The leader's side: proposals, replication, commits and leadership transfer.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
 
 use super::progress::{MAX_IN_FLIGHT, Mode, Progress};
-use super::{Body, Core, Effect, Entry, HeartbeatMark, Payload, ReadId, Refused, Role};
+use super::reads::Read;
+use super::{Body, Core, Entry, HeartbeatMark, Payload, ReadId, Refused, Role};
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
 
-/// Length of the leader lease as a share of the election timeout, counted from the send time of an
-/// answered heartbeat. The rest allows for clocks that run at different rates.
-const LEASE_SHARE: f64 = 0.9;
-
 /// State that exists only while this replica leads.
 pub(super) struct LeaderState {
     pub(super) progress: BTreeMap<ReplicaId, Progress>,
     began_at: Timestamp,
     /// Index of the no-op entry with which this leadership started.
-    first_index: LogIndex,
-    /// That entry is committed, so the state machine has applied everything before it.
+    pub(super) first_index: LogIndex,
+    /// That entry is committed. The state machine may not have applied it yet.
     pub(super) first_entry_committed: bool,
+    /// The state machine has applied everything up to that entry and knows that it leads.
+    pub(super) machine_leads: bool,
     /// Number of the latest heartbeat round.
-    round: u64,
+    pub(super) round: u64,
     pub(super) next_heartbeat_at: Timestamp,
-    reads: VecDeque<Read>,
+    pub(super) reads: VecDeque<Read>,
     /// Number of the latest read.
-    last_read: ReadId,
-    transfer: Option<LeadershipTransfer>,
-}
-
-struct Read {
-    id: ReadId,
-    /// Heartbeat round that a majority must answer first.
-    round: u64,
-    /// Entry that must be applied first.
-    index: LogIndex,
+    pub(super) last_read: ReadId,
+    pub(super) transfer: Option<LeadershipTransfer>,
 }
 
-struct LeadershipTransfer {
+pub(super) struct LeadershipTransfer {
     to: ReplicaId,
     until: Timestamp,
 }
@@ -52,6 +43,7 @@
             began_at: now,
             first_index: last + 1,
             first_entry_committed: false,
+            machine_leads: false,
             round: 0,
             next_heartbeat_at: now,
             reads: VecDeque::new(),
@@ -104,59 +96,10 @@
         }
     }
 
-    /// Starts a read, which may run after a `ReadsReady` with its number or a higher one.
-    pub(crate) fn read(&mut self, now: Timestamp) -> Result<ReadId, Refused> {
-        self.check_leadership(now);
-        let acked = self.acked_round();
-        let read_now = !self.cfg.safeguards.read_after_round;
-        let commit = self.commit;
-        let Some(leading) = &mut self.leading else {
-            return Err(Refused::NotLeader);
-        };
-        if leading.transfer.is_some() {
-            return Err(Refused::NotLeader);
-        }
-        leading.last_read += 1;
-        let id = leading.last_read;
-        let idle = leading.reads.is_empty() || acked >= leading.round;
-        let round = if read_now { 0 } else { leading.round + 1 };
-        leading.reads.push_back(Read {
-            id,
-            round,
-            index: commit.max(leading.first_index),
-        });
-        if idle {
-            self.start_heartbeat_round(now);
-        }
-        self.release_reads(now);
-        Ok(id)
-    }
-
-    /// Whether this replica holds the leader lease at `now` and so may act as the leader.
-    pub(crate) fn is_confirmed(&self, now: Timestamp) -> bool {
-        self.leading
-            .as_ref()
-            .is_some_and(|l| l.first_entry_committed)
-            && (!self.cfg.safeguards.check_quorum || now < self.lease_until(now))
-    }
-
-    /// End of the leader lease: until then, a majority does not vote for another leader.
-    fn lease_until(&self, now: Timestamp) -> Timestamp {
-        let sent_at = self
-            .members
-            .quorum_value(|id| self.progress(id).map_or(now, |p| p.mark.sent_at));
-        sent_at + self.cfg.election_timeout.mul_f64(LEASE_SHARE)
-    }
-
     pub(super) fn progress(&self, id: ReplicaId) -> Option<&Progress> {
         self.leading.as_ref()?.progress.get(&id)
     }
 
-    fn acked_round(&self) -> u64 {
-        self.members
-            .quorum_value(|id| self.progress(id).map_or(u64::MAX, |p| p.mark.round))
-    }
-
     /// Steps down once the leader lease has expired.
     ///
     /// Every event calls this first, with the time of the event. A replica that resumes after a
@@ -188,7 +131,7 @@
     }
 
     /// Starts a heartbeat round: every member gets entries or a heartbeat.
-    fn start_heartbeat_round(&mut self, now: Timestamp) {
+    pub(super) fn start_heartbeat_round(&mut self, now: Timestamp) {
         let heartbeat = self.cfg.heartbeat;
         let Some(leading) = &mut self.leading else {
             return;
@@ -410,49 +353,6 @@
         }
     }
 
-    fn note_first_commit(&mut self) {
-        let commit = self.commit;
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        if !leading.first_entry_committed && commit >= leading.first_index {
-            leading.first_entry_committed = true;
-            self.effects.push(Effect::Leadership(true));
-        }
-    }
-
-    /// Releases the reads whose heartbeat round a majority has answered and whose entries are
-    /// applied.
-    fn release_reads(&mut self, now: Timestamp) {
-        let acked = self.acked_round();
-        let applied = self.applied;
-        if !self.is_confirmed(now) {
-            return;
-        }
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let mut ready = None;
-        while let Some(read) = leading.reads.front()
-            && read.round <= acked
-            && read.index <= applied
-        {
-            ready = Some(read.id);
-            leading.reads.pop_front();
-        }
-        let waiting = leading
-            .reads
-            .back()
-            .is_some_and(|r| r.round > leading.round);
-        let idle = acked >= leading.round;
-        if let Some(id) = ready {
-            self.effects.push(Effect::ReadsReady(id));
-        }
-        if waiting && idle {
-            self.start_heartbeat_round(now);
-        }
-    }
-
     /// Starts a transfer of leadership to the active voter with the most entries. No proposal or
     /// read is accepted until the transfer succeeds or one election timeout has passed.
     pub(crate) fn transfer_leadership(&mut self, now: Timestamp) {
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -2,6 +2,7 @@
 //! time, and returns effects in the order in which they must be executed.
 
 mod config;
+mod effect;
 mod election;
 mod follower;
 mod leader;
@@ -10,6 +11,7 @@
 mod membership_changes;
 mod message;
 mod progress;
+mod reads;
 
 use std::collections::{BTreeSet, VecDeque};
 use std::ops::Range;
@@ -22,6 +24,8 @@
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
 
 pub(crate) use config::{CoreConfig, Safeguards};
+pub(crate) use effect::{Effect, Refused};
+pub use effect::{Save, SaveSnapshot};
 pub use log::{Entry, HardState, Payload, Snapshot};
 pub use membership::{Member, Membership};
 pub use message::{Body, HeartbeatMark, Message};
@@ -48,60 +52,6 @@
     pub entries: Vec<Entry>,
 }
 
-/// State to write to disk, in the order of the fields.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Save {
-    /// Number to report to `Core::saved` once this save is synced.
-    pub seq: u64,
-    /// A new snapshot, with the whole log that remains.
-    pub snapshot: Option<SaveSnapshot>,
-    /// Term and vote; `None` when they did not change.
-    pub hard: Option<HardState>,
-    /// New entries; the first one replaces all entries from its index on.
-    pub entries: Vec<Entry>,
-}
-
-/// A snapshot to write, and the log that remains.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SaveSnapshot {
-    /// The snapshot to write.
-    pub snapshot: Arc<Snapshot>,
-    /// Term and vote, which the new log segment must hold.
-    pub hard: HardState,
-    /// Index and term of the entry before the first one in `kept`.
-    pub base: (LogIndex, Term),
-    /// All entries that remain in the log.
-    pub kept: Vec<Entry>,
-}
-
-/// An action that the core's owner must execute; effects are executed in order.
-#[derive(Clone, Debug)]
-pub(crate) enum Effect {
-    /// Write and sync, then call `Core::saved`.
-    Save(Save),
-    /// Send to the replica in `to`.
-    Send(Message),
-    /// Send to every configured address and every member.
-    Announce(Message),
-    /// Apply committed entries to the state machine.
-    Apply(Vec<Entry>),
-    /// Replace the state machine's state by the snapshot.
-    Restore(Arc<Snapshot>),
-    /// Leadership started, with all earlier entries applied, or ended.
-    Leadership(bool),
-    /// Reads up to this number may run now.
-    ReadsReady(ReadId),
-    /// Take a snapshot of the state applied up to this index and pass it to `snapshot_taken`.
-    TakeSnapshot(LogIndex),
-}
-
-/// Why the core refuses a proposal or read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Refused {
-    NotLeader,
-    DiskFull,
-}
-
 /// Time to the next pre-vote after a leader's message, a vote or a candidacy, in election timeouts.
 /// Others grant it only after a whole timeout, and the random part keeps candidates apart.
 const ELECTION_PAUSE: Range<f64> = 1.0..2.0;
@@ -126,6 +76,7 @@
     members: Membership,
     members_index: LogIndex,
     commit: LogIndex,
+    /// Last entry handed over in `Effect::Apply` or `Effect::Restore`; applied once that is executed.
     applied: LogIndex,
     role: Role,
     leader: Option<ReplicaId>,
@@ -471,7 +422,7 @@
         }
     }
 
-    /// Applies committed entries, and requests a snapshot once the log exceeds its size limit.
+    /// Hands over committed entries to be applied, and requests a snapshot once the log exceeds its size limit.
     fn apply_committed(&mut self) {
         if self.commit > self.applied {
             let entries = self.log.range(self.applied + 1, self.commit);
--- a/src/replication/explore/simulation/effects.rs
+++ b/src/replication/explore/simulation/effects.rs
@@ -110,7 +110,11 @@
                 r.register.version = u64::from_le_bytes(version);
                 self.coverage.snapshots_installed += 1;
             }
-            Effect::Leadership(leading) => self.coverage.elections += u64::from(leading),
+            Effect::Leadership(Some(term)) => {
+                self.coverage.elections += 1;
+                r.core.leadership_applied(now, term);
+            }
+            Effect::Leadership(None) => {}
             Effect::ReadsReady(through) => {
                 let confirmed = r.core.is_confirmed(now);
                 let later = r.reads.split_off(&(through + 1));
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -21,7 +21,9 @@
     /// term has at most one leader, so it can serve as a fencing token.
     fn term_started(&mut self, _term: Term) {}
 
-    /// Called when this replica becomes leader or steps down. `now` is its monotonic time.
+    /// Called when this replica becomes leader, once everything up to the first entry of its term is
+    /// applied, or steps down. No leased or confirmed read runs in a term before this call. `now` is
+    /// its monotonic time.
     fn leadership_changed(&mut self, leading: bool, now: Timestamp);
 
     /// Returns commands that the state machine itself wants to propose. Called on a leader that
@@ -91,7 +93,8 @@
     pub term: Term,
     /// Last entry known to be committed.
     pub committed: LogIndex,
-    /// Last entry applied to the state that the read gets.
+    /// Last entry applied to the state that the read gets; below `committed` only by entries of this
+    /// term, whose proposers are not answered yet.
     pub applied: LogIndex,
 }
 
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -47,6 +47,10 @@
     /// Proposals that are appended and not applied.
     pub(super) pending: BTreeMap<LogIndex, (Term, ReplySender<M>)>,
     pub(super) reads: BTreeMap<ReadId, ReadJob<M>>,
+    /// Leased reads that came while leadership was not confirmed. They are decided once the effects
+    /// of their batch are executed, as those may confirm it: a refusal makes its caller search for
+    /// the leader again.
+    pub(super) deferred_reads: Vec<ReadJob<M>>,
     /// The state machine must be asked for commands, although no entry was applied.
     pub(super) machine_due: bool,
     pub(super) stopped: bool,
@@ -93,6 +97,9 @@
                 applied |= matches!(effect, Effect::Apply(_));
                 self.execute_effect(effect);
             }
+            for job in std::mem::take(&mut self.deferred_reads) {
+                self.run_if_confirmed(job);
+            }
             if std::mem::take(&mut applied) {
                 self.propose_machine_commands();
             }
@@ -124,13 +131,14 @@
                     self.stop_on_failure(&e);
                 }
             }
-            Effect::Leadership(leading) => {
-                if leading {
-                    self.machine.term_started(self.core.term());
-                }
-                self.machine.leadership_changed(leading, monotonic_now());
-                self.machine_due |= leading;
+            Effect::Leadership(Some(term)) => {
+                let now = monotonic_now();
+                self.machine.term_started(term);
+                self.machine.leadership_changed(true, now);
+                self.core.leadership_applied(now, term);
+                self.machine_due = true;
             }
+            Effect::Leadership(None) => self.machine.leadership_changed(false, monotonic_now()),
             Effect::ReadsReady(through) => self.run_reads(through),
             Effect::TakeSnapshot(index) => {
                 let data = self.machine.snapshot();
@@ -223,7 +231,8 @@
         for (_, (_, tx)) in std::mem::take(&mut self.pending) {
             let _ = tx.send(Err(ProposeError::Unknown));
         }
-        for (_, job) in std::mem::take(&mut self.reads) {
+        let reads = std::mem::take(&mut self.reads).into_values();
+        for job in reads.chain(std::mem::take(&mut self.deferred_reads)) {
             job(Err(ReadError::Stopping));
         }
     }
@@ -288,7 +297,11 @@
                 Err(_) => job(Err(self.not_leader_error())),
             },
             Confirmation::Lease => {
-                self.run_if_confirmed(job);
+                if self.core.is_confirmed(monotonic_now()) {
+                    self.run_if_confirmed(job);
+                } else {
+                    self.deferred_reads.push(job);
+                }
                 self.machine_due = true;
             }
         }
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -165,6 +165,7 @@
         on_disk_failure: cfg.on_disk_failure,
         pending: BTreeMap::new(),
         reads: BTreeMap::new(),
+        deferred_reads: Vec::new(),
         machine_due: false,
         stopped: false,
     };
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -1,42 +1,63 @@
 //! Replicas with real files and sockets, all in one process.
 
+use std::collections::BTreeSet;
+use std::fs::File;
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::mpsc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use yuccahold::error::Result;
 use yuccahold::ids::{LogIndex, Timestamp};
 use yuccahold::replication::{
     Formation, ProposeError, ReadError, Replica, ReplicaConfig, ReplicaHandle, StateMachine,
 };
+use yuccahold::storage::{Files, RealFiles};
 use yuccahold::wire::{CellKey, CellKeys};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Stores every command; the reply is the number of commands stored.
 #[derive(Default)]
-struct Journal(Vec<Vec<u8>>);
+struct Journal {
+    commands: Vec<Vec<u8>>,
+    /// Reports received in this leadership; `None` on a replica that does not lead.
+    reports: Option<BTreeSet<usize>>,
+}
+
+impl Journal {
+    /// Ignored on a replica that does not lead.
+    fn report(&mut self, report: usize) {
+        if let Some(reports) = &mut self.reports {
+            reports.insert(report);
+        }
+    }
+}
 
 impl StateMachine for Journal {
     type Reply = usize;
 
     fn apply(&mut self, _: LogIndex, _: Timestamp, command: &[u8]) -> usize {
-        self.0.push(command.to_vec());
-        self.0.len()
+        self.commands.push(command.to_vec());
+        self.commands.len()
     }
 
-    fn leadership_changed(&mut self, _: bool, _: Timestamp) {}
+    fn leadership_changed(&mut self, leading: bool, _: Timestamp) {
+        self.reports = leading.then(BTreeSet::new);
+    }
 
     fn own_commands(&mut self, _: Timestamp) -> Vec<Vec<u8>> {
         Vec::new()
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        postcard::to_allocvec(&self.0).unwrap()
+        postcard::to_allocvec(&self.commands).unwrap()
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
-        self.0 = postcard::from_bytes(snapshot).unwrap();
+        self.commands = postcard::from_bytes(snapshot).unwrap();
         Ok(())
     }
 }
@@ -90,7 +111,7 @@
 }
 
 async fn count(replica: &ReplicaHandle<Journal>) -> Result<usize, ReadError> {
-    replica.read(|journal, _| journal.0.len()).await
+    replica.read(|journal, _| journal.commands.len()).await
 }
 
 /// Proposes the command to each replica in turn until one succeeds. The command may be applied more
@@ -181,7 +202,7 @@
         .await
         .expect("rejoins")
         .unwrap();
-    assert_eq!(first.read_local(|j| j.0.len()).await, Some(after));
+    assert_eq!(first.read_local(|j| j.commands.len()).await, Some(after));
 
     second.stop().await;
     let last = propose_somewhere(&[&first, &third], b"last").await;
@@ -189,3 +210,84 @@
     first.stop().await;
     third.stop().await;
 }
+
+/// Waits for a message before each sync; the sender is dropped to let all pass.
+struct HeldSyncs(mpsc::Receiver<()>);
+
+impl Files for HeldSyncs {
+    fn append(&mut self, file: &mut File, buf: &[u8]) -> io::Result<()> {
+        RealFiles.append(file, buf)
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        let _ = self.0.recv();
+        RealFiles.sync(file)
+    }
+}
+
+/// Stores `n` commands, restarts the replica, and commits the first entry of the new term while the
+/// control thread is held and leased reads are queued behind that commit. Each read adds its number
+/// to the reports and returns the number of commands.
+async fn reads_behind_the_first_commit(
+    name: &str,
+    n: usize,
+) -> (
+    ReplicaHandle<Journal>,
+    Vec<Result<usize, ReadError>>,
+    Folder,
+) {
+    let folder = Folder::new(name);
+    let addrs = free_addrs(1);
+    let cfg = |form| ReplicaConfig {
+        snapshot_bytes: u64::MAX,
+        ..config(&folder.0, &addrs, 0, form)
+    };
+    let replica = Replica::start(cfg(Formation::FormGroup), Journal::default()).unwrap();
+    propose_somewhere(&[&replica], b"first").await;
+    let stored = join_all((1..n).map(|_| replica.propose(b"next".to_vec()))).await;
+    assert!(stored.iter().all(Result::is_ok));
+    replica.stop().await;
+
+    let (syncs, held) = mpsc::channel();
+    let files = HeldSyncs(held);
+    let replica = Replica::start_with(cfg(Formation::Join), Journal::default(), files).unwrap();
+    syncs.send(()).unwrap();
+    let mut status = replica.status();
+    let leads = status.wait_for(|s| s.leader == Some(s.id));
+    tokio::time::timeout(TIMEOUT, leads).await.unwrap().unwrap();
+    let (resume, paused) = mpsc::channel::<()>();
+    let pause = move |_: &mut Journal, _| paused.recv().unwrap_or_default();
+    replica.update_machine(pause).await;
+    drop(syncs);
+    // The disk thread reports the sync while the control thread is paused.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reads = (0..50).map(|report| {
+        replica.leased(move |journal, _| {
+            journal.report(report);
+            journal.commands.len()
+        })
+    });
+    let resumed = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(resume);
+    };
+    let (seen, ()) = tokio::join!(join_all(reads), resumed);
+    (replica, seen, folder)
+}
+
+#[tokio::test]
+async fn a_leased_read_sees_all_commands_acknowledged_before_the_restart() {
+    let (replica, seen, _folder) = reads_behind_the_first_commit("behind", 3000).await;
+    replica.stop().await;
+    assert_eq!(seen, vec![Ok(3000); seen.len()]);
+}
+
+#[tokio::test]
+async fn an_update_accepted_by_a_leased_read_is_not_lost_as_leadership_starts() {
+    let (replica, seen, _folder) = reads_behind_the_first_commit("accepted", 1).await;
+    let accepted: BTreeSet<_> = (0..seen.len()).filter(|i| seen[*i].is_ok()).collect();
+    let kept = replica.leased(|journal, _| journal.reports.clone()).await;
+    replica.stop().await;
+    assert!(!accepted.is_empty());
+    assert_eq!(kept, Ok(Some(accepted)));
+}
