A rejection is returned only if no copy of the request may have been executed

What callers saw: a submission or a cancellation was written to a leader that was lost before it answered, and sent again to the next one. If that one answered 401, 404, 400, 409 or 410, the caller got this answer as final, although the first copy may have been accepted and the job may run. The same happened when a relay or the leader itself rejected one copy while the other one was unanswered. Conversely, a 429 or 503 that came through a relay was replaced by a late "not run" of this host if no other copy had been sent.

Cause: two rules, one for relayed copies and one in `call_leader`, each with its own idea of which answers hold for all copies. Both took rejections other than 429 and 503 for answers to the request; they only say that this copy was not executed.

Change: `CallReply::effect` says of each answer whether the copy was executed, was not, or may have been. `request_copies::Copies` counts the copies of a request, direct and relayed alike, and decides the outcome: an executed copy settles the request; a rejection is returned, at once, if no other copy is open, and otherwise the request is in doubt. Reads change nothing, so any answer to them holds. Relays use the same rule for the copies that they send. An operator's change whose outcome the leader does not know is now answered 504, like one without an answer, instead of 503.

--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -158,7 +158,47 @@
     NotLeader(Option<SocketAddr>),
 }
 
+/// What an answer says about the copy of the call that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    /// The copy was executed, or an earlier one with the same effect: the answer holds for all.
+    Executed,
+    /// The copy was not executed. Another one may have been, even if this one was rejected for
+    /// good: keys, queues and jobs change in between.
+    NotExecuted,
+    /// The copy may or may not have been executed.
+    Unknown,
+}
+
+impl ClientReply {
+    fn effect(&self) -> Effect {
+        match self {
+            Self::Accepted | Self::State(_) | Self::PendingCount(_) => Effect::Executed,
+            Self::NotFound
+            | Self::NoQueue
+            | Self::Unauthenticated
+            | Self::IdTaken
+            | Self::Invalid(_)
+            | Self::Unavailable(_)
+            | Self::Refused { .. } => Effect::NotExecuted,
+            Self::InDoubt => Effect::Unknown,
+        }
+    }
+}
+
 impl CallReply {
+    /// What became of the copy with this answer.
+    pub(crate) fn effect(&self) -> Effect {
+        match self {
+            Self::Client(reply) => reply.effect(),
+            Self::Operator(OperatorReply::Accepted | OperatorReply::Document(_)) => {
+                Effect::Executed
+            }
+            Self::Operator(OperatorReply::Unavailable) => Effect::Unknown,
+            Self::NotLeader(_) => Effect::NotExecuted,
+        }
+    }
+
     /// Name for logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -13,7 +13,8 @@
 use super::driver::{Minions, Policy};
 use super::election_watch::{Members, watch_elections};
 use super::leader_search::LeaderSearch;
-use super::relay::{Copies, RelayWay, call_by_relay, is_refusal, settles};
+use super::relay::{RelayWay, call_by_relay};
+use super::request_copies::{Copies, Verdict};
 use crate::ids::{Term, ZoneName};
 use crate::replication::monotonic_now;
 use crate::telemetry::LineLimit;
@@ -234,35 +235,41 @@
             Call::Client(request) if request.action != ClientAction::PendingCount => {
                 request.clone()
             }
-            _ => return self.call_leader(call, deadline).await,
+            _ => return self.call_directly(call, deadline).await,
         };
-        let unanswered = CallError::of_unanswered(&call);
-        let copies = Copies::default();
-        let direct = self.call_leader(call, deadline);
+        let copies = Copies::of(&call);
+        let direct = self.call_leader(call, deadline, &copies);
         let relayed = self.call_by_relay(request, deadline, &copies);
         tokio::pin!(direct, relayed);
-        let outcome = tokio::select! {
-            answered = &mut direct => match answered {
-                Ok(reply) => Ok(reply),
-                Err(e) => {
+        let answer = tokio::select! {
+            answer = &mut direct => match answer {
+                Some(reply) => Some(reply),
+                None => {
                     copies.end_after_this_round();
-                    relayed.await.ok_or(e)
+                    relayed.await
                 }
             },
-            relayed = &mut relayed => match relayed {
-                Some(reply) => Ok(reply),
+            answer = &mut relayed => match answer {
+                Some(reply) => Some(reply),
                 None => direct.await,
             },
         };
-        match outcome {
-            Ok(reply) if settles(&reply) => Ok(reply),
-            _ if copies.may_be_executed() => Err(unanswered),
-            refused => refused,
-        }
+        answer.map_or_else(|| copies.outcome(), Ok)
+    }
+
+    /// Calls the leader over this process's own connection only.
+    pub(super) async fn call_directly(
+        &self,
+        call: Call,
+        deadline: Instant,
+    ) -> Result<CallReply, CallError> {
+        let copies = Copies::of(&call);
+        let answer = self.call_leader(call, deadline, &copies).await;
+        answer.map_or_else(|| copies.outcome(), Ok)
     }
 
     /// Passes a request through relays whenever the leader is not heard, until one gives an answer
-    /// that settles it, or the call to the leader was given up.
+    /// that holds for the request, or the direct call has ended.
     async fn call_by_relay(
         &self,
         request: ClientCall,
@@ -271,7 +278,12 @@
     ) -> Option<CallReply> {
         let until = deadline.min(Instant::now() + RELAY_PERIOD);
         loop {
-            timeout_at(until, self.leader_unheard()).await.ok()?;
+            tokio::select! {
+                // Relays are still tried once if the direct call ended for lack of a leader.
+                biased;
+                unheard = timeout_at(until, self.leader_unheard()) => unheard.ok()?,
+                () = copies.last_round() => return None,
+            }
             let relays = self.contact.usable_relays(Instant::now());
             let way = RelayWay {
                 relays: &relays,
@@ -307,28 +319,27 @@
         }
     }
 
-    /// Calls the current leader until one answers or the deadline passes. A call that has changed
-    /// nothing is given up once there has been no leader for `LEADER_WAIT`.
+    /// Calls the current leader until an answer holds for the request; `None` if there is none by
+    /// the deadline, or if a copy may have been executed that the leader cannot tell of. A call that
+    /// has changed nothing is given up once there has been no leader for `LEADER_WAIT`.
     ///
     /// A call whose connection broke is sent again to the next leader. That is safe because every
     /// call is idempotent: a job by its id, a configuration by its version, a report by its
     /// sequence number.
-    pub(super) async fn call_leader(
+    async fn call_leader(
         &self,
         call: Call,
         deadline: Instant,
-    ) -> Result<CallReply, CallError> {
+        copies: &Copies,
+    ) -> Option<CallReply> {
         let mut current = self.current.clone();
-        let mut no_answer = CallError::NotRun;
-        let if_sent = CallError::of_unanswered(&call);
+        // Set once a copy is unanswered; the next leader may tell what became of it.
+        let mut wait_end = None;
         loop {
-            let until = match no_answer {
-                CallError::NotRun => deadline.min(self.leader_wait_end()),
-                CallError::InDoubt => deadline,
-            };
+            let until = wait_end.unwrap_or_else(|| deadline.min(self.leader_wait_end()));
             let connected = timeout_at(until, current.wait_for(Option::is_some)).await;
             let Ok(Ok(leader)) = connected.map(|found| found.map(|leader| leader.clone())) else {
-                return Err(no_answer);
+                return None;
             };
             let Some(leader) = leader else { continue };
             let (reply, rx) = oneshot::channel();
@@ -336,24 +347,26 @@
                 call: call.clone(),
                 reply,
             };
+            let copy = copies.send();
             if leader.calls.send(pending).is_err() {
+                copy.not_sent();
                 wait_for_change(&mut current, &leader, deadline).await;
                 continue;
             }
             let answered = timeout_at(deadline, rx).await;
             self.log_copy(&call, &leader, &answered);
             match answered {
-                Ok(Ok(CallReply::NotLeader(_))) => {
-                    // Nothing was done. `LeaderSearch` finds the new leader in the background.
-                    wait_for_change(&mut current, &leader, deadline).await;
-                }
-                // An earlier copy may have been executed, or may yet be.
-                Ok(Ok(reply)) if no_answer == CallError::InDoubt && is_refusal(&reply) => {
-                    return Err(no_answer);
-                }
-                Ok(Ok(reply)) => return Ok(reply),
-                Ok(Err(_)) => no_answer = if_sent,
-                Err(_) => return Err(if_sent),
+                Ok(Ok(reply)) => match copy.answered(reply) {
+                    Verdict::Final(reply) => return Some(reply),
+                    Verdict::InDoubt => return None,
+                    // `LeaderSearch` finds the new leader in the background.
+                    Verdict::NoLeader => {
+                        wait_for_change(&mut current, &leader, deadline).await;
+                    }
+                },
+                Ok(Err(_)) if copies.may_be_executed() => wait_end = Some(deadline),
+                Ok(Err(_)) => {}
+                Err(_) => return None,
             }
         }
     }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -18,5 +18,6 @@
 pub mod relay;
 mod rendezvous;
 pub mod report_batch;
+mod request_copies;
 pub mod server;
 pub mod workspaces;
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -6,17 +6,16 @@
 //! another relay, so a request takes at most one more hop.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
 use super::link::{CallError, CopyLog, LeaderLink};
+use super::request_copies::{Copies, SentCopy, Verdict};
 use crate::error::{Error, Result, Step};
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
@@ -82,7 +81,7 @@
             return CallReply::NotLeader(None);
         }
         let deadline = Instant::now() + left;
-        match self.link.call_leader(Call::Client(call), deadline).await {
+        match self.link.call_directly(Call::Client(call), deadline).await {
             Ok(reply) => reply,
             Err(CallError::NotRun) => CallReply::NotLeader(None),
             Err(CallError::InDoubt) => CallReply::Client(ClientReply::InDoubt),
@@ -94,40 +93,6 @@
     Error::new(Step::Transfer, "the connection fell silent")
 }
 
-/// Copies of one request that were sent through relays.
-#[derive(Default)]
-pub(super) struct Copies {
-    /// Number that may have been executed.
-    open: AtomicUsize,
-    /// Notified when relays should not be tried again.
-    last_round: Notify,
-}
-
-impl Copies {
-    /// Whether one may have been executed.
-    pub(super) fn may_be_executed(&self) -> bool {
-        self.open.load(Ordering::Relaxed) > 0
-    }
-
-    /// Ends the attempts once those under way have ended.
-    pub(super) fn end_after_this_round(&self) {
-        self.last_round.notify_one();
-    }
-
-    /// Waits until no further attempts should be made.
-    pub(super) async fn last_round(&self) {
-        self.last_round.notified().await;
-    }
-
-    fn sent(&self) {
-        self.open.fetch_add(1, Ordering::Relaxed);
-    }
-
-    fn refused(&self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// The way through relays.
 pub(super) struct RelayWay<'a> {
     pub(super) relays: &'a [SocketAddr],
@@ -136,7 +101,7 @@
 }
 
 /// Passes a request through one of the relays; `None` if none of those tried gave an answer that
-/// settles it.
+/// holds for the request.
 pub(super) async fn call_by_relay(
     way: RelayWay<'_>,
     call: &ClientCall,
@@ -151,8 +116,8 @@
     for addr in tried {
         let answered = timeout_at(deadline, ask(addr, way.keys, call, deadline, copies)).await;
         log_copy(way.log, addr, call, &answered);
-        if let Ok(Ok(reply)) = answered
-            && settles(&reply)
+        if let Ok(Ok((copy, reply))) = answered
+            && let Verdict::Final(reply) = copy.answered(reply)
         {
             return Some(reply);
         }
@@ -164,12 +129,12 @@
     log: &CopyLog,
     relay: SocketAddr,
     call: &ClientCall,
-    answered: &std::result::Result<Result<CallReply>, T>,
+    answered: &std::result::Result<Result<(SentCopy<'_>, CallReply)>, T>,
 ) {
     let error;
     let outcome = match answered {
-        Ok(Ok(CallReply::Client(ClientReply::Accepted))) => return,
-        Ok(Ok(reply)) => reply.as_str(),
+        Ok(Ok((_, CallReply::Client(ClientReply::Accepted)))) => return,
+        Ok(Ok((_, reply))) => reply.as_str(),
         Ok(Err(e)) => {
             error = e.to_string();
             &error
@@ -180,27 +145,22 @@
     log.not_accepted(&call, ("relay", relay), None, outcome);
 }
 
-async fn ask(
+async fn ask<'a>(
     addr: SocketAddr,
     keys: &CellKeys,
     call: &ClientCall,
     deadline: Instant,
-    copies: &Copies,
-) -> Result<CallReply> {
+    copies: &'a Copies,
+) -> Result<(SentCopy<'a>, CallReply)> {
     let connected = timeout(CONNECT_TIMEOUT, connect(addr, keys)).await;
     let (mut reader, mut writer) = connected
         .map_err(|_| Error::new(Step::Connect, "no connection in time").with_peer(addr))??;
     let left = deadline.saturating_duration_since(Instant::now());
     let message = AgentMessage::Relayed(0, call.clone(), left);
-    copies.sent();
+    let copy = copies.send();
     writer.write(&message).await?;
     match reader.read::<ServerMessage>().await? {
-        Some(ServerMessage::Reply(0, reply)) => {
-            if is_refusal(&reply) {
-                copies.refused();
-            }
-            Ok(reply)
-        }
+        Some(ServerMessage::Reply(0, reply)) => Ok((copy, reply)),
         _ => Err(Error::new(Step::Transfer, "the relay gave no answer").with_peer(addr)),
     }
 }
@@ -209,19 +169,3 @@
     let stream = wire::dial(addr, CONNECT_TIMEOUT).await?;
     wire::client_handshake(stream, keys).await
 }
-
-/// Whether an answer holds for all copies of the request. A refusal holds for one copy only: another
-/// one may have been executed.
-pub(super) fn settles(reply: &CallReply) -> bool {
-    let in_doubt = matches!(reply, CallReply::Client(ClientReply::InDoubt));
-    matches!(reply, CallReply::Client(_)) && !in_doubt && !is_refusal(reply)
-}
-
-/// Whether the copy with this answer was not executed.
-pub(super) fn is_refusal(reply: &CallReply) -> bool {
-    matches!(
-        reply,
-        CallReply::NotLeader(_)
-            | CallReply::Client(ClientReply::Unavailable(_) | ClientReply::Refused { .. })
-    )
-}
--- a/tests/batch_link.rs
+++ b/tests/batch_link.rs
@@ -121,13 +121,43 @@
     }
 }
 
-/// The leader is lost with a submission on the way, and the next one refuses the repeated call. The
-/// first copy may have been accepted, so the caller must not be told that the job never runs.
+/// The first copy may have been accepted, so the caller must not be told that nothing runs.
 #[rstest]
 #[case::no_capacity(ClientReply::Refused { after: Duration::from_secs(2), useful: true })]
 #[case::no_service(ClientReply::Unavailable(Duration::from_secs(1)))]
+#[case::key_revoked(ClientReply::Unauthenticated)]
+#[case::queue_removed(ClientReply::NoQueue)]
+#[case::invalid(ClientReply::Invalid("invalid".into()))]
+#[case::id_taken(ClientReply::IdTaken)]
+#[case::unknown_job(ClientReply::NotFound)]
 #[tokio::test]
-async fn a_refusal_after_an_unanswered_call_is_in_doubt(#[case] refused: ClientReply) {
+async fn a_refusal_after_an_unanswered_call_is_in_doubt(
+    #[case] refused: ClientReply,
+    #[values(submission(10), client_call(ClientAction::Cancel))] call: Call,
+) {
+    let (outcome, took) = answered_by_the_next_leader(call, refused).await;
+    assert_eq!(outcome, Err(CallError::InDoubt));
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
+/// A read changes nothing, so the next leader's answer holds whatever became of the first copy.
+#[rstest]
+#[case::key_revoked(ClientReply::Unauthenticated)]
+#[case::queue_removed(ClientReply::NoQueue)]
+#[case::unknown_job(ClientReply::NotFound)]
+#[tokio::test]
+async fn a_read_is_never_in_doubt_after_a_leader_change(#[case] reply: ClientReply) {
+    let call = client_call(ClientAction::State);
+    let (outcome, _) = answered_by_the_next_leader(call, reply.clone()).await;
+    assert_eq!(outcome, Ok(CallReply::Client(reply)));
+}
+
+/// Outcome of a call whose first copy is lost with the leader and whose second one is answered by
+/// the next leader, and the time it took.
+async fn answered_by_the_next_leader(
+    call: Call,
+    reply: ClientReply,
+) -> (Result<CallReply, CallError>, Duration) {
     let mut leader = Control::start(Behavior::Responsive).await;
     let mut next = Control::start(Behavior::Responsive).await;
     let link = link_from(leader.addr);
@@ -141,15 +171,16 @@
         let _ = at_next.send(lead_message(true, 2, next.addr, &[]));
         loop {
             if let AgentMessage::Call(number, _) = next.receive().await {
-                let reply = CallReply::Client(refused.clone());
+                let reply = CallReply::Client(reply.clone());
                 let _ = at_next.send(ServerMessage::Reply(number, reply));
                 return;
             }
         }
     };
-    let call = link.call(submission(10), Instant::now() + TEST_TIMEOUT);
-    let (outcome, ()) = tokio::join!(call, change_leader);
-    assert_eq!(outcome, Err(CallError::InDoubt));
+    let began = Instant::now();
+    let call = link.call(call, began + TEST_TIMEOUT);
+    let outcome = async { (call.await, began.elapsed()) };
+    tokio::join!(outcome, change_leader).0
 }
 
 /// The leader stops reading while a large call is being written, and a second call waits behind it.
--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -87,11 +87,15 @@
     assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
 }
 
-/// The leader refuses the copy that came through a relay. The one that was written before may have
-/// been executed, so the caller must not be told that nothing was.
+/// The direct copy may have been executed, so the caller must not be told that nothing was.
 #[rstest]
 #[case::no_service(ClientReply::Unavailable(Duration::from_secs(1)))]
 #[case::no_capacity(ClientReply::Refused { after: Duration::from_secs(1), useful: true })]
+#[case::key_revoked(ClientReply::Unauthenticated)]
+#[case::queue_removed(ClientReply::NoQueue)]
+#[case::invalid(ClientReply::Invalid("invalid".into()))]
+#[case::id_taken(ClientReply::IdTaken)]
+#[case::unknown_job(ClientReply::NotFound)]
 #[tokio::test]
 async fn a_refusal_through_a_relay_does_not_settle_a_change(#[case] refused: ClientReply) {
     let refusing = relay(leader_answering(refused).await).await;
@@ -132,12 +136,10 @@
     assert_eq!(answered, Ok(CallReply::Client(ClientReply::Accepted)));
 }
 
-/// The leader is lost before a change was written to it, and the copy through a relay gets no answer.
-/// That copy may have been executed, so the caller must not be told that nothing was.
-#[tokio::test]
-async fn a_copy_that_a_relay_does_not_answer_is_in_doubt() {
+/// An entry host that reads requests and never answers.
+async fn silent_relay() -> SocketAddr {
     let silent = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let relay_addr = silent.local_addr().expect("bound");
+    let addr = silent.local_addr().expect("bound");
     tokio::spawn(async move {
         while let Ok((stream, _)) = silent.accept().await {
             tokio::spawn(async move {
@@ -147,21 +149,113 @@
             });
         }
     });
+    addr
+}
+
+/// An entry host that has just lost its leader, and knows these relays.
+async fn leaderless(relays: Vec<SocketAddr>) -> LeaderLink {
     let mut leader = Control::start(Behavior::Responsive).await;
     let link = link_from(leader.addr);
     let connection = leader.connection().await;
     let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
-    let _ = connection.send(ServerMessage::Relays(vec![relay_addr]));
+    let _ = connection.send(ServerMessage::Relays(relays));
     sleep(Duration::from_millis(100)).await;
     let _ = connection.send(lead_message(false, 1, leader.addr, &[]));
     while link.is_connected() {
         sleep(Duration::from_millis(5)).await;
     }
+    link
+}
+
+/// The leader is lost before a change was written to it, and the copy through a relay gets no answer.
+/// That copy may have been executed, so the caller must not be told that nothing was.
+#[tokio::test]
+async fn a_copy_that_a_relay_does_not_answer_is_in_doubt() {
+    let link = leaderless(vec![silent_relay().await]).await;
     let call = client_call(ClientAction::Cancel);
     let answered = link.call(call, Instant::now() + DEADLINE).await;
     assert_eq!(answered, Err(CallError::InDoubt));
 }
 
+/// The relayed copy may be executed after the leader has refused the direct one.
+#[rstest]
+#[case::no_service(ClientReply::Unavailable(Duration::from_secs(1)))]
+#[case::key_revoked(ClientReply::Unauthenticated)]
+#[case::queue_removed(ClientReply::NoQueue)]
+#[tokio::test]
+async fn a_direct_refusal_with_an_unanswered_relayed_copy_is_in_doubt(
+    #[case] refused: ClientReply,
+) {
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    let _ = connection.send(ServerMessage::Relays(vec![silent_relay().await]));
+    sleep(Duration::from_millis(100)).await;
+    let late_refusal = async {
+        loop {
+            if let AgentMessage::Call(number, _) = leader.receive().await {
+                sleep(Duration::from_millis(330)).await;
+                let reply = CallReply::Client(refused.clone());
+                let _ = connection.send(ServerMessage::Reply(number, reply));
+                return;
+            }
+        }
+    };
+    let call = link.call(client_call(ClientAction::Cancel), Instant::now() + DEADLINE);
+    let (answered, ()) = tokio::join!(call, late_refusal);
+    assert_eq!(answered, Err(CallError::InDoubt));
+}
+
+/// No direct copy was written, so the refusal through the relay must not be held back or lost.
+#[rstest]
+#[case::no_service(ClientReply::Unavailable(Duration::from_secs(7)))]
+#[case::no_capacity(ClientReply::Refused { after: Duration::from_secs(7), useful: true })]
+#[case::key_revoked(ClientReply::Unauthenticated)]
+#[case::queue_removed(ClientReply::NoQueue)]
+#[tokio::test]
+async fn a_refusal_through_a_relay_holds_if_no_direct_copy_was_sent(#[case] refused: ClientReply) {
+    let refusing = relay(leader_answering(refused.clone()).await).await;
+    let link = leaderless(vec![refusing]).await;
+    let began = Instant::now();
+    let call = client_call(ClientAction::Cancel);
+    let answered = link.call(call, began + DEADLINE).await;
+    assert_eq!(answered, Ok(CallReply::Client(refused)));
+    assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
+}
+
+/// The refusal must not be held back until the next leader or another relay answers.
+#[tokio::test]
+async fn a_refusal_holds_once_the_last_other_copy_was_not_executed() {
+    let refusing = relay(leader_answering(ClientReply::Unauthenticated).await).await;
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    let _ = connection.send(ServerMessage::Relays(vec![refusing]));
+    sleep(Duration::from_millis(100)).await;
+    let no_leader = async {
+        loop {
+            if let AgentMessage::Call(number, _) = leader.receive().await {
+                sleep(Duration::from_millis(350)).await;
+                let reply = CallReply::NotLeader(None);
+                let _ = connection.send(ServerMessage::Reply(number, reply));
+                return Instant::now();
+            }
+        }
+    };
+    let call = async {
+        let call = client_call(ClientAction::Cancel);
+        let answered = link.call(call, Instant::now() + DEADLINE).await;
+        (answered, Instant::now())
+    };
+    let ((answered, at), told_at) = tokio::join!(call, no_leader);
+    let refused = CallReply::Client(ClientReply::Unauthenticated);
+    assert_eq!(answered, Ok(refused));
+    let late = at.saturating_duration_since(told_at);
+    assert!(late < Duration::from_millis(100), "{late:?}");
+}
+
 /// All control hosts are down, so no relay reaches the leader either. Once callers no longer wait for
 /// a leader, a request must be refused without waiting for further attempts through relays.
 #[rstest]
