Batch: a job with a pending submission is not refused

What callers saw: a submission without an answer, then a repeat of it that was refused with 'not accepted and not run'; and the job ran. The leader decides on the applied ledger, which does not show a submission that waits to be committed. While the disk stalls, or with admission switched on, the repeat can be refused for lack of capacity. Change: the leader keeps the ids of submissions that it has proposed and not applied. A refusal of another copy with a promise becomes 'in doubt'; one for overload looks at the ledger again first.

--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod agents;
 pub mod calls;
+mod client_calls;
 pub mod dispatch;
 pub mod driver;
 mod election_watch;
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -5,24 +5,21 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use slog::{Logger, debug, info};
+use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::agents::{AgentId, Agents};
-use super::calls::{
-    AgentMessage, Call, CallReply, ClientReply, OperatorReply, RETRY_AFTER, ServerMessage,
-};
+use super::calls::{AgentMessage, Call, CallReply, OperatorReply, ServerMessage};
+use super::client_calls::PendingSubmissions;
 use super::ledger::{Command, Reply};
 use super::link::{CallError, LeaderLink};
-use super::machine::{Admission, Machine};
+use super::machine::Machine;
 use super::report_batch::{LeaderCalls, Outcome};
 use crate::error::{Error, Result, Step};
 use crate::ids::ZoneName;
-use crate::replication::{
-    ProposeError, ReadError, ReadPoint, ReplicaHandle, ReplicaStatus, monotonic_now,
-};
+use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus, monotonic_now};
 use crate::task::AbortOnDrop;
 use crate::telemetry::LineLimit;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
@@ -44,14 +41,15 @@
 /// Answers calls from this replica's state; clones share it.
 #[derive(Clone)]
 pub struct CallServer {
-    replica: ReplicaHandle<Machine>,
+    pub(super) replica: ReplicaHandle<Machine>,
     keys: CellKeys,
     agents: Agents,
     /// Address of this host; agents that connect from it are not given orders.
     host_ip: IpAddr,
     connections: Arc<AtomicU64>,
-    refusals: LineLimit,
-    log: Logger,
+    pub(super) pending: PendingSubmissions,
+    pub(super) refusals: LineLimit,
+    pub(super) log: Logger,
 }
 
 impl CallServer {
@@ -69,6 +67,7 @@
             agents,
             host_ip,
             connections: Arc::default(),
+            pending: PendingSubmissions::default(),
             refusals: LineLimit::per_second(MAX_REFUSAL_LINES),
             log,
         }
@@ -84,22 +83,7 @@
     /// Answers a call, with `NotLeader` unless this replica leads.
     pub async fn answer(&self, call: Call) -> CallReply {
         match call {
-            Call::Client(call) => {
-                let path = call.path.clone();
-                let changes = call.action.is_change();
-                let admit = move |m: &mut Machine, at: ReadPoint| (m.admit(at.now, call), at);
-                let admitted = self.replica.leased(admit).await;
-                match admitted {
-                    Ok((Admission::Answer(reply), at)) => {
-                        if changes && reply != ClientReply::Accepted {
-                            self.log_refusal(&path, &reply, at);
-                        }
-                        CallReply::Client(reply)
-                    }
-                    Ok((Admission::Propose(command), _)) => self.propose_for_client(*command).await,
-                    Err(e) => not_leader(&e),
-                }
-            }
+            Call::Client(call) => self.answer_client(call).await,
             Call::Report(report) => {
                 let reported = self.replica.leased(move |m, at| m.report(at.now, *report));
                 accepted(reported.await)
@@ -139,30 +123,6 @@
         }
     }
 
-    /// Logs a change that was not accepted, with how far the log was applied: a leader that answers
-    /// from an older state refuses what it should not.
-    fn log_refusal(&self, path: &str, reply: &ClientReply, at: ReadPoint) {
-        if self.refusals.take(at.now) {
-            info!(self.log, "change not accepted"; "path" => path, "outcome" => reply.as_str(),
-                "term" => at.term, "committed" => at.committed, "applied" => at.applied);
-        }
-    }
-
-    async fn propose_for_client(&self, command: Command) -> CallReply {
-        match self.propose(command).await {
-            Ok(Reply::Accepted) => CallReply::Client(ClientReply::Accepted),
-            Ok(Reply::Unknown) => CallReply::Client(ClientReply::NotFound),
-            Ok(Reply::IdTaken) => CallReply::Client(ClientReply::IdTaken),
-            Err(ProposeError::NotLeader { leader }) => CallReply::NotLeader(leader),
-            Err(ProposeError::Overloaded(_)) => {
-                CallReply::Client(ClientReply::Unavailable(RETRY_AFTER))
-            }
-            Err(ProposeError::Unknown | ProposeError::Stopping) => {
-                CallReply::Client(ClientReply::InDoubt)
-            }
-        }
-    }
-
     async fn propose_for_operator(&self, command: Command) -> CallReply {
         match self.propose(command).await {
             Ok(_) => CallReply::Operator(OperatorReply::Accepted),
@@ -171,7 +131,7 @@
         }
     }
 
-    async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
+    pub(super) async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
         let bytes = command
             .to_bytes()
             .map_err(|_| ProposeError::Overloaded("the command cannot be encoded"))?;
@@ -361,7 +321,7 @@
     (info, message)
 }
 
-fn not_leader(e: &ReadError) -> CallReply {
+pub(super) fn not_leader(e: &ReadError) -> CallReply {
     match e {
         ReadError::NotLeader { leader } => CallReply::NotLeader(*leader),
         ReadError::Stopping => CallReply::NotLeader(None),
--- a/tests/batch_server.rs
+++ b/tests/batch_server.rs
@@ -2,25 +2,38 @@
 
 mod batch_world;
 
+use std::fs::File;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use batch_world::config;
+use batch_world::{config, step};
+use futures::future;
 use slog::{Discard, Logger, o};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 use yuccahold::batch::agents::Agents;
-use yuccahold::batch::calls::{AgentMessage, ServerMessage};
+use yuccahold::batch::calls::{
+    AgentMessage, Call, CallReply, ClientAction, ClientCall, ClientReply, OperatorReply,
+    RETRY_AFTER, ServerMessage,
+};
 use yuccahold::batch::machine::Machine;
+use yuccahold::batch::model::JobSpec;
 use yuccahold::batch::server::CallServer;
+use yuccahold::platform::decode_config;
 use yuccahold::replication::{Formation, Replica, ReplicaConfig};
+use yuccahold::storage::{Files, RealFiles};
 use yuccahold::wire::{self, CellKey, CellKeys, FrameReader, FrameWriter};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time within which a stuck peer must be removed from the agents.
 const MAX_DETECTION_TIME: Duration = Duration::from_secs(8);
+/// Commands that a replica lets wait to be committed.
+const MAX_PENDING_COMMANDS: u64 = 16 * 1024;
 
 fn keys() -> CellKeys {
     CellKeys::new([CellKey::from_text("a test key")]).expect("one key")
@@ -29,12 +42,17 @@
 /// A replica that leads a group of one, and its call server.
 struct Control {
     addr: SocketAddr,
+    server: CallServer,
     agents: Agents,
     data: PathBuf,
 }
 
 impl Control {
     async fn start(name: &str) -> Self {
+        Self::start_with(name, RealFiles).await
+    }
+
+    async fn start_with(name: &str, files: impl Files) -> Self {
         let name = format!("yuccahold-{name}-{}", std::process::id());
         let data = std::env::temp_dir().join(name);
         let _ = std::fs::remove_dir_all(&data);
@@ -60,15 +78,21 @@
             on_disk_failure: |e| eprintln!("{e}"),
         };
         let (orders, _) = mpsc::unbounded_channel();
-        let replica = Replica::start(cfg, Machine::new(config(), orders)).expect("it starts");
+        let replica =
+            Replica::start_with(cfg, Machine::new(config(), orders), files).expect("it starts");
         let agents = Agents::default();
         let log = Logger::root(Discard, o!());
         // Agents on the server's host get no orders, so the server has another address than the
         // peers.
         let host_ip = Ipv4Addr::new(10, 0, 0, 1).into();
         let server = CallServer::new(replica, keys(), agents.clone(), host_ip, log);
-        tokio::spawn(server.serve(listener));
-        Self { addr, agents, data }
+        tokio::spawn(server.clone().serve(listener));
+        Self {
+            addr,
+            server,
+            agents,
+            data,
+        }
     }
 
     /// Connects as an agent.
@@ -141,3 +165,72 @@
     }
     assert_eq!(control.agents.count(), 1);
 }
+
+/// A disk whose syncs do not return while the flag is set.
+struct StalledDisk(Arc<AtomicBool>);
+
+impl Files for StalledDisk {
+    fn append(&mut self, file: &mut File, buf: &[u8]) -> io::Result<()> {
+        RealFiles.append(file, buf)
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        while self.0.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        RealFiles.sync(file)
+    }
+}
+
+fn submission(job: u64) -> Call {
+    Call::Client(ClientCall {
+        host: "example".into(),
+        path: format!("/checks/{job:016x}").into(),
+        key: None,
+        action: ClientAction::Submit(Arc::new(JobSpec {
+            payload: "x".into(),
+            steps: vec![step(1, 100)],
+            timetable: None,
+        })),
+    })
+}
+
+/// The job would run although its second submission was refused with a promise that it never does.
+#[tokio::test]
+async fn a_job_with_a_pending_submission_is_not_refused() {
+    let stalled = Arc::new(AtomicBool::new(false));
+    let control = Control::start_with("pending", StalledDisk(stalled.clone())).await;
+    let _agent = control.agent().await;
+    let document = r#"{"version":1,"routes":[{"name":"checks","host":"example",
+        "path_prefix":"/checks/","timeout_ms":3000,"service":"desk"}],
+        "services":[{"name":"desk"}]}"#;
+    let order = decode_config(document.into()).expect("a configuration");
+    let server = &control.server;
+    let configured = CallReply::Operator(OperatorReply::Accepted);
+    while server.answer(Call::PutConfig(order.clone())).await != configured {
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    stalled.store(true, Ordering::Relaxed);
+    let submit = |job| {
+        let server = server.clone();
+        tokio::spawn(async move { server.answer(submission(job)).await })
+    };
+    let first = submit(1);
+    sleep(Duration::from_millis(50)).await;
+    let refused = CallReply::Client(ClientReply::Unavailable(RETRY_AFTER));
+    let mut others: Vec<_> = (0..MAX_PENDING_COMMANDS).map(|i| submit(2 + i)).collect();
+    let overloaded = timeout(TEST_TIMEOUT, future::select_all(others.drain(..))).await;
+    let (reply, ..) = overloaded.expect("the replica refuses further commands");
+    assert_eq!(reply.expect("it does not panic"), refused);
+    let second = server.answer(submission(1)).await;
+    stalled.store(false, Ordering::Relaxed);
+    assert_eq!(second, CallReply::Client(ClientReply::InDoubt));
+
+    let accepted = CallReply::Client(ClientReply::Accepted);
+    let first = timeout(TEST_TIMEOUT, first)
+        .await
+        .expect("an answer in time");
+    assert_eq!(first.expect("it does not panic"), accepted);
+    assert_eq!(server.answer(submission(1)).await, accepted);
+}
