Entry: a refused second copy of a call is not the outcome of the first

What callers saw: `not-run` for a job that control had accepted. An entry host had sent the submission, lost the connection before the answer, and sent it again.

Cause: the link kept one flag for "sent". A replica that answered "not the leader" to the second copy cleared it, so that the call expired as never sent (503, `not-run`). A refusal of the second copy (overloaded, conflict, not found, ...) was passed on as the outcome of the submission, although it says nothing about the first copy: that one may be in the log, or in the queue of a slow leader.

Change: `PendingCall` records whether the open connection carries a copy and whether an earlier copy is in doubt, and alone decides the outcome. With an earlier copy in doubt, a refusal and the end of the call are `unknown`; success stays final, and so is the answer to a query, which changes nothing.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -9,75 +9,27 @@
 use tokio::time::Instant;
 
 use crate::entry::link_connection::{Connection, ConnectionEnd};
+use crate::entry::pending_call::PendingCall;
 use crate::error::{Error, Result, Step};
 use crate::ids::Revision;
 use crate::wire::{Answer, Call, CellKeys, EntryHello, Feed};
 
 /// Maximum calls queued for the connection.
 const MAX_QUEUED_CALLS: usize = 4096;
-/// Longest time that a claim waits to be sent. Without a leader its request is refused as not run,
-/// so that the caller can use another entry host.
-const CLAIM_SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay before connecting to the next replica.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
 /// Calls from an entry host to the control plane, and the feed in return.
 pub trait ControlLink: Send + Sync + 'static {
-    /// Sends a call and waits for its answer. An error means that nothing was sent; a call that was
-    /// sent and got no answer in time gives [`Answer::Unknown`].
+    /// Sends a call and waits for its answer. An error means that no copy of it can be executed. A
+    /// call with a copy that may have been executed gives [`Answer::Unknown`], unless a later copy
+    /// succeeded.
     fn call(&self, call: Call, timeout: Duration) -> impl Future<Output = Result<Answer>> + Send;
 
     /// The latest feed, with the document always present once there is one.
     fn feed(&self) -> watch::Receiver<Arc<Feed>>;
 }
 
-/// A call without an answer yet.
-pub(super) struct PendingCall {
-    pub(super) call: Call,
-    pub(super) deadline: Instant,
-    /// When it expires if it was not sent.
-    pub(super) send_deadline: Instant,
-    pub(super) sent: bool,
-    pub(super) reply: oneshot::Sender<Result<Answer>>,
-}
-
-impl PendingCall {
-    /// Whether the call may be resent after the connection was lost before its answer.
-    fn resendable(&self) -> bool {
-        match &self.call {
-            // Without a name or key, a second submission would create a second job.
-            Call::SubmitJob(job) => job.name.is_some() || job.key.is_some(),
-            // A second claim would find the first one in progress.
-            Call::ClaimKey(_) | Call::Http(_) => false,
-            // Counted twice, the events could raise a false alert.
-            Call::Burn(_) => false,
-            _ => true,
-        }
-    }
-
-    /// Whether its caller waits no longer.
-    pub(super) fn is_expired(&self, now: Instant) -> bool {
-        let end = if self.sent {
-            self.deadline
-        } else {
-            self.send_deadline
-        };
-        end <= now
-    }
-
-    pub(super) fn expire(self) {
-        let answer = if self.sent {
-            Ok(Answer::Unknown)
-        } else {
-            Err(Error::new(
-                Step::Connect,
-                "no leader among the control replicas was reached",
-            ))
-        };
-        let _ = self.reply.send(answer);
-    }
-}
-
 /// Link to control replicas over TCP.
 #[derive(Clone)]
 pub struct RemoteLink {
@@ -88,18 +40,7 @@
 impl ControlLink for RemoteLink {
     async fn call(&self, call: Call, timeout: Duration) -> Result<Answer> {
         let (reply, answer) = oneshot::channel();
-        let now = Instant::now();
-        let send_timeout = match &call {
-            Call::ClaimKey(_) => timeout.min(CLAIM_SEND_TIMEOUT),
-            _ => timeout,
-        };
-        let pending = PendingCall {
-            call,
-            deadline: now + timeout,
-            send_deadline: now + send_timeout,
-            sent: false,
-            reply,
-        };
+        let pending = PendingCall::new(call, Instant::now(), timeout, reply);
         let busy = |_| Error::new(Step::Connect, "too many calls wait for control");
         self.calls.try_send(pending).map_err(busy)?;
         let ended = |_| Error::new(Step::Connect, "the link to control has ended");
@@ -217,9 +158,8 @@
     true
 }
 
-fn keep_resendable(calls: Vec<PendingCall>) -> Vec<PendingCall> {
-    let (keep, give_up): (Vec<_>, Vec<_>) =
-        calls.into_iter().partition(|p| !p.sent || p.resendable());
-    give_up.into_iter().for_each(PendingCall::expire);
-    keep
+fn keep_resendable(mut calls: Vec<PendingCall>) -> Vec<PendingCall> {
+    let give_up = calls.extract_if(.., |pending| !pending.connection_lost());
+    give_up.for_each(PendingCall::expire);
+    calls
 }
--- a/src/entry/link_connection.rs
+++ b/src/entry/link_connection.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::entry::link::PendingCall;
+use crate::entry::pending_call::PendingCall;
 use crate::error::{Error, Result, Step};
 use crate::wire::{
     Answer, Call, CallId, CellKeys, EntryHello, Feed, FrameReader, FrameWriter, FromControl,
@@ -139,17 +139,17 @@
         self.next_id += 1;
         let message = ToControl::Call {
             id,
-            call: pending.call.clone(),
+            call: pending.call().clone(),
         };
         match self.writer.queue(&message) {
             Ok(()) => {
-                pending.sent = true;
-                if is_prompt(&pending.call) {
+                pending.sent();
+                if is_prompt(pending.call()) {
                     self.unanswered_since.get_or_insert_with(Instant::now);
                 }
                 self.calls.insert(id, pending);
             }
-            Err(e) => drop(pending.reply.send(Err(e))),
+            Err(e) => pending.fail(e),
         }
     }
 
@@ -163,11 +163,11 @@
                 // The answer to an expired call matches no entry and is dropped.
                 let mut pending = self.calls.remove(&id)?;
                 if let Answer::NotLeader(leader) = answer {
-                    pending.sent = false;
+                    pending.not_taken();
                     self.calls.insert(id, pending);
                     return Some(ConnectionEnd::NotLeader(leader));
                 }
-                let _ = pending.reply.send(Ok(answer));
+                pending.answer(answer);
             }
             FromControl::Feed(update) => merge(feed, update),
             FromControl::Change(delta) => feed.send_modify(|held| {
@@ -179,17 +179,12 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let expired = self.calls.iter().filter(|(_, call)| call.is_expired(now));
-        let ids: Vec<_> = expired.map(|(id, _)| *id).collect();
-        for id in ids {
-            if let Some(pending) = self.calls.remove(&id) {
-                pending.expire();
-            }
-        }
+        let expired = self.calls.extract_if(|_, pending| pending.is_expired(now));
+        expired.for_each(|(_, pending)| pending.expire());
     }
 
     fn awaits_answer(&self) -> bool {
-        self.calls.values().any(|pending| is_prompt(&pending.call))
+        self.calls.values().any(|pending| is_prompt(pending.call()))
     }
 
     fn is_silent(&self) -> bool {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod peer_dialer;
 mod peer_message;
 mod peer_server;
+mod pending_call;
 mod reply;
 mod service_request;
 
