Entry: a call cut off by a planned stop is in doubt, not unsent

What callers saw: `not-run` (503) for a job submission that control had received, when its entry host was stopped before control answered.

Cause: a planned stop ends the link to control after `stop_grace`. A call in flight was dropped with it, and a dropped reply counted as "nothing was sent".

Change: a pending call that is dropped ends by the same rule as one that expires: unknown if a copy of it may have been executed, else not sent. The separate paths for expired calls are gone.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -43,8 +43,7 @@
         let pending = PendingCall::new(call, Instant::now(), timeout, reply);
         let busy = |_| Error::new(Step::Connect, "too many calls wait for control");
         self.calls.try_send(pending).map_err(busy)?;
-        let ended = |_| Error::new(Step::Connect, "the link to control has ended");
-        answer.await.map_err(ended)?
+        answer.await.unwrap_or(Ok(Answer::Unknown))
     }
 
     fn feed(&self) -> watch::Receiver<Arc<Feed>> {
@@ -126,7 +125,8 @@
         slog::debug!(dialer.log, "connected to control"; "peer" => %connection.peer());
         let (lost, calls) = connection.serve(&mut queue, waiting, &feed).await;
         metrics::counter!("yuccahold_entry_control_connections_lost_total").increment(1);
-        waiting = keep_resendable(calls);
+        waiting = calls;
+        waiting.retain_mut(PendingCall::connection_lost);
         match lost {
             ConnectionEnd::Stopped => return,
             ConnectionEnd::NotLeader(leader) => dialer.leader = leader,
@@ -152,14 +152,6 @@
         }
     }
     let now = Instant::now();
-    let (live, expired): (Vec<_>, Vec<_>) = waiting.drain(..).partition(|p| !p.is_expired(now));
-    *waiting = live;
-    expired.into_iter().for_each(PendingCall::expire);
+    waiting.retain(|pending| !pending.is_expired(now));
     true
 }
-
-fn keep_resendable(mut calls: Vec<PendingCall>) -> Vec<PendingCall> {
-    let give_up = calls.extract_if(.., |pending| !pending.connection_lost());
-    give_up.for_each(PendingCall::expire);
-    calls
-}
--- a/src/entry/link_connection.rs
+++ b/src/entry/link_connection.rs
@@ -179,8 +179,7 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let expired = self.calls.extract_if(|_, pending| pending.is_expired(now));
-        expired.for_each(|(_, pending)| pending.expire());
+        self.calls.retain(|_, pending| !pending.is_expired(now));
     }
 
     fn awaits_answer(&self) -> bool {
--- a/src/entry/pending_call.rs
+++ b/src/entry/pending_call.rs
@@ -12,14 +12,15 @@
 /// so that the caller can use another entry host.
 const CLAIM_SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A call without an outcome yet.
+/// A call without an outcome yet. Dropped before its answer, it ends as not sent or as unknown.
 pub(super) struct PendingCall {
     call: Call,
     deadline: Instant,
     /// When it expires if no copy of it may have been executed.
     send_deadline: Instant,
     copies: Copies,
-    reply: oneshot::Sender<Result<Answer>>,
+    /// None once the outcome was given to the caller.
+    reply: Option<oneshot::Sender<Result<Answer>>>,
 }
 
 /// What is known of the copies of a call. One is sent on each connection, until one is answered.
@@ -48,7 +49,7 @@
             deadline: now + timeout,
             send_deadline: now + send_timeout,
             copies: Copies::default(),
-            reply,
+            reply: Some(reply),
         }
     }
 
@@ -101,27 +102,42 @@
 
     /// Ends the call with the leader's answer to its latest copy. A refusal says nothing of an
     /// earlier copy in doubt: a job would be reported as not run that was accepted before.
-    pub(super) fn answer(self, answer: Answer) {
+    pub(super) fn answer(mut self, answer: Answer) {
         let reads_only = matches!(self.call, Call::QueryJob(_));
         let outcome = match answer {
             Answer::Refused(_) if self.copies.in_doubt && !reads_only => Answer::Unknown,
             answer => answer,
         };
-        let _ = self.reply.send(Ok(outcome));
+        self.end(Ok(outcome));
     }
 
     /// Ends a call whose latest copy could not be written.
-    pub(super) fn fail(self, e: Error) {
+    pub(super) fn fail(mut self, e: Error) {
+        self.end_unanswered(e);
+    }
+
+    fn end_unanswered(&mut self, not_sent: Error) {
         let outcome = match self.may_have_run() {
             true => Ok(Answer::Unknown),
-            false => Err(e),
+            false => Err(not_sent),
         };
-        let _ = self.reply.send(outcome);
+        self.end(outcome);
     }
 
-    /// Ends a call that gets no answer any more.
-    pub(super) fn expire(self) {
-        let reason = "no leader among the control replicas was reached";
-        self.fail(Error::new(Step::Connect, reason));
+    fn end(&mut self, outcome: Result<Answer>) {
+        if let Some(reply) = self.reply.take() {
+            let _ = reply.send(outcome);
+        }
+    }
+}
+
+/// The caller of a call that is dropped with its connection, as when the entry host stops, must
+/// not take it for one that was never sent.
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        if self.reply.is_some() {
+            let reason = "no leader among the control replicas was reached";
+            self.end_unanswered(Error::new(Step::Connect, reason));
+        }
     }
 }
--- a/tests/entry_resends.rs
+++ b/tests/entry_resends.rs
@@ -4,12 +4,14 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
-use support::keys;
+use support::{keys, outcome, settings};
 use tokio::net::TcpListener;
-use yuccahold::entry::{ControlLink, RemoteLink};
+use tokio::sync::Notify;
+use yuccahold::entry::{ControlLink, Entry, RemoteLink};
 use yuccahold::telemetry::discard;
 use yuccahold::wire::{
     Answer, Call, EntryHello, FromControl, JobSubmission, Refusal, RefusalKind, ToControl, accept,
@@ -24,18 +26,23 @@
     Answer(Answer),
     /// Closes the connection, so that nobody can tell whether the call was executed.
     Close,
+    Hold,
 }
 
 /// A control that reacts to the first calls as listed and to the later ones as to the last.
 /// Renewals get no answer.
 struct ScriptedControl {
     addr: SocketAddr,
+    /// Notified of each submission or query.
+    called: Arc<Notify>,
 }
 
 impl ScriptedControl {
     async fn start(reactions: Vec<Reaction>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
+        let called = Arc::new(Notify::new());
+        let notified = called.clone();
         tokio::spawn(async move {
             let mut next = reactions
                 .iter()
@@ -50,16 +57,18 @@
                     if !matches!(call, Call::SubmitJob(_) | Call::QueryJob(_)) {
                         continue;
                     }
+                    notified.notify_one();
                     match next.next().unwrap().clone() {
                         Reaction::Answer(answer) => {
                             tx.write(&FromControl::Answer { id, answer }).await.unwrap();
                         }
                         Reaction::Close => break,
+                        Reaction::Hold => {}
                     }
                 }
             }
         });
-        Self { addr }
+        Self { addr, called }
     }
 
     fn link(&self) -> RemoteLink {
@@ -123,3 +132,23 @@
     let answer = control.link().call(query, TIMEOUT).await;
     assert!(matches!(answer, Ok(Answer::Refused(_))), "{answer:?}");
 }
+
+/// Guards against "not run" for a job in flight to control when its entry host is stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_without_an_answer_at_a_planned_stop_is_in_doubt() {
+    let control = ScriptedControl::start(vec![Reaction::Hold]).await;
+    let mut settings = settings("entry-0", control.addr);
+    settings.stop_grace = Duration::from_millis(200);
+    let entry = Entry::start(settings, keys(), discard()).await.unwrap();
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let submit = client
+        .post(format!("http://{}/v1/jobs", entry.http_addr()))
+        .json(&serde_json::json!({"name": "pay", "kind": "plan"}))
+        .send();
+    let (reply, ()) = tokio::join!(submit, async {
+        control.called.notified().await;
+        entry.stop().await;
+    });
+    let reply = reply.unwrap();
+    assert_eq!((reply.status().as_u16(), outcome(&reply)), (504, "unknown"));
+}
