Explorer: batches of inputs, leased reads, and the safeguard ApplyBeforeActing

The explorer executed the effects after each input, so a leader that answers leased reads before it has applied its log could not be seen.

In half of the schedules a replica now handles several inputs before it executes their effects, as the runtime does, and a leader gets leased reads in between. Half of the clients' reads are leased as well. Leased reads that come before leadership is confirmed are decided after the effects, by the same `Core::is_confirmed`.

The safeguard `ApplyBeforeActing` is the rule that leadership is confirmed only once the state machine knows of it.

--- a/src/cli/tools.rs
+++ b/src/cli/tools.rs
@@ -112,6 +112,7 @@
         "schedules": coverage.schedules, "events": coverage.events,
         "elections": coverage.elections, "writes": coverage.writes, "reads": coverage.reads,
         "crashes": coverage.crashes, "pauses": coverage.pauses, "wipes": coverage.wipes,
+        "leased_reads": coverage.leased_reads,
         "membership_changes": coverage.membership_changes,
         "snapshots_installed": coverage.snapshots_installed,
         "quorums_lost": coverage.quorums_lost,
--- a/src/replication/core/config.rs
+++ b/src/replication/core/config.rs
@@ -38,6 +38,9 @@
     pub(crate) fresh_identity: bool,
     /// A leader steps down before it asks another replica to start an election.
     pub(crate) step_down_before_transfer: bool,
+    /// A new leader acts only once its state machine has applied everything up to the first entry of
+    /// its term and knows that it leads.
+    pub(crate) apply_before_acting: bool,
     /// Timestamps of log entries never decrease.
     pub(crate) time_forward: bool,
 }
@@ -58,6 +61,7 @@
             one_membership_change: true,
             fresh_identity: true,
             step_down_before_transfer: true,
+            apply_before_acting: true,
             time_forward: true,
         }
     }
--- a/src/replication/core/reads.rs
+++ b/src/replication/core/reads.rs
@@ -71,11 +71,13 @@
     /// Once the first entry of this leadership is committed, requests that the state machine is told.
     pub(super) fn note_first_commit(&mut self) {
         let (commit, term) = (self.commit, self.hard.term);
+        let act_at_once = !self.cfg.safeguards.apply_before_acting;
         let Some(leading) = &mut self.leading else {
             return;
         };
         if !leading.first_entry_committed && commit >= leading.first_index {
             leading.first_entry_committed = true;
+            leading.machine_leads = act_at_once;
             self.effects.push(Effect::Leadership(Some(term)));
         }
     }
--- a/src/replication/explore/faults.rs
+++ b/src/replication/explore/faults.rs
@@ -49,6 +49,8 @@
     pub(super) longest_call_gap: Duration,
     /// Longest delay of a message, except for the share of late ones.
     pub(super) longest_delay: Duration,
+    /// Share of inputs after which a replica handles further ones before it executes the effects.
+    pub(super) batch_share: f64,
 }
 
 impl FaultProfile {
@@ -60,6 +62,7 @@
             max_downtime: Duration::ZERO,
             longest_call_gap: Duration::from_millis(40),
             longest_delay: Duration::from_millis(8),
+            batch_share: 0.0,
         }
     }
 
@@ -70,6 +73,7 @@
             max_downtime: Duration::from_millis([400, 20][rng.random_range(0..2)]),
             longest_call_gap: Duration::from_millis([40, 400][rng.random_range(0..2)]),
             longest_delay: Duration::from_millis([8, 25][rng.random_range(0..2)]),
+            batch_share: [0.0, 0.1][rng.random_range(0..2)],
         }
     }
 }
--- a/src/replication/explore/host.rs
+++ b/src/replication/explore/host.rs
@@ -78,6 +78,8 @@
     pub(super) register: Register,
     pub(super) writes: BTreeMap<LogIndex, (Term, OpId)>,
     pub(super) reads: BTreeMap<ReadId, OpId>,
+    /// Leased reads to decide once the effects of the batch are executed.
+    pub(super) deferred_reads: Vec<OpId>,
     pub(super) unsynced: VecDeque<Save>,
     /// Last term in which it was observed as leader.
     pub(super) led_term: Term,
@@ -91,6 +93,7 @@
     Tick,
     Write(OpId),
     Read(OpId),
+    LeasedRead(OpId),
     TransferLeadership,
     DiskFull(bool),
 }
@@ -103,6 +106,8 @@
     /// Counts starts and crashes, so that inputs for an earlier process are dropped.
     pub(super) incarnation: u64,
     pub(super) paused_until: Timestamp,
+    /// Inputs are handled, and the effects are executed only when the batch ends.
+    pub(super) in_batch: bool,
     /// Inputs that arrived during a pause.
     pub(super) queued_inputs: VecDeque<Input>,
     /// Longest duration of a sync.
@@ -114,11 +119,13 @@
         let found = self.disk.state.clone();
         self.incarnation += 1;
         self.queued_inputs.clear();
+        self.in_batch = false;
         self.running = Some(Running {
             core: Core::new(cfg, seed, self.clock.monotonic(now), found),
             register: Register::default(),
             writes: BTreeMap::new(),
             reads: BTreeMap::new(),
+            deferred_reads: Vec::new(),
             unsynced: VecDeque::new(),
             led_term: 0,
         });
@@ -134,6 +141,7 @@
         }
         self.incarnation += 1;
         self.queued_inputs.clear();
+        self.in_batch = false;
         self.paused_until = Timestamp::ZERO;
     }
 }
--- a/src/replication/explore/mod.rs
+++ b/src/replication/explore/mod.rs
@@ -70,13 +70,15 @@
     FreshIdentity,
     /// A leader steps down before it transfers leadership.
     StepDownBeforeTransfer,
+    /// A new leader acts only once its state machine has applied the log up to its own first entry.
+    ApplyBeforeActing,
     /// Timestamps of log entries never decrease.
     TimeForward,
 }
 
 impl Safeguard {
     /// All safeguards.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::SyncBeforeAnswer,
         Self::SingleVote,
         Self::LogUpToDate,
@@ -90,6 +92,7 @@
         Self::OneMembershipChange,
         Self::FreshIdentity,
         Self::StepDownBeforeTransfer,
+        Self::ApplyBeforeActing,
         Self::TimeForward,
     ];
 
@@ -112,6 +115,7 @@
             Self::OneMembershipChange => s.one_membership_change = false,
             Self::FreshIdentity => s.fresh_identity = false,
             Self::StepDownBeforeTransfer => s.step_down_before_transfer = false,
+            Self::ApplyBeforeActing => s.apply_before_acting = false,
             Self::TimeForward => s.time_forward = false,
         }
         s
@@ -156,6 +160,8 @@
     pub writes: u64,
     /// Reads answered.
     pub reads: u64,
+    /// Those of them that ran under the leader lease, without a heartbeat round.
+    pub leased_reads: u64,
     /// Operations that were refused, or whose outcome is unknown.
     pub refused: u64,
     /// Replicas that crashed.
@@ -180,6 +186,7 @@
         self.elections += other.elections;
         self.writes += other.writes;
         self.reads += other.reads;
+        self.leased_reads += other.leased_reads;
         self.refused += other.refused;
         self.crashes += other.crashes;
         self.pauses += other.pauses;
--- a/src/replication/explore/simulation/effects.rs
+++ b/src/replication/explore/simulation/effects.rs
@@ -40,11 +40,33 @@
                 }
                 Err(_) => self.coverage.refused += 1,
             },
+            Input::LeasedRead(op) => {
+                if r.core.is_confirmed(now) {
+                    self.answer_leased_read(host, op);
+                } else {
+                    r.deferred_reads.push(op);
+                }
+            }
         }
     }
 
+    /// Answers a leased read if the replica's leadership is confirmed, else refuses it.
+    fn answer_leased_read(&mut self, host: usize, op: OpId) {
+        let now = self.hosts[host].clock.monotonic(self.now);
+        let running = self.hosts[host].running.as_ref();
+        let Some(r) = running.filter(|r| r.core.is_confirmed(now)) else {
+            self.coverage.refused += 1;
+            return;
+        };
+        let outcome = Outcome::Version(r.register.version);
+        self.history.answer(op, outcome, self.now);
+        self.coverage.reads += 1;
+        self.coverage.leased_reads += 1;
+    }
+
     /// Executes a replica's effects and checks the properties.
     pub(super) fn execute_and_check(&mut self, host: usize) -> Result<(), CheckFailure> {
+        self.hosts[host].in_batch = false;
         let now = self.hosts[host].clock.monotonic(self.now);
         if let Some(r) = &mut self.hosts[host].running {
             r.core.replicate(now);
@@ -59,12 +81,16 @@
                 return Ok(());
             };
             let effects = r.core.take_effects();
-            if effects.is_empty() {
+            let deferred = std::mem::take(&mut r.deferred_reads);
+            if effects.is_empty() && deferred.is_empty() {
                 return Ok(());
             }
             for effect in effects {
                 self.execute_effect(host, effect)?;
             }
+            for op in deferred {
+                self.answer_leased_read(host, op);
+            }
         }
     }
 
--- a/src/replication/explore/simulation/fault_injection.rs
+++ b/src/replication/explore/simulation/fault_injection.rs
@@ -36,10 +36,10 @@
         }
         let is_read = self.rng.random_bool(0.5);
         let op = self.history.call(is_read, self.now);
-        let input = if is_read {
-            Input::Read(op)
-        } else {
-            Input::Write(op)
+        let input = match is_read {
+            true if self.rng.random_bool(0.5) => Input::LeasedRead(op),
+            true => Input::Read(op),
+            false => Input::Write(op),
         };
         self.deliver(host, input)
     }
--- a/src/replication/explore/simulation/mod.rs
+++ b/src/replication/explore/simulation/mod.rs
@@ -32,6 +32,8 @@
 const SNAPSHOT_LEN: usize = 48;
 /// Share of messages that are delayed enough for many later ones to arrive first.
 const LATE_MESSAGE_SHARE: f64 = 0.03;
+/// Longest time from the first input of a batch to the execution of its effects, in microseconds.
+const LONGEST_BATCH: u64 = 3_000;
 /// Inputs above which messages are assumed to multiply without bound; some thousands are usual.
 const MAX_EVENTS: u64 = 200_000;
 /// Restarts by one `RepeatedRestarts` fault, and the time between two.
@@ -49,6 +51,8 @@
     Wake(usize),
     Restart(usize, u64),
     Crash(usize, Duration),
+    /// The process with this incarnation executes the effects of its batch.
+    EndOfBatch(usize, u64),
     Fault,
     Call,
     EndOfFaults,
@@ -171,6 +175,7 @@
                 running: None,
                 incarnation: 0,
                 paused_until: Timestamp::ZERO,
+                in_batch: false,
                 queued_inputs: Default::default(),
                 longest_sync: Duration::from_millis(2),
             });
@@ -293,6 +298,13 @@
                 }
                 Ok(())
             }
+            Event::EndOfBatch(host, incarnation) => {
+                let h = &self.hosts[host];
+                if h.incarnation != incarnation || !h.in_batch || self.now < h.paused_until {
+                    return Ok(());
+                }
+                self.execute_and_check(host)
+            }
             Event::Call => self.call(),
             Event::EndOfFaults => self.end_faults(),
         }
@@ -344,9 +356,31 @@
         self.execute_and_check(host)
     }
 
+    /// Handles an input, as the runtime does: it may handle several before it executes their effects.
     fn handle(&mut self, host: usize, input: Input) -> Result<(), CheckFailure> {
         self.process_input(host, input);
-        self.execute_and_check(host)
+        if self.hosts[host].in_batch {
+            self.read_in_batch(host);
+            return Ok(());
+        }
+        if !self.rng.random_bool(self.profile.batch_share) {
+            return self.execute_and_check(host);
+        }
+        self.hosts[host].in_batch = true;
+        let time = Duration::from_micros(self.rng.random_range(100..LONGEST_BATCH));
+        let incarnation = self.hosts[host].incarnation;
+        self.schedule(time, Event::EndOfBatch(host, incarnation));
+        self.read_in_batch(host);
+        Ok(())
+    }
+
+    /// Calls for a leased read at a leader whose effects are not executed yet.
+    fn read_in_batch(&mut self, host: usize) {
+        let running = self.hosts[host].running.as_ref();
+        if running.is_some_and(|r| r.core.is_leader()) {
+            let op = self.history.call(true, self.now);
+            self.process_input(host, Input::LeasedRead(op));
+        }
     }
 }
 
--- a/tests/replication_explorer.rs
+++ b/tests/replication_explorer.rs
@@ -20,6 +20,7 @@
         coverage.elections,
         coverage.writes,
         coverage.reads,
+        coverage.leased_reads,
         coverage.refused,
         coverage.crashes,
         coverage.pauses,
@@ -48,6 +49,7 @@
 #[case(Safeguard::OneMembershipChange, &[Check::ElectionSafety, Check::CommittedKept])]
 #[case(Safeguard::FreshIdentity, &[Check::ElectionSafety, Check::CommittedKept, Check::Progress])]
 #[case(Safeguard::StepDownBeforeTransfer, &[Check::OneActingLeader])]
+#[case(Safeguard::ApplyBeforeActing, &[Check::Linearizable])]
 #[case(Safeguard::TimeForward, &[Check::TimeForward])]
 fn a_broken_safeguard_is_seen(#[case] disabled: Safeguard, #[case] detected_by: &[Check]) {
     let violation =
