Test: no refused job runs after restarts of all control daemons

Callers got a definite rejection of a job that was in the log and ran, and 410 for jobs that had been accepted, when all control daemons were killed while submissions were under way.

Cause, as the logs show it: a new leader answers reads once its first entry is committed, before that entry and the ones before it are applied (refusals with applied 0 of 10,517 committed).

The test has 400 callers with one to three attempts for each job, kills all three control daemons with SIGKILL and starts them again six times in a series. In the third case the key is replaced while the entry hosts are paused. Refused jobs must be unknown in the end, and accepted ones known all the time.

--- a/tests/platform_cell/caller.rs
+++ b/tests/platform_cell/caller.rs
@@ -55,6 +55,17 @@
         }
     }
 
+    /// Another caller that uses the connections of this one.
+    pub fn sharing_connections(&self, seed: u64) -> Self {
+        Self {
+            client: self.client.clone(),
+            entry_addrs: self.entry_addrs.clone(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            recorder: self.recorder.clone(),
+            ..*self
+        }
+    }
+
     /// Submits jobs until `end` and queries or cancels each accepted one.
     pub async fn run(mut self, end: Instant) {
         while Instant::now() < end {
