Tests: a minion falls silent only once its slots are in use

Cause: the test's set-up. It announced the minion once, for 1 s, and then waited until both entry hosts listed its slots. If one of them took longer than that second, the announcement expired while the minion was idle, its owner released it, and control removed it, as it should. Nothing announced the minion again, so the wait could not end. A minion that is alive repeats its announcement.

Change: the first announcement lasts 60 s, longer than the wait's deadline. The minion is announced with 1 s, by the same process in the same zone, once all 8 of its slots are in use, and that announcement is the one that expires. The return in the other zone, the requests to the second entry host and all assertions are unchanged.

--- a/tests/process_entries.rs
+++ b/tests/process_entries.rs
@@ -313,7 +313,7 @@
         ..MinionOptions::default()
     };
     let minion = start_minion(options).await.unwrap();
-    announce(&env, &minion, "bern-a", Duration::from_secs(1)).await;
+    announce(&env, &minion, "bern-a", Duration::from_secs(60)).await;
     env.wait_for_slots(8).await;
     let asks = async {
         let asks = (0..8).map(|_| env.send_request(0, "/check", &[]));
@@ -324,6 +324,7 @@
             minion.counts().in_work == 8
         })
         .await;
+        announce(&env, &minion, "bern-a", Duration::from_secs(1)).await;
         until("it to count as silent", async || {
             let rows = env.table("minions").await;
             rows.first().is_none_or(|row| row["leaving"] == true)
