Batch: calls that a follower answers are not in doubt

What callers saw: while a new leader has not committed its first entry, it refuses calls as not run. Only the first such refusal on a connection counted; the other calls written there were in doubt. Without a leader they got 504 at their deadline instead of 503 after a second, and a refusal by the next leader became 504 as well. Cause: the first NotLeader ended the connection and dropped the open calls with their answers on the way. An answer that leaves the outcome open is dropped as before, so that the next leader is asked. Orders and questions end the connection, so their sender gives them to others. A broken or silent connection leaves its calls in doubt as before; so does the notice of another leader, whose usual reason is that the old one hangs.

--- a/src/batch/leader_search.rs
+++ b/src/batch/leader_search.rs
@@ -7,9 +7,9 @@
 
 use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::calls::{AgentMessage, CallNumber, CallReply, OrderNumber, ServerMessage};
+use super::calls::{AgentMessage, CallNumber, CallReply, Effect, OrderNumber, ServerMessage};
 use super::dispatch::MinionAnswer;
 use super::driver::{Minions, Policy, send_order};
 use super::election_watch::{ElectedLeader, Members};
@@ -169,13 +169,13 @@
                 }
             }
         });
-        let _reading = AbortOnDrop(reading);
+        let reading = AbortOnDrop(reading);
         self.current.send_replace(Some(LeaderConnection {
             calls: tx,
             addr,
             term: self.term,
         }));
-        let mut open: HashMap<CallNumber, oneshot::Sender<CallReply>> = HashMap::new();
+        let mut open = OpenCalls::new();
         let mut number: CallNumber = 0;
         let mut last_received = Instant::now();
         let mut pinged_at: Option<Instant> = None;
@@ -232,6 +232,7 @@
                                 let _ = tx.send(reply);
                             }
                             if not_leader {
+                                tokio::spawn(read_last_replies(messages, open, reading));
                                 return Ok(());
                             }
                         }
@@ -242,6 +243,7 @@
                                 self.update_members(is_leader, leader, members, from);
                             }
                             if !is_leader {
+                                tokio::spawn(read_last_replies(messages, open, reading));
                                 return Ok(());
                             }
                         }
@@ -269,6 +271,8 @@
                 }
                 Ok(()) = self.elected.changed() => {
                     if let Some(addr) = self.newly_elected() {
+                        // The old leader may hang, so its answers are not waited for: that would
+                        // delay the copies of the open calls for the new one.
                         self.next_addr = Some(addr);
                         return Err(Error::new(Step::Transfer, "another leader was elected"));
                     }
@@ -301,6 +305,39 @@
     }
 }
 
+/// Calls that were written to a connection and have no answer yet.
+type OpenCalls = HashMap<CallNumber, oneshot::Sender<CallReply>>;
+
+/// Reads the answers that a peer that does not lead still gives to open calls, for at most
+/// `PONG_TIMEOUT`: it answers each with `NotLeader`, or with what became of it while it led.
+///
+/// Orders and questions end the connection. The peer then gives them to other agents; it would wait
+/// for their answers otherwise.
+async fn read_last_replies(
+    mut messages: mpsc::Receiver<ServerMessage>,
+    mut open: OpenCalls,
+    _reading: AbortOnDrop,
+) {
+    let end = Instant::now() + PONG_TIMEOUT;
+    while !open.is_empty() {
+        match timeout_at(end, messages.recv()).await {
+            Ok(Some(ServerMessage::Reply(number, reply))) => {
+                let tx = open.remove(&number);
+                // Without an answer, the caller asks the next leader, which may know the outcome.
+                if let Some(tx) = tx
+                    && reply.effect() != Effect::Unknown
+                {
+                    let _ = tx.send(reply);
+                }
+            }
+            Ok(Some(
+                ServerMessage::Lead { .. } | ServerMessage::Relays(_) | ServerMessage::Pong(_),
+            )) => {}
+            Ok(Some(ServerMessage::Orders(_) | ServerMessage::Advise(_)) | None) | Err(_) => return,
+        }
+    }
+}
+
 async fn flush(writer: &mut FrameWriter) -> Result<()> {
     match timeout(PONG_TIMEOUT, writer.flush()).await {
         Ok(done) => done,
--- a/tests/batch_link.rs
+++ b/tests/batch_link.rs
@@ -210,3 +210,37 @@
     let outcomes = tokio::join!(first, second);
     assert_eq!(outcomes, (Err(CallError::InDoubt), Err(CallError::NotRun)));
 }
+
+/// Calls on a connection must not be in doubt because its peer answered another one first.
+#[rstest]
+#[case::all(2, Err(CallError::NotRun))]
+#[case::only_the_first(1, Err(CallError::InDoubt))]
+#[tokio::test]
+async fn all_calls_that_a_follower_answers_are_not_run(
+    #[case] answered: usize,
+    #[case] second_outcome: Result<CallReply, CallError>,
+) {
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    assert!(matches!(leader.receive().await, AgentMessage::Hello(_)));
+    let answer = async {
+        let mut numbers = Vec::new();
+        while numbers.len() < 2 {
+            if let AgentMessage::Call(number, _) = leader.receive().await {
+                numbers.push(number);
+            }
+        }
+        for number in numbers.into_iter().take(answered) {
+            let _ = connection.send(ServerMessage::Reply(number, CallReply::NotLeader(None)));
+        }
+    };
+    let deadline = Instant::now() + Duration::from_secs(4);
+    let (first, second, ()) = tokio::join!(
+        link.call(submission(10), deadline),
+        link.call(submission(10), deadline),
+        answer
+    );
+    assert_eq!((first, second), (Err(CallError::NotRun), second_outcome));
+}
