Test: refusals and leased reads wait for events instead of fixed delays

A relayed copy that was written later than a fixed delay made the tests of direct refusals fail on a busy host. A sync or a read that was late made the tests of leased reads behind the first commit fail, or pass without a read behind the commit.

The direct refusal is sent once the silent relay has read the copy. The answer that there is no leader is sent once the caller has read the relay's refusal; that relay refuses further connections and there is no other leader, so the caller must have the refusal within the time for which calls wait for a leader, far below the deadline. Leased reads are queued once the sync has returned, and the pause of the control thread ends once each read was polled, which queues it. The report of the disk thread still has a margin of 100 ms, as it is not visible from outside.

--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -5,15 +5,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use link_support::{Behavior, Control, client_call, keys, lead_message, link_from};
+use link_support::{Behavior, Control, TEST_TIMEOUT, client_call, keys, lead_message, link_from};
 use rstest::rstest;
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 use yuccahold::batch::calls::{
     AgentMessage, Call, CallReply, ClientAction, ClientReply, ServerMessage,
 };
-use yuccahold::batch::link::{CallError, LeaderLink};
+use yuccahold::batch::link::{CallError, LeaderLink, leader_wait};
 use yuccahold::batch::model::JobState;
 use yuccahold::batch::relay::RelayServer;
 use yuccahold::wire;
@@ -136,20 +138,47 @@
     assert_eq!(answered, Ok(CallReply::Client(ClientReply::Accepted)));
 }
 
-/// An entry host that reads requests and never answers.
-async fn silent_relay() -> SocketAddr {
+/// An entry host that reads requests and never answers; the receiver gets a message for each.
+async fn silent_relay() -> (SocketAddr, UnboundedReceiver<()>) {
     let silent = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = silent.local_addr().expect("bound");
+    let (requests, received) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         while let Ok((stream, _)) = silent.accept().await {
+            let requests = requests.clone();
             tokio::spawn(async move {
                 let (mut reader, writer) = wire::accept(stream, &keys()).await.expect("same keys");
-                while let Ok(Some(_)) = reader.read::<AgentMessage>().await {}
+                while let Ok(Some(_)) = reader.read::<AgentMessage>().await {
+                    let _ = requests.send(());
+                }
                 drop(writer);
             });
         }
     });
-    addr
+    (addr, received)
+}
+
+/// An entry host that answers one request and then refuses connections; the receiver gets a message
+/// once the answer is read.
+async fn relay_answering_once(reply: ClientReply) -> (SocketAddr, oneshot::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let (read, answer_read) = oneshot::channel();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        drop(listener);
+        let (mut reader, mut writer) = wire::accept(stream, &keys()).await.expect("same keys");
+        let request = reader.read::<AgentMessage>().await;
+        let Ok(Some(AgentMessage::Relayed(number, ..))) = request else {
+            panic!("a request was expected");
+        };
+        let reply = ServerMessage::Reply(number, CallReply::Client(reply));
+        writer.write(&reply).await.expect("it reads");
+        // The caller closes the connection once it has the answer.
+        let _ = reader.read::<AgentMessage>().await;
+        let _ = read.send(());
+    });
+    (addr, answer_read)
 }
 
 /// An entry host that has just lost its leader, and knows these relays.
@@ -171,7 +200,8 @@
 /// That copy may have been executed, so the caller must not be told that nothing was.
 #[tokio::test]
 async fn a_copy_that_a_relay_does_not_answer_is_in_doubt() {
-    let link = leaderless(vec![silent_relay().await]).await;
+    let (silent, _requests) = silent_relay().await;
+    let link = leaderless(vec![silent]).await;
     let call = client_call(ClientAction::Cancel);
     let answered = link.call(call, Instant::now() + DEADLINE).await;
     assert_eq!(answered, Err(CallError::InDoubt));
@@ -186,16 +216,18 @@
 async fn a_direct_refusal_with_an_unanswered_relayed_copy_is_in_doubt(
     #[case] refused: ClientReply,
 ) {
+    let (silent, mut relayed) = silent_relay().await;
     let mut leader = Control::start(Behavior::Responsive).await;
     let link = link_from(leader.addr);
     let connection = leader.connection().await;
     let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
-    let _ = connection.send(ServerMessage::Relays(vec![silent_relay().await]));
+    let _ = connection.send(ServerMessage::Relays(vec![silent]));
     sleep(Duration::from_millis(100)).await;
     let late_refusal = async {
         loop {
             if let AgentMessage::Call(number, _) = leader.receive().await {
-                sleep(Duration::from_millis(330)).await;
+                let requested = timeout(TEST_TIMEOUT, relayed.recv()).await;
+                requested.expect("a relayed copy in time");
                 let reply = CallReply::Client(refused.clone());
                 let _ = connection.send(ServerMessage::Reply(number, reply));
                 return;
@@ -224,10 +256,10 @@
     assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
 }
 
-/// The refusal must not be held back until the next leader or another relay answers.
+/// The refusal must not be held back: no other leader or relay answers before the deadline.
 #[tokio::test]
 async fn a_refusal_holds_once_the_last_other_copy_was_not_executed() {
-    let refusing = relay(leader_answering(ClientReply::Unauthenticated).await).await;
+    let (refusing, answer_read) = relay_answering_once(ClientReply::Unauthenticated).await;
     let mut leader = Control::start(Behavior::Responsive).await;
     let link = link_from(leader.addr);
     let connection = leader.connection().await;
@@ -237,7 +269,8 @@
     let no_leader = async {
         loop {
             if let AgentMessage::Call(number, _) = leader.receive().await {
-                sleep(Duration::from_millis(350)).await;
+                let read = timeout(TEST_TIMEOUT, answer_read).await;
+                read.expect("in time").expect("the relay answers");
                 let reply = CallReply::NotLeader(None);
                 let _ = connection.send(ServerMessage::Reply(number, reply));
                 return Instant::now();
@@ -246,14 +279,14 @@
     };
     let call = async {
         let call = client_call(ClientAction::Cancel);
-        let answered = link.call(call, Instant::now() + DEADLINE).await;
+        let answered = link.call(call, Instant::now() + TEST_TIMEOUT).await;
         (answered, Instant::now())
     };
     let ((answered, at), told_at) = tokio::join!(call, no_leader);
     let refused = CallReply::Client(ClientReply::Unauthenticated);
     assert_eq!(answered, Ok(refused));
     let late = at.saturating_duration_since(told_at);
-    assert!(late < Duration::from_millis(100), "{late:?}");
+    assert!(late < leader_wait(Duration::ZERO), "{late:?}");
 }
 
 /// All control hosts are down, so no relay reaches the leader either. Once callers no longer wait for
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use futures::poll;
 use yuccahold::error::Result;
 use yuccahold::ids::{LogIndex, Timestamp};
 use yuccahold::replication::{
@@ -211,8 +212,12 @@
     third.stop().await;
 }
 
-/// Waits for a message before each sync; the sender is dropped to let all pass.
-struct HeldSyncs(mpsc::Receiver<()>);
+/// Waits for a message before each sync, and reports each sync that has returned. The sender is
+/// dropped to let all syncs pass.
+struct HeldSyncs {
+    allowed: mpsc::Receiver<()>,
+    done: mpsc::Sender<()>,
+}
 
 impl Files for HeldSyncs {
     fn append(&mut self, file: &mut File, buf: &[u8]) -> io::Result<()> {
@@ -220,8 +225,10 @@
     }
 
     fn sync(&mut self, file: &File) -> io::Result<()> {
-        let _ = self.0.recv();
-        RealFiles.sync(file)
+        let _ = self.allowed.recv();
+        let synced = RealFiles.sync(file);
+        let _ = self.done.send(());
+        synced
     }
 }
 
@@ -248,8 +255,9 @@
     assert!(stored.iter().all(Result::is_ok));
     replica.stop().await;
 
-    let (syncs, held) = mpsc::channel();
-    let files = HeldSyncs(held);
+    let (syncs, allowed) = mpsc::channel();
+    let (done, synced) = mpsc::channel();
+    let files = HeldSyncs { allowed, done };
     let replica = Replica::start_with(cfg(Formation::Join), Journal::default(), files).unwrap();
     syncs.send(()).unwrap();
     let mut status = replica.status();
@@ -258,20 +266,25 @@
     let (resume, paused) = mpsc::channel::<()>();
     let pause = move |_: &mut Journal, _| paused.recv().unwrap_or_default();
     replica.update_machine(pause).await;
+    synced.recv_timeout(TIMEOUT).expect("the vote is synced");
     drop(syncs);
-    // The disk thread reports the sync while the control thread is paused.
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let reads = (0..50).map(|report| {
-        replica.leased(move |journal, _| {
-            journal.report(report);
-            journal.commands.len()
+    synced.recv_timeout(TIMEOUT).expect("the entry is synced");
+    // The disk thread queues its report to the control thread right after the sync.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut reads: Vec<_> = (0..50)
+        .map(|report| {
+            Box::pin(replica.leased(move |journal, _| {
+                journal.report(report);
+                journal.commands.len()
+            }))
         })
-    });
-    let resumed = async {
-        tokio::time::sleep(Duration::from_millis(100)).await;
-        drop(resume);
-    };
-    let (seen, ()) = tokio::join!(join_all(reads), resumed);
+        .collect();
+    // A read is queued by its first poll, as the control thread's queue has room for all of them.
+    for read in &mut reads {
+        assert!(poll!(read).is_pending(), "the control thread is not paused");
+    }
+    drop(resume);
+    let seen = join_all(reads).await;
     (replica, seen, folder)
 }
 
