Test: unknown outcomes of a configuration, and cut-off writes to a relay

No test failed if the leader's answer that the outcome of a configuration is unknown counted as a refusal, or if a relayed copy was counted only after its write.

A leader answers a configuration with an unknown outcome. A relay does not read, so the write of a 12 MB submission is cut off. Both must be in doubt.

--- a/tests/batch_link.rs
+++ b/tests/batch_link.rs
@@ -14,6 +14,7 @@
 };
 use yuccahold::batch::link::{CallError, leader_wait, retry_after};
 use yuccahold::batch::model::JobSpec;
+use yuccahold::platform::decode_config;
 use yuccahold::wire;
 
 /// The leader hangs: its connection stays open without messages. Another member reports the newly
@@ -140,6 +141,30 @@
     assert!(took < Duration::from_secs(1), "{took:?}");
 }
 
+/// The leader does not know whether a configuration is committed, so it must not count as refused.
+#[tokio::test]
+async fn a_configuration_with_an_unknown_outcome_is_in_doubt() {
+    let mut leader = Control::start(Behavior::Responsive).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    assert!(matches!(leader.receive().await, AgentMessage::Hello(_)));
+    let document = r#"{"version":1,"routes":[],"services":[]}"#;
+    let order = decode_config(document.into()).expect("a configuration");
+    let call = link.call(Call::PutConfig(order), Instant::now() + TEST_TIMEOUT);
+    let answer = async {
+        loop {
+            if let AgentMessage::Call(number, _) = leader.receive().await {
+                let reply = CallReply::Operator(OperatorReply::Unavailable);
+                let _ = connection.send(ServerMessage::Reply(number, reply));
+                return;
+            }
+        }
+    };
+    let (outcome, ()) = tokio::join!(call, answer);
+    assert_eq!(outcome, Err(CallError::InDoubt));
+}
+
 /// A read changes nothing, so the next leader's answer holds whatever became of the first copy.
 #[rstest]
 #[case::key_revoked(ClientReply::Unauthenticated)]
--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -3,6 +3,7 @@
 mod link_support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use link_support::{Behavior, Control, TEST_TIMEOUT, client_call, keys, lead_message, link_from};
@@ -16,7 +17,7 @@
     AgentMessage, Call, CallReply, ClientAction, ClientReply, ServerMessage,
 };
 use yuccahold::batch::link::{CallError, LeaderLink, leader_wait};
-use yuccahold::batch::model::JobState;
+use yuccahold::batch::model::{JobSpec, JobState};
 use yuccahold::batch::relay::RelayServer;
 use yuccahold::wire;
 
@@ -207,6 +208,26 @@
     assert_eq!(answered, Err(CallError::InDoubt));
 }
 
+/// A relay does not read, so the write is cut off. The relay may have got the copy all the same.
+#[tokio::test]
+async fn a_relayed_copy_whose_write_is_cut_off_is_in_doubt() {
+    let stalled = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = stalled.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let (stream, _) = stalled.accept().await.expect("a connection");
+        let _open = wire::accept(stream, &keys()).await.expect("same keys");
+        std::future::pending::<()>().await;
+    });
+    let link = leaderless(vec![addr]).await;
+    let call = client_call(ClientAction::Submit(Arc::new(JobSpec {
+        payload: "x".repeat(12 * 1024 * 1024).into(),
+        steps: Vec::new(),
+        timetable: None,
+    })));
+    let answered = link.call(call, Instant::now() + DEADLINE).await;
+    assert_eq!(answered, Err(CallError::InDoubt));
+}
+
 /// The relayed copy may be executed after the leader has refused the direct one.
 #[rstest]
 #[case::no_service(ClientReply::Unavailable(Duration::from_secs(1)))]
