Test: calls behind the first commit after a restart see the ledger

No test through the call server failed if leadership counted as confirmed at the commit of the first entry, before the log was applied.

A replica with a submission and a configuration restarts. Calls are queued behind the sync of the first entry of the new term while the control thread is paused. They must be answered from the whole ledger, and a job must be ordered from the minion whose only report was accepted then.

With leadership confirmed at the commit:

calls_behind_the_first_commit_after_a_restart_see_the_ledger left: Client(Unavailable(1s)) right: Client(Accepted)

--- a/tests/batch_server.rs
+++ b/tests/batch_server.rs
@@ -8,10 +8,11 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc as std_mpsc;
 use std::time::Duration;
 
-use batch_world::{config, step};
-use futures::future;
+use batch_world::{config, report, step};
+use futures::{future, poll};
 use slog::{Discard, Logger, o};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -21,11 +22,12 @@
     AgentMessage, Call, CallReply, ClientAction, ClientCall, ClientReply, OperatorReply,
     RETRY_AFTER, ServerMessage,
 };
+use yuccahold::batch::dispatch::Order;
 use yuccahold::batch::machine::Machine;
 use yuccahold::batch::model::JobSpec;
 use yuccahold::batch::server::CallServer;
 use yuccahold::platform::decode_config;
-use yuccahold::replication::{Formation, Replica, ReplicaConfig};
+use yuccahold::replication::{Formation, Replica, ReplicaConfig, ReplicaHandle};
 use yuccahold::storage::{Files, RealFiles};
 use yuccahold::wire::{self, CellKey, CellKeys, FrameReader, FrameWriter};
 
@@ -44,6 +46,8 @@
     addr: SocketAddr,
     server: CallServer,
     agents: Agents,
+    replica: ReplicaHandle<Machine>,
+    orders: mpsc::UnboundedReceiver<Vec<Order>>,
     data: PathBuf,
 }
 
@@ -56,6 +60,16 @@
         let name = format!("yuccahold-{name}-{}", std::process::id());
         let data = std::env::temp_dir().join(name);
         let _ = std::fs::remove_dir_all(&data);
+        Self::open(data, files).await
+    }
+
+    /// Stops the replica and starts another one on its data.
+    async fn restart(mut self, files: impl Files) -> Self {
+        self.replica.stop().await;
+        Self::open(std::mem::take(&mut self.data), files).await
+    }
+
+    async fn open(data: PathBuf, files: impl Files) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("bound");
         let replica = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -77,20 +91,22 @@
             form: Formation::FormIfEmpty,
             on_disk_failure: |e| eprintln!("{e}"),
         };
-        let (orders, _) = mpsc::unbounded_channel();
+        let (orders_tx, orders) = mpsc::unbounded_channel();
         let replica =
-            Replica::start_with(cfg, Machine::new(config(), orders), files).expect("it starts");
+            Replica::start_with(cfg, Machine::new(config(), orders_tx), files).expect("it starts");
         let agents = Agents::default();
         let log = Logger::root(Discard, o!());
         // Agents on the server's host get no orders, so the server has another address than the
         // peers.
         let host_ip = Ipv4Addr::new(10, 0, 0, 1).into();
-        let server = CallServer::new(replica, keys(), agents.clone(), host_ip, log);
+        let server = CallServer::new(replica.clone(), keys(), agents.clone(), host_ip, log);
         tokio::spawn(server.clone().serve(listener));
         Self {
             addr,
             server,
             agents,
+            replica,
+            orders,
             data,
         }
     }
@@ -115,6 +131,18 @@
         (reader, writer)
     }
 
+    /// Puts a configuration with one queue and one service into force.
+    async fn configure(&self) {
+        let document = r#"{"version":1,"routes":[{"name":"checks","host":"example",
+            "path_prefix":"/checks/","timeout_ms":3000,"service":"desk"}],
+            "services":[{"name":"desk"}]}"#;
+        let order = decode_config(document.into()).expect("a configuration");
+        let configured = CallReply::Operator(OperatorReply::Accepted);
+        while self.server.answer(Call::PutConfig(order.clone())).await != configured {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     async fn wait_for_agents(&self, count: usize) -> Duration {
         let began = Instant::now();
         while self.agents.count() != count {
@@ -131,7 +159,10 @@
 
 impl Drop for Control {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.data);
+        // Empty after a restart, which goes on with the folder.
+        if !self.data.as_os_str().is_empty() {
+            let _ = std::fs::remove_dir_all(&self.data);
+        }
     }
 }
 
@@ -201,15 +232,8 @@
     let stalled = Arc::new(AtomicBool::new(false));
     let control = Control::start_with("pending", StalledDisk(stalled.clone())).await;
     let _agent = control.agent().await;
-    let document = r#"{"version":1,"routes":[{"name":"checks","host":"example",
-        "path_prefix":"/checks/","timeout_ms":3000,"service":"desk"}],
-        "services":[{"name":"desk"}]}"#;
-    let order = decode_config(document.into()).expect("a configuration");
+    control.configure().await;
     let server = &control.server;
-    let configured = CallReply::Operator(OperatorReply::Accepted);
-    while server.answer(Call::PutConfig(order.clone())).await != configured {
-        sleep(Duration::from_millis(20)).await;
-    }
 
     stalled.store(true, Ordering::Relaxed);
     let submit = |job| {
@@ -234,3 +258,96 @@
     assert_eq!(first.expect("it does not panic"), accepted);
     assert_eq!(server.answer(submission(1)).await, accepted);
 }
+
+/// Waits for a message before each sync, and reports each sync that has returned.
+struct HeldSyncs {
+    allowed: std_mpsc::Receiver<()>,
+    done: mpsc::UnboundedSender<()>,
+}
+
+impl Files for HeldSyncs {
+    fn append(&mut self, file: &mut File, buf: &[u8]) -> io::Result<()> {
+        RealFiles.append(file, buf)
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        let _ = self.allowed.recv();
+        let synced = RealFiles.sync(file);
+        let _ = self.done.send(());
+        synced
+    }
+}
+
+fn request(job: u64, action: ClientAction) -> Call {
+    match submission(job) {
+        Call::Client(call) => Call::Client(ClientCall { action, ..call }),
+        other => other,
+    }
+}
+
+async fn next_sync(synced: &mut mpsc::UnboundedReceiver<()>) {
+    let next = timeout(TEST_TIMEOUT, synced.recv()).await;
+    next.expect("a sync in time").expect("the disk thread runs");
+}
+
+/// Calls behind the commit of a term's first entry were refused from an empty ledger, and reports
+/// of minions were lost.
+#[tokio::test]
+async fn calls_behind_the_first_commit_after_a_restart_see_the_ledger() {
+    let control = Control::start("first-commit").await;
+    control.configure().await;
+    let accepted = CallReply::Client(ClientReply::Accepted);
+    assert_eq!(control.server.answer(submission(1)).await, accepted);
+
+    let (allow, allowed) = std_mpsc::channel();
+    let (done, mut synced) = mpsc::unbounded_channel();
+    let mut control = control.restart(HeldSyncs { allowed, done }).await;
+    allow.send(()).expect("the disk thread runs");
+    next_sync(&mut synced).await;
+    let mut status = control.replica.status();
+    let leads = timeout(TEST_TIMEOUT, status.wait_for(|s| s.leader == Some(s.id))).await;
+    leads.expect("it leads in time").expect("it runs");
+    let (resume, paused) = std_mpsc::channel::<()>();
+    let pause = move |_: &mut Machine, _| paused.recv().unwrap_or_default();
+    control.replica.update_machine(pause).await;
+    drop(allow);
+    next_sync(&mut synced).await;
+    // The disk thread queues its report to the control thread right after the sync.
+    sleep(Duration::from_millis(100)).await;
+
+    let calls = [
+        submission(1),
+        request(1, ClientAction::State),
+        submission(2),
+        Call::GetConfig,
+        Call::Report(Box::new(report("m1", 1))),
+    ];
+    let mut answers: Vec<_> = calls
+        .into_iter()
+        .map(|call| Box::pin(control.server.answer(call)))
+        .collect();
+    for answer in &mut answers {
+        assert!(poll!(answer).is_pending(), "the control thread is paused");
+    }
+    drop(resume);
+    let answers = timeout(TEST_TIMEOUT, future::join_all(answers)).await;
+    let answers = answers.expect("answers in time");
+    assert_eq!(answers[0], accepted);
+    let CallReply::Client(ClientReply::State(_)) = answers[1] else {
+        panic!("{:?}", answers[1]);
+    };
+    assert_eq!(answers[2], accepted);
+    let CallReply::Operator(OperatorReply::Document(_)) = answers[3] else {
+        panic!("{:?}", answers[3]);
+    };
+    assert_eq!(answers[4], CallReply::Operator(OperatorReply::Accepted));
+    let ordered = timeout(TEST_TIMEOUT, async {
+        loop {
+            let orders = control.orders.recv().await.expect("it leads");
+            if orders.iter().any(|o| matches!(o, Order::Minion(..))) {
+                return;
+            }
+        }
+    });
+    ordered.await.expect("an order to the minion that reported");
+}
