Batch: names for what an answer says about a copy

CopyOutcome and Conclusion were Effect and Verdict, which replication and the dispatcher use for other things; the link's log of copies is copy_log. A comment says what deferred reads rely on. No change of behaviour.

--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -160,7 +160,7 @@
 
 /// What an answer says about the copy of the call that it answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Effect {
+pub(crate) enum CopyOutcome {
     /// The copy was executed, or an earlier one with the same effect: the answer holds for all.
     Executed,
     /// The copy was not executed. Another one may have been, even if this one was rejected for
@@ -171,31 +171,31 @@
 }
 
 impl ClientReply {
-    fn effect(&self) -> Effect {
+    fn copy_outcome(&self) -> CopyOutcome {
         match self {
-            Self::Accepted | Self::State(_) | Self::PendingCount(_) => Effect::Executed,
+            Self::Accepted | Self::State(_) | Self::PendingCount(_) => CopyOutcome::Executed,
             Self::NotFound
             | Self::NoQueue
             | Self::Unauthenticated
             | Self::IdTaken
             | Self::Invalid(_)
             | Self::Unavailable(_)
-            | Self::Refused { .. } => Effect::NotExecuted,
-            Self::InDoubt => Effect::Unknown,
+            | Self::Refused { .. } => CopyOutcome::NotExecuted,
+            Self::InDoubt => CopyOutcome::Unknown,
         }
     }
 }
 
 impl CallReply {
     /// What became of the copy with this answer.
-    pub(crate) fn effect(&self) -> Effect {
+    pub(crate) fn copy_outcome(&self) -> CopyOutcome {
         match self {
-            Self::Client(reply) => reply.effect(),
+            Self::Client(reply) => reply.copy_outcome(),
             Self::Operator(OperatorReply::Accepted | OperatorReply::Document(_)) => {
-                Effect::Executed
+                CopyOutcome::Executed
             }
-            Self::Operator(OperatorReply::Unavailable) => Effect::Unknown,
-            Self::NotLeader(_) => Effect::NotExecuted,
+            Self::Operator(OperatorReply::Unavailable) => CopyOutcome::Unknown,
+            Self::NotLeader(_) => CopyOutcome::NotExecuted,
         }
     }
 
--- a/src/batch/leader_search.rs
+++ b/src/batch/leader_search.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::calls::{AgentMessage, CallNumber, CallReply, Effect, OrderNumber, ServerMessage};
+use super::calls::{AgentMessage, CallNumber, CallReply, CopyOutcome, OrderNumber, ServerMessage};
 use super::dispatch::MinionAnswer;
 use super::driver::{Minions, Policy, send_order};
 use super::election_watch::{ElectedLeader, Members};
@@ -325,7 +325,7 @@
                 let tx = open.remove(&number);
                 // Without an answer, the caller asks the next leader, which may know the outcome.
                 if let Some(tx) = tx
-                    && reply.effect() != Effect::Unknown
+                    && reply.copy_outcome() != CopyOutcome::Unknown
                 {
                     let _ = tx.send(reply);
                 }
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -14,7 +14,7 @@
 use super::election_watch::{Members, watch_elections};
 use super::leader_search::LeaderSearch;
 use super::relay::{RelayWay, call_by_relay};
-use super::request_copies::{Copies, Verdict};
+use super::request_copies::{Conclusion, Copies};
 use crate::ids::{Term, ZoneName};
 use crate::replication::monotonic_now;
 use crate::telemetry::LineLimit;
@@ -98,7 +98,7 @@
     lost_at: Arc<Mutex<Instant>>,
     contact: Contact,
     keys: CellKeys,
-    copies: CopyLog,
+    copy_log: CopyLog,
 }
 
 /// A connection to the leader.
@@ -183,7 +183,7 @@
             own_addr: calls.relay_addr,
             next_relay: Arc::new(Mutex::new(Instant::now())),
         };
-        let copies = CopyLog {
+        let copy_log = CopyLog {
             limit: LineLimit::per_second(MAX_COPY_LINES),
             log: log.clone(),
         };
@@ -207,7 +207,7 @@
             lost_at,
             contact,
             keys,
-            copies,
+            copy_log,
         }
     }
 
@@ -288,7 +288,7 @@
             let way = RelayWay {
                 relays: &relays,
                 keys: &self.keys,
-                log: &self.copies,
+                log: &self.copy_log,
             };
             let reply = call_by_relay(way, &request, until, copies).await;
             if reply.is_some() {
@@ -357,10 +357,10 @@
             self.log_copy(&call, &leader, &answered);
             match answered {
                 Ok(Ok(reply)) => match copy.answered(reply) {
-                    Verdict::Final(reply) => return Some(reply),
-                    Verdict::InDoubt => return None,
+                    Conclusion::Final(reply) => return Some(reply),
+                    Conclusion::InDoubt => return None,
                     // `LeaderSearch` finds the new leader in the background.
-                    Verdict::NoLeader => {
+                    Conclusion::NoLeader => {
                         wait_for_change(&mut current, &leader, deadline).await;
                     }
                 },
@@ -384,7 +384,7 @@
             Err(_) => "no answer in time",
         };
         let via = ("leader", leader.addr);
-        self.copies
+        self.copy_log
             .not_accepted(call, via, Some(leader.term), outcome);
     }
 
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -15,7 +15,7 @@
 
 use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
 use super::link::{CallError, CopyLog, LeaderLink};
-use super::request_copies::{Copies, SentCopy, Verdict};
+use super::request_copies::{Conclusion, Copies, SentCopy};
 use crate::error::{Error, Result, Step};
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
@@ -117,7 +117,7 @@
         let answered = timeout_at(deadline, ask(addr, way.keys, call, deadline, copies)).await;
         log_copy(way.log, addr, call, &answered);
         if let Ok(Ok((copy, reply))) = answered
-            && let Verdict::Final(reply) = copy.answered(reply)
+            && let Conclusion::Final(reply) = copy.answered(reply)
         {
             return Some(reply);
         }
--- a/src/batch/request_copies.rs
+++ b/src/batch/request_copies.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use super::calls::{Call, CallReply, Effect};
+use super::calls::{Call, CallReply, CopyOutcome};
 use super::link::CallError;
 
 /// The copies of one request.
@@ -31,11 +31,12 @@
     rejection: Option<CallReply>,
 }
 
-/// A copy that was sent and not answered. It stays open if no answer is noted.
+/// A copy that is being sent or was sent, and has no answer. Dropped without one, it stays open: it may
+/// have been executed.
 pub(super) struct SentCopy<'a>(&'a Copies);
 
 /// What follows from the answer to a copy.
-pub(super) enum Verdict {
+pub(super) enum Conclusion {
     /// This answer, or an earlier one to another copy, holds for the request.
     Final(CallReply),
     /// The copy reached no leader and was not executed.
@@ -110,11 +111,13 @@
     }
 
     /// Notes the answer to the copy.
-    pub(super) fn answered(self, reply: CallReply) -> Verdict {
-        match (reply.effect(), self.0.kind) {
-            (Effect::Executed, _) | (Effect::Unknown, Kind::Read) => return Verdict::Final(reply),
-            (Effect::Unknown, Kind::Change) => return Verdict::InDoubt,
-            (Effect::NotExecuted, _) => {}
+    pub(super) fn answered(self, reply: CallReply) -> Conclusion {
+        match (reply.copy_outcome(), self.0.kind) {
+            (CopyOutcome::Executed, _) | (CopyOutcome::Unknown, Kind::Read) => {
+                return Conclusion::Final(reply);
+            }
+            (CopyOutcome::Unknown, Kind::Change) => return Conclusion::InDoubt,
+            (CopyOutcome::NotExecuted, _) => {}
         }
         let mut state = self.0.lock();
         self.close(&mut state);
@@ -123,9 +126,9 @@
             state.rejection = Some(reply);
         }
         match state.rejection.clone() {
-            Some(rejection) if state.open == 0 => Verdict::Final(rejection),
-            _ if no_leader => Verdict::NoLeader,
-            _ => Verdict::InDoubt,
+            Some(rejection) if state.open == 0 => Conclusion::Final(rejection),
+            _ if no_leader => Conclusion::NoLeader,
+            _ => Conclusion::InDoubt,
         }
     }
 }
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -302,6 +302,7 @@
                 } else {
                     self.deferred_reads.push(job);
                 }
+                // Also makes sure that the batch reaches the deferred reads if it has no effects.
                 self.machine_due = true;
             }
         }
