Test: requests that wait for long work of another host are served (listed)

Seen: a minion whose 8 slots are in use for 3.5 s moves to another entry host, which waits for its slots. All 8 requests through that host end as not run after 10 s, though the minion has been idle since 3.5 s. With 2.5 s of work they are served. Suspected by reading only: a forwarded request is given half of its remaining time, and the owner refuses it as too late when its slots become free.

--- a/tests/process_entries.rs
+++ b/tests/process_entries.rs
@@ -303,9 +303,21 @@
     // A minion's announcements stop for a while, as when the entry host that receives them is
     // paused, while its owner uses all its slots. Then it announces itself again, in the
     // availability zone of another entry host. A new owner must not use slots still in use.
-    let mut env = TestEnv::start("fell-silent", cfg(2, 0)).await;
+    come_back_from_silence("fell-silent", Duration::from_millis(2500)).await;
+}
+
+/// Guards against forwarded requests that wait until their deadline beside free slots.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_wait_for_long_work_of_another_host_are_served() {
+    come_back_from_silence("long-work", Duration::from_millis(3500)).await;
+}
+
+/// All slots of a minion are in use when it falls silent and comes back at another entry host. Every
+/// request must be served, and the minion never overfilled.
+async fn come_back_from_silence(name: &str, service_time: Duration) {
+    let mut env = TestEnv::start(name, cfg(2, 0)).await;
     let behaviour = MinionBehaviour {
-        service_time: Duration::from_millis(2500),
+        service_time,
         ..MinionBehaviour::default()
     };
     let options = MinionOptions {
