Review: the tasks of a minion that leaves run twice behind a cut

Cause: after a minion's DELETE, the second call in a row without an answer counts as proof that it has ended. A cut brings the same.

Change: a script lets a minion leave as planned and cuts it off in one direction 0.3 s before its DELETE, so that it ends some seconds later, unacknowledged.

--- a/review/standin/minion.py
+++ b/review/standin/minion.py
@@ -50,6 +50,10 @@
         self.server = None
         self.writers = set()
         self.tasks = []
+        self.state = "ready"
+        self.report_now = asyncio.Event()
+        self.acked = asyncio.Event()  # a report of the present state was acknowledged
+        self.cut_off = False  # nothing reaches it; what it sends still arrives
         self.late = None  # asked for each start order; true: no answer, and carried out later
         self.history = []  # (time, what, machine, life, task, run, how)
         self.capacity = {"cpu": 32000, "mem_mb": 131072, "gpu": 0}
@@ -62,6 +66,7 @@
             self.name = f"i-{self.index:02d}{self.lives:02d}"
         self.life = Life(time.monotonic())
         self.seq = 0
+        self.state = "ready"
         self.server = await asyncio.start_server(self._connection, self.ip, self.port)
         self.tasks = [asyncio.create_task(self._beat()), asyncio.create_task(self._watch_lease())]
         self.note("up")
@@ -95,7 +100,7 @@
             self.seq += 1
             body = {
                 "service": self.service, "addr": f"{self.ip}:{self.port}", "zone": self.zone,
-                "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+                "version": "v1", "slots": 8, "state": self.state, "cold_left_ms": 0,
                 "capacity": self.capacity, "labels": ["a", f"r1-{self.index // 4}"],
                 "clock_ms": int(life.clock()), "seq": self.seq,
             }
@@ -107,11 +112,49 @@
                 try:
                     path = f"/yuccahold/instances/{self.name}"
                     status, _ = await call(d.ip, CONTROL, "PUT", path, body, 1.0)
-                    if status // 100 == 2:
+                    if status // 100 == 2 and not self.cut_off:
+                        if self.state == "draining":
+                            self.acked.set()
                         break
                 except (OSError, EOFError, asyncio.TimeoutError):
                     pass
-            await asyncio.sleep(1.5)
+            try:
+                await asyncio.wait_for(self.report_now.wait(), 1.5)
+                self.report_now.clear()
+            except asyncio.TimeoutError:
+                pass
+
+    async def leave(self, serve_s, cut_off_after_s=None, unanswered_s=0.0):
+        """Drains, serves on, says that it ends, and ends.
+
+        With `cut_off_after_s`, nothing reaches it from then on. Without an acknowledgement it ends
+        `unanswered_s` after it has said so.
+        """
+        self.state = "draining"
+        self.report_now.set()
+        await self.acked.wait()
+        self.record.line(f"minion {self.name}: draining is acknowledged")
+        if cut_off_after_s is not None:
+            await asyncio.sleep(cut_off_after_s)
+            self.cut_off = True
+            self.record.line(f"minion {self.name}: from now on nothing reaches it")
+            serve_s -= cut_off_after_s
+        await asyncio.sleep(serve_s)
+        path = f"/yuccahold/instances/{self.name}"
+        d = self.cell.controls[self.index % len(self.cell.controls)]
+        self.record.line(f"minion {self.name} sends DELETE")
+        status = None
+        try:
+            status, _ = await call(d.ip, CONTROL, "DELETE", path, None, 1.0)
+        except (OSError, EOFError, asyncio.TimeoutError):
+            pass
+        if self.cut_off:
+            self.record.line(f"minion {self.name}: the answer to DELETE ({status}) does not reach it")
+            await asyncio.sleep(unanswered_s)
+        else:
+            self.record.line(f"minion {self.name}: DELETE is answered with {status}")
+        self.record.line(f"minion {self.name} ends")
+        self.crash()
 
     async def _watch_lease(self):
         while True:
@@ -253,6 +296,9 @@
                         instance = value.strip()
                 data = await reader.readexactly(length)
                 body = json.loads(data) if data else {}
+                if self.cut_off:
+                    await reader.read()  # it does not arrive; the caller gives up
+                    return
                 if path == "/yuccahold/run-start" and self.late:
                     delay = self.late(self, body)
                     if delay:
