--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod progress;
 mod reads;
+mod recovered;
 
 use std::collections::{BTreeSet, VecDeque};
 use std::ops::Range;
@@ -29,6 +30,8 @@
 pub use log::{Entry, HardState, Payload, Snapshot};
 pub use membership::{Member, Membership};
 pub use message::{Body, HeartbeatMark, Message};
+pub(crate) use recovered::LogState;
+pub use recovered::Recovered;
 
 use follower::IncomingSnapshot;
 use leader::LeaderState;
@@ -39,19 +42,6 @@
 /// Number of a save, in the order in which saves must reach the disk.
 pub(crate) type SaveSeq = u64;
 
-/// Persistent state that is read from disk at a start.
-#[derive(Clone, Debug, Default)]
-pub struct Recovered {
-    /// Term and vote.
-    pub hard: HardState,
-    /// Newest snapshot; its index is 0 when there is none.
-    pub snapshot: Snapshot,
-    /// Index and term of the entry before the first one in `entries`.
-    pub base: (LogIndex, Term),
-    /// Consecutive entries that follow `base`.
-    pub entries: Vec<Entry>,
-}
-
 /// Time to the next pre-vote after a leader's message, a vote or a candidacy, in election timeouts.
 /// Others grant it only after a whole timeout, and the random part keeps candidates apart.
 const ELECTION_PAUSE: Range<f64> = 1.0..2.0;
--- a/src/replication/explore/host.rs
+++ b/src/replication/explore/host.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Writes only the snapshot of a save, as a crash before its log leaves it.
+    fn write_snapshot(&mut self, save: &Save) {
+        if let Some(snapshot) = &save.snapshot {
+            self.state.merge(Snapshot::clone(&snapshot.snapshot));
+        }
+    }
+
     /// An empty disk for the given replica id.
     pub(super) fn empty(id: ReplicaId) -> Self {
         Self {
@@ -131,14 +138,18 @@
         });
     }
 
-    /// Ends the process; the first `kept` of its unsynced saves survive on the disk.
-    pub(super) fn crash(&mut self, kept: usize) {
+    /// Ends the process; the first `kept` of its unsynced saves survive on the disk, and with
+    /// `keeps_snapshot` the snapshot of the next.
+    pub(super) fn crash(&mut self, kept: usize, keeps_snapshot: bool) {
         let Some(running) = self.running.take() else {
             return;
         };
         for save in running.unsynced.iter().take(kept) {
             self.disk.write(save);
         }
+        if let Some(next) = running.unsynced.get(kept).filter(|_| keeps_snapshot) {
+            self.disk.write_snapshot(next);
+        }
         self.incarnation += 1;
         self.queued_inputs.clear();
         self.in_batch = false;
--- a/src/replication/explore/simulation/fault_injection.rs
+++ b/src/replication/explore/simulation/fault_injection.rs
@@ -103,7 +103,8 @@
         };
         let kept = self.rng.random_range(0..=running.unsynced.len());
         self.coverage.crashes += 1;
-        self.hosts[host].crash(kept);
+        let keeps_snapshot = self.rng.random();
+        self.hosts[host].crash(kept, keeps_snapshot);
     }
 
     /// Whether every membership that any replica holds keeps a majority of its disks without the
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -6,6 +6,7 @@
 mod machine;
 mod runtime;
 
+pub(crate) use self::core::LogState;
 pub use self::core::{
     Body, Entry, HardState, HeartbeatMark, Member, Membership, Message, Payload, Recovered, Save,
     SaveSnapshot, Snapshot,
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -4,6 +4,7 @@
 mod files;
 mod folder;
 mod format;
+mod recovery;
 mod store;
 
 pub use files::{Files, RealFiles};
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -244,8 +244,9 @@
     // On a full disk, half of a batch is written. It is truncated, so that the same batch can be
     // written once there is space. A failed sync is reported as fatal, so that the process ends.
     let folder = Folder::new("full");
-    let failure = Arc::new(AtomicU8::new(1));
+    let failure = Arc::new(AtomicU8::new(0));
     let (mut store, _) = Store::open_with(&folder.0, FailingFiles(failure.clone())).unwrap();
+    failure.store(1, Ordering::Relaxed);
     let save = [entries([entry(1, 1)])];
     assert!(matches!(store.write(&save), Err(WriteError::Full)));
     failure.store(0, Ordering::Relaxed);
