Minions: a failed call doesn't show the end of a minion

What callers saw: while a minion was cut off, its tasks ran on it and on other minions: after its announced end for 1.7 s, and after a late report of a former life at its address for 5 s.

Cause: after a final message the second call without an answer counted as the end of the minion, and after a final message or a report of another id from its address one refused connection did. Behind a partition a minion gives the same and runs on. The absence of an answer was taken for the absence of the peer.

Change: only the end of the lease, another incarnation that answers, or the minion's own list ends a run. The same evidence no longer blames tasks for a crash. A hold after the final message grants nothing until the minion has answered again. As tasks of a minion that has ended now wait for its lease, a draining minion gets 2.7 s instead of 4 s and is asked every 250 ms; and lasting tasks, and tasks that save their progress, are stopped in time before the earliest end that their minion has reported, so that they continue elsewhere without a wait (`run moved`).

Looked for elsewhere: removal of idle minions, limits and charges, copies, leases of entry hosts and workers, the search for a leader, connections of agents.

In tests/batch_waits.rs minions that leave now drain before, as the contract has it; the bound of 6 s stands, and counts from the moment at which the first task is down. The bounds of all other tests stand.

--- a/src/batch/dispatch/crashes.rs
+++ b/src/batch/dispatch/crashes.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::minion::{Minion, Presence};
+use super::minion::Minion;
 use super::place::Score;
 use super::run::{Run, RunState};
 use crate::batch::event::Event;
@@ -40,16 +40,12 @@
     Passed,
 }
 
-/// Evidence that an incarnation of a minion is gone.
+/// Evidence that an incarnation of a minion is gone. A call that fails is none, whatever was
+/// announced before: a partition refuses or drops calls in the same way, and the minion runs on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum GoneEvidence {
     /// Another incarnation answers its calls.
     OtherIncarnation,
-    /// It announced its end, or another incarnation reported from its address, and a connection to
-    /// it was refused.
-    Refused,
-    /// It announced its end and no longer answers.
-    Silent,
     /// It answers no holds, holds no runs, its lease is over, and it has sent no report for long or
     /// its end was announced.
     Idle,
@@ -60,17 +56,13 @@
     pub(super) fn as_str(self) -> &'static str {
         match self {
             Self::OtherIncarnation => "another incarnation answers",
-            Self::Refused => "it left and nobody listens there",
-            Self::Silent => "it left and answers no more",
             Self::Idle => "silent and idle",
         }
     }
 
     /// Whether a minion that is gone by this evidence crashed, rather than ended in order.
     pub(super) fn shows_crash(self, minion: &Minion) -> bool {
-        let replaced =
-            self == Self::OtherIncarnation || matches!(minion.presence, Presence::Displaced(_));
-        replaced && !minion.draining
+        self == Self::OtherIncarnation && !minion.draining
     }
 }
 
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -26,13 +26,16 @@
 const SHORT_RUN: Duration = Duration::from_millis(3000);
 /// Margin subtracted from the longest lease, as the minion's clock was read up to a round trip ago.
 const LEASE_RESERVE: Duration = Duration::from_millis(200);
-/// Lease of a minion that has reported or announced that it drains. It will end soon, and its last
-/// message may be lost with a leader or arrive while there is none; with a full lease of 10 s its
-/// lasting tasks were then down for all of it.
+/// The same for a minion that drains, whose lease is short.
+const HOLD_WAIT_DRAINING: Duration = Duration::from_millis(250);
+/// Lease of a minion that has reported or announced that it drains. Nothing shows its end but the
+/// end of its lease, and until then its lasting tasks are down.
 ///
-/// Holds to such minions wait `HOLD_WAIT_SHORT`. A lost answer shows only after up to 1.5 s, and
-/// the repeated hold grants no lease: with waits of 2 s, one lost hold let all runs there lapse.
-pub(super) const DRAINING_LEASE: Duration = Duration::from_secs(4);
+/// A lost answer shows only after up to a second, and the repeated hold grants no lease: one lost
+/// hold must not let all runs there lapse.
+const DRAINING_LEASE: Duration = Duration::from_millis(2700);
+/// Upper bound of that lease in all versions, one of which an earlier leader may have.
+pub(super) const MAX_DRAINING_LEASE: Duration = Duration::from_secs(4);
 /// Pause before the next hold to a minion that did not answer; grows by as much with each failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Upper bound of that pause.
@@ -65,6 +68,7 @@
         for number in due {
             self.count_examined();
             self.end_lapsed(number, now);
+            self.move_runs_before_end(now, number);
             match self.minions.get(&number) {
                 Some(minion) if !minion.fenced && minion.hold_is_due(now) => {
                     let idle = minion.runs.is_empty();
@@ -108,10 +112,11 @@
             longest
         };
         // A hold to a silent minion grants no lease: any of them might arrive late, so its tasks
-        // could never be started elsewhere while the leader keeps retrying.
+        // could never be started elsewhere while the leader keeps retrying. Neither does one to a
+        // minion that has probably ended: it would only delay the end of its lease.
         let deadline = minion
             .lease_deadline(now, lease)
-            .filter(|_| minion.failed_holds == 0);
+            .filter(|_| minion.failed_holds == 0 && !minion.may_have_ended());
         minion.lease = minion.lease.max(deadline.unwrap_or_default());
         minion.hold = HoldState::Waiting(wait);
         if !minion.fenced {
@@ -171,6 +176,8 @@
             } else {
                 Duration::ZERO
             }
+        } else if minion.draining {
+            HOLD_WAIT_DRAINING
         } else if self.wants_short_wait(minion) {
             HOLD_WAIT_SHORT
         } else {
@@ -183,7 +190,7 @@
             !run.declared.is_zero() && run.declared <= SHORT_RUN || run.is_stopping()
         };
         let mut runs = minion.runs.iter().filter_map(|id| self.runs.get(id));
-        minion.draining || minion.health.is_probed() || runs.any(short)
+        minion.health.is_probed() || runs.any(short)
     }
 
     /// Handles the answer to the hold that was sent at `sent`.
@@ -244,12 +251,6 @@
                     self.emit(event);
                     self.recheck_copies_on(now, number);
                 }
-                let minion = &self.minions[&number];
-                if let HoldAnswer::Silent(failure) = answer
-                    && let Some(evidence) = minion.shows_end(sent, failure, self.cfg.stop_time)
-                {
-                    self.minion_gone(now, number, sent, evidence);
-                }
             }
         }
     }
@@ -263,9 +264,9 @@
             return;
         }
         let idle = minion.runs.is_empty() && minion.orphaned_runs.is_empty();
-        let is_ending = minion.presence != Presence::Present;
+        let announced = matches!(minion.presence, Presence::Leaving(_));
         let no_report = now > minion.reported + REMOVE_IDLE_AFTER;
-        if idle && (no_report || is_ending) && minion.lease_over(now) {
+        if idle && (no_report || announced) && minion.lease_over(now) {
             self.minion_gone(now, number, now, GoneEvidence::Idle);
             return;
         }
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::ORDER_EXPIRY;
-use super::crashes::GoneEvidence;
 use super::health::Health;
 use super::order::{CallFailure, Target};
 use super::quota::Charge;
@@ -114,6 +113,8 @@
     pub(super) rack: usize,
     /// It gets no new work, as it has reported or announced that it drains.
     pub(super) draining: bool,
+    /// Earliest time at which it ends, as it reported; `None` if it did not say.
+    pub(super) ends_after: Option<Timestamp>,
     /// It reports a service that isn't configured. It may not be a minion at all and gets no calls.
     pub(super) foreign: bool,
     pub(super) presence: Presence,
@@ -165,11 +166,20 @@
     pub(super) pace: Pace,
 }
 
+/// Earliest time at which the sender of a report that was received now ends; `None` if it doesn't say.
+pub(super) fn ends_after(report: &MinionReport, now: Timestamp) -> Option<Timestamp> {
+    match report.readiness {
+        Readiness::Draining { remaining } => remaining.map(|left| now + left),
+        Readiness::Ready => None,
+    }
+}
+
 impl Minion {
     pub(super) fn new(number: MinionNumber, report: MinionReport, now: Timestamp) -> Self {
         Self {
             number,
             draining: report.readiness != Readiness::Ready,
+            ends_after: ends_after(&report, now),
             report,
             rack: 0,
             foreign: false,
@@ -237,30 +247,9 @@
         self.make_hold_due(now);
     }
 
-    /// Evidence that it has ended, if a call sent at `sent` got no answer. Its runs may continue
-    /// for `stop_time` after it announced its end.
-    ///
-    /// Its host refuses connections for about 50 ms after the end and then drops packets. If only a
-    /// refusal counted, a later call would leave the leader waiting for the end of the lease, and
-    /// lasting tasks were down for more than 11 s. A call sent when all runs must be over and left
-    /// unanswered shows the end as well, since a minion that is still up would answer. A single
-    /// reset connection does not show it, so only the second unanswered call in a row counts.
-    pub(super) fn shows_end(
-        &self,
-        sent: Timestamp,
-        failure: CallFailure,
-        stop_time: Duration,
-    ) -> Option<GoneEvidence> {
-        match (self.presence, failure) {
-            (Presence::Present, _) => None,
-            (_, CallFailure::Refused) => Some(GoneEvidence::Refused),
-            (Presence::Leaving(at), CallFailure::Lost | CallFailure::Broken)
-                if sent >= at + stop_time && self.failed_holds > 1 =>
-            {
-                Some(GoneEvidence::Silent)
-            }
-            _ => None,
-        }
+    /// Whether it announced its end and has answered no call since.
+    pub(super) fn may_have_ended(&self) -> bool {
+        matches!(self.presence, Presence::Leaving(at) if self.heard <= at)
     }
 
     /// Makes the next hold due now, if none is pending.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod copies;
 mod copy_runs;
 mod crashes;
+mod departures;
 mod excess;
 mod forecast;
 mod gangs;
@@ -274,7 +275,7 @@
         for (number, reported) in since {
             if let Some(minion) = self.minions.get_mut(number) {
                 let before = *reported + max_lease_on_local_clock(self.cfg.lease_max);
-                let after = now + max_lease_on_local_clock(holds::DRAINING_LEASE);
+                let after = now + max_lease_on_local_clock(holds::MAX_DRAINING_LEASE);
                 minion.earlier_leases_until = minion.earlier_leases_until.min(before.max(after));
             }
         }
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -1,7 +1,7 @@
 //! Reports that minions send about themselves.
 
 use super::Dispatcher;
-use super::minion::Minion;
+use super::minion::{Minion, ends_after};
 use super::restarts::RestartSource;
 use crate::batch::event::Event;
 use crate::batch::model::{MinionNumber, MinionReport, Readiness};
@@ -62,6 +62,7 @@
             return;
         }
         let draining = report.readiness != Readiness::Ready;
+        minion.ends_after = ends_after(&report, now);
         let (id, sequence) = (report.id.clone(), report.sequence);
         let capacity_changed =
             (report.capacity != minion.report.capacity).then_some(report.capacity);
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -96,6 +96,8 @@
     pub(super) ends: bool,
     /// Whether it can be preempted without loss of work.
     pub(super) preemptible: bool,
+    /// Whether it can continue on another minion without loss of work.
+    pub(super) movable: bool,
     /// Whether its task may have a copy.
     pub(super) copyable: bool,
     /// Whether it was started as a copy; also true once it is the only run of its task.
@@ -150,6 +152,8 @@
             preemptible: spec.saves_progress
                 && spec.lifetime == Lifetime::Finite
                 && spec.grouping == Grouping::Single,
+            movable: (spec.saves_progress || spec.lifetime == Lifetime::Lasting)
+                && spec.grouping == Grouping::Single,
             copyable: spec.copies_allowed
                 && spec.lifetime == Lifetime::Finite
                 && spec.grouping == Grouping::Single,
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -219,6 +219,13 @@
         /// Step that the resources are freed for.
         by: StepId,
     },
+    /// A run is stopped because its minion will end before it does.
+    RunMoved {
+        /// Task that the run belongs to.
+        task: TaskId,
+        /// Number of the run.
+        run: RunNumber,
+    },
     /// A copy of an active task was given to a minion.
     CopyPlaced {
         /// Task that the copy belongs to.
--- a/src/batch/event_output.rs
+++ b/src/batch/event_output.rs
@@ -125,6 +125,8 @@
             "good" => good, "took_ms" => ms(took)),
         Event::RunPreempted { task, run, by } => info!(log, "run preempted";
             "task" => %task, "run" => run, "by" => %by),
+        Event::RunMoved { task, run } => info!(log, "run moved";
+            "task" => %task, "run" => run),
         Event::CopyPlaced {
             task,
             run,
@@ -251,6 +253,9 @@
         Event::RunPreempted { .. } => {
             counter!("yuccahold_batch_runs_preempted_total").increment(1);
         }
+        Event::RunMoved { .. } => {
+            counter!("yuccahold_batch_runs_moved_total").increment(1);
+        }
         Event::CopyPlaced { why, .. } => {
             counter!("yuccahold_batch_copies_placed_total", "why" => *why).increment(1);
         }
--- a/tests/batch_waits.rs
+++ b/tests/batch_waits.rs
@@ -8,11 +8,13 @@
 
 use batch_world::cell::Cell;
 use batch_world::{
-    World, checkpointed, first_step, low_priority_queue, ms, one_per_minion, queue, step,
+    World, checkpointed, draining, first_step, low_priority_queue, ms, one_per_minion, queue, step,
 };
 use rstest::rstest;
 use yuccahold::batch::dispatch::{Advice, AdviceQuestion, StartOrder};
-use yuccahold::batch::model::{JobId, MinionNumber, PolicyConfig, Queue, StepId, StepSpec, TaskId};
+use yuccahold::batch::model::{
+    JobId, MinionNumber, MinionReport, PolicyConfig, Queue, Readiness, StepId, StepSpec,
+};
 use yuccahold::ids::MinionId;
 
 /// Interval of simulated time between two decisions of the leader.
@@ -23,6 +25,9 @@
 /// from the platform's contract.
 const RESTARTED_WITHIN: Duration = ms(6_000);
 
+/// Shortest time for which a minion serves after it has reported that it drains.
+const SHORTEST_DRAIN: Duration = ms(2_000);
+
 /// Simulated policy service: each asker has one question answered at a time, after the question's
 /// cost.
 struct Policy {
@@ -172,6 +177,8 @@
     assert!(LATE.clone().all(started));
 }
 
+const LASTING: JobId = 1;
+
 /// Lasting tasks that lost their runs restart within the bound, however full the cell is.
 #[rstest]
 #[case::more_than_half_of_a_minion(18_000, Load::ShortUrgent)]
@@ -182,7 +189,6 @@
     #[case] cores: u32,
     #[case] load: Load,
 ) {
-    const LASTING: JobId = 1;
     const FIRST: JobId = 100;
     let mut world = World::new();
     let (mut policy, mut cell) = (Policy::new(8), Cell::default());
@@ -191,7 +197,7 @@
     let mut ids = BTreeMap::new();
     for i in 0..48 {
         let id = format!("i-{i}");
-        ids.insert(world.join(&id, i), id);
+        ids.insert(world.join(&id, i), (id, i));
     }
     world.submit_to(LASTING, lasting_queue(), vec![one_per_minion(8, cores)]);
     let takes = |start: &StartOrder| {
@@ -204,6 +210,7 @@
     };
     let begun = world.now;
     let mut next = FIRST;
+    let mut leaving: BTreeSet<MinionNumber> = BTreeSet::new();
     let mut left = None;
     while world.now < begun + ms(30_000) {
         let started: BTreeSet<_> = cell.started.iter().map(|(_, t)| t.step.job).collect();
@@ -215,20 +222,24 @@
         }
         policy.serve(&mut world);
         cell.work(&mut world, takes);
-        if left.is_none() && world.now > begun + ms(10_000) {
-            left = Some(world.now);
-            let of = |(task, (m, ..)): (&TaskId, &(MinionNumber, StartOrder, Option<Duration>))| {
-                (task.step.job == LASTING).then_some(*m)
-            };
-            let hosts: BTreeSet<_> = cell.runs.iter().filter_map(of).collect();
-            assert_eq!(hosts.len(), 8);
-            for host in &hosts {
+        if leaving.is_empty() && world.now > begun + ms(10_000) {
+            leaving = lasting_hosts(&cell);
+            assert_eq!(leaving.len(), 8);
+            for host in &leaving {
+                let (id, port) = &ids[host];
+                world.leader.report(world.now, draining_soon(id, *port));
+            }
+        }
+        if !leaving.is_empty() && world.now > begun + ms(10_000) + SHORTEST_DRAIN {
+            for host in leaving.iter().filter(|host| cell.gone.insert(**host)) {
                 cell.runs.retain(|_, (m, ..)| m != host);
-                cell.gone.insert(*host);
-                let now = world.now;
-                world.leader.minion_left(now, &ids[host].as_str().into());
+                let (id, _) = &ids[host];
+                world.leader.minion_left(world.now, &id.as_str().into());
             }
         }
+        if !lasting_hosts(&cell).is_superset(&leaving) {
+            left.get_or_insert(world.now);
+        }
         world.advance(TICK);
     }
     let left = left.expect("they left");
@@ -248,5 +259,24 @@
         Load::ShortUrgent => 0..=0,
         Load::LongSaving => 1..=32,
     };
-    assert!(expected.contains(&cell.stopped), "{} stopped", cell.stopped);
+    let elsewhere = cell.stopped.iter().filter(|m| !leaving.contains(m));
+    let stopped = elsewhere.count();
+    assert!(expected.contains(&stopped), "{stopped} stopped");
+}
+
+/// The minions on which tasks of the lasting job run.
+fn lasting_hosts(cell: &Cell) -> BTreeSet<MinionNumber> {
+    let runs = cell.runs.iter();
+    let lasting = runs.filter(|(task, _)| task.step.job == LASTING);
+    lasting.map(|(_, (minion, ..))| *minion).collect()
+}
+
+/// The report of a minion that stays for as short a time as it may.
+fn draining_soon(id: &str, port: u16) -> MinionReport {
+    MinionReport {
+        readiness: Readiness::Draining {
+            remaining: Some(SHORTEST_DRAIN),
+        },
+        ..draining(id, port)
+    }
 }
--- a/tests/batch_world/cell.rs
+++ b/tests/batch_world/cell.rs
@@ -21,8 +21,8 @@
     pub started: Vec<(Duration, TaskId)>,
     /// When the last run of each job ended as done.
     pub done: BTreeMap<JobId, Duration>,
-    /// Number of runs that were ordered to stop.
-    pub stopped: usize,
+    /// The minion of each run that was ordered to stop.
+    pub stopped: Vec<MinionNumber>,
 }
 
 impl Cell {
@@ -41,8 +41,9 @@
                 .leader
                 .start_answered(now, minion, (task, run), now, answer, ledger);
         }
-        let stops: BTreeSet<_> = world.take_stops().iter().map(|s| (s.1, s.2)).collect();
-        self.stopped += stops.len();
+        let stops = world.take_stops();
+        self.stopped.extend(stops.iter().map(|s| s.0));
+        let stops: BTreeSet<_> = stops.iter().map(|s| (s.1, s.2)).collect();
         for (task, run) in &stops {
             let minion = self.runs.get(task).map(|(minion, ..)| *minion);
             if let Some(minion) = minion {
--- a/tests/batch_world/hosts/mod.rs
+++ b/tests/batch_world/hosts/mod.rs
@@ -11,8 +11,8 @@
     OrderKind, StartOrder, StartRefusal, Target,
 };
 use yuccahold::batch::model::{
-    EndKind, Grouping, JobId, JobState, Lifetime, MinionNumber, MinionReport, Queue, StepSpec,
-    TaskId,
+    EndKind, Grouping, JobId, JobState, Lifetime, MinionNumber, MinionReport, Queue, Readiness,
+    StepSpec, TaskId,
 };
 use yuccahold::resources::Resources;
 
@@ -22,6 +22,8 @@
 use super::options::FAILURE_DELAY;
 pub use super::options::{Restart, StartAnswer};
 use super::{World, config, ms, report};
+pub use cuts::Cut;
+use cuts::Departure;
 
 const TICK: Duration = ms(5);
 const HEARTBEAT: Duration = ms(500);
@@ -43,6 +45,7 @@
     reports_at: Duration,
     inc: Option<Incarnation>,
     restarts_at: Duration,
+    departure: Option<Departure>,
 }
 
 /// A leader and hosts, each of which runs successive incarnations of one minion.
@@ -86,7 +89,7 @@
     specs: BTreeMap<JobId, Vec<StepSpec>>,
     pub limits: Limits,
     /// Ports of the hosts that are cut off from the leader.
-    cut: BTreeSet<u16>,
+    cut: BTreeMap<u16, Cut>,
     /// All orders and events of the leaders, in their order.
     pub orders: Vec<Order>,
 }
@@ -124,7 +127,7 @@
             done: BTreeSet::new(),
             specs: BTreeMap::new(),
             limits: Limits::default(),
-            cut: BTreeSet::new(),
+            cut: BTreeMap::new(),
             orders: Vec::new(),
         };
         for port in ports {
@@ -137,6 +140,7 @@
                 reports_at: cell.world.now,
                 inc: Some(Incarnation::new(cell.world.now)),
                 restarts_at: Duration::ZERO,
+                departure: None,
             };
             cell.hosts.insert(port, host);
         }
@@ -222,7 +226,13 @@
         let host = self.hosts.get_mut(&port)?;
         let inc = host.inc.as_ref()?;
         host.sequence += 1;
+        let readiness = host
+            .departure
+            .map_or(Readiness::Ready, |d| Readiness::Draining {
+                remaining: Some(d.announced.saturating_sub(now)),
+            });
         Some(MinionReport {
+            readiness,
             started: Some(inc.started()),
             capacity: host.capacity,
             clock: inc.clock(now),
@@ -248,6 +258,7 @@
             return;
         };
         let host_name = host.name.clone();
+        host.departure = None;
         host.restarts_at = now + self.restart_delay;
         self.crashed += 1;
         for task in inc.tasks() {
@@ -312,6 +323,7 @@
         if self.hosts[&port].inc.as_ref().is_some_and(crashes) {
             self.crash(port);
         }
+        self.advance_departure(port, now);
         let (restart, first_report_delay) = (self.restart, self.first_report_delay);
         let Some(host) = self.hosts.get_mut(&port) else {
             return;
@@ -325,7 +337,7 @@
             host.sequence = 0;
             host.reports_at = now + first_report_delay;
         }
-        let is_cut = self.cut.contains(&port);
+        let is_cut = self.cut.get(&port) == Some(&Cut::Silent);
         if host.inc.is_some() && now >= host.reports_at && !is_cut {
             host.reports_at = now + HEARTBEAT;
             let report = self.report_of(port).expect("it is up");
@@ -405,13 +417,14 @@
     ) -> Option<(Duration, MinionAnswer)> {
         let port = target.addr.port();
         let host = self.hosts.get_mut(&port)?;
-        let reachable = host.inc.as_mut().filter(|_| !self.cut.contains(&port));
-        let Some(inc) = reachable else {
-            let failure = match order {
-                MinionOrder::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(CallFailure::Lost)),
-                _ => MinionAnswer::Order(Answer::Silent(CallFailure::Lost)),
+        let cut = self.cut.get(&port).copied();
+        let Some(inc) = host.inc.as_mut().filter(|_| cut.is_none()) else {
+            let (after, failure) = cut.unwrap_or(Cut::Silent).failure();
+            let answer = match order {
+                MinionOrder::Hold(_) => MinionAnswer::Hold(HoldAnswer::Silent(failure)),
+                _ => MinionAnswer::Order(Answer::Silent(failure)),
             };
-            return Some((CALL_TIMEOUT, failure));
+            return Some((after, answer));
         };
         let other = host.name != target.id.as_str();
         match order {
