--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -22,12 +22,12 @@
 const HOLD_WAIT_SHORT: Duration = Duration::from_millis(500);
 /// The same for a minion with a run on trial: nothing else starts there until that run is listed.
 const HOLD_WAIT_TRIAL: Duration = Duration::from_millis(200);
+/// The same for a minion that drains, whose lease is short.
+const HOLD_WAIT_DRAINING: Duration = Duration::from_millis(250);
 /// Declared time up to which a run counts as short.
 const SHORT_RUN: Duration = Duration::from_millis(3000);
 /// Margin subtracted from the longest lease, as the minion's clock was read up to a round trip ago.
 const LEASE_RESERVE: Duration = Duration::from_millis(200);
-/// The same for a minion that drains, whose lease is short.
-const HOLD_WAIT_DRAINING: Duration = Duration::from_millis(250);
 /// Lease of a minion that has reported or announced that it drains. Nothing shows its end but the
 /// end of its lease, and until then its lasting tasks are down.
 ///
@@ -113,7 +113,7 @@
         };
         // A hold to a silent minion grants no lease: any of them might arrive late, so its tasks
         // could never be started elsewhere while the leader keeps retrying. Neither does one to a
-        // minion that has probably ended: it would only delay the end of its lease.
+        // minion that may have ended: it would delay the end of its lease.
         let deadline = minion
             .lease_deadline(now, lease)
             .filter(|_| minion.failed_holds == 0 && !minion.may_have_ended());
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -166,7 +166,7 @@
     pub(super) pace: Pace,
 }
 
-/// Earliest time at which the sender of a report that was received now ends; `None` if it doesn't say.
+/// Earliest time at which a minion ends by its report, received now; `None` if it doesn't say.
 pub(super) fn ends_after(report: &MinionReport, now: Timestamp) -> Option<Timestamp> {
     match report.readiness {
         Readiness::Draining { remaining } => remaining.map(|left| now + left),
--- a/src/replication/core/recovered.rs
+++ b/src/replication/core/recovered.rs
@@ -16,7 +16,7 @@
     pub entries: Vec<Entry>,
 }
 
-/// What a newer snapshot makes of a log.
+/// Whether a log is still in use beside a newer snapshot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LogState {
     /// The log holds the snapshot's last entry and remains in use.
--- a/tests/batch_departures.rs
+++ b/tests/batch_departures.rs
@@ -136,14 +136,6 @@
     assert_eq!(world.take_starts(), []);
 }
 
-/// The ways in which a call to a minion that is cut off can fail.
-const FAILURES: [CallFailure; 4] = [
-    CallFailure::Refused,
-    CallFailure::Lost,
-    CallFailure::Broken,
-    CallFailure::NotCalled,
-];
-
 /// Fails all holds to a minion in the same way until its task is started elsewhere. Returns the end
 /// of its longest lease, and the time of that start.
 fn cut_off_until_restart(
@@ -177,7 +169,13 @@
 #[rstest]
 fn a_minion_behind_a_cut_keeps_its_tasks_until_its_lease_ends(
     #[values(Sign::FinalMessage, Sign::LateReport)] sign: Sign,
-    #[values(0, 1, 2, 3)] failure: usize,
+    #[values(
+        CallFailure::Refused,
+        CallFailure::Lost,
+        CallFailure::Broken,
+        CallFailure::NotCalled
+    )]
+    failure: CallFailure,
 ) {
     let (mut world, minion, start) = world_with_a_lasting_task();
     if sign == Sign::FinalMessage {
@@ -191,7 +189,7 @@
         Sign::LateReport => world.leader.report(world.now, report("i-0", 1)),
     }
     world.decide();
-    let (lease_end, restarted) = cut_off_until_restart(&mut world, minion, FAILURES[failure]);
+    let (lease_end, restarted) = cut_off_until_restart(&mut world, minion, failure);
     assert!(lease_end > cut_off, "a lease was granted");
     assert!(
         restarted >= lease_end,
--- a/tests/batch_moves.rs
+++ b/tests/batch_moves.rs
@@ -121,7 +121,7 @@
 }
 
 /// Plays jobs while minions leave, crash and are cut off in all ways, and late reports of former
-/// incarnations arrive; returns what was violated.
+/// incarnations arrive; all are connected again at the end.
 fn play_departures(seed: u64) -> Cell {
     let ports = 1..9;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/tests/batch_waits.rs
+++ b/tests/batch_waits.rs
@@ -13,7 +13,7 @@
 use rstest::rstest;
 use yuccahold::batch::dispatch::{Advice, AdviceQuestion, StartOrder};
 use yuccahold::batch::model::{
-    JobId, MinionNumber, MinionReport, PolicyConfig, Queue, Readiness, StepId, StepSpec,
+    JobId, MinionNumber, MinionReport, PolicyConfig, Queue, Readiness, StepId, StepSpec, TaskId,
 };
 use yuccahold::ids::MinionId;
 
@@ -188,6 +188,85 @@
 fn lasting_tasks_that_lost_their_runs_restart_in_a_full_cell(
     #[case] cores: u32,
     #[case] load: Load,
+) {
+    const FIRST: JobId = 100;
+    let mut world = World::new();
+    let (mut policy, mut cell) = (Policy::new(8), Cell::default());
+    policy.allowed_part = 0.5;
+    world.leader.set_agents(8);
+    let mut ids = BTreeMap::new();
+    for i in 0..48 {
+        let id = format!("i-{i}");
+        ids.insert(world.join(&id, i), id);
+    }
+    world.submit_to(LASTING, lasting_queue(), vec![one_per_minion(8, cores)]);
+    let takes = |start: &StartOrder| {
+        let draw = start.task.step.job.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33;
+        let time = match load {
+            Load::ShortUrgent => 500 + draw % 2_500,
+            Load::LongSaving => 15_000 + draw % 15_000,
+        };
+        (start.task.step.job != LASTING).then(|| ms(time))
+    };
+    let begun = world.now;
+    let mut next = FIRST;
+    let mut left = None;
+    while world.now < begun + ms(30_000) {
+        let started: BTreeSet<_> = cell.started.iter().map(|(_, t)| t.step.job).collect();
+        let waiting = (FIRST..next).filter(|job| !started.contains(job)).count();
+        for _ in waiting..24 {
+            let (queue, step) = load.job();
+            world.submit_to(next, queue, vec![step]);
+            next += 1;
+        }
+        policy.serve(&mut world);
+        cell.work(&mut world, takes);
+        if left.is_none() && world.now > begun + ms(10_000) {
+            left = Some(world.now);
+            let of = |(task, (m, ..)): (&TaskId, &(MinionNumber, StartOrder, Option<Duration>))| {
+                (task.step.job == LASTING).then_some(*m)
+            };
+            let hosts: BTreeSet<_> = cell.runs.iter().filter_map(of).collect();
+            assert_eq!(hosts.len(), 8);
+            for host in &hosts {
+                cell.runs.retain(|_, (m, ..)| m != host);
+                cell.gone.insert(*host);
+                let now = world.now;
+                world.leader.minion_left(now, &ids[host].as_str().into());
+            }
+        }
+        world.advance(TICK);
+    }
+    let left = left.expect("they left");
+    let back = cell
+        .started
+        .iter()
+        .filter(|(at, t)| *at > left && t.step.job == LASTING);
+    let waits: Vec<_> = back.map(|(at, _)| *at - left).collect();
+    assert_eq!(waits.len(), 8, "{waits:?}");
+    assert!(
+        waits.iter().all(|wait| *wait <= RESTARTED_WITHIN),
+        "{waits:?}"
+    );
+    // A lasting task needs the resources of four of these tasks at most, and they are freed only
+    // once.
+    let expected = match load {
+        Load::ShortUrgent => 0..=0,
+        Load::LongSaving => 1..=32,
+    };
+    let stopped = cell.stopped.len();
+    assert!(expected.contains(&stopped), "{stopped} stopped");
+}
+
+/// The same for minions that drain before they leave, and say for how long they stay.
+#[rstest]
+#[case::more_than_half_of_a_minion(18_000, Load::ShortUrgent)]
+#[case::nearly_all_of_it(26_000, Load::ShortUrgent)]
+#[case::all_of_it(32_000, Load::ShortUrgent)]
+#[case::beside_long_work_that_saves_progress(26_000, Load::LongSaving)]
+fn lasting_tasks_of_draining_minions_restart_in_a_full_cell(
+    #[case] cores: u32,
+    #[case] load: Load,
 ) {
     const FIRST: JobId = 100;
     let mut world = World::new();
