Replication: silent voters and announcements are logged

An operator saw a group of five voters for 42 s while one, then two of them were lost for good: no line or metric told of silent voters, of an announcement that was ignored, or of a replica that waits to be admitted. So the logs couldn't tell whether announcements of empty replicas didn't reach the leader or were refused.

The status of a replica now has the silent voters (on the leader) and the last announcement that arrived with its outcome. The log lines of the status move from the platform's control daemon to replication::status_log: 'group' also at the start, 'silent voters' with the number that may still be lost, 'replica announced itself' with the outcome, and 'not a member of the group' every 5 s. No decision has changed.

--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -23,7 +23,7 @@
 use crate::batch::server::{CallServer, LeaderClient};
 use crate::error::{Error, Result, Step};
 use crate::exit_codes::ExitCode;
-use crate::replication::{Formation, Replica, ReplicaConfig};
+use crate::replication::{Formation, Replica, ReplicaConfig, log_status};
 
 /// Shortest time without a message from the leader before a replica starts an election. A disk
 /// that is thirty times slower than usual still syncs within this time.
@@ -134,7 +134,7 @@
         log: log.clone(),
     };
     tokio::spawn(http::serve(control, handler, Limits::default(), stopping));
-    tokio::spawn(log_role_changes(replica.status(), log.clone()));
+    tokio::spawn(log_status(replica.status(), log.clone()));
     wait_for_end(&link, &log).await?;
     info!(log, "stopping"; "farewell_ms" => drain_time(&boot).as_millis() as u64);
     replica.transfer_leadership().await;
@@ -142,29 +142,3 @@
     replica.abort().await;
     Ok(())
 }
-
-/// Logs each change in this replica's view of its group: role, term, leader and member counts.
-async fn log_role_changes(
-    mut status: watch::Receiver<crate::replication::ReplicaStatus>,
-    log: Logger,
-) {
-    let mut last = None;
-    while status.changed().await.is_ok() {
-        let now = status.borrow_and_update().clone();
-        let view = (
-            now.role,
-            now.term,
-            now.leader,
-            now.voters.len(),
-            now.learners.len(),
-        );
-        if last == Some(view) {
-            continue;
-        }
-        last = Some(view);
-        info!(log, "group"; "role" => format!("{:?}", now.role), "term" => now.term,
-            "leader" => now.leader.map(|id| format!("{id:016x}")),
-            "voters" => now.voters.len(), "learners" => now.learners.len(),
-            "committed" => now.committed);
-    }
-}
--- a/src/replication/core/leader.rs
+++ b/src/replication/core/leader.rs
@@ -12,7 +12,7 @@
 /// State that exists only while this replica leads.
 pub(super) struct LeaderState {
     pub(super) progress: BTreeMap<ReplicaId, Progress>,
-    began_at: Timestamp,
+    pub(super) began_at: Timestamp,
     /// Index of the no-op entry with which this leadership started.
     pub(super) first_index: LogIndex,
     /// That entry is committed. The state machine may not have applied it yet.
--- a/src/replication/core/membership_changes.rs
+++ b/src/replication/core/membership_changes.rs
@@ -4,6 +4,7 @@
 use super::progress::Progress;
 use super::{Core, Member, Membership, Payload};
 use crate::ids::{ReplicaId, Timestamp};
+use crate::replication::machine::{Announcement, AnnouncementOutcome};
 
 /// Most entries by which a learner may trail the log and still be promoted.
 const CAUGHT_UP_LAG: u64 = 64;
@@ -78,11 +79,30 @@
         self.advance_commit(now);
     }
 
-    /// Adds a replica as a learner, or updates the addresses of a voter.
+    /// Handles the announcement of another replica: a leader adds it as a learner, or updates the
+    /// addresses of a voter.
     pub(super) fn on_announce(&mut self, now: Timestamp, from: ReplicaId, member: Member) {
-        if !self.may_change_membership() || from == self.cfg.id {
+        if from == self.cfg.id {
             return;
         }
+        let addr = member.addr;
+        self.announcement = Some(Announcement {
+            replica: from,
+            addr,
+            outcome: self.admit(now, from, member),
+        });
+    }
+
+    fn admit(&mut self, now: Timestamp, from: ReplicaId, member: Member) -> AnnouncementOutcome {
+        if self.leading.is_none() {
+            return AnnouncementOutcome::NotLeading;
+        }
+        if self.members.get(from) == Some(&member) {
+            return AnnouncementOutcome::Member;
+        }
+        if !self.may_change_membership() {
+            return AnnouncementOutcome::ChangePending;
+        }
         let mut next = self.members.clone();
         if let Some(voter) = next.voters.get_mut(&from) {
             *voter = member;
@@ -91,8 +111,25 @@
                 .retain(|id, m| *id == from || m.addr != member.addr);
             next.learners.insert(from, member);
         }
-        if next != self.members && next.learners.len() <= MAX_LEARNERS {
-            self.set_members(next, now);
+        if next.learners.len() > MAX_LEARNERS {
+            return AnnouncementOutcome::TooManyLearners;
+        }
+        self.set_members(next, now);
+        AnnouncementOutcome::Admitted
+    }
+
+    /// Voters that have not replied to this leader within an election timeout. None in the first
+    /// election timeout of a leadership, in which replies are on their way.
+    pub(super) fn silent_voters(&self, now: Timestamp) -> Vec<ReplicaId> {
+        let Some(leading) = &self.leading else {
+            return Vec::new();
+        };
+        if now < leading.began_at + self.cfg.election_timeout {
+            return Vec::new();
         }
+        let others = self.members.voters.keys().copied();
+        others
+            .filter(|id| *id != self.cfg.id && !self.is_active(*id, now))
+            .collect()
     }
 }
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -21,7 +21,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::machine::{ReplicaStatus, Role};
+use super::machine::{Announcement, ReplicaStatus, Role};
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
 
 pub(crate) use config::{CoreConfig, Safeguards};
@@ -78,6 +78,8 @@
     incoming: Option<IncomingSnapshot>,
     disk_full: bool,
     announced_at: Option<Timestamp>,
+    /// The last announcement of another replica that arrived.
+    announcement: Option<Announcement>,
     taking_snapshot: bool,
     // Saves not yet synced, and the messages that wait for them.
     save: Save,
@@ -115,6 +117,7 @@
             incoming: None,
             disk_full: false,
             announced_at: None,
+            announcement: None,
             taking_snapshot: false,
             save: Save::default(),
             last_seq: 0,
@@ -248,7 +251,7 @@
         std::mem::take(&mut self.effects)
     }
 
-    pub(crate) fn status(&self) -> ReplicaStatus {
+    pub(crate) fn status(&self, now: Timestamp) -> ReplicaStatus {
         let leader = self.leader;
         ReplicaStatus {
             id: self.cfg.id,
@@ -261,6 +264,8 @@
             voters: self.members.voters.keys().copied().collect(),
             learners: self.members.learners.keys().copied().collect(),
             call_addrs: self.members.call_addrs(),
+            silent_voters: self.silent_voters(now),
+            announcement: self.announcement,
         }
     }
 
--- a/src/replication/explore/simulation/recovery.rs
+++ b/src/replication/explore/simulation/recovery.rs
@@ -41,7 +41,7 @@
         let voters = leader.core.members().voters.clone();
         let held = |id: &ReplicaId| {
             let replica = self.running().find(|r| r.core.id() == *id);
-            replica.map_or(0, |r| r.core.status().applied)
+            replica.map_or(0, |r| r.core.status(self.now).applied)
         };
         // The last few entries may still be in transit.
         let behind = voters.keys().find(|id| held(id) + 20 < committed);
@@ -62,7 +62,7 @@
             self.coverage.quorums_lost += 1;
             return Ok(());
         }
-        let states: Vec<_> = self.running().map(|r| r.core.status()).collect();
+        let states: Vec<_> = self.running().map(|r| r.core.status(self.now)).collect();
         Err((
             Check::Progress,
             format!("the group makes no progress: {states:?}"),
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -82,6 +82,65 @@
     pub learners: Vec<ReplicaId>,
     /// Addresses at which voters and learners serve calls.
     pub call_addrs: Vec<SocketAddr>,
+    /// Voters that have not replied to this leader within an election timeout; none on a replica
+    /// that does not lead.
+    pub silent_voters: Vec<ReplicaId>,
+    /// The last announcement of another replica that arrived here.
+    pub announcement: Option<Announcement>,
+}
+
+impl ReplicaStatus {
+    /// Whether this replica is a voter or a learner of its group.
+    pub fn is_member(&self) -> bool {
+        self.voters.contains(&self.id) || self.learners.contains(&self.id)
+    }
+
+    /// Number of voters that may still be lost before the group stops; meaningful only on the
+    /// leader.
+    pub fn spare_voters(&self) -> usize {
+        let live = self.voters.len() - self.silent_voters.len();
+        live.saturating_sub(self.voters.len() / 2 + 1)
+    }
+}
+
+/// An announcement of a replica that is not a member, or not in contact with a leader, as another
+/// replica handled it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Announcement {
+    /// The replica that announced itself.
+    pub replica: ReplicaId,
+    /// Address to which other replicas connect.
+    pub addr: SocketAddr,
+    /// What became of the announcement.
+    pub outcome: AnnouncementOutcome,
+}
+
+/// What a replica did with an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum AnnouncementOutcome {
+    /// The replica was added as a learner, or its addresses were updated.
+    Admitted,
+    /// It is a member with these addresses already.
+    Member,
+    /// An earlier membership change is not committed yet.
+    ChangePending,
+    /// The group has as many learners as it may have.
+    TooManyLearners,
+    /// Ignored: this replica does not lead.
+    NotLeading,
+}
+
+impl AnnouncementOutcome {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Admitted => "admitted",
+            Self::Member => "already a member",
+            Self::ChangePending => "a membership change is pending",
+            Self::TooManyLearners => "too many learners",
+            Self::NotLeading => "ignored, as this replica does not lead",
+        }
+    }
 }
 
 /// When a read runs, and how far the log is applied then.
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -5,11 +5,16 @@
 pub mod explore;
 mod machine;
 mod runtime;
+mod status_log;
 
 pub(crate) use self::core::LogState;
 pub use self::core::{
     Body, Entry, HardState, HeartbeatMark, Member, Membership, Message, Payload, Recovered, Save,
     SaveSnapshot, Snapshot,
 };
-pub use machine::{ProposeError, ReadError, ReadPoint, ReplicaStatus, Role, StateMachine};
+pub use machine::{
+    Announcement, AnnouncementOutcome, ProposeError, ReadError, ReadPoint, ReplicaStatus, Role,
+    StateMachine,
+};
 pub use runtime::{Formation, Replica, ReplicaConfig, ReplicaHandle, monotonic_now, unix_now};
+pub(crate) use status_log::log_status;
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -108,7 +108,7 @@
         if !self.core.is_leader() {
             self.fail_pending();
         }
-        let status = self.core.status();
+        let status = self.core.status(monotonic_now());
         self.status.send_if_modified(|old| {
             let changed = *old != status;
             *old = status;
@@ -244,7 +244,7 @@
     }
 
     fn other_leader(&self) -> Option<std::net::SocketAddr> {
-        let status = self.core.status();
+        let status = self.core.status(monotonic_now());
         status
             .leader_addr
             .filter(|_| status.leader != Some(status.id))
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -141,7 +141,7 @@
     listener: TcpListener,
 ) -> Result<ReplicaHandle<M>> {
     let (address, mailbox) = Mailbox::bounded(MAILBOX);
-    let (status_tx, status) = watch::channel(core.status());
+    let (status_tx, status) = watch::channel(core.status(monotonic_now()));
     let (disk_tx, disk_rx) = mpsc::sync_channel(1);
     let (ended_tx, ended) = watch::channel(false);
     let identity = peers::Identity {
