Tests: an empty replica whose peers don't include the leader isn't admitted

Known failure, both cases in 20 s: a group of five of which each knows the first three, led by another one; the first starts on an empty disk, at its former address or at another one, and is not admitted ('it is admitted: Elapsed').

--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -10,6 +10,7 @@
 
 use futures::future::join_all;
 use futures::poll;
+use rstest::rstest;
 use yuccahold::error::Result;
 use yuccahold::ids::{LogIndex, Timestamp};
 use yuccahold::replication::{
@@ -212,6 +213,86 @@
     third.stop().await;
 }
 
+/// Five replicas of which each is configured with those of the first three other than itself.
+async fn group_of_five(folder: &Folder) -> (Vec<SocketAddr>, Vec<ReplicaHandle<Journal>>) {
+    let addrs = free_addrs(5);
+    let mut replicas = vec![start_with_seeds(folder, &addrs, 0, Formation::FormGroup)];
+    for own in 1..5 {
+        replicas.push(start_with_seeds(folder, &addrs, own, Formation::Join));
+    }
+    until_voters(&replicas[0], 5).await;
+    (addrs, replicas)
+}
+
+fn start_with_seeds(
+    folder: &Folder,
+    addrs: &[SocketAddr],
+    own: usize,
+    form: Formation,
+) -> ReplicaHandle<Journal> {
+    let seeds = addrs[..3].iter().filter(|addr| **addr != addrs[own]);
+    let cfg = ReplicaConfig {
+        peers: seeds.copied().collect(),
+        target_voters: Some(5),
+        replace_after: Duration::from_secs(1),
+        ..config(&folder.0, addrs, own, form)
+    };
+    Replica::start(cfg, Journal::default()).unwrap()
+}
+
+/// Transfers leadership until one of the replicas in `to` leads.
+async fn until_led_by(replicas: &[ReplicaHandle<Journal>], to: std::ops::Range<usize>) {
+    let ids: Vec<_> = replicas.iter().map(|r| r.status().borrow().id).collect();
+    let led = async {
+        loop {
+            for (i, replica) in replicas.iter().enumerate() {
+                let leads = replica.leased(|_, _| ()).await.is_ok();
+                if leads && to.contains(&i) {
+                    return;
+                }
+                if leads {
+                    replica.transfer_leadership().await;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let found = tokio::time::timeout(TIMEOUT, led).await;
+    found.unwrap_or_else(|_| panic!("none of {to:?} of {ids:x?} leads"));
+}
+
+async fn until_voter(replica: &ReplicaHandle<Journal>) {
+    let id = replica.status().borrow().id;
+    let mut status = replica.status();
+    let admitted = status.wait_for(|s| s.voters.contains(&id));
+    tokio::time::timeout(TIMEOUT, admitted)
+        .await
+        .expect("it is admitted")
+        .unwrap();
+}
+
+#[rstest]
+#[case::at_the_address_of_its_former_life(true)]
+#[case::at_another_address(false)]
+#[tokio::test]
+async fn an_empty_replica_joins_a_group_whose_leader_is_not_among_its_peers(#[case] same: bool) {
+    // Guards against announcements that only the leader acts on and that never reach it.
+    let name = if same { "seeds-same" } else { "seeds-other" };
+    let folder = Folder::new(name);
+    let (mut addrs, mut replicas) = group_of_five(&folder).await;
+    until_led_by(&replicas, 3..5).await;
+    replicas[0].abort().await;
+    std::fs::remove_dir_all(folder.0.join("0")).unwrap();
+    if !same {
+        addrs[0] = free_addrs(1)[0];
+    }
+    replicas[0] = start_with_seeds(&folder, &addrs, 0, Formation::Join);
+    until_voter(&replicas[0]).await;
+    for replica in &replicas {
+        replica.abort().await;
+    }
+}
+
 /// Waits for a message before each sync, and reports each sync that has returned. The sender is
 /// dropped to let all syncs pass.
 struct HeldSyncs {
