Replication: followers pass announcements on to their leader

Callers saw (LOST, RECOVER) a cell that refused everything from a loss of power on: two of five replicas had lost their disks earlier, one after the other, and were never admitted again, so the next lost disk left two of five voters.

Cause: an empty replica announces itself to its configured peers and to the members in its log, which is empty. Only the leader acts on an announcement, and followers ignored it.

Class: a message that only the leader can act on is sent to a list that need not hold it, and no one passes it on.

Change: a follower that hears a leader passes the announcement on, addressed to the leader by its id, so that no other replica passes it on again. The newcomer repeats it every election timeout, so a lost copy or a leader that has changed meanwhile costs 0.4 s.

--- a/src/replication/core/config.rs
+++ b/src/replication/core/config.rs
@@ -43,6 +43,8 @@
     pub(crate) apply_before_acting: bool,
     /// Timestamps of log entries never decrease.
     pub(crate) time_forward: bool,
+    /// A follower passes announcements on to its leader.
+    pub(crate) pass_on_announcements: bool,
 }
 
 impl Default for Safeguards {
@@ -63,6 +65,7 @@
             step_down_before_transfer: true,
             apply_before_acting: true,
             time_forward: true,
+            pass_on_announcements: true,
         }
     }
 }
--- a/src/replication/core/membership_changes.rs
+++ b/src/replication/core/membership_changes.rs
@@ -2,7 +2,7 @@
 
 use super::membership::{Health, next_membership};
 use super::progress::Progress;
-use super::{Core, Member, Membership, Payload};
+use super::{Core, Effect, Member, Membership, Message, Payload};
 use crate::ids::{ReplicaId, Timestamp};
 use crate::replication::machine::{Announcement, AnnouncementOutcome};
 
@@ -79,24 +79,41 @@
         self.advance_commit(now);
     }
 
-    /// Handles the announcement of another replica: a leader adds it as a learner, or updates the
-    /// addresses of a voter.
-    pub(super) fn on_announce(&mut self, now: Timestamp, from: ReplicaId, member: Member) {
-        if from == self.cfg.id {
+    /// Handles an announcement, in which `from` sent its own addresses: a leader adds the replica as
+    /// a learner, or updates the addresses of a voter. A follower passes the message on to its leader,
+    /// as an empty replica knows only its configured peers, and the leader need not be one of them.
+    pub(super) fn on_announce(&mut self, now: Timestamp, message: Message, member: Member) {
+        if message.from == self.cfg.id {
             return;
         }
-        let addr = member.addr;
+        let (replica, addr) = (message.from, member.addr);
+        let outcome = match self.leader {
+            _ if self.leading.is_some() => self.admit(now, replica, member),
+            Some(leader) if message.to == 0 && self.hears_leader(now) => {
+                self.pass_on(message, leader);
+                AnnouncementOutcome::PassedOn
+            }
+            _ => AnnouncementOutcome::NoLeader,
+        };
         self.announcement = Some(Announcement {
-            replica: from,
+            replica,
             addr,
-            outcome: self.admit(now, from, member),
+            outcome,
         });
     }
 
-    fn admit(&mut self, now: Timestamp, from: ReplicaId, member: Member) -> AnnouncementOutcome {
-        if self.leading.is_none() {
-            return AnnouncementOutcome::NotLeading;
+    /// The copy is addressed to the leader by its id, so that no other replica passes it on again.
+    fn pass_on(&mut self, message: Message, leader: ReplicaId) {
+        if self.cfg.safeguards.pass_on_announcements {
+            let copy = Message {
+                to: leader,
+                ..message
+            };
+            self.effects.push(Effect::Send(copy));
         }
+    }
+
+    fn admit(&mut self, now: Timestamp, from: ReplicaId, member: Member) -> AnnouncementOutcome {
         if self.members.get(from) == Some(&member) {
             return AnnouncementOutcome::Member;
         }
--- a/src/replication/core/message.rs
+++ b/src/replication/core/message.rs
@@ -119,6 +119,7 @@
     },
     /// The leader has stepped down and asks the receiver to start an election at once.
     TimeoutNow,
-    /// Introduces a replica that receives nothing from a leader, or whose addresses changed.
+    /// Introduces a replica that receives nothing from a leader, or whose addresses changed. Addressed
+    /// to the leader by its id when a follower passes it on.
     Announce(Member),
 }
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -156,8 +156,9 @@
     /// Handles a message from another replica.
     pub(crate) fn receive(&mut self, now: Timestamp, message: Message) {
         self.check_leadership(now);
-        if let Body::Announce(member) = message.body {
-            self.on_announce(now, message.from, member);
+        if let Body::Announce(member) = &message.body {
+            let member = member.clone();
+            self.on_announce(now, message, member);
             return;
         }
         if message.to != self.cfg.id {
@@ -431,14 +432,17 @@
         }
     }
 
+    /// Whether a leader's message has arrived within the last election timeout.
+    fn hears_leader(&self, now: Timestamp) -> bool {
+        self.leader.is_some() && now < self.leader_heard_at + self.cfg.election_timeout
+    }
+
     fn announce_if_needed(&mut self, now: Timestamp) {
         let is_member = self.members.get(self.cfg.id) == Some(&self.cfg.member);
-        let has_leader =
-            self.leader.is_some() && now < self.leader_heard_at + self.cfg.election_timeout;
         let due = self
             .announced_at
             .is_none_or(|at| now >= at + self.cfg.election_timeout);
-        if (is_member && has_leader) || !due {
+        if (is_member && self.hears_leader(now)) || !due {
             return;
         }
         self.announced_at = Some(now);
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -126,8 +126,10 @@
     ChangePending,
     /// The group has as many learners as it may have.
     TooManyLearners,
-    /// Ignored: this replica does not lead.
-    NotLeading,
+    /// Passed on to the leader.
+    PassedOn,
+    /// Ignored: this replica does not lead, and knows no other leader.
+    NoLeader,
 }
 
 impl AnnouncementOutcome {
@@ -138,7 +140,8 @@
             Self::Member => "already a member",
             Self::ChangePending => "a membership change is pending",
             Self::TooManyLearners => "too many learners",
-            Self::NotLeading => "ignored, as this replica does not lead",
+            Self::PassedOn => "passed on to the leader",
+            Self::NoLeader => "ignored, as no leader is known",
         }
     }
 }
