Replication: announcements go to peers that have connected, too

A control host that lost its disk while all its configured peers were down was never admitted, although the leader and others connected to its address all the time: they send to the voter of its former life.

The addresses that peers send as they connect were kept only for answers to candidates.

Change: an announcement also goes to these addresses.

Evidence: 'an_empty_replica_whose_peers_are_all_down_joins_through_those_that_connect_to_it' failed before (not admitted within 20 s), and passes; all seven tests of replication_runtime take 1.2 s.

--- a/src/replication/core/effect.rs
+++ b/src/replication/core/effect.rs
@@ -38,7 +38,7 @@
     Save(Save),
     /// Send to the replica in `to`.
     Send(Message),
-    /// Send to every configured address and every member.
+    /// Send to every configured address, every member, and every peer that has connected.
     Announce(Message),
     /// Apply committed entries to the state machine.
     Apply(Vec<Entry>),
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -68,8 +68,10 @@
         self.enqueue(Outgoing::To(addr, message));
     }
 
-    /// Sends to every configured address and to `extra` ones, the members in the log: all configured
-    /// replicas may be down while the group runs on others.
+    /// Sends to every configured address, to those of peers that have connected to this replica, and
+    /// to `extra` ones, the members in the log: all configured replicas may be down while the group
+    /// runs on others. The members of a group connect to an empty replica at the address of its
+    /// former life.
     pub(super) fn announce(&self, message: Message, extra: Vec<SocketAddr>) {
         self.enqueue(Outgoing::ToAll(message, extra));
     }
@@ -153,6 +155,7 @@
                 Outgoing::ToAll(message, extra) => {
                     let mut addrs = extra;
                     addrs.extend(&self.configured);
+                    addrs.extend(self.directory.lock().expect("no holder panics").values());
                     addrs.sort_unstable();
                     addrs.dedup();
                     addrs.retain(|addr| *addr != self.identity.addr);
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -293,6 +293,25 @@
     }
 }
 
+#[tokio::test]
+async fn an_empty_replica_whose_peers_are_all_down_joins_through_those_that_connect_to_it() {
+    // Guards against a group that sends to the address of a lost voter and never learns who is there.
+    let folder = Folder::new("peers-down");
+    let (addrs, mut replicas) = group_of_five(&folder).await;
+    replicas[4].stop().await;
+    std::fs::remove_dir_all(folder.0.join("4")).unwrap();
+    let down = free_addrs(3);
+    let cfg = ReplicaConfig {
+        peers: down,
+        ..config(&folder.0, &addrs, 4, Formation::Join)
+    };
+    replicas[4] = Replica::start(cfg, Journal::default()).unwrap();
+    until_voter(&replicas[4]).await;
+    for replica in &replicas {
+        replica.abort().await;
+    }
+}
+
 /// Waits for a message before each sync, and reports each sync that has returned. The sender is
 /// dropped to let all syncs pass.
 struct HeldSyncs {
