Control: new seeds after a reload reach the replica, too

After a change of the seeds in the settings of a running control host, its agent part looked for the leader at the new ones, but its replica went on to announce itself to those of its start. One that waited to be admitted because the former seeds were gone waited for good, whatever the operator wrote into the settings.

Cause: 'settings reloaded' passed the new seeds to the link to the leader only; the replica's peers were fixed.

Change: ReplicaHandle::set_peers replaces them; the reload of the control daemon calls it.

Evidence: 'a_replica_joins_once_its_peers_are_replaced_by_some_that_are_up' needs the new call, so the former code can't build it; it also shows that the replica isn't admitted before.

--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -135,7 +135,11 @@
     };
     tokio::spawn(http::serve(control, handler, Limits::default(), stopping));
     tokio::spawn(log_status(replica.status(), log.clone()));
-    wait_for_end(&link, &log).await?;
+    let reloaded = |boot: &Boot| {
+        link.set_seeds(boot.seed_calls());
+        replica.set_peers(boot.seed_replicas());
+    };
+    wait_for_end(&log, reloaded).await?;
     info!(log, "stopping"; "farewell_ms" => drain_time(&boot).as_millis() as u64);
     replica.transfer_leadership().await;
     tokio::time::sleep(drain_time(&boot) / 2).await;
--- a/src/platform/daemon.rs
+++ b/src/platform/daemon.rs
@@ -12,7 +12,6 @@
 use super::front::MetricsHandler;
 use super::http;
 use super::settings::{Boot, PATH_VARIABLE};
-use crate::batch::link::LeaderLink;
 use crate::batch::model::Limits;
 use crate::error::{Error, Result, Step};
 use crate::exit_codes::ExitCode;
@@ -104,8 +103,8 @@
 }
 
 /// Waits for SIGTERM. Meanwhile it reloads the settings on SIGHUP or when the file changes, and
-/// passes the new seeds to `link`.
-pub(super) async fn wait_for_end(link: &LeaderLink, log: &Logger) -> Result<()> {
+/// passes them to `reloaded`.
+pub(super) async fn wait_for_end(log: &Logger, reloaded: impl Fn(&Boot)) -> Result<()> {
     let failed = |e| Error::caused(Step::Listen, "receiving signals", e);
     let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
     let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
@@ -126,7 +125,7 @@
             Ok(boot) => {
                 info!(log, "settings reloaded"; "seeds" => format!("{:?}", boot.seed_calls()));
                 warn_unreadable_seeds(&boot, log);
-                link.set_seeds(boot.seed_calls());
+                reloaded(&boot);
             }
             Err(e) => warn!(log, "changed settings are invalid; the old ones stay in use";
                 "error" => %e),
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -44,7 +44,7 @@
         stopping: stopping.clone(),
     };
     tokio::spawn(http::serve(ready, balancer, limits, stopping));
-    wait_for_end(&link, &log).await?;
+    wait_for_end(&log, |boot| link.set_seeds(boot.seed_calls())).await?;
     info!(log, "stopping"; "farewell_ms" => drain_time(&boot).as_millis() as u64);
     stop.send_replace(true);
     tokio::time::sleep(drain_time(&boot)).await;
--- a/src/replication/runtime/config.rs
+++ b/src/replication/runtime/config.rs
@@ -41,7 +41,8 @@
     pub replica_advertise: Option<SocketAddr>,
     /// Address at which the replica serves calls while it leads.
     pub call_addr: SocketAddr,
-    /// Addresses at which the other configured replicas listen.
+    /// Addresses at which the other configured replicas listen; `ReplicaHandle::set_peers` replaces
+    /// them.
     pub peers: Vec<SocketAddr>,
     /// Shortest time without a leader's message before an election; a random part is added.
     pub election_timeout: Duration,
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -1,8 +1,8 @@
 //! Starting a replica, and the handle with which the rest of the process uses it.
 
 use std::collections::BTreeMap;
-use std::net::TcpListener;
-use std::sync::mpsc;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use super::messages::{
     Confirmation, Propose, Read, ReadLocal, Stop, Tick, TransferLeadership, UpdateMachine,
 };
+use super::peers::ConfiguredPeers;
 use super::{disk, monotonic_now, peers};
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
@@ -40,6 +41,7 @@
     /// Longest time that a leadership transfer is waited for.
     transfer_timeout: Duration,
     ended: watch::Receiver<bool>,
+    configured_peers: ConfiguredPeers,
 }
 
 impl<M: StateMachine> Clone for ReplicaHandle<M> {
@@ -49,6 +51,7 @@
             status: self.status.clone(),
             transfer_timeout: self.transfer_timeout,
             ended: self.ended.clone(),
+            configured_peers: Arc::clone(&self.configured_peers),
         }
     }
 }
@@ -148,7 +151,14 @@
         id: core.id(),
         addr: core.own_addr(),
     };
-    let (peer_queue, peer_thread) = peers::spawn(&cfg, identity, listener, address.downgrade())?;
+    let configured_peers = ConfiguredPeers::new(Mutex::new(cfg.peers.clone()));
+    let (peer_queue, peer_thread) = peers::spawn(
+        &cfg,
+        Arc::clone(&configured_peers),
+        identity,
+        listener,
+        address.downgrade(),
+    )?;
     let disk_address = address.clone();
     let disk_thread = thread("replica-disk", move || {
         disk::run(store, disk_rx, disk_address);
@@ -182,6 +192,7 @@
         status,
         transfer_timeout: cfg.election_timeout * 2,
         ended,
+        configured_peers,
     })
 }
 
@@ -299,6 +310,12 @@
         self.status.clone()
     }
 
+    /// Replaces the addresses of the other configured replicas. This one announces itself to them
+    /// whenever it is not a member or hears no leader.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+        *self.configured_peers.lock().expect("no holder panics") = peers;
+    }
+
     /// Transfers leadership to another voter, if this replica leads and an active one exists. Waits
     /// up to two election timeouts for it.
     pub async fn transfer_leadership(&self) {
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -83,6 +83,9 @@
     }
 }
 
+/// Addresses at which the other configured replicas listen. They may change while a replica runs.
+pub(super) type ConfiguredPeers = Arc<Mutex<Vec<SocketAddr>>>;
+
 /// Addresses that peers sent in their hello. A voter may have to reply to a candidate that is not
 /// in its own log yet; without the address, that candidate could not be elected.
 type Directory = Arc<Mutex<HashMap<ReplicaId, SocketAddr>>>;
@@ -90,7 +93,7 @@
 struct Peers {
     identity: Identity,
     keys: CellKeys,
-    configured: Vec<SocketAddr>,
+    configured: ConfiguredPeers,
     directory: Directory,
     links: HashMap<SocketAddr, mpsc::Sender<Message>>,
     /// Time without a pong after which a connection is closed.
@@ -100,6 +103,7 @@
 /// Starts the peer thread; it ends when the queue is dropped.
 pub(super) fn spawn<M: StateMachine>(
     cfg: &ReplicaConfig,
+    configured: ConfiguredPeers,
     identity: Identity,
     listener: std::net::TcpListener,
     control: WeakAddress<Control<M>>,
@@ -115,7 +119,7 @@
     let peers = Peers {
         identity,
         keys: cfg.keys.clone(),
-        configured: cfg.peers.clone(),
+        configured,
         directory: directory.clone(),
         links: HashMap::new(),
         reply_timeout: cfg.election_timeout,
@@ -154,7 +158,7 @@
                 }
                 Outgoing::ToAll(message, extra) => {
                     let mut addrs = extra;
-                    addrs.extend(&self.configured);
+                    addrs.extend(self.configured.lock().expect("no holder panics").iter());
                     addrs.extend(self.directory.lock().expect("no holder panics").values());
                     addrs.sort_unstable();
                     addrs.dedup();
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -312,6 +312,32 @@
     }
 }
 
+#[tokio::test]
+async fn a_replica_joins_once_its_peers_are_replaced_by_some_that_are_up() {
+    // Guards against a replica that keeps the peers of its start after a reload of the settings.
+    let folder = Folder::new("peers-replaced");
+    let (addrs, mut replicas) = group_of_five(&folder).await;
+    replicas[4].stop().await;
+    let down = free_addrs(4);
+    let cfg = ReplicaConfig {
+        replica_listen: down[3],
+        call_addr: down[3],
+        peers: down[..3].to_vec(),
+        ..config(&folder.0, &addrs, 4, Formation::Join)
+    };
+    std::fs::remove_dir_all(folder.0.join("4")).unwrap();
+    replicas[4] = Replica::start(cfg, Journal::default()).unwrap();
+    let mut status = replicas[4].status();
+    let hears_leader = status.wait_for(|s| s.leader.is_some());
+    let early = tokio::time::timeout(Duration::from_secs(1), hears_leader).await;
+    assert!(early.is_err(), "it is known although its peers are down");
+    replicas[4].set_peers(addrs[..3].to_vec());
+    until_voter(&replicas[4]).await;
+    for replica in &replicas {
+        replica.abort().await;
+    }
+}
+
 /// Waits for a message before each sync, and reports each sync that has returned. The sender is
 /// dropped to let all syncs pass.
 struct HeldSyncs {
