--- a/src/replication/core/membership_changes.rs
+++ b/src/replication/core/membership_changes.rs
@@ -79,7 +79,7 @@
         self.advance_commit(now);
     }
 
-    /// Handles an announcement, in which `from` sent its own addresses: a leader adds the replica as
+    /// Handles an announcement, which carries the addresses of its sender: a leader adds the sender as
     /// a learner, or updates the addresses of a voter. A follower passes the message on to its leader,
     /// as an empty replica knows only its configured peers, and the leader need not be one of them.
     pub(super) fn on_announce(&mut self, now: Timestamp, message: Message, member: Member) {
@@ -93,13 +93,19 @@
                 self.pass_on(message, leader);
                 AnnouncementOutcome::PassedOn
             }
+            _ if message.to != 0 => AnnouncementOutcome::NotLeading,
             _ => AnnouncementOutcome::NoLeader,
         };
-        self.announcement = Some(Announcement {
-            replica,
-            addr,
-            outcome,
-        });
+        // Several followers pass copies on: the first one shows what became of the announcement.
+        let is_copy = outcome == AnnouncementOutcome::Member
+            && self.announcement.is_some_and(|a| a.replica == replica);
+        if !is_copy {
+            self.announcement = Some(Announcement {
+                replica,
+                addr,
+                outcome,
+            });
+        }
     }
 
     /// The copy is addressed to the leader by its id, so that no other replica passes it on again.
@@ -135,18 +141,16 @@
         AnnouncementOutcome::Admitted
     }
 
-    /// Voters that have not replied to this leader within an election timeout. None in the first
-    /// election timeout of a leadership, in which replies are on their way.
-    pub(super) fn silent_voters(&self, now: Timestamp) -> Vec<ReplicaId> {
-        let Some(leading) = &self.leading else {
-            return Vec::new();
-        };
-        if now < leading.began_at + self.cfg.election_timeout {
-            return Vec::new();
+    /// Voters that have not replied to this leader within an election timeout. `None` on a replica
+    /// that does not lead, and in the first election timeout of a leadership, in which replies are
+    /// on their way.
+    pub(super) fn silent_voters(&self, now: Timestamp) -> Option<Vec<ReplicaId>> {
+        let began = self.leading.as_ref()?.began_at;
+        if now < began + self.cfg.election_timeout {
+            return None;
         }
         let others = self.members.voters.keys().copied();
-        others
-            .filter(|id| *id != self.cfg.id && !self.is_active(*id, now))
-            .collect()
+        let silent = others.filter(|id| *id != self.cfg.id && !self.is_active(*id, now));
+        Some(silent.collect())
     }
 }
--- a/src/replication/core/message.rs
+++ b/src/replication/core/message.rs
@@ -10,7 +10,7 @@
 /// A message between two replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
-    /// Id of the sender.
+    /// Id of the sender; that of the announced replica also if a follower passes its message on.
     pub from: ReplicaId,
     /// Id of the receiver; 0 for an announcement to an address whose replica id is unknown.
     pub to: ReplicaId,
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -82,9 +82,9 @@
     pub learners: Vec<ReplicaId>,
     /// Addresses at which voters and learners serve calls.
     pub call_addrs: Vec<SocketAddr>,
-    /// Voters that have not replied to this leader within an election timeout; none on a replica
+    /// Voters that have not replied to this leader within an election timeout; `None` on a replica
     /// that does not lead.
-    pub silent_voters: Vec<ReplicaId>,
+    pub silent_voters: Option<Vec<ReplicaId>>,
     /// The last announcement of another replica that arrived here.
     pub announcement: Option<Announcement>,
 }
@@ -95,16 +95,17 @@
         self.voters.contains(&self.id) || self.learners.contains(&self.id)
     }
 
-    /// Number of voters that may still be lost before the group stops; meaningful only on the
-    /// leader.
-    pub fn spare_voters(&self) -> usize {
-        let live = self.voters.len() - self.silent_voters.len();
-        live.saturating_sub(self.voters.len() / 2 + 1)
+    /// Number of voters that may still be lost before the group stops; `None` on a replica that does
+    /// not lead.
+    pub fn spare_voters(&self) -> Option<usize> {
+        let silent = self.silent_voters.as_ref()?.len();
+        let quorum = self.voters.len() / 2 + 1;
+        Some(self.voters.len().saturating_sub(silent + quorum))
     }
 }
 
-/// An announcement of a replica that is not a member, or not in contact with a leader, as another
-/// replica handled it.
+/// An announcement of a replica that is not a member or hears no leader, and how this replica
+/// handled it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Announcement {
     /// The replica that announced itself.
@@ -128,8 +129,10 @@
     TooManyLearners,
     /// Passed on to the leader.
     PassedOn,
-    /// Ignored: this replica does not lead, and knows no other leader.
+    /// Ignored: this replica does not lead, and hears no leader.
     NoLeader,
+    /// Ignored: another replica took this one for the leader and has passed the announcement on.
+    NotLeading,
 }
 
 impl AnnouncementOutcome {
@@ -141,7 +144,8 @@
             Self::ChangePending => "a membership change is pending",
             Self::TooManyLearners => "too many learners",
             Self::PassedOn => "passed on to the leader",
-            Self::NoLeader => "ignored, as no leader is known",
+            Self::NoLeader => "ignored, as no leader is heard",
+            Self::NotLeading => "ignored, as this replica does not lead",
         }
     }
 }
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -71,7 +71,7 @@
     /// Sends to every configured address, to those of peers that have connected to this replica, and
     /// to `extra` ones, the members in the log: all configured replicas may be down while the group
     /// runs on others. The members of a group connect to an empty replica at the address of its
-    /// former life.
+    /// former life for as long as its former id is a member.
     pub(super) fn announce(&self, message: Message, extra: Vec<SocketAddr>) {
         self.enqueue(Outgoing::ToAll(message, extra));
     }
@@ -87,7 +87,8 @@
 pub(super) type ConfiguredPeers = Arc<Mutex<Vec<SocketAddr>>>;
 
 /// Addresses that peers sent in their hello. A voter may have to reply to a candidate that is not
-/// in its own log yet; without the address, that candidate could not be elected.
+/// in its own log yet; without the address, that candidate could not be elected. An empty replica
+/// announces itself to them.
 type Directory = Arc<Mutex<HashMap<ReplicaId, SocketAddr>>>;
 
 struct Peers {
--- /dev/null
+++ b/tests/replication_silent_voter.rs
@@ -0,0 +1,135 @@
+//! A group of three in which one voter gives no replies.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use yuccahold::error::Result;
+use yuccahold::ids::{LogIndex, Timestamp};
+use yuccahold::replication::{Formation, Replica, ReplicaConfig, ReplicaHandle, StateMachine};
+use yuccahold::wire::{CellKey, CellKeys};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Counts the commands.
+#[derive(Default)]
+struct Counter(u64);
+
+impl StateMachine for Counter {
+    type Reply = u64;
+
+    fn apply(&mut self, _: LogIndex, _: Timestamp, _: &[u8]) -> u64 {
+        self.0 += 1;
+        self.0
+    }
+
+    fn leadership_changed(&mut self, _: bool, _: Timestamp) {}
+
+    fn own_commands(&mut self, _: Timestamp) -> Vec<Vec<u8>> {
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.to_le_bytes().to_vec()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
+        self.0 = u64::from_le_bytes(snapshot.try_into().unwrap());
+        Ok(())
+    }
+}
+
+fn keys() -> CellKeys {
+    CellKeys::new([CellKey::from_text("a test key")]).unwrap()
+}
+
+struct Group {
+    folder: PathBuf,
+    addrs: Vec<SocketAddr>,
+    replicas: Vec<ReplicaHandle<Counter>>,
+}
+
+impl Group {
+    /// Starts three replicas and waits until all vote.
+    async fn start(name: &str) -> Self {
+        let folder = format!("yuccahold-{name}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        let _ = std::fs::remove_dir_all(&folder);
+        let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+        let listeners: Vec<_> = (0..3).map(bind).collect();
+        let addrs: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+        drop(listeners);
+        let start = |own: usize| {
+            let cfg = ReplicaConfig {
+                data: folder.join(own.to_string()),
+                keys: keys(),
+                zone: format!("zone-{own}").into(),
+                replica_listen: addrs[own],
+                replica_advertise: None,
+                call_addr: addrs[own],
+                peers: addrs.clone(),
+                election_timeout: Duration::from_millis(300),
+                heartbeat: Duration::from_millis(50),
+                snapshot_bytes: 64 * 1024 * 1024,
+                replace_after: Duration::from_secs(3600),
+                target_voters: Some(3),
+                form: if own == 0 {
+                    Formation::FormGroup
+                } else {
+                    Formation::Join
+                },
+                on_disk_failure: |e| eprintln!("{e}"),
+            };
+            Replica::start(cfg, Counter::default()).unwrap()
+        };
+        let replicas: Vec<_> = (0..3).map(start).collect();
+        let mut status = replicas[0].status();
+        let joined = status.wait_for(|s| s.voters.len() == 3);
+        tokio::time::timeout(TIMEOUT, joined)
+            .await
+            .expect("all join")
+            .unwrap();
+        Self {
+            folder,
+            addrs,
+            replicas,
+        }
+    }
+
+    async fn end(self) {
+        for replica in &self.replicas {
+            replica.abort().await;
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[tokio::test]
+async fn only_a_leader_reports_which_voters_are_silent() {
+    // Guards against a group that reports no silent voters because it has lost its quorum.
+    let group = Group::start("no-quorum").await;
+    let mut status = group.replicas[0].status();
+    let all_reply = status.wait_for(|s| s.spare_voters() == Some(1));
+    tokio::time::timeout(TIMEOUT, all_reply)
+        .await
+        .expect("all reply")
+        .unwrap();
+    group.replicas[1].abort().await;
+    let one_silent = status.wait_for(|s| s.spare_voters() == Some(0));
+    tokio::time::timeout(TIMEOUT, one_silent)
+        .await
+        .expect("one is silent")
+        .unwrap();
+    group.replicas[2].abort().await;
+    let steps_down = status.wait_for(|s| s.leader.is_none());
+    tokio::time::timeout(TIMEOUT, steps_down)
+        .await
+        .expect("it steps down")
+        .unwrap();
+    let (silent, spare) = {
+        let now = status.borrow();
+        (now.silent_voters.clone(), now.spare_voters())
+    };
+    group.end().await;
+    assert_eq!((silent, spare), (None, None));
+}
