Replication: unanswered entries are not repeated in each heartbeat round

Cause: each heartbeat round repeated what awaited a reply. A new leader starts with a probe, which holds up to 1 MB of entries from its election on, so a voter that is lost from then on got them 12 times a second.

--- a/src/replication/core/leader.rs
+++ b/src/replication/core/leader.rs
@@ -121,9 +121,6 @@
             return;
         };
         if now >= leading.next_heartbeat_at {
-            for progress in leading.progress.values_mut() {
-                progress.awaiting_reply = false;
-            }
             self.start_heartbeat_round(now);
         }
         self.change_membership(now);
@@ -131,6 +128,10 @@
     }
 
     /// Starts a heartbeat round: every member gets entries or a heartbeat.
+    ///
+    /// Entries and parts of a snapshot that await a reply are not repeated; the reply to the heartbeat
+    /// shows where to continue. A repetition would be up to a megabyte in each round to a member that
+    /// is lost for good.
     pub(super) fn start_heartbeat_round(&mut self, now: Timestamp) {
         let heartbeat = self.cfg.heartbeat;
         let Some(leading) = &mut self.leading else {
@@ -219,8 +220,13 @@
         entries: Vec<Entry>,
         mark: HeartbeatMark,
     ) {
-        let Some(prev_term) = self.log.term_at(prev_index) else {
-            return;
+        let prev_term = if prev_index == 0 {
+            0
+        } else {
+            let Some(term) = self.log.term_at(prev_index) else {
+                return;
+            };
+            term
         };
         let commit = self.commit;
         let body = Body::Append {
@@ -239,7 +245,8 @@
             return;
         };
         let prev_index = match progress.mode {
-            Mode::Snapshot { .. } => return,
+            // Every log matches there.
+            Mode::Snapshot { .. } => 0,
             _ => progress.next - 1,
         };
         self.send_append(id, prev_index, Vec::new(), mark);
--- a/src/replication/core/progress.rs
+++ b/src/replication/core/progress.rs
@@ -87,8 +87,7 @@
         self.mode = Mode::Probe;
         self.in_flight.clear();
         // A rejection that does not move `next` must not trigger another probe: if the network
-        // duplicates messages, probes and rejections would multiply. The next heartbeat probes
-        // again.
+        // duplicates messages, probes and rejections would multiply. The heartbeats probe on.
         self.awaiting_reply = probing && self.next == before;
     }
 }
--- a/tests/replication_silent_voter.rs
+++ b/tests/replication_silent_voter.rs
@@ -2,14 +2,21 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use yuccahold::error::Result;
-use yuccahold::ids::{LogIndex, Timestamp};
-use yuccahold::replication::{Formation, Replica, ReplicaConfig, ReplicaHandle, StateMachine};
-use yuccahold::wire::{CellKey, CellKeys};
+use yuccahold::ids::{LogIndex, ReplicaId, Timestamp};
+use yuccahold::replication::{
+    Body, Formation, Message, Payload, Replica, ReplicaConfig, ReplicaHandle, StateMachine,
+};
+use yuccahold::wire::{self, CellKey, CellKeys};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+const COMMANDS: usize = 200;
+const COMMAND_BYTES: usize = 4 * 1024;
 
 /// Counts the commands.
 #[derive(Default)]
@@ -104,6 +111,95 @@
     }
 }
 
+#[derive(Serialize, Deserialize)]
+struct Identity {
+    id: ReplicaId,
+    addr: SocketAddr,
+}
+
+#[derive(Serialize, Deserialize)]
+enum LinkFrame {
+    Hello(Identity),
+    Message(Message),
+    Ping(u64),
+}
+
+#[derive(Serialize, Deserialize)]
+enum LinkReply {
+    Pong(u64),
+}
+
+/// Takes connections of replicas at `addr` and answers pings only. Returns the bytes of commands
+/// that it receives.
+async fn spawn_mute_peer(addr: SocketAddr) -> Arc<AtomicU64> {
+    let received = Arc::new(AtomicU64::new(0));
+    let counter = Arc::clone(&received);
+    let listener = tokio::net::TcpListener::bind(addr).await.unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let counter = Arc::clone(&counter);
+            tokio::spawn(async move {
+                let Ok((mut rx, mut tx)) = wire::accept(stream, &keys()).await else {
+                    return;
+                };
+                while let Ok(Some(frame)) = rx.read::<LinkFrame>().await {
+                    match frame {
+                        LinkFrame::Message(message) => {
+                            counter.fetch_add(command_bytes(&message), Ordering::Relaxed);
+                        }
+                        LinkFrame::Ping(number) => {
+                            let _ = tx.write(&LinkReply::Pong(number)).await;
+                        }
+                        LinkFrame::Hello(_) => {}
+                    }
+                }
+            });
+        }
+    });
+    received
+}
+
+fn command_bytes(message: &Message) -> u64 {
+    let Body::Append { entries, .. } = &message.body else {
+        return 0;
+    };
+    let bytes = entries.iter().map(|e| match &e.payload {
+        Payload::Command(command) => command.len() as u64,
+        _ => 0,
+    });
+    bytes.sum()
+}
+
+#[tokio::test]
+async fn a_new_leader_sends_no_entry_twice_to_a_voter_that_never_replies() {
+    // Guards against a leader that repeats its log to a lost voter with every heartbeat.
+    let group = Group::start("mute-voter").await;
+    group.replicas[2].abort().await;
+    let received = spawn_mute_peer(group.addrs[2]).await;
+    let mut first = group.replicas[0].status();
+    let silent = first.wait_for(|s| s.spare_voters() == Some(0));
+    tokio::time::timeout(TIMEOUT, silent)
+        .await
+        .expect("it is silent")
+        .unwrap();
+    let mut status = group.replicas[1].status();
+    group.replicas[0].transfer_leadership().await;
+    let led = status.wait_for(|s| s.leader == Some(s.id));
+    tokio::time::timeout(TIMEOUT, led)
+        .await
+        .expect("the other one leads")
+        .unwrap();
+    for _ in 0..COMMANDS {
+        let command = vec![b'x'; COMMAND_BYTES];
+        group.replicas[1].propose(command).await.expect("it leads");
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let sent = received.load(Ordering::Relaxed);
+    group.end().await;
+    let all = (COMMANDS * COMMAND_BYTES) as u64;
+    assert!(sent <= all, "{sent} bytes of commands for {all}");
+}
+
 #[tokio::test]
 async fn only_a_leader_reports_which_voters_are_silent() {
     // Guards against a group that reports no silent voters because it has lost its quorum.
