Explorer: configured peers, moved hosts and series of wiped disks

The explorer sent an announcement to every host, where the runtime sends it to the configured peers and to the members in the replica's own log. It could not see that a replica on an empty disk is never admitted while none of its peers leads.

Change: each simulated process has its own configured peers, taken from its host's settings when it starts, and learns the addresses of the peers that connect to it; a message goes to an address, and reaches the host that has it. New faults: wiped disks one after the other, with leadership transferred away from the wiped host's peers; a host that moves, is replaced by an empty one at another address, or ends for good; other configured peers, in effect at once or from the next start. A fault is injected only if the committed membership, and every later one in a log, keeps a majority of voters with their disks at their addresses. Memberships before the committed one no longer count, which allows more losses in a row.

New check: 5 s after the last fault at the latest, every running replica is a member at its present addresses, as many of them vote as the target allows, no lost learner is kept, and no lost voter while a running replica could replace it. Precondition: from each running replica, its configured peers or the members in its log lead to a running voter, by way of further replicas if need be; where they don't, the settings are corrected when the faults end, and counted.

--- a/src/replication/explore/checks.rs
+++ b/src/replication/explore/checks.rs
@@ -6,7 +6,7 @@
 
 use super::Check;
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
-use crate::replication::core::{Core, Entry, Payload};
+use crate::replication::core::{Core, Entry, Membership, Payload};
 
 /// The violated property, and a description of the observed state.
 pub(super) type CheckFailure = (Check, String);
@@ -22,6 +22,8 @@
     committed: Vec<((Term, u64), Term)>,
     /// Time of the last committed entry.
     last_at: Timestamp,
+    /// Last committed membership, with the index of its entry.
+    pub(super) members: (LogIndex, Membership),
     pub(super) membership_changes: u64,
 }
 
@@ -111,7 +113,8 @@
             }
         }
         self.committed.push((seen, core.term()));
-        if matches!(entry.payload, Payload::Members(_)) {
+        if let Payload::Members(members) = &entry.payload {
+            self.members = (entry.index, members.clone());
             self.membership_changes += 1;
         }
         if entry.at < self.last_at {
--- a/src/replication/explore/faults.rs
+++ b/src/replication/explore/faults.rs
@@ -20,6 +20,26 @@
     Heal,
     /// The host's disk is replaced by an empty one.
     Wipe { host: usize },
+    /// Disks are wiped one after the other, each tolerated by itself. No other fault occurs meanwhile
+    /// if `quiet`, so that the group can recover after each.
+    WipeSeries {
+        wipes: u32,
+        gap: Duration,
+        quiet: bool,
+    },
+    /// The host starts again with its disk after `down`, at another address for calls and, with
+    /// `all`, for replicas.
+    Move {
+        host: usize,
+        down: Duration,
+        all: bool,
+    },
+    /// The host ends for good, and an empty one at another address replaces it after `down`.
+    Replace { host: usize, down: Duration },
+    /// The host ends for good without a replacement.
+    Retire { host: usize },
+    /// The host's configured peers become others, in effect at once or from its next start.
+    ChangePeers { host: usize, restarts: bool },
     /// An operator's request for a leadership transfer.
     TransferLeadership { host: usize },
     /// Syncs take up to `longest` from now on.
@@ -89,7 +109,7 @@
     let millis = |rng: &mut ChaCha8Rng, least: u64, most: u64| {
         Duration::from_millis(rng.random_range(least..most))
     };
-    match rng.random_range(0..100) {
+    match rng.random_range(0..110) {
         0..18 => Fault::Crash {
             host,
             down: millis(rng, 1, max_downtime),
@@ -124,6 +144,25 @@
             host,
             unix: millis(rng, 1_000_000, 1_010_000),
         },
+        98..101 => Fault::ChangePeers {
+            host,
+            restarts: rng.random_bool(0.5),
+        },
+        101..104 => Fault::Move {
+            host,
+            down: millis(rng, 1, max_downtime),
+            all: rng.random_bool(0.7),
+        },
+        104..106 => Fault::Replace {
+            host,
+            down: millis(rng, 1, 4 * max_downtime),
+        },
+        106 => Fault::Retire { host },
+        107 => Fault::WipeSeries {
+            wipes: rng.random_range(2..6),
+            gap: millis(rng, 150, 500),
+            quiet: rng.random_bool(0.7),
+        },
         _ => Fault::Network {
             loss: rng.random_range(0.0..0.3),
             repeat: rng.random_range(0.0..0.2),
--- a/src/replication/explore/host.rs
+++ b/src/replication/explore/host.rs
@@ -1,12 +1,14 @@
 //! One simulated host: its disk, its clock and the replica that runs on it.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::addresses::{Addresses, Identity};
 use super::history::OpId;
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
 use crate::replication::core::{
-    Core, CoreConfig, HardState, Message, ReadId, Recovered, Save, Snapshot,
+    Core, CoreConfig, HardState, Member, Message, ReadId, Recovered, Save, Snapshot,
 };
 
 /// State that survives a crash.
@@ -82,6 +84,7 @@
 /// A running replica.
 pub(super) struct Running {
     pub(super) core: Core,
+    pub(super) addresses: Addresses,
     pub(super) register: Register,
     pub(super) writes: BTreeMap<LogIndex, (Term, OpId)>,
     pub(super) reads: BTreeMap<ReadId, OpId>,
@@ -95,7 +98,8 @@
 /// An input to a replica.
 #[derive(Clone, Debug)]
 pub(super) enum Input {
-    Message(Message),
+    /// A message, and the peer that has sent it over its connection.
+    Message(Identity, Message),
     Synced(u64),
     Tick,
     Write(OpId),
@@ -108,6 +112,11 @@
 /// A simulated host.
 pub(super) struct Host {
     pub(super) disk: Disk,
+    pub(super) member: Member,
+    /// Peers in the settings; they are in effect from the next start.
+    pub(super) configured: Vec<SocketAddr>,
+    /// The host has ended for good.
+    pub(super) retired: bool,
     pub(super) clock: Clock,
     pub(super) running: Option<Running>,
     /// Counts starts and crashes, so that inputs for an earlier process are dropped.
@@ -127,7 +136,9 @@
         self.incarnation += 1;
         self.queued_inputs.clear();
         self.in_batch = false;
+        let addresses = Addresses::new(cfg.member.addr, self.configured.clone());
         self.running = Some(Running {
+            addresses,
             core: Core::new(cfg, seed, self.clock.monotonic(now), found),
             register: Register::default(),
             writes: BTreeMap::new(),
--- a/src/replication/explore/mod.rs
+++ b/src/replication/explore/mod.rs
@@ -5,6 +5,7 @@
 //! A seed determines its schedule. To prove that the checks can fail, each safeguard of the core can
 //! be disabled by itself.
 
+mod addresses;
 mod checks;
 mod faults;
 mod history;
@@ -37,6 +38,10 @@
     /// After all faults have ended, a write succeeds and all voters have applied nearly all committed
     /// entries.
     Progress,
+    /// Within a bound after all faults have ended, every running replica is a member at its present
+    /// address, as many of them vote as the target allows, and no lost replica is kept in the place
+    /// of a running one.
+    Membership,
     /// The core does not panic.
     NoPanic,
 }
@@ -170,6 +175,15 @@
     pub pauses: u64,
     /// Disks replaced by empty ones.
     pub wipes: u64,
+    /// Hosts that started again at another address, with or without their disk.
+    pub moves: u64,
+    /// Hosts that ended for good.
+    pub retired: u64,
+    /// Changes of a host's configured peers.
+    pub peer_changes: u64,
+    /// Hosts whose configured peers led to no running voter when all faults had ended, so that an
+    /// operator had to change them.
+    pub peers_corrected: u64,
     /// Membership changes committed.
     pub membership_changes: u64,
     /// Snapshots restored, from a leader or after a restart.
@@ -191,6 +205,10 @@
         self.crashes += other.crashes;
         self.pauses += other.pauses;
         self.wipes += other.wipes;
+        self.moves += other.moves;
+        self.retired += other.retired;
+        self.peer_changes += other.peer_changes;
+        self.peers_corrected += other.peers_corrected;
         self.membership_changes += other.membership_changes;
         self.snapshots_installed += other.snapshots_installed;
         self.quorums_lost += other.quorums_lost;
--- a/src/replication/explore/simulation/effects.rs
+++ b/src/replication/explore/simulation/effects.rs
@@ -1,12 +1,14 @@
 //! Executes the replicas' effects, and checks the properties after each input.
 
 use super::{Event, LATE_MESSAGE_SHARE, SNAPSHOT_LEN, Simulation};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::RngExt;
 
 use crate::replication::core::{Effect, Entry, Message, Payload};
 use crate::replication::explore::Check;
+use crate::replication::explore::addresses::Identity;
 use crate::replication::explore::checks::CheckFailure;
 use crate::replication::explore::history::{OpId, Outcome};
 use crate::replication::explore::host::Input;
@@ -20,7 +22,10 @@
             return;
         };
         match input {
-            Input::Message(message) => r.core.receive(now, message),
+            Input::Message(peer, message) => {
+                r.addresses.connected(peer);
+                r.core.receive(now, message);
+            }
             Input::Synced(seq) => r.core.saved(now, seq),
             Input::Tick => r.core.tick(now),
             Input::TransferLeadership => r.core.transfer_leadership(now),
@@ -116,12 +121,12 @@
                 self.schedule_input(time, host, incarnation, Input::Synced(seq));
             }
             Effect::Send(message) => {
-                if let Some(to) = self.hosts_by_id.get(&message.to).copied() {
+                if let Some(to) = r.addresses.of(message.to, r.core.members()) {
                     self.transmit(host, to, message);
                 }
             }
             Effect::Announce(message) => {
-                for to in (0..self.hosts.len()).filter(|to| *to != host) {
+                for to in r.addresses.for_announcement(r.core.members()) {
                     self.transmit(host, to, message.clone());
                 }
             }
@@ -221,7 +226,16 @@
         Ok(())
     }
 
-    pub(super) fn transmit(&mut self, from: usize, to: usize, message: Message) {
+    /// Sends a message to the host that has the address at present, if there is one.
+    pub(super) fn transmit(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let sender = &self.hosts[from];
+        let identity = Identity {
+            id: sender.disk.id,
+            addr: sender.member.addr,
+        };
+        let Some(to) = self.hosts.iter().position(|h| h.member.addr == to) else {
+            return;
+        };
         if self.blocked_links.contains(&(from, to)) {
             return;
         }
@@ -234,7 +248,7 @@
             let usual = self.profile.longest_delay.as_micros() as u64;
             let longest = if late { 250_000 } else { usual };
             let delay = Duration::from_micros(self.rng.random_range(300..longest));
-            self.schedule_input(delay, to, None, Input::Message(message.clone()));
+            self.schedule_input(delay, to, None, Input::Message(identity, message.clone()));
         }
     }
 }
--- a/src/replication/explore/simulation/fault_injection.rs
+++ b/src/replication/explore/simulation/fault_injection.rs
@@ -1,18 +1,22 @@
 //! Injection of faults, and client calls.
 
-use super::{Event, RESTART_INTERVAL, RESTARTS, Simulation};
+use super::{Event, MIN_HOSTS, RESTART_INTERVAL, RESTARTS, Simulation, UNUSED_ADDR, addr};
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::RngExt;
+use rand::seq::IteratorRandom;
 
+use crate::ids::LogIndex;
 use crate::replication::core::{Membership, Payload};
 use crate::replication::explore::checks::CheckFailure;
 use crate::replication::explore::faults::Fault;
-use crate::replication::explore::host::{Disk, Input};
+use crate::replication::explore::host::{Disk, Host, Input};
 
 impl Simulation {
-    /// A random host; with probability `leading` one whose replica is in the leader role.
+    /// A random host that has not ended for good; with probability `leading` one whose replica is in
+    /// the leader role.
     pub(super) fn pick_host(&mut self, leading: f64) -> usize {
         let leads = |i: &usize| {
             let running = self.hosts[*i].running.as_ref();
@@ -20,7 +24,8 @@
         };
         let leaders: Vec<_> = (0..self.hosts.len()).filter(leads).collect();
         if leaders.is_empty() || !self.rng.random_bool(leading) {
-            return self.rng.random_range(0..self.hosts.len());
+            let hosts: Vec<_> = self.unretired().collect();
+            return hosts[self.rng.random_range(0..hosts.len())];
         }
         leaders[self.rng.random_range(0..leaders.len())]
     }
@@ -67,6 +72,39 @@
                     self.wipe(host);
                 }
             }
+            Fault::WipeSeries { wipes, gap, quiet } => {
+                if quiet {
+                    self.blocked_links.clear();
+                    (self.loss, self.repeat) = (0.0, 0.0);
+                    self.quiet_until = self.now + gap * wipes;
+                }
+                for n in 0..wipes {
+                    self.schedule(gap * n, Event::WipeOfSeries);
+                }
+            }
+            Fault::Move { host, down, all } => {
+                if !all || self.keeps_majorities(Some(host)) {
+                    self.crash_for(host, down);
+                    self.move_host(host, all);
+                }
+            }
+            Fault::Replace { host, down } => {
+                if self.keeps_majorities(Some(host)) {
+                    self.replace(host, down);
+                }
+            }
+            Fault::Retire { host } => {
+                if self.keeps_majorities(Some(host)) && self.unretired().count() > MIN_HOSTS {
+                    self.retire(host);
+                }
+            }
+            Fault::ChangePeers { host, restarts } => {
+                self.coverage.peer_changes += 1;
+                self.hosts[host].configured = self.random_peers(host);
+                if restarts {
+                    self.crash_for(host, Duration::from_millis(1));
+                }
+            }
             Fault::TransferLeadership { host } => {
                 return self.deliver(host, Input::TransferLeadership);
             }
@@ -107,37 +145,115 @@
         self.hosts[host].crash(kept, keeps_snapshot);
     }
 
-    /// Whether every membership that any replica holds keeps a majority of its disks without the
-    /// disk of one host. No consensus protocol survives a larger loss.
+    /// Whether every membership that is or can still come into force keeps a majority of voters at
+    /// their addresses with their disks, without one host. No consensus protocol survives a larger
+    /// loss of disks.
     pub(super) fn keeps_majorities(&self, without: Option<usize>) -> bool {
-        let others = self
-            .hosts
-            .iter()
-            .enumerate()
-            .filter(|(i, _)| Some(*i) != without);
-        let alive: HashSet<_> = others.map(|(_, h)| h.disk.id).collect();
+        let others = self.unretired().filter(|i| Some(*i) != without);
+        let others = others.map(|i| &self.hosts[i]);
+        let alive: HashSet<_> = others.map(|h| (h.disk.id, h.member.addr)).collect();
         let keeps_majority = |members: &Membership| {
-            let left = members
-                .voters
-                .keys()
-                .filter(|id| alive.contains(id))
-                .count();
-            members.voters.is_empty() || left >= members.quorum()
+            let voters = members.voters.iter();
+            let left = voters.filter(|(id, m)| alive.contains(&(**id, m.addr)));
+            members.voters.is_empty() || left.count() >= members.quorum()
         };
+        let (in_force, members) = &self.checks.members;
+        if !keeps_majority(members) {
+            return false;
+        }
         self.hosts.iter().all(|h| {
             let state = &h.disk.state;
             let held = state.entries.iter().filter_map(|e| match &e.payload {
-                Payload::Members(members) => Some(members),
+                Payload::Members(members) => Some((e.index, members.clone())),
                 _ => None,
             });
-            let running = h.running.as_ref().map(|r| r.core.members());
+            let running = h.running.as_ref();
+            let running = running.map(|r| r.core.log().members(LogIndex::MAX));
             held.chain(running)
-                .chain([&state.snapshot.members])
-                .all(keeps_majority)
+                .filter(|(index, _)| index > in_force)
+                .all(|(_, members)| keeps_majority(&members))
         })
     }
 
+    pub(super) fn unretired(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.hosts.len()).filter(|i| !self.hosts[*i].retired)
+    }
+
+    /// Up to three addresses of other hosts, which need not be those of voters.
+    pub(super) fn random_peers(&mut self, host: usize) -> Vec<SocketAddr> {
+        let others: Vec<_> = self.unretired().filter(|i| *i != host).collect();
+        let count = self.rng.random_range(1..=3);
+        let addrs = others.into_iter().map(|i| self.hosts[i].member.addr);
+        addrs.sample(&mut self.rng, count)
+    }
+
+    /// Wipes a leader or another host, and lets a replica lead that is not among its peers.
+    pub(super) fn wipe_of_series(&mut self) {
+        let host = self.pick_host(0.4);
+        if self.faults_ended || !self.keeps_majorities(Some(host)) {
+            return;
+        }
+        self.wipe(host);
+        self.hosts[host].configured = self.random_peers(host);
+        let after = Duration::from_millis(self.rng.random_range(10..120));
+        self.schedule(after, Event::LeadElsewhere(host));
+    }
+
+    /// Transfers leadership if the leader is among the configured peers of `host`.
+    pub(super) fn lead_elsewhere(&mut self, host: usize) -> Result<(), CheckFailure> {
+        let leader = self.pick_host(1.0);
+        let known = self.hosts[host]
+            .configured
+            .contains(&self.hosts[leader].member.addr);
+        if self.faults_ended || !known {
+            return Ok(());
+        }
+        self.deliver(leader, Input::TransferLeadership)
+    }
+
+    /// Gives a host another address for calls and, with `all`, for replicas.
+    fn move_host(&mut self, host: usize, all: bool) {
+        self.coverage.moves += 1;
+        let addr = self.free_addr();
+        let member = &mut self.hosts[host].member;
+        member.call_addr = addr;
+        if all {
+            member.addr = addr;
+        }
+    }
+
+    /// A new address, or one that another host had earlier.
+    fn free_addr(&mut self) -> SocketAddr {
+        let newest = self.addrs;
+        let former = addr(self.rng.random_range(0..newest));
+        let used = |h: &Host| h.member.addr == former || h.member.call_addr == former;
+        if self.rng.random_bool(0.3) && !self.hosts.iter().any(used) {
+            return former;
+        }
+        self.addrs += 1;
+        addr(newest)
+    }
+
+    fn replace(&mut self, host: usize, down: Duration) {
+        self.wipe_for(host, down);
+        self.move_host(host, true);
+        self.hosts[host].configured = self.random_peers(host);
+    }
+
+    fn retire(&mut self, host: usize) {
+        self.coverage.retired += 1;
+        self.crash(host);
+        self.hosts[host].retired = true;
+        // Whatever has its address later is another host.
+        self.hosts[host].member.addr = UNUSED_ADDR;
+    }
+
     pub(super) fn wipe(&mut self, host: usize) {
+        let down = Duration::from_millis(self.rng.random_range(5..100));
+        self.wipe_for(host, down);
+    }
+
+    fn wipe_for(&mut self, host: usize, down: Duration) {
         self.coverage.wipes += 1;
         self.crash(host);
         let old = self.hosts[host].disk.id;
@@ -146,10 +262,8 @@
         } else {
             old
         };
-        self.hosts_by_id.insert(id, host);
         self.hosts[host].disk = Disk::empty(id);
         let incarnation = self.hosts[host].incarnation;
-        let down = Duration::from_millis(self.rng.random_range(5..100));
         self.schedule(down, Event::Restart(host, incarnation));
     }
 }
--- a/src/replication/explore/simulation/mod.rs
+++ b/src/replication/explore/simulation/mod.rs
@@ -5,7 +5,7 @@
 mod recovery;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -28,6 +28,13 @@
 const FAULT_PERIOD: Duration = Duration::from_millis(2500);
 /// Period after the last fault, within which the group must accept writes again.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(2500);
+/// Period after the last fault within which the membership must be complete: an election, the longest
+/// `replace_after`, and some announcements and changes one after the other.
+const MEMBERSHIP_PERIOD: Duration = Duration::from_millis(5000);
+/// Fewest hosts that are left.
+const MIN_HOSTS: usize = 3;
+/// Address that no replica has.
+const UNUSED_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 /// Size of a register's snapshot in bytes; larger than one part.
 const SNAPSHOT_LEN: usize = 48;
 /// Share of messages that are delayed enough for many later ones to arrive first.
@@ -54,6 +61,10 @@
     /// The process with this incarnation executes the effects of its batch.
     EndOfBatch(usize, u64),
     Fault,
+    /// One disk of a `WipeSeries` is lost.
+    WipeOfSeries,
+    /// Leadership leaves the configured peers of a host.
+    LeadElsewhere(usize),
     Call,
     EndOfFaults,
 }
@@ -68,8 +79,10 @@
     hosts: Vec<Host>,
     zones: usize,
     template: CoreConfig,
-    /// Host of each replica id, including the former ids of wiped disks.
-    hosts_by_id: BTreeMap<ReplicaId, usize>,
+    /// Number of addresses that are or were in use.
+    addrs: u8,
+    /// No random fault occurs before.
+    quiet_until: Timestamp,
     /// Pairs (from, to) of hosts between which messages are dropped.
     blocked_links: BTreeSet<(usize, usize)>,
     profile: FaultProfile,
@@ -83,14 +96,14 @@
     recovery_write_confirmed: bool,
 }
 
-fn addr(host: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, host as u8 + 1], 1))
+fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 1))
 }
 
 fn member(host: usize, zones: usize) -> Member {
     Member {
-        addr: addr(host),
-        call_addr: addr(host),
+        addr: addr(host as u8),
+        call_addr: addr(host as u8),
         zone: format!("zone-{}", host % zones).into(),
     }
 }
@@ -127,7 +140,8 @@
             hosts: Vec::new(),
             zones,
             template,
-            hosts_by_id: BTreeMap::new(),
+            addrs: hosts as u8,
+            quiet_until: Timestamp::ZERO,
             blocked_links: BTreeSet::new(),
             profile,
             crash_leaders_until: Timestamp::ZERO,
@@ -168,9 +182,11 @@
                 rate: self.rng.random_range(0.975..1.025),
                 unix: Duration::from_millis(self.rng.random_range(1_000_000..1_000_500)),
             };
-            self.hosts_by_id.insert(id, i);
             self.hosts.push(Host {
                 disk,
+                member: member(i, zones),
+                configured: Vec::new(),
+                retired: false,
                 clock,
                 running: None,
                 incarnation: 0,
@@ -180,6 +196,7 @@
                 longest_sync: Duration::from_millis(2),
             });
         }
+        self.configure_peers();
         for i in 0..hosts {
             self.start(i);
         }
@@ -188,15 +205,34 @@
         self.schedule(FAULT_PERIOD, Event::EndOfFaults);
     }
 
+    /// Usually all hosts have the same configured peers, which are not all hosts of the group.
+    fn configure_peers(&mut self) {
+        let same = self.rng.random_bool(0.6);
+        let seeds = self.random_peers(self.hosts.len());
+        for host in 0..self.hosts.len() {
+            let others = seeds
+                .iter()
+                .any(|addr| *addr != self.hosts[host].member.addr);
+            self.hosts[host].configured = if same && others {
+                seeds.clone()
+            } else {
+                self.random_peers(host)
+            };
+        }
+    }
+
     fn config(&self, host: usize) -> CoreConfig {
         CoreConfig {
             id: self.hosts[host].disk.id,
-            member: member(host, self.zones),
+            member: self.hosts[host].member.clone(),
             ..self.template.clone()
         }
     }
 
     fn start(&mut self, host: usize) {
+        if self.hosts[host].retired {
+            return;
+        }
         let cfg = self.config(host);
         let seed = self.rng.random();
         let now = self.now;
@@ -231,10 +267,13 @@
 
     /// Runs the schedule to its end.
     pub(super) fn run(mut self) -> Result<Coverage, Violation> {
-        let end = FAULT_PERIOD + RECOVERY_PERIOD;
+        let mut end = FAULT_PERIOD + RECOVERY_PERIOD;
         while let Some(((at, _), event)) = self.events.pop_first() {
             if at > end {
-                break;
+                if at > FAULT_PERIOD + MEMBERSHIP_PERIOD || self.check_membership().is_ok() {
+                    break;
+                }
+                end += ELECTION_TIMEOUT;
             }
             self.now = at;
             if self.coverage.events > MAX_EVENTS {
@@ -285,6 +324,9 @@
                     let longest = self.profile.longest_gap.as_millis() as u64;
                     let next = Duration::from_millis(self.rng.random_range(5..longest));
                     self.schedule(next, Event::Fault);
+                    if self.now < self.quiet_until {
+                        return Ok(());
+                    }
                     let host = self.pick_host(self.profile.leader_share);
                     let fault =
                         faults::random_fault(&mut self.rng, &self.profile, host, self.hosts.len());
@@ -305,6 +347,11 @@
                 }
                 self.execute_and_check(host)
             }
+            Event::WipeOfSeries => {
+                self.wipe_of_series();
+                Ok(())
+            }
+            Event::LeadElsewhere(host) => self.lead_elsewhere(host),
             Event::Call => self.call(),
             Event::EndOfFaults => self.end_faults(),
         }
--- a/src/replication/explore/simulation/recovery.rs
+++ b/src/replication/explore/simulation/recovery.rs
@@ -3,11 +3,13 @@
 use super::Simulation;
 use std::time::Duration;
 
+use rand::RngExt;
+
 use crate::ids::ReplicaId;
 use crate::replication::explore::Check;
 use crate::replication::explore::checks::CheckFailure;
 use crate::replication::explore::faults::FaultProfile;
-use crate::replication::explore::host::{Input, Running};
+use crate::replication::explore::host::{Host, Input, Running};
 
 impl Simulation {
     pub(super) fn end_faults(&mut self) -> Result<(), CheckFailure> {
@@ -15,7 +17,7 @@
         self.profile = FaultProfile::without_faults();
         self.blocked_links.clear();
         (self.loss, self.repeat) = (0.0, 0.0);
-        for host in 0..self.hosts.len() {
+        for host in self.unretired().collect::<Vec<_>>() {
             self.hosts[host].longest_sync = Duration::from_millis(2);
             self.hosts[host].paused_until = self.now;
             self.wake(host)?;
@@ -24,6 +26,7 @@
             }
             self.deliver(host, Input::DiskFull(false))?;
         }
+        self.correct_peers();
         Ok(())
     }
 
@@ -38,6 +41,7 @@
         let Some(leader) = self.running().find(|r| r.core.is_leader()) else {
             return self.check_stall();
         };
+        self.check_membership()?;
         let voters = leader.core.members().voters.clone();
         let held = |id: &ReplicaId| {
             let replica = self.running().find(|r| r.core.id() == *id);
@@ -45,13 +49,11 @@
         };
         // The last few entries may still be in transit.
         let behind = voters.keys().find(|id| held(id) + 20 < committed);
-        match behind {
-            Some(id) => {
-                let detail = format!("voter {id} holds {} of {committed} entries", held(id));
-                Err((Check::Progress, detail))
-            }
-            None => Ok(()),
+        if let Some(id) = behind {
+            let detail = format!("voter {id} holds {} of {committed} entries", held(id));
+            return Err((Check::Progress, detail));
         }
+        Ok(())
     }
 
     /// Reports a group without progress, unless it lost a majority of its disks. A disk may be lost
@@ -69,6 +71,80 @@
         ))
     }
 
+    /// Every running replica must be able to find the group: its configured peers, or the members in
+    /// its log, lead to a running voter, directly or by way of further replicas. An operator corrects
+    /// the settings of hosts for which this does not hold.
+    fn correct_peers(&mut self) {
+        let voters = self.checks.members.1.voters.clone();
+        let is_voter = |h: &Host| {
+            let voter = voters.get(&h.disk.id);
+            voter.is_some_and(|m| m.addr == h.member.addr)
+        };
+        let all: Vec<_> = self.unretired().collect();
+        let (mut found, mut others): (Vec<_>, Vec<_>) =
+            all.into_iter().partition(|i| is_voter(&self.hosts[*i]));
+        if found.is_empty() {
+            return;
+        }
+        loop {
+            let known: Vec<_> = found.iter().map(|i| self.hosts[*i].member.addr).collect();
+            let leads = |i: &usize| {
+                let running = self.hosts[*i].running.as_ref();
+                let addrs = running.map(|r| r.addresses.for_announcement(r.core.members()));
+                addrs.is_some_and(|addrs| addrs.iter().any(|a| known.contains(a)))
+            };
+            let (next, left): (Vec<_>, Vec<_>) = others.into_iter().partition(leads);
+            others = left;
+            if next.is_empty() {
+                break;
+            }
+            found.extend(next);
+        }
+        for host in others {
+            self.coverage.peers_corrected += 1;
+            let peer = found[self.rng.random_range(0..found.len())];
+            self.hosts[host].configured = vec![self.hosts[peer].member.addr];
+            self.crash(host);
+            self.start(host);
+        }
+    }
+
+    /// Checks that the leader's membership is what the running replicas allow.
+    pub(super) fn check_membership(&self) -> Result<(), CheckFailure> {
+        let failed = |detail| Err((Check::Membership, detail));
+        let leaders = self.running().filter(|r| r.core.is_leader());
+        let Some(leader) = leaders.max_by_key(|r| r.core.term()) else {
+            return failed("no replica leads".to_owned());
+        };
+        let members = leader.core.members();
+        let (voters, learners) = (members.voters.len(), members.learners.len());
+        let state = format!(
+            "leader {} has {voters} voters and {learners} learners",
+            leader.core.id()
+        );
+        let hosts = || self.hosts.iter().filter(|h| h.running.is_some());
+        if let Some(h) = hosts().find(|h| members.get(h.disk.id) != Some(&h.member)) {
+            let known = members.get(h.disk.id).map(|m| (m.addr, m.call_addr));
+            let (id, own) = (h.disk.id, (h.member.addr, h.member.call_addr));
+            return failed(format!(
+                "replica {id} at {own:?} is known at {known:?}; {state}"
+            ));
+        }
+        let runs = |id: &ReplicaId| hosts().any(|h| h.disk.id == *id);
+        let live = members.voters.keys().filter(|id| runs(id)).count();
+        let possible = hosts().count().min(self.template.target_voters);
+        if live != possible {
+            return failed(format!("{live} of {possible} possible voters run; {state}"));
+        }
+        if let Some(id) = members.learners.keys().find(|id| !runs(id)) {
+            return failed(format!("lost learner {id} is kept; {state}"));
+        }
+        if live < voters && learners > 0 {
+            return failed(format!("{} lost voters are kept; {state}", voters - live));
+        }
+        Ok(())
+    }
+
     pub(super) fn running(&self) -> impl Iterator<Item = &Running> {
         self.hosts.iter().filter_map(|h| h.running.as_ref())
     }
--- a/tests/replication_explorer.rs
+++ b/tests/replication_explorer.rs
@@ -12,8 +12,9 @@
 #[test]
 fn every_schedule_keeps_every_property() {
     // Faults: message loss, reordering and duplication, one-way partitions, pauses, crashes that
-    // lose unsynced data, wiped, full and slow disks, clock jumps and membership changes. After all
-    // faults have ended, the group must make progress again.
+    // lose unsynced data, wiped, full and slow disks, clock jumps, hosts that move, are replaced or
+    // end for good, other configured peers, and membership changes. After all faults have ended, the
+    // group must make progress again, and admit every running replica.
     let coverage = explore(0..2000, None, THREADS).unwrap_or_else(|v| panic!("{v}"));
     assert_eq!(coverage.schedules, 2000);
     let counts = [
@@ -25,6 +26,9 @@
         coverage.crashes,
         coverage.pauses,
         coverage.wipes,
+        coverage.moves,
+        coverage.retired,
+        coverage.peer_changes,
         coverage.membership_changes,
         coverage.snapshots_installed,
     ];
