--- a/src/replication/core/membership_changes.rs
+++ b/src/replication/core/membership_changes.rs
@@ -2,8 +2,9 @@
 
 use super::membership::{Health, next_membership};
 use super::progress::Progress;
-use super::{Core, Member, Membership, Payload};
+use super::{Core, Effect, Member, Membership, Message, Payload};
 use crate::ids::{ReplicaId, Timestamp};
+use crate::replication::machine::{Announcement, AnnouncementOutcome};
 
 /// Most entries by which a learner may trail the log and still be promoted.
 const CAUGHT_UP_LAG: u64 = 64;
@@ -78,11 +79,47 @@
         self.advance_commit(now);
     }
 
-    /// Adds a replica as a learner, or updates the addresses of a voter.
-    pub(super) fn on_announce(&mut self, now: Timestamp, from: ReplicaId, member: Member) {
-        if !self.may_change_membership() || from == self.cfg.id {
+    /// Handles an announcement, in which `from` sent its own addresses: a leader adds the replica as
+    /// a learner, or updates the addresses of a voter. A follower passes the message on to its leader,
+    /// as an empty replica knows only its configured peers, and the leader need not be one of them.
+    pub(super) fn on_announce(&mut self, now: Timestamp, message: Message, member: Member) {
+        if message.from == self.cfg.id {
             return;
         }
+        let (replica, addr) = (message.from, member.addr);
+        let outcome = match self.leader {
+            _ if self.leading.is_some() => self.admit(now, replica, member),
+            Some(leader) if message.to == 0 && self.hears_leader(now) => {
+                self.pass_on(message, leader);
+                AnnouncementOutcome::PassedOn
+            }
+            _ => AnnouncementOutcome::NoLeader,
+        };
+        self.announcement = Some(Announcement {
+            replica,
+            addr,
+            outcome,
+        });
+    }
+
+    /// The copy is addressed to the leader by its id, so that no other replica passes it on again.
+    fn pass_on(&mut self, message: Message, leader: ReplicaId) {
+        if self.cfg.safeguards.pass_on_announcements {
+            let copy = Message {
+                to: leader,
+                ..message
+            };
+            self.effects.push(Effect::Send(copy));
+        }
+    }
+
+    fn admit(&mut self, now: Timestamp, from: ReplicaId, member: Member) -> AnnouncementOutcome {
+        if self.members.get(from) == Some(&member) {
+            return AnnouncementOutcome::Member;
+        }
+        if !self.may_change_membership() {
+            return AnnouncementOutcome::ChangePending;
+        }
         let mut next = self.members.clone();
         if let Some(voter) = next.voters.get_mut(&from) {
             *voter = member;
@@ -91,8 +128,25 @@
                 .retain(|id, m| *id == from || m.addr != member.addr);
             next.learners.insert(from, member);
         }
-        if next != self.members && next.learners.len() <= MAX_LEARNERS {
-            self.set_members(next, now);
+        if next.learners.len() > MAX_LEARNERS {
+            return AnnouncementOutcome::TooManyLearners;
+        }
+        self.set_members(next, now);
+        AnnouncementOutcome::Admitted
+    }
+
+    /// Voters that have not replied to this leader within an election timeout. None in the first
+    /// election timeout of a leadership, in which replies are on their way.
+    pub(super) fn silent_voters(&self, now: Timestamp) -> Vec<ReplicaId> {
+        let Some(leading) = &self.leading else {
+            return Vec::new();
+        };
+        if now < leading.began_at + self.cfg.election_timeout {
+            return Vec::new();
         }
+        let others = self.members.voters.keys().copied();
+        others
+            .filter(|id| *id != self.cfg.id && !self.is_active(*id, now))
+            .collect()
     }
 }
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -21,7 +21,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::machine::{ReplicaStatus, Role};
+use super::machine::{Announcement, ReplicaStatus, Role};
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
 
 pub(crate) use config::{CoreConfig, Safeguards};
@@ -78,6 +78,8 @@
     incoming: Option<IncomingSnapshot>,
     disk_full: bool,
     announced_at: Option<Timestamp>,
+    /// The last announcement of another replica that arrived.
+    announcement: Option<Announcement>,
     taking_snapshot: bool,
     // Saves not yet synced, and the messages that wait for them.
     save: Save,
@@ -115,6 +117,7 @@
             incoming: None,
             disk_full: false,
             announced_at: None,
+            announcement: None,
             taking_snapshot: false,
             save: Save::default(),
             last_seq: 0,
@@ -153,8 +156,9 @@
     /// Handles a message from another replica.
     pub(crate) fn receive(&mut self, now: Timestamp, message: Message) {
         self.check_leadership(now);
-        if let Body::Announce(member) = message.body {
-            self.on_announce(now, message.from, member);
+        if let Body::Announce(member) = &message.body {
+            let member = member.clone();
+            self.on_announce(now, message, member);
             return;
         }
         if message.to != self.cfg.id {
@@ -248,7 +252,7 @@
         std::mem::take(&mut self.effects)
     }
 
-    pub(crate) fn status(&self) -> ReplicaStatus {
+    pub(crate) fn status(&self, now: Timestamp) -> ReplicaStatus {
         let leader = self.leader;
         ReplicaStatus {
             id: self.cfg.id,
@@ -261,6 +265,8 @@
             voters: self.members.voters.keys().copied().collect(),
             learners: self.members.learners.keys().copied().collect(),
             call_addrs: self.members.call_addrs(),
+            silent_voters: self.silent_voters(now),
+            announcement: self.announcement,
         }
     }
 
@@ -426,14 +432,17 @@
         }
     }
 
+    /// Whether a leader's message has arrived within the last election timeout.
+    fn hears_leader(&self, now: Timestamp) -> bool {
+        self.leader.is_some() && now < self.leader_heard_at + self.cfg.election_timeout
+    }
+
     fn announce_if_needed(&mut self, now: Timestamp) {
         let is_member = self.members.get(self.cfg.id) == Some(&self.cfg.member);
-        let has_leader =
-            self.leader.is_some() && now < self.leader_heard_at + self.cfg.election_timeout;
         let due = self
             .announced_at
             .is_none_or(|at| now >= at + self.cfg.election_timeout);
-        if (is_member && has_leader) || !due {
+        if (is_member && self.hears_leader(now)) || !due {
             return;
         }
         self.announced_at = Some(now);
