--- /dev/null
+++ b/src/replication/addresses.rs
@@ -0,0 +1,55 @@
+//! Addresses to which a replica sends, from its settings, its log and the connections of its peers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::ReplicaId;
+
+/// Id and address that a replica sends to its peers when it connects.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Identity {
+    pub(crate) id: ReplicaId,
+    pub(crate) addr: SocketAddr,
+}
+
+/// Addresses that a running replica knows, besides those in its log.
+#[derive(Clone, Debug)]
+pub(crate) struct Addresses {
+    own: SocketAddr,
+    configured: Vec<SocketAddr>,
+    /// Sent by the peers that have connected.
+    connected: HashMap<ReplicaId, SocketAddr>,
+}
+
+impl Addresses {
+    pub(crate) fn new(own: SocketAddr, configured: Vec<SocketAddr>) -> Self {
+        Self {
+            own,
+            configured,
+            connected: HashMap::new(),
+        }
+    }
+
+    pub(crate) fn connected(&mut self, peer: Identity) {
+        self.connected.insert(peer.id, peer.addr);
+    }
+
+    /// The address for a message to `id`: the one in the log, else the one with which the peer has
+    /// connected. A voter may have to reply to a candidate that is not in its log yet.
+    pub(crate) fn of(&self, id: ReplicaId, in_log: Option<SocketAddr>) -> Option<SocketAddr> {
+        in_log.or_else(|| self.connected.get(&id).copied())
+    }
+
+    /// Addresses for an announcement: the configured ones and those of the members in the log, as all
+    /// configured replicas may be down while the group runs on others.
+    pub(crate) fn for_announcement(&self, in_log: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let mut addrs = in_log;
+        addrs.extend(&self.configured);
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs.retain(|addr| *addr != self.own);
+        addrs
+    }
+}
--- a/src/replication/explore/checks.rs
+++ b/src/replication/explore/checks.rs
@@ -22,7 +22,7 @@
     committed: Vec<((Term, u64), Term)>,
     /// Time of the last committed entry.
     last_at: Timestamp,
-    /// Last committed membership, with the index of its entry.
+    /// Last committed membership, with the index of its entry; the initial one before any.
     pub(super) members: (LogIndex, Membership),
     pub(super) membership_changes: u64,
 }
--- a/src/replication/explore/host.rs
+++ b/src/replication/explore/host.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::addresses::{Addresses, Identity};
 use super::history::OpId;
 use crate::ids::{LogIndex, ReplicaId, Term, Timestamp};
+use crate::replication::addresses::{Addresses, Identity};
 use crate::replication::core::{
     Core, CoreConfig, HardState, Member, Message, ReadId, Recovered, Save, Snapshot,
 };
--- a/src/replication/explore/simulation/fault_injection.rs
+++ b/src/replication/explore/simulation/fault_injection.rs
@@ -179,10 +179,14 @@
         (0..self.hosts.len()).filter(|i| !self.hosts[*i].retired)
     }
 
-    /// Up to three addresses of other hosts, which need not be those of voters.
+    /// Up to three addresses of other hosts, which need not be those of voters. All, if hosts don't
+    /// change.
     pub(super) fn random_peers(&mut self, host: usize) -> Vec<SocketAddr> {
         let others: Vec<_> = self.unretired().filter(|i| *i != host).collect();
-        let count = self.rng.random_range(1..=3);
+        let count = match self.profile.hosts_change {
+            true => self.rng.random_range(1..=3),
+            false => others.len(),
+        };
         let addrs = others.into_iter().map(|i| self.hosts[i].member.addr);
         addrs.sample(&mut self.rng, count)
     }
--- a/src/replication/explore/simulation/mod.rs
+++ b/src/replication/explore/simulation/mod.rs
@@ -172,6 +172,7 @@
             voters: voters.map(|(i, id)| (*id, member(i, zones))).collect(),
             learners: BTreeMap::new(),
         };
+        self.checks.members = (1, members.clone());
         for (i, id) in ids.into_iter().enumerate() {
             let mut disk = Disk::empty(id);
             if i < initial_voters {
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -1,6 +1,7 @@
 //! Replicated log (Raft): elections, replication, membership and snapshots in a pure state machine,
 //! and the runtime that connects it to disk, network and clock.
 
+mod addresses;
 mod core;
 pub mod explore;
 mod machine;
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -17,6 +17,7 @@
 use super::{disk, monotonic_now, peers};
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
+use crate::replication::addresses::Identity;
 use crate::replication::core::{Core, CoreConfig, Entry, HardState, Membership, Payload};
 use crate::replication::core::{Recovered, Save};
 use crate::replication::machine::{
@@ -144,7 +145,7 @@
     let (status_tx, status) = watch::channel(core.status(monotonic_now()));
     let (disk_tx, disk_rx) = mpsc::sync_channel(1);
     let (ended_tx, ended) = watch::channel(false);
-    let identity = peers::Identity {
+    let identity = Identity {
         id: core.id(),
         addr: core.own_addr(),
     };
