Replication: a leader puts its own changed addresses into the membership

Callers saw a leader whose status gave its former call address for as long as it led, so that other hosts sent callers there. In a group of one, other replicas sent their replies to its former replica address too.

Cause: a replica whose addresses have changed announces itself, but not while it leads, as only a leader acts on announcements. A voter that is elected before its announcement arrives never corrects its own entry.

Class: knowledge that only one replica has, and that this replica tells all but itself.

Change: a leader whose entry in the membership differs from its settings proposes its present addresses before any other membership change, under the same condition. The safeguard can be disabled for the explorer.

--- a/src/replication/core/config.rs
+++ b/src/replication/core/config.rs
@@ -45,6 +45,8 @@
     pub(crate) time_forward: bool,
     /// A follower passes announcements on to its leader.
     pub(crate) pass_on_announcements: bool,
+    /// A leader whose own addresses have changed puts them into the membership.
+    pub(crate) own_addresses: bool,
 }
 
 impl Default for Safeguards {
@@ -66,6 +68,7 @@
             apply_before_acting: true,
             time_forward: true,
             pass_on_announcements: true,
+            own_addresses: true,
         }
     }
 }
--- a/src/replication/core/membership_changes.rs
+++ b/src/replication/core/membership_changes.rs
@@ -55,6 +55,10 @@
         if !self.may_change_membership() {
             return;
         }
+        if let Some(next) = self.with_own_addresses() {
+            self.set_members(next, now);
+            return;
+        }
         let last = self.log.last_index();
         let health = |id| {
             let Some(p) = self.progress(id) else {
@@ -72,6 +76,18 @@
         }
     }
 
+    /// The membership with this replica's present addresses, if it has others. A leader sends no
+    /// announcement, and callers that follow the membership would look for it at its former address.
+    fn with_own_addresses(&self) -> Option<Membership> {
+        let mut next = self.members.clone();
+        let own = next.voters.get_mut(&self.cfg.id)?;
+        if *own == self.cfg.member || !self.cfg.safeguards.own_addresses {
+            return None;
+        }
+        *own = self.cfg.member.clone();
+        Some(next)
+    }
+
     pub(super) fn set_members(&mut self, members: Membership, now: Timestamp) {
         self.append(Payload::Members(members), self.log.last_at());
         self.track_members(now);
--- a/src/replication/explore/mod.rs
+++ b/src/replication/explore/mod.rs
@@ -80,11 +80,13 @@
     TimeForward,
     /// A follower passes announcements on to its leader.
     PassOnAnnouncements,
+    /// A leader whose own addresses have changed puts them into the membership.
+    OwnAddresses,
 }
 
 impl Safeguard {
     /// All safeguards.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::SyncBeforeAnswer,
         Self::SingleVote,
         Self::LogUpToDate,
@@ -101,6 +103,7 @@
         Self::ApplyBeforeActing,
         Self::TimeForward,
         Self::PassOnAnnouncements,
+        Self::OwnAddresses,
     ];
 
     fn disabled(self) -> Safeguards {
@@ -125,6 +128,7 @@
             Self::ApplyBeforeActing => s.apply_before_acting = false,
             Self::TimeForward => s.time_forward = false,
             Self::PassOnAnnouncements => s.pass_on_announcements = false,
+            Self::OwnAddresses => s.own_addresses = false,
         }
         s
     }
--- a/tests/replication_explorer.rs
+++ b/tests/replication_explorer.rs
@@ -56,6 +56,7 @@
 #[case(Safeguard::ApplyBeforeActing, &[Check::Linearizable])]
 #[case(Safeguard::TimeForward, &[Check::TimeForward])]
 #[case(Safeguard::PassOnAnnouncements, &[Check::Membership])]
+#[case(Safeguard::OwnAddresses, &[Check::Membership])]
 fn a_broken_safeguard_is_seen(#[case] disabled: Safeguard, #[case] detected_by: &[Check]) {
     let violation =
         explore(0..MAX_SCHEDULES, Some(disabled), THREADS).expect_err("no violation found");
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -293,6 +293,25 @@
     }
 }
 
+#[tokio::test]
+async fn a_leader_that_has_moved_is_found_at_its_present_address() {
+    // Guards against a leader whose membership keeps its own former addresses.
+    let folder = Folder::new("moved-leader");
+    let replica = start(&folder.0, &free_addrs(1), 0, Formation::FormGroup);
+    propose_somewhere(&[&replica], b"before").await;
+    replica.stop().await;
+
+    let addrs = free_addrs(1);
+    let replica = start(&folder.0, &addrs, 0, Formation::Join);
+    let mut status = replica.status();
+    let known = status.wait_for(|s| s.leader_addr == Some(addrs[0]));
+    tokio::time::timeout(TIMEOUT, known)
+        .await
+        .expect("the membership has the present address")
+        .unwrap();
+    replica.stop().await;
+}
+
 /// Waits for a message before each sync, and reports each sync that has returned. The sender is
 /// dropped to let all syncs pass.
 struct HeldSyncs {
