Replication: messages also go to the address with which a peer has connected

Callers saw a new replica that never caught up from a leader that had moved to another address, and a voter that stayed behind for the same reason; the group could not replace a lost voter with it.

Cause: a message goes to the receiver's address in the sender's own log, and to the one with which the receiver has connected only if the log has none. A log that is behind has the former address of a leader that has moved. The replies go there, so the leader sends nothing more and the log stays behind for good. It takes a log of which the first message (1 MiB) ends before the entry with the new address.

Class: an address from a log that can be older than the connection.

Change: if the two addresses differ, the message goes to both, as either can be the newer one. Receivers ignore messages for other ids, and handle duplicates.

--- a/src/replication/addresses.rs
+++ b/src/replication/addresses.rs
@@ -36,10 +36,22 @@
         self.connected.insert(peer.id, peer.addr);
     }
 
-    /// The address for a message to `id`: the one in the log, else the one with which the peer has
-    /// connected. A voter may have to reply to a candidate that is not in its log yet.
-    pub(crate) fn of(&self, id: ReplicaId, in_log: Option<SocketAddr>) -> Option<SocketAddr> {
-        in_log.or_else(|| self.connected.get(&id).copied())
+    /// The address for a message to `id`, and a second one if the one in the log and the one with
+    /// which the peer has connected differ.
+    ///
+    /// Either may be the newer one. A voter may have to reply to a candidate that is not in its log
+    /// yet; and a log that is behind holds a former address of a leader that has moved, which cannot
+    /// bring that log up to date if the replies go to the former address only.
+    pub(crate) fn of(
+        &self,
+        id: ReplicaId,
+        in_log: Option<SocketAddr>,
+    ) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        let connected = self.connected.get(&id).copied();
+        match in_log {
+            None => (connected, None),
+            Some(_) => (in_log, connected.filter(|addr| Some(*addr) != in_log)),
+        }
     }
 
     /// Addresses for an announcement: the configured ones and those of the members in the log, as all
--- a/src/replication/explore/simulation/effects.rs
+++ b/src/replication/explore/simulation/effects.rs
@@ -122,8 +122,9 @@
             }
             Effect::Send(message) => {
                 let in_log = r.core.members().get(message.to).map(|m| m.addr);
-                if let Some(to) = r.addresses.of(message.to, in_log) {
-                    self.transmit(host, to, message);
+                let (addr, other) = r.addresses.of(message.to, in_log);
+                for to in addr.into_iter().chain(other) {
+                    self.transmit(host, to, message.clone());
                 }
             }
             Effect::Announce(message) => {
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -57,7 +57,8 @@
 pub(super) struct PeerQueue(mpsc::Sender<Outgoing>);
 
 impl PeerQueue {
-    /// Sends to the address in the log, else to the one with which the peer has connected.
+    /// Sends to the address in the log, if there is one, and to the one with which the peer has
+    /// connected.
     pub(super) fn send(&self, in_log: Option<SocketAddr>, message: Message) {
         self.enqueue(Outgoing::To(in_log, message));
     }
@@ -134,7 +135,10 @@
         while let Some(outgoing) = rx.recv().await {
             match outgoing {
                 Outgoing::To(in_log, message) => {
-                    let addr = self.known().of(message.to, in_log);
+                    let (addr, other) = self.known().of(message.to, in_log);
+                    if let Some(other) = other {
+                        self.enqueue(other, message.clone());
+                    }
                     if let Some(addr) = addr {
                         self.enqueue(addr, message);
                     }
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -312,6 +312,32 @@
     replica.stop().await;
 }
 
+#[tokio::test]
+async fn a_replica_catches_up_from_a_leader_that_has_moved() {
+    // Guards against replies to the leader's former address, which is in the first part of its log.
+    let folder = Folder::new("moved-source");
+    let mut addrs = free_addrs(2);
+    let start = |addrs: &[SocketAddr], own, form| {
+        let cfg = ReplicaConfig {
+            snapshot_bytes: u64::MAX,
+            ..config(&folder.0, addrs, own, form)
+        };
+        Replica::start(cfg, Journal::default()).unwrap()
+    };
+    let first = start(&addrs, 0, Formation::FormGroup);
+    for _ in 0..8 {
+        propose_somewhere(&[&first], &[b'z'; 512 * 1024]).await;
+    }
+    first.stop().await;
+
+    addrs[0] = free_addrs(1)[0];
+    let first = start(&addrs, 0, Formation::Join);
+    let second = start(&addrs, 1, Formation::Join);
+    until_voters(&first, 2).await;
+    first.abort().await;
+    second.abort().await;
+}
+
 /// Waits for a message before each sync, and reports each sync that has returned. The sender is
 /// dropped to let all syncs pass.
 struct HeldSyncs {
