Explorer: any number of voters may move at the same time

Moves were injected only while a majority of the committed membership kept its addresses, so the explorer could not see what happens when several hosts move before the group has learned of the first one. A move loses no disk.

Change: moves are not limited, and a stalled group is excused only for lost disks. If fewer than a majority of voters are at their addresses when the faults end, each host's settings get the addresses of all hosts.

--- a/src/replication/explore/simulation/fault_injection.rs
+++ b/src/replication/explore/simulation/fault_injection.rs
@@ -83,10 +83,8 @@
                 }
             }
             Fault::Move { host, down, all } => {
-                if !all || self.keeps_majorities(Some(host)) {
-                    self.crash_for(host, down);
-                    self.move_host(host, all);
-                }
+                self.crash_for(host, down);
+                self.move_host(host, all);
             }
             Fault::Replace { host, down } => {
                 if self.keeps_majorities(Some(host)) {
@@ -145,16 +143,13 @@
         self.hosts[host].crash(kept, keeps_snapshot);
     }
 
-    /// Whether every membership that is or can still come into force keeps a majority of voters at
-    /// their addresses with their disks, without one host. No consensus protocol survives a larger
-    /// loss of disks.
+    /// Whether every membership that is or can still come into force keeps a majority of its disks
+    /// without the disk of one host. No consensus protocol survives a larger loss.
     pub(super) fn keeps_majorities(&self, without: Option<usize>) -> bool {
         let others = self.unretired().filter(|i| Some(*i) != without);
-        let others = others.map(|i| &self.hosts[i]);
-        let alive: HashSet<_> = others.map(|h| (h.disk.id, h.member.addr)).collect();
+        let alive: HashSet<_> = others.map(|i| self.hosts[i].disk.id).collect();
         let keeps_majority = |members: &Membership| {
-            let voters = members.voters.iter();
-            let left = voters.filter(|(id, m)| alive.contains(&(**id, m.addr)));
+            let left = members.voters.keys().filter(|id| alive.contains(id));
             members.voters.is_empty() || left.count() >= members.quorum()
         };
         let (in_force, members) = &self.checks.members;
--- a/src/replication/explore/simulation/recovery.rs
+++ b/src/replication/explore/simulation/recovery.rs
@@ -1,6 +1,7 @@
 //! The end of a schedule: faults stop, and the group must recover.
 
 use super::Simulation;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -70,18 +71,24 @@
     }
 
     /// Every running replica must be able to find the group: its configured peers, or the members in
-    /// its log, lead to a running voter, directly or by way of further replicas. An operator corrects
-    /// the settings of hosts for which this does not hold.
+    /// its log, lead to a running voter, directly or by way of further replicas. And if a majority of
+    /// voters has moved at once, they must find each other. An operator corrects the settings of hosts
+    /// for which this does not hold.
     fn correct_peers(&mut self) {
-        let voters = self.checks.members.1.voters.clone();
-        let is_voter = |h: &Host| {
-            let voter = voters.get(&h.disk.id);
+        let members = self.checks.members.1.clone();
+        let all: Vec<_> = self.unretired().collect();
+        let at_address = |i: &usize| {
+            let h = &self.hosts[*i];
+            let voter = members.voters.get(&h.disk.id);
             voter.is_some_and(|m| m.addr == h.member.addr)
         };
-        let all: Vec<_> = self.unretired().collect();
-        let (mut found, mut others): (Vec<_>, Vec<_>) =
-            all.into_iter().partition(|i| is_voter(&self.hosts[*i]));
-        if found.is_empty() {
+        let (mut found, mut others): (Vec<usize>, Vec<usize>) =
+            all.iter().partition(|i| at_address(i));
+        if found.len() < members.quorum() {
+            let addrs: Vec<_> = all.iter().map(|i| self.hosts[*i].member.addr).collect();
+            for host in all {
+                self.correct(host, addrs.clone());
+            }
             return;
         }
         loop {
@@ -99,14 +106,18 @@
             found.extend(next);
         }
         for host in others {
-            self.coverage.peers_corrected += 1;
             let peer = found[self.rng.random_range(0..found.len())];
-            self.hosts[host].configured = vec![self.hosts[peer].member.addr];
-            self.crash(host);
-            self.start(host);
+            self.correct(host, vec![self.hosts[peer].member.addr]);
         }
     }
 
+    fn correct(&mut self, host: usize, configured: Vec<SocketAddr>) {
+        self.coverage.peers_corrected += 1;
+        self.hosts[host].configured = configured;
+        self.crash(host);
+        self.start(host);
+    }
+
     /// Checks that the leader's membership is what the running replicas allow.
     pub(super) fn check_membership(&self) -> Result<(), CheckFailure> {
         let failed = |detail| Err((Check::Membership, detail));
