Replication: a voter that spreads zones is promoted before one is removed

Callers would see a group that never elects a leader again although only one disk was lost.

Cause: to move a voter to another zone, the leader removed the voter of the crowded zone and then promoted the learner. In between, a group of three has two voters.

Class: a change that only improves the spread lowers the number of losses that the group survives.

Change: the learner is promoted first, and the voter of the crowded zone is then removed as surplus, under the same condition that all voters are active. The group has one voter more for a moment.

The test of the first 2,000 allowed five and now allows none.

--- a/src/replication/core/membership.rs
+++ b/src/replication/core/membership.rs
@@ -137,8 +137,12 @@
     {
         return promoted(members, **id).filter(|next| has_live_quorum(next, leader, &health));
     }
-    if let Some(id) = removable_voter(members, leader, surplus, &ready, &health) {
-        return without(id);
+    if surplus {
+        if let Some(id) = surplus_voter(members, leader, &health) {
+            return without(id);
+        }
+    } else if let Some(id) = spreading_learner(members, leader, &ready, &health) {
+        return promoted(members, id).filter(|next| has_live_quorum(next, leader, &health));
     }
     let lost = members.learners.keys().find(|id| health(**id).gone)?;
     let mut next = members.clone();
@@ -174,38 +178,46 @@
     lost.map(|(id, _)| *id)
 }
 
-/// A voter to remove: one more than the target, or one that a learner in an availability zone with
-/// fewer voters should replace. This only improves the spread, so it waits until all voters are
-/// active.
-fn removable_voter(
+/// A voter to remove from the most crowded availability zone, if there is one more than the target.
+/// Waits until all voters are active.
+fn surplus_voter(
     members: &Membership,
     leader: ReplicaId,
-    surplus: bool,
-    ready: &[(&ReplicaId, &Member)],
     health: &impl Fn(ReplicaId) -> Health,
 ) -> Option<ReplicaId> {
-    let mut others = members.voters.iter().filter(|(id, _)| **id != leader);
+    let others = members.voters.iter().filter(|(id, _)| **id != leader);
     if others.clone().any(|(id, _)| !health(*id).active) {
         return None;
     }
-    if surplus {
-        return others
-            .max_by_key(|(_, m)| members.voters_in(&m.zone))
-            .map(|(id, _)| *id);
-    }
-    let majority = members.quorum();
-    let crowded = |zone: &ZoneName| members.voters_in(zone) >= majority;
     others
-        .find(|(_, m)| {
-            members.voters.len() > 2
-                && crowded(&m.zone)
-                && ready.iter().any(|(_, other)| {
-                    other.zone != m.zone && members.voters_in(&other.zone) + 1 < majority
-                })
-        })
+        .max_by_key(|(_, m)| members.voters_in(&m.zone))
         .map(|(id, _)| *id)
 }
 
+/// A learner to promote so that a voter of a crowded availability zone becomes surplus. This only
+/// improves the spread, so it waits until all voters are active.
+///
+/// The learner is promoted first: a removal first would leave two voters of three, and a disk lost
+/// at that moment would stop the group for good.
+fn spreading_learner(
+    members: &Membership,
+    leader: ReplicaId,
+    ready: &[(&ReplicaId, &Member)],
+    health: &impl Fn(ReplicaId) -> Health,
+) -> Option<ReplicaId> {
+    let mut others = members.voters.iter().filter(|(id, _)| **id != leader);
+    if members.voters.len() <= 2 || others.clone().any(|(id, _)| !health(*id).active) {
+        return None;
+    }
+    let majority = members.quorum();
+    if !others.any(|(_, m)| members.voters_in(&m.zone) >= majority) {
+        return None;
+    }
+    let spreads = |m: &Member| members.voters_in(&m.zone) + 1 < majority;
+    let mut ready = ready.iter().filter(|(_, m)| !members.has_voter_at(m.addr));
+    ready.find(|(_, m)| spreads(m)).map(|(id, _)| **id)
+}
+
 fn has_live_quorum(
     next: &Membership,
     leader: ReplicaId,
--- a/tests/replication_explorer.rs
+++ b/tests/replication_explorer.rs
@@ -36,7 +36,7 @@
         "too few events of some kind: {coverage:?}"
     );
     assert!(coverage.retired > 100, "{coverage:?}");
-    assert!(coverage.quorums_lost <= 5, "{coverage:?}");
+    assert_eq!(coverage.quorums_lost, 0, "{coverage:?}");
 }
 
 /// Each case disables one safeguard and names the checks that may detect it first.
