--- a/src/replication/addresses.rs
+++ b/src/replication/addresses.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Replaces the configured addresses.
+    pub(crate) fn configure(&mut self, peers: Vec<SocketAddr>) {
+        self.configured = peers;
+    }
+
     pub(crate) fn connected(&mut self, peer: Identity) {
         self.connected.insert(peer.id, peer.addr);
     }
@@ -54,11 +59,14 @@
         }
     }
 
-    /// Addresses for an announcement: the configured ones and those of the members in the log, as all
-    /// configured replicas may be down while the group runs on others.
+    /// Addresses for an announcement: the configured ones, those of the members in the log and those
+    /// of the peers that have connected. All configured replicas may be down while the group runs on
+    /// others, and the members of a group connect to an empty replica at the address of its former
+    /// life.
     pub(crate) fn for_announcement(&self, in_log: Vec<SocketAddr>) -> Vec<SocketAddr> {
         let mut addrs = in_log;
         addrs.extend(&self.configured);
+        addrs.extend(self.connected.values());
         addrs.sort_unstable();
         addrs.dedup();
         addrs.retain(|addr| *addr != self.own);
--- a/src/replication/explore/host.rs
+++ b/src/replication/explore/host.rs
@@ -99,7 +99,7 @@
 #[derive(Clone, Debug)]
 pub(super) enum Input {
     /// A message, and the peer that has sent it over its connection.
-    Message(Identity, Message),
+    Message(Identity, Box<Message>),
     Synced(u64),
     Tick,
     Write(OpId),
--- a/src/replication/explore/simulation/effects.rs
+++ b/src/replication/explore/simulation/effects.rs
@@ -24,7 +24,7 @@
         match input {
             Input::Message(peer, message) => {
                 r.addresses.connected(peer);
-                r.core.receive(now, message);
+                r.core.receive(now, *message);
             }
             Input::Synced(seq) => r.core.saved(now, seq),
             Input::Tick => r.core.tick(now),
@@ -250,7 +250,12 @@
             let usual = self.profile.longest_delay.as_micros() as u64;
             let longest = if late { 250_000 } else { usual };
             let delay = Duration::from_micros(self.rng.random_range(300..longest));
-            self.schedule_input(delay, to, None, Input::Message(identity, message.clone()));
+            self.schedule_input(
+                delay,
+                to,
+                None,
+                Input::Message(identity, Box::new(message.clone())),
+            );
         }
     }
 }
--- a/src/replication/explore/simulation/recovery.rs
+++ b/src/replication/explore/simulation/recovery.rs
@@ -10,7 +10,7 @@
 use crate::replication::explore::Check;
 use crate::replication::explore::checks::CheckFailure;
 use crate::replication::explore::faults::FaultProfile;
-use crate::replication::explore::host::{Host, Input, Running};
+use crate::replication::explore::host::{Input, Running};
 
 impl Simulation {
     pub(super) fn end_faults(&mut self) -> Result<(), CheckFailure> {
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -1,8 +1,8 @@
 //! Starting a replica, and the handle with which the rest of the process uses it.
 
 use std::collections::BTreeMap;
-use std::net::TcpListener;
-use std::sync::mpsc;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -14,10 +14,11 @@
 use super::messages::{
     Confirmation, Propose, Read, ReadLocal, Stop, Tick, TransferLeadership, UpdateMachine,
 };
+use super::peers::Directory;
 use super::{disk, monotonic_now, peers};
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
-use crate::replication::addresses::Identity;
+use crate::replication::addresses::{Addresses, Identity};
 use crate::replication::core::{Core, CoreConfig, Entry, HardState, Membership, Payload};
 use crate::replication::core::{Recovered, Save};
 use crate::replication::machine::{
@@ -41,6 +42,7 @@
     /// Longest time that a leadership transfer is waited for.
     transfer_timeout: Duration,
     ended: watch::Receiver<bool>,
+    directory: Directory,
 }
 
 impl<M: StateMachine> Clone for ReplicaHandle<M> {
@@ -50,6 +52,7 @@
             status: self.status.clone(),
             transfer_timeout: self.transfer_timeout,
             ended: self.ended.clone(),
+            directory: Arc::clone(&self.directory),
         }
     }
 }
@@ -149,7 +152,15 @@
         id: core.id(),
         addr: core.own_addr(),
     };
-    let (peer_queue, peer_thread) = peers::spawn(&cfg, identity, listener, address.downgrade())?;
+    let addresses = Addresses::new(identity.addr, cfg.peers.clone());
+    let directory = Directory::new(Mutex::new(addresses));
+    let (peer_queue, peer_thread) = peers::spawn(
+        &cfg,
+        Arc::clone(&directory),
+        identity,
+        listener,
+        address.downgrade(),
+    )?;
     let disk_address = address.clone();
     let disk_thread = thread("replica-disk", move || {
         disk::run(store, disk_rx, disk_address);
@@ -183,6 +194,7 @@
         status,
         transfer_timeout: cfg.election_timeout * 2,
         ended,
+        directory,
     })
 }
 
@@ -300,6 +312,13 @@
         self.status.clone()
     }
 
+    /// Replaces the addresses of the other configured replicas. This one announces itself to them
+    /// whenever it is not a member or hears no leader.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+        let mut directory = self.directory.lock().expect("no holder panics");
+        directory.configure(peers);
+    }
+
     /// Transfers leadership to another voter, if this replica leads and an active one exists. Waits
     /// up to two election timeouts for it.
     pub async fn transfer_leadership(&self) {
--- a/src/replication/runtime/peers.rs
+++ b/src/replication/runtime/peers.rs
@@ -63,7 +63,8 @@
         self.enqueue(Outgoing::To(in_log, message));
     }
 
-    /// Sends to every configured address and to those of the members in the log.
+    /// Sends to every configured address, to those of peers that have connected, and to those of the
+    /// members in the log.
     pub(super) fn announce(&self, message: Message, in_log: Vec<SocketAddr>) {
         self.enqueue(Outgoing::ToAll(message, in_log));
     }
@@ -75,8 +76,9 @@
     }
 }
 
-/// Shared by the tasks that accept connections, which learn the addresses of peers.
-type Directory = Arc<Mutex<Addresses>>;
+/// Shared by the tasks that accept connections, which learn the addresses of peers, and by the
+/// replica's handles, which change the configured ones.
+pub(super) type Directory = Arc<Mutex<Addresses>>;
 
 struct Peers {
     identity: Identity,
@@ -90,6 +92,7 @@
 /// Starts the peer thread; it ends when the queue is dropped.
 pub(super) fn spawn<M: StateMachine>(
     cfg: &ReplicaConfig,
+    directory: Directory,
     identity: Identity,
     listener: std::net::TcpListener,
     control: WeakAddress<Control<M>>,
@@ -101,8 +104,6 @@
         .build()
         .map_err(failed)?;
     let (tx, rx) = mpsc::channel(QUEUE);
-    let addresses = Addresses::new(identity.addr, cfg.peers.clone());
-    let directory = Directory::new(Mutex::new(addresses));
     let peers = Peers {
         identity,
         keys: cfg.keys.clone(),
