--- a/src/cli/tools.rs
+++ b/src/cli/tools.rs
@@ -112,6 +112,8 @@
         "schedules": coverage.schedules, "events": coverage.events,
         "elections": coverage.elections, "writes": coverage.writes, "reads": coverage.reads,
         "crashes": coverage.crashes, "pauses": coverage.pauses, "wipes": coverage.wipes,
+        "moves": coverage.moves, "retired": coverage.retired,
+        "peer_changes": coverage.peer_changes, "peers_corrected": coverage.peers_corrected,
         "leased_reads": coverage.leased_reads,
         "membership_changes": coverage.membership_changes,
         "snapshots_installed": coverage.snapshots_installed,
