--- a/src/replication/explore/mod.rs
+++ b/src/replication/explore/mod.rs
@@ -37,6 +37,10 @@
     /// After all faults have ended, a write succeeds and all voters have applied nearly all committed
     /// entries.
     Progress,
+    /// Within a bound after all faults have ended, every running replica is a member at its present
+    /// address, as many of them vote as the target allows, and no lost replica is kept in the place
+    /// of a running one.
+    Membership,
     /// The core does not panic.
     NoPanic,
 }
@@ -74,11 +78,15 @@
     ApplyBeforeActing,
     /// Timestamps of log entries never decrease.
     TimeForward,
+    /// A follower passes announcements on to its leader.
+    PassOnAnnouncements,
+    /// A leader whose own addresses have changed puts them into the membership.
+    OwnAddresses,
 }
 
 impl Safeguard {
     /// All safeguards.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::SyncBeforeAnswer,
         Self::SingleVote,
         Self::LogUpToDate,
@@ -94,6 +102,8 @@
         Self::StepDownBeforeTransfer,
         Self::ApplyBeforeActing,
         Self::TimeForward,
+        Self::PassOnAnnouncements,
+        Self::OwnAddresses,
     ];
 
     fn disabled(self) -> Safeguards {
@@ -117,6 +127,8 @@
             Self::StepDownBeforeTransfer => s.step_down_before_transfer = false,
             Self::ApplyBeforeActing => s.apply_before_acting = false,
             Self::TimeForward => s.time_forward = false,
+            Self::PassOnAnnouncements => s.pass_on_announcements = false,
+            Self::OwnAddresses => s.own_addresses = false,
         }
         s
     }
@@ -170,6 +182,15 @@
     pub pauses: u64,
     /// Disks replaced by empty ones.
     pub wipes: u64,
+    /// Hosts that started again at another address, with or without their disk.
+    pub moves: u64,
+    /// Hosts that ended for good.
+    pub retired: u64,
+    /// Changes of a host's configured peers.
+    pub peer_changes: u64,
+    /// Hosts whose configured peers led to no running voter when all faults had ended, so that an
+    /// operator had to change them.
+    pub peers_corrected: u64,
     /// Membership changes committed.
     pub membership_changes: u64,
     /// Snapshots restored, from a leader or after a restart.
@@ -191,6 +212,10 @@
         self.crashes += other.crashes;
         self.pauses += other.pauses;
         self.wipes += other.wipes;
+        self.moves += other.moves;
+        self.retired += other.retired;
+        self.peer_changes += other.peer_changes;
+        self.peers_corrected += other.peers_corrected;
         self.membership_changes += other.membership_changes;
         self.snapshots_installed += other.snapshots_installed;
         self.quorums_lost += other.quorums_lost;
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -14,10 +14,11 @@
 use super::messages::{
     Confirmation, Propose, Read, ReadLocal, Stop, Tick, TransferLeadership, UpdateMachine,
 };
-use super::peers::ConfiguredPeers;
+use super::peers::Directory;
 use super::{disk, monotonic_now, peers};
 use crate::error::{Error, Result, Step};
 use crate::ids::Timestamp;
+use crate::replication::addresses::{Addresses, Identity};
 use crate::replication::core::{Core, CoreConfig, Entry, HardState, Membership, Payload};
 use crate::replication::core::{Recovered, Save};
 use crate::replication::machine::{
@@ -41,7 +42,7 @@
     /// Longest time that a leadership transfer is waited for.
     transfer_timeout: Duration,
     ended: watch::Receiver<bool>,
-    configured_peers: ConfiguredPeers,
+    directory: Directory,
 }
 
 impl<M: StateMachine> Clone for ReplicaHandle<M> {
@@ -51,7 +52,7 @@
             status: self.status.clone(),
             transfer_timeout: self.transfer_timeout,
             ended: self.ended.clone(),
-            configured_peers: Arc::clone(&self.configured_peers),
+            directory: Arc::clone(&self.directory),
         }
     }
 }
@@ -147,14 +148,15 @@
     let (status_tx, status) = watch::channel(core.status(monotonic_now()));
     let (disk_tx, disk_rx) = mpsc::sync_channel(1);
     let (ended_tx, ended) = watch::channel(false);
-    let identity = peers::Identity {
+    let identity = Identity {
         id: core.id(),
         addr: core.own_addr(),
     };
-    let configured_peers = ConfiguredPeers::new(Mutex::new(cfg.peers.clone()));
+    let addresses = Addresses::new(identity.addr, cfg.peers.clone());
+    let directory = Directory::new(Mutex::new(addresses));
     let (peer_queue, peer_thread) = peers::spawn(
         &cfg,
-        Arc::clone(&configured_peers),
+        Arc::clone(&directory),
         identity,
         listener,
         address.downgrade(),
@@ -192,7 +194,7 @@
         status,
         transfer_timeout: cfg.election_timeout * 2,
         ended,
-        configured_peers,
+        directory,
     })
 }
 
@@ -313,7 +315,8 @@
     /// Replaces the addresses of the other configured replicas. This one announces itself to them
     /// whenever it is not a member or hears no leader.
     pub fn set_peers(&self, peers: Vec<SocketAddr>) {
-        *self.configured_peers.lock().expect("no holder panics") = peers;
+        let mut directory = self.directory.lock().expect("no holder panics");
+        directory.configure(peers);
     }
 
     /// Transfers leadership to another voter, if this replica leads and an active one exists. Waits
--- a/tests/replication_explorer.rs
+++ b/tests/replication_explorer.rs
@@ -12,8 +12,9 @@
 #[test]
 fn every_schedule_keeps_every_property() {
     // Faults: message loss, reordering and duplication, one-way partitions, pauses, crashes that
-    // lose unsynced data, wiped, full and slow disks, clock jumps and membership changes. After all
-    // faults have ended, the group must make progress again.
+    // lose unsynced data, wiped, full and slow disks, clock jumps, hosts that move, are replaced or
+    // end for good, other configured peers, and membership changes. After all faults have ended, the
+    // group must make progress again, and admit every running replica.
     let coverage = explore(0..2000, None, THREADS).unwrap_or_else(|v| panic!("{v}"));
     assert_eq!(coverage.schedules, 2000);
     let counts = [
@@ -25,6 +26,8 @@
         coverage.crashes,
         coverage.pauses,
         coverage.wipes,
+        coverage.moves,
+        coverage.peer_changes,
         coverage.membership_changes,
         coverage.snapshots_installed,
     ];
@@ -32,7 +35,8 @@
         counts.iter().all(|n| *n > 500),
         "too few events of some kind: {coverage:?}"
     );
-    assert!(coverage.quorums_lost <= 5, "{coverage:?}");
+    assert!(coverage.retired > 100, "{coverage:?}");
+    assert!(coverage.quorums_lost <= 3, "{coverage:?}");
 }
 
 /// Each case disables one safeguard and names the checks that may detect it first.
@@ -46,11 +50,13 @@
 #[case(Safeguard::CheckPrevious, &[Check::LogMatching, Check::CommittedKept])]
 #[case(Safeguard::CheckQuorum, &[Check::OneActingLeader])]
 #[case(Safeguard::ConfirmReads, &[Check::Linearizable])]
-#[case(Safeguard::OneMembershipChange, &[Check::ElectionSafety, Check::CommittedKept])]
+#[case(Safeguard::OneMembershipChange, &[Check::ElectionSafety, Check::CommittedKept, Check::Progress])]
 #[case(Safeguard::FreshIdentity, &[Check::ElectionSafety, Check::CommittedKept, Check::Progress])]
 #[case(Safeguard::StepDownBeforeTransfer, &[Check::OneActingLeader])]
 #[case(Safeguard::ApplyBeforeActing, &[Check::Linearizable])]
 #[case(Safeguard::TimeForward, &[Check::TimeForward])]
+#[case(Safeguard::PassOnAnnouncements, &[Check::Membership])]
+#[case(Safeguard::OwnAddresses, &[Check::Membership])]
 fn a_broken_safeguard_is_seen(#[case] disabled: Safeguard, #[case] detected_by: &[Check]) {
     let violation =
         explore(0..MAX_SCHEDULES, Some(disabled), THREADS).expect_err("no violation found");
--- a/tests/replication_runtime.rs
+++ b/tests/replication_runtime.rs
@@ -293,6 +293,51 @@
     }
 }
 
+#[tokio::test]
+async fn a_leader_that_has_moved_is_found_at_its_present_address() {
+    // Guards against a leader whose membership keeps its own former addresses.
+    let folder = Folder::new("moved-leader");
+    let replica = start(&folder.0, &free_addrs(1), 0, Formation::FormGroup);
+    propose_somewhere(&[&replica], b"before").await;
+    replica.stop().await;
+
+    let addrs = free_addrs(1);
+    let replica = start(&folder.0, &addrs, 0, Formation::Join);
+    let mut status = replica.status();
+    let known = status.wait_for(|s| s.leader_addr == Some(addrs[0]));
+    tokio::time::timeout(TIMEOUT, known)
+        .await
+        .expect("the membership has the present address")
+        .unwrap();
+    replica.stop().await;
+}
+
+#[tokio::test]
+async fn a_replica_catches_up_from_a_leader_that_has_moved() {
+    // Guards against replies to the leader's former address, which is in the first part of its log.
+    let folder = Folder::new("moved-source");
+    let mut addrs = free_addrs(2);
+    let start = |addrs: &[SocketAddr], own, form| {
+        let cfg = ReplicaConfig {
+            snapshot_bytes: u64::MAX,
+            ..config(&folder.0, addrs, own, form)
+        };
+        Replica::start(cfg, Journal::default()).unwrap()
+    };
+    let first = start(&addrs, 0, Formation::FormGroup);
+    for _ in 0..8 {
+        propose_somewhere(&[&first], &[b'z'; 512 * 1024]).await;
+    }
+    first.stop().await;
+
+    addrs[0] = free_addrs(1)[0];
+    let first = start(&addrs, 0, Formation::Join);
+    let second = start(&addrs, 1, Formation::Join);
+    until_voters(&first, 2).await;
+    first.abort().await;
+    second.abort().await;
+}
+
 #[tokio::test]
 async fn an_empty_replica_whose_peers_are_all_down_joins_through_those_that_connect_to_it() {
     // Guards against a group that sends to the address of a lost voter and never learns who is there.
