Relays: announced again once their suspension ends

Seen by callers: an entry host that is cut off from the leader passes nothing through others, and refuses what it is asked, although other entry hosts reach the leader.

Cause: a relay whose orders are overdue is suspended, and the agents are told of the rest, which may be none: all are suspended at once when the leader itself was cut off for a moment. The end of a suspension did not count as a change of relays, so they stayed unknown until some relay came or went.

Change: the end of a relay's suspension is a change of relays.

Evidence: relays_are_announced_again_after_their_suspension failed before (no announcement after the empty list) and passes. Two further cases passed before as well and stay as guards: a change within the least interval between two announcements, and agents that connect before any relay is known.

--- a/src/batch/agents.rs
+++ b/src/batch/agents.rs
@@ -249,7 +249,8 @@
             .is_some_and(|since| now >= since + SUSPENSION)
         {
             agent.suspended = None;
-            let backlog = agent.backlog;
+            let (backlog, is_relay) = (agent.backlog, agent.relay.is_some());
+            pool.relays_changed |= is_relay;
             pool.by_backlog.insert((backlog, id));
             pool.join_ring(id);
         }
--- a/tests/batch_agents.rs
+++ b/tests/batch_agents.rs
@@ -1,6 +1,7 @@
 //! Agents, which send the leader's orders to minions: how orders are distributed among them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -209,3 +210,76 @@
     let taken = agents.send(later, &mut batches, target(1), stop());
     assert_eq!((refused.is_some(), taken.is_none()), (true, true));
 }
+
+/// All entry hosts are suspended at once, as when the leader itself was cut off. Once they are heard
+/// again, the agents must be told of them: without relays, a host that is cut off has no second way.
+#[test]
+fn relays_are_announced_again_after_their_suspension() {
+    let agents = Agents::default();
+    let secs = Duration::from_secs;
+    let relays: Vec<SocketAddr> = [1, 2].map(|n| ([10, 0, 0, n], 4000).into()).to_vec();
+    let mut channels = Vec::new();
+    for (id, relay) in relays.iter().enumerate() {
+        channels.push(add(&agents, id as AgentId, "mixco"));
+        agents.set_relay(id as AgentId, *relay);
+    }
+    agents.announce_relays(secs(1));
+    assert_eq!(last_relays(&mut channels[0]), Some(relays.clone()));
+    for minion in 0..MINIONS {
+        let mut batches = Batches::default();
+        let back = agents.send(secs(1), &mut batches, target(minion), stop());
+        assert_eq!(back, None);
+        agents.flush(batches);
+    }
+    assert!(!agents.expire(secs(20)).is_empty());
+    agents.announce_relays(secs(20));
+    assert_eq!(last_relays(&mut channels[0]), Some(Vec::new()));
+    agents.heard(0, secs(30));
+    agents.heard(1, secs(30));
+    agents.announce_relays(secs(30));
+    assert_eq!(last_relays(&mut channels[0]), Some(relays));
+}
+
+/// The relays that an agent was last told of, among the messages that wait for it.
+fn last_relays(rx: &mut UnboundedReceiver<ServerMessage>) -> Option<Vec<SocketAddr>> {
+    let mut last = None;
+    while let Ok(message) = rx.try_recv() {
+        if let ServerMessage::Relays(relays) = message {
+            last = Some(relays);
+        }
+    }
+    last
+}
+
+/// The relays change twice within the least time between two announcements.
+#[test]
+fn a_change_of_relays_right_after_an_announcement_is_announced_later() {
+    let agents = Agents::default();
+    let ms = Duration::from_millis;
+    let relays: Vec<SocketAddr> = [1, 2].map(|n| ([10, 0, 0, n], 4000).into()).to_vec();
+    let mut first = add(&agents, 0, "mixco");
+    agents.set_relay(0, relays[0]);
+    agents.announce_relays(ms(1_000));
+    assert_eq!(last_relays(&mut first), Some(relays[..1].to_vec()));
+    let mut second = add(&agents, 1, "mixco");
+    assert_eq!(last_relays(&mut second), Some(relays[..1].to_vec()));
+    agents.set_relay(1, relays[1]);
+    agents.announce_relays(ms(1_050));
+    assert_eq!(last_relays(&mut second), None);
+    agents.announce_relays(ms(1_500));
+    assert_eq!(last_relays(&mut first), Some(relays.clone()));
+    assert_eq!(last_relays(&mut second), Some(relays));
+}
+
+/// No entry host had told its address when the agents connected.
+#[test]
+fn agents_that_connect_before_any_relay_are_told_of_the_first() {
+    let agents = Agents::default();
+    let mut early = add(&agents, 0, "mixco");
+    agents.announce_relays(Duration::from_secs(1));
+    assert_eq!(last_relays(&mut early), None);
+    let relay: SocketAddr = ([10, 0, 0, 1], 4000).into();
+    agents.set_relay(0, relay);
+    agents.announce_relays(Duration::from_secs(2));
+    assert_eq!(last_relays(&mut early), Some(vec![relay]));
+}
