Search for the leader: a lagging member's list no longer replaces the known members

Seen by callers: an entry host refuses everything with 503 for good, beside a leader that serves others.

Cause: every member that an agent connects to sends its list of members, and the last list replaced the one before. A replica that was removed, or lags behind, and is still a seed names members that are gone; after it was asked, those that the leader had named were forgotten unless they are seeds.

Change: only a leader's list replaces; those of others are added.

Evidence: members_are_not_forgotten_for_those_of_a_removed_one failed before (no leader is found in 20 s) and passes. Three further cases passed before as well and stay as guards: all known members are gone and only new seeds help; the leader is not a seed, the seeds are empty replicas or gone, and one follower knows it.

--- a/src/batch/leader_search.rs
+++ b/src/batch/leader_search.rs
@@ -143,10 +143,14 @@
         members: Vec<SocketAddr>,
         from: SocketAddr,
     ) {
-        if !members.is_empty() {
-            let all = members.into_iter().collect();
-            self.members.send_modify(|members| members.all = all);
-        }
+        // Others may lag behind: a replica that was removed knows none of the present members, so its
+        // list must not take their place.
+        self.members.send_modify(|known| {
+            if is_leader && !members.is_empty() {
+                known.all.clear();
+            }
+            known.all.extend(members);
+        });
         self.next_addr = leader.filter(|addr| !is_leader && *addr != from);
     }
 
--- a/tests/link_support/mod.rs
+++ b/tests/link_support/mod.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use slog::{Discard, Logger, o};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
-use yuccahold::batch::calls::{AgentMessage, Call, ClientAction, ClientCall, ServerMessage};
+use yuccahold::batch::calls::{
+    AgentMessage, Call, CallReply, ClientAction, ClientCall, ServerMessage,
+};
 use yuccahold::batch::dispatch::{
     Advice, AdviceQuestion, Answer, CallFailure, HoldAnswer, HoldOrder, StartOrder, Target,
 };
@@ -115,6 +119,10 @@
 }
 
 pub fn link_from(seed: SocketAddr) -> LeaderLink {
+    link_from_all(vec![seed])
+}
+
+pub fn link_from_all(seeds: Vec<SocketAddr>) -> LeaderLink {
     let calls = AgentCalls {
         minions: NoMinions,
         policy: NoMinions,
@@ -122,7 +130,7 @@
         relay_addr: None,
     };
     let log = Logger::root(Discard, o!());
-    LeaderLink::start(vec![seed], keys(), calls, log)
+    LeaderLink::start(seeds, keys(), calls, log)
 }
 
 pub fn lead_message(
@@ -147,3 +155,104 @@
         action,
     })
 }
+
+/// A control daemon that greets each connection with its present view of the group, and can stop and
+/// start again at its address.
+pub struct Member {
+    pub addr: SocketAddr,
+    view: watch::Sender<Option<ServerMessage>>,
+    /// Answer to calls; those of a member without one get none.
+    reply: Option<CallReply>,
+    task: AbortHandle,
+}
+
+impl Member {
+    pub async fn start(reply: Option<CallReply>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("bound");
+        let (view, _) = watch::channel(None);
+        let task = tokio::spawn(serve_view(listener, view.subscribe(), reply.clone()));
+        Self {
+            addr,
+            view,
+            reply,
+            task: task.abort_handle(),
+        }
+    }
+
+    /// Reports this from now on.
+    pub fn report(&self, view: ServerMessage) {
+        self.view.send_replace(Some(view));
+    }
+
+    /// Closes all connections and refuses others.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+
+    pub async fn start_again(&mut self) {
+        let listener = TcpListener::bind(self.addr).await.expect("its port");
+        let serving = serve_view(listener, self.view.subscribe(), self.reply.clone());
+        self.task = tokio::spawn(serving).abort_handle();
+    }
+}
+
+async fn serve_view(
+    listener: TcpListener,
+    view: watch::Receiver<Option<ServerMessage>>,
+    reply: Option<CallReply>,
+) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        connections.spawn(serve_connection(stream, view.clone(), reply.clone()));
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    mut view: watch::Receiver<Option<ServerMessage>>,
+    reply: Option<CallReply>,
+) {
+    let Ok((mut reader, mut writer)) = wire::accept(stream, &keys()).await else {
+        return;
+    };
+    view.mark_changed();
+    let (messages, mut received) = mpsc::unbounded_channel();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        while let Ok(Some(message)) = reader.read::<AgentMessage>().await {
+            let _ = messages.send(message);
+        }
+    });
+    loop {
+        let message = tokio::select! {
+            Ok(()) = view.changed() => view.borrow_and_update().clone(),
+            message = received.recv() => match message {
+                Some(AgentMessage::Ping(number)) => Some(ServerMessage::Pong(number)),
+                Some(AgentMessage::Call(number, _)) => {
+                    reply.clone().map(|reply| ServerMessage::Reply(number, reply))
+                }
+                Some(_) => None,
+                None => return,
+            },
+        };
+        if let Some(message) = message
+            && writer.write(&message).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// A host that is gone for good: connections to it are neither refused nor answered.
+pub async fn unreachable() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            open.push(stream);
+        }
+    });
+    addr
+}
