Search for the leader: several addresses at a time, each once in a pass

Seen by callers: after the loss of a zone, requests are refused with 503 although the next leader was elected in time; and with two lagging members, for good.

Cause: addresses were tried one after the other, each with its own time limit: 150 ms in the first pass and 400 ms in later ones. Three seeds and three members that are gone took up to 0.9 s, then 2.4 s a pass, while callers wait for one second. A member's word about the leader was always followed first, so two members that name each other kept the search between them. A newly elected leader that did not answer its first try was not tried again unless it was a known member.

Change: the next address is tried after 50 ms beside those that have not answered, those that did not answer in this search come last and are not waited for, and each is tried once in a pass. A leader that was replaced while it was connected is left out of the next pass, as it may still believe that it leads. A newly elected leader counts as a member.

Evidence: members_that_name_each_other_do_not_end_the_search failed before (no leader in 20 s). hosts_that_are_gone_do_not_delay_the_search failed before (a read ended as not run).

--- a/src/batch/leader_search.rs
+++ b/src/batch/leader_search.rs
@@ -1,12 +1,13 @@
 //! The search for the leader, and the messages exchanged with it while it leads.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::calls::{AgentMessage, CallNumber, CallReply, CopyOutcome, OrderNumber, ServerMessage};
@@ -19,12 +20,12 @@
 use crate::task::AbortOnDrop;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
-/// Timeout for opening and authenticating a connection and receiving the first message, in the
-/// first pass over all addresses: several round trips within a region. An unreachable peer delays
-/// the search by no more than this.
-const FIRST_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// The same timeout in later passes, with room for slow hosts.
+/// Timeout for opening and authenticating a connection and receiving the first message, with room
+/// for slow hosts.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which the next address is tried beside those that have not answered: several round
+/// trips within a region. Hosts that are gone delay the search by no more than this, and only once.
+const NEXT_AFTER: Duration = Duration::from_millis(50);
 /// Delay after a pass over all known addresses that found no leader.
 const PASS_DELAY: Duration = Duration::from_millis(60);
 /// Time without messages after which the peer is pinged while calls await answers.
@@ -45,6 +46,9 @@
     pub(super) term: Term,
     /// Address to try before all others: a member named it as the leader's.
     pub(super) next_addr: Option<SocketAddr>,
+    /// A leader that was replaced while it was connected. It may still believe that it leads, so the
+    /// next pass leaves it out.
+    pub(super) deposed: Option<SocketAddr>,
     pub(super) keys: CellKeys,
     pub(super) calls: AgentCalls<M, P>,
     pub(super) current: watch::Sender<Option<LeaderConnection>>,
@@ -54,34 +58,13 @@
 
 impl<M: Minions, P: Policy> LeaderSearch<M, P> {
     pub(super) async fn run(mut self) {
-        let mut next = 0;
-        let mut connect_timeout = FIRST_CONNECT_TIMEOUT;
         loop {
-            let addr = match self.next_addr.take().or_else(|| self.newly_elected()) {
-                Some(addr) => addr,
-                None => {
-                    let all = self.addresses();
-                    if next >= all.len() {
-                        next = 0;
-                        connect_timeout = CONNECT_TIMEOUT;
-                        sleep(PASS_DELAY).await;
-                    }
-                    let Some(addr) = all.get(next).copied() else {
-                        continue;
-                    };
-                    next += 1;
-                    addr
-                }
-            };
-            let connected = timeout(connect_timeout, self.connect(addr)).await;
-            let Ok(Ok((reader, writer, is_leader))) = connected else {
-                continue;
-            };
-            if !is_leader {
-                continue;
-            }
-            next = 0;
-            connect_timeout = FIRST_CONNECT_TIMEOUT;
+            let Greeting {
+                addr,
+                reader,
+                writer,
+                ..
+            } = self.find_leader().await;
             self.members
                 .send_modify(|members| members.leader = Some(addr));
             info!(self.log, "leader found"; "leader" => %addr, "term" => self.term);
@@ -94,6 +77,79 @@
         }
     }
 
+    /// Connects to the known addresses, one pass after another, until one leads. Within a pass each
+    /// is tried at most once, so that members that name each other as the leader do not end the
+    /// search.
+    async fn find_leader(&mut self) -> Greeting {
+        let mut attempts = JoinSet::new();
+        let mut open = HashSet::new();
+        let mut silent = HashSet::new();
+        loop {
+            let named = self.next_addr.take();
+            let first = self.newly_elected().or(named);
+            let mut known = self.addresses();
+            known.sort_by_key(|addr| silent.contains(addr));
+            let mut untried: VecDeque<_> = first.into_iter().chain(known).collect();
+            let mut tried: HashSet<_> = self.deposed.take().into_iter().collect();
+            loop {
+                while let Some(addr) = untried.pop_front() {
+                    if tried.insert(addr) && open.insert(addr) {
+                        let greeting = greet(addr, self.keys.clone(), self.greetings());
+                        attempts.spawn(async move { (addr, greeting.await) });
+                        // Those that did not answer last time are not waited for.
+                        if !silent.contains(&addr) {
+                            break;
+                        }
+                    }
+                }
+                let pass_ended = untried.is_empty();
+                let wait = if pass_ended { PASS_DELAY } else { NEXT_AFTER };
+                tokio::select! {
+                    Some(ended) = attempts.join_next() => {
+                        let Ok((addr, greeting)) = ended else { continue };
+                        open.remove(&addr);
+                        let Ok(greeting) = greeting else {
+                            silent.insert(addr);
+                            continue;
+                        };
+                        silent.remove(&addr);
+                        self.learn(&greeting);
+                        if greeting.is_leader {
+                            return greeting;
+                        }
+                        if let Some(addr) = self.next_addr.take() {
+                            untried.push_front(addr);
+                        }
+                    }
+                    Ok(()) = self.elected.changed() => {
+                        if let Some(addr) = self.newly_elected() {
+                            tried.remove(&addr);
+                            untried.push_front(addr);
+                        }
+                    }
+                    () = sleep(wait) => {
+                        if pass_ended {
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// What is sent first on a connection.
+    fn greetings(&self) -> Vec<AgentMessage> {
+        let hello = AgentMessage::Hello(self.calls.zone.clone());
+        let relay = self.calls.relay_addr.map(AgentMessage::RelayAt);
+        [hello].into_iter().chain(relay).collect()
+    }
+
+    fn learn(&mut self, greeting: &Greeting) {
+        self.term = self.term.max(greeting.term);
+        let members = greeting.members.clone();
+        self.update_members(greeting.is_leader, greeting.leader, members, greeting.addr);
+    }
+
     /// A reported leader with a higher term than any seen before; returned only once.
     fn newly_elected(&mut self) -> Option<SocketAddr> {
         let elected = (*self.elected.borrow_and_update())?;
@@ -101,6 +157,10 @@
             return None;
         }
         self.term = elected.term;
+        // It may not answer at once, and is named no second time.
+        self.members.send_modify(|members| {
+            members.all.insert(elected.addr);
+        });
         Some(elected.addr)
     }
 
@@ -112,30 +172,6 @@
         seeds.into_iter().chain(discovered).collect()
     }
 
-    async fn connect(&mut self, addr: SocketAddr) -> Result<(FrameReader, FrameWriter, bool)> {
-        let stream = wire::dial(addr, PONG_TIMEOUT * 2).await?;
-        let (mut reader, mut writer) = wire::client_handshake(stream, &self.keys).await?;
-        writer
-            .write(&AgentMessage::Hello(self.calls.zone.clone()))
-            .await?;
-        if let Some(addr) = self.calls.relay_addr {
-            writer.write(&AgentMessage::RelayAt(addr)).await?;
-        }
-        match reader.read::<ServerMessage>().await? {
-            Some(ServerMessage::Lead {
-                is_leader,
-                term,
-                leader,
-                members,
-            }) => {
-                self.term = self.term.max(term);
-                self.update_members(is_leader, leader, members, addr);
-                Ok((reader, writer, is_leader))
-            }
-            _ => Err(Error::new(Step::Handshake, "the peer sent no greeting").with_peer(addr)),
-        }
-    }
-
     fn update_members(
         &mut self,
         is_leader: bool,
@@ -274,10 +310,11 @@
                     }
                 }
                 Ok(()) = self.elected.changed() => {
-                    if let Some(addr) = self.newly_elected() {
+                    if let Some(elected) = self.newly_elected() {
                         // The old leader may hang, so its answers are not waited for: that would
                         // delay the copies of the open calls for the new one.
-                        self.next_addr = Some(addr);
+                        self.next_addr = Some(elected);
+                        self.deposed = Some(addr).filter(|old| *old != elected);
                         return Err(Error::new(Step::Transfer, "another leader was elected"));
                     }
                 }
@@ -295,6 +332,46 @@
     }
 }
 
+/// A connection to a control daemon, and what it said first.
+struct Greeting {
+    addr: SocketAddr,
+    reader: FrameReader,
+    writer: FrameWriter,
+    is_leader: bool,
+    term: Term,
+    leader: Option<SocketAddr>,
+    members: Vec<SocketAddr>,
+}
+
+async fn greet(addr: SocketAddr, keys: CellKeys, first: Vec<AgentMessage>) -> Result<Greeting> {
+    let greeted = timeout(CONNECT_TIMEOUT, async {
+        let stream = wire::dial(addr, PONG_TIMEOUT * 2).await?;
+        let (mut reader, mut writer) = wire::client_handshake(stream, &keys).await?;
+        for message in &first {
+            writer.write(message).await?;
+        }
+        match reader.read::<ServerMessage>().await? {
+            Some(ServerMessage::Lead {
+                is_leader,
+                term,
+                leader,
+                members,
+            }) => Ok(Greeting {
+                addr,
+                reader,
+                writer,
+                is_leader,
+                term,
+                leader,
+                members,
+            }),
+            _ => Err(Error::new(Step::Handshake, "the peer sent no greeting").with_peer(addr)),
+        }
+    });
+    let in_time = greeted.await;
+    in_time.map_err(|_| Error::new(Step::Connect, "no greeting in time").with_peer(addr))?
+}
+
 /// Calls that are not written to the connection yet. When it ends, they are answered as not run;
 /// those that were written have an unknown outcome.
 struct Unwritten(mpsc::UnboundedReceiver<PendingCall>);
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -194,6 +194,7 @@
             elected,
             term: 0,
             next_addr: None,
+            deposed: None,
             keys: keys.clone(),
             calls,
             current: tx,
--- a/tests/batch_search.rs
+++ b/tests/batch_search.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::join_all;
 use link_support::{
     Member, TEST_TIMEOUT, client_call, lead_message, link_from, link_from_all, unreachable,
 };
@@ -118,3 +119,42 @@
     connected(&link).await;
     read_state(&link).await;
 }
+
+/// The hosts of a zone are gone with the leader: seeds and members that answer nothing. Each delayed the
+/// search by its own time limit, so reads were refused although the next leader was elected in time.
+#[tokio::test]
+async fn hosts_that_are_gone_do_not_delay_the_search() {
+    let leader = Member::start(None).await;
+    let next = Member::start(Some(done())).await;
+    let mut gone = Vec::new();
+    for _ in 0..10 {
+        gone.push(unreachable().await);
+    }
+    let members = [leader.addr, gone[7], gone[8], gone[9], next.addr];
+    leader.report(lead_message(true, 5, leader.addr, &members));
+    next.report(leaderless(&[]));
+    let seeds = [&[leader.addr], &gone[..7]].concat();
+    let links: Vec<_> = (0..8).map(|_| link_from_all(seeds.clone())).collect();
+    join_all(links.iter().map(connected)).await;
+    leader.stop();
+    join_all(links.iter().map(disconnected)).await;
+    let elected = async {
+        sleep(Duration::from_millis(400)).await;
+        next.report(lead_message(true, 6, next.addr, &members));
+    };
+    tokio::join!(join_all(links.iter().map(read_state)), elected);
+}
+
+/// Two members that lag behind name each other as the leader. The search must go on to the others.
+#[tokio::test]
+async fn members_that_name_each_other_do_not_end_the_search() {
+    let first = Member::start(None).await;
+    let second = Member::start(None).await;
+    let leader = Member::start(Some(done())).await;
+    first.report(lead_message(false, 5, second.addr, &[]));
+    second.report(lead_message(false, 5, first.addr, &[]));
+    leader.report(lead_message(true, 6, leader.addr, &[]));
+    let link = link_from_all(vec![first.addr, second.addr, leader.addr]);
+    connected(&link).await;
+    read_state(&link).await;
+}
