Notices of elections: not awaited from a member that knows no leader

Seen by callers: while the old leader is cut off from its group but not from an entry host, this host's requests wait and are refused.

Cause: each agent learns of elections from one other member, chosen at random and kept while it answers pings. A replica with an empty disk that is not admitted, or one that is cut off, answers pings and never hears of an election.

Evidence: elections_are_not_awaited_from_a_member_that_knows_no_leader, eight agents, failed before.

--- a/src/batch/election_watch.rs
+++ b/src/batch/election_watch.rs
@@ -51,16 +51,20 @@
     keys: CellKeys,
     elected: watch::Sender<Option<ElectedLeader>>,
 ) {
+    let mut last = None;
     while !elected.is_closed() {
         let chosen = {
             let members = members.borrow();
             let others = members.all.iter().filter(|a| Some(**a) != members.leader);
-            others.copied().choose(&mut rand::rng())
+            let unlike_last = others.clone().filter(|a| Some(**a) != last);
+            let chosen = unlike_last.choose(&mut rand::rng());
+            chosen.or_else(|| others.choose(&mut rand::rng())).copied()
         };
         if let Some(addr) = chosen {
             // On any error, continue with another member.
             let _ = follow_member(addr, &keys, &elected).await;
         }
+        last = chosen;
         sleep(RECONNECT_DELAY).await;
     }
 }
@@ -78,6 +82,7 @@
         .await
         .map_err(|_| Error::new(Step::Connect, "no connection in time").with_peer(addr))??;
     let mut pinged = false;
+    let mut knows_leader = false;
     loop {
         let read_timeout = if pinged { PONG_TIMEOUT } else { PING_AFTER };
         match timeout(read_timeout, reader.read::<ServerMessage>()).await {
@@ -92,15 +97,18 @@
                         publish(elected, ElectedLeader { term, addr });
                         return Ok(());
                     }
-                    Some(ServerMessage::Lead {
-                        leader: Some(leader),
-                        term,
-                        ..
-                    }) => publish(elected, ElectedLeader { term, addr: leader }),
+                    Some(ServerMessage::Lead { leader, term, .. }) => {
+                        knows_leader = leader.is_some();
+                        if let Some(addr) = leader {
+                            publish(elected, ElectedLeader { term, addr });
+                        }
+                    }
                     Some(_) => {}
                     None => return Ok(()),
                 }
             }
+            // It may be cut off, or have lost its disk and not have joined the group again.
+            Err(_) if !knows_leader => return Ok(()),
             Err(_) if pinged => {
                 let silent = Error::new(Step::Transfer, "the connection fell silent");
                 return Err(silent.with_peer(addr));
--- a/tests/batch_search.rs
+++ b/tests/batch_search.rs
@@ -158,3 +158,24 @@
     connected(&link).await;
     read_state(&link).await;
 }
+
+/// A leader that is cut off from the other members still answers pings. A process that learned of
+/// elections from a replica with an empty disk was never told of the next leader.
+#[tokio::test]
+async fn elections_are_not_awaited_from_a_member_that_knows_no_leader() {
+    let cut_off = Member::start(None).await;
+    let empty = Member::start(None).await;
+    let follower = Member::start(None).await;
+    let next = Member::start(Some(done())).await;
+    let members = [cut_off.addr, empty.addr, follower.addr];
+    cut_off.report(lead_message(true, 5, cut_off.addr, &members));
+    empty.report(leaderless(&[]));
+    follower.report(lead_message(false, 5, cut_off.addr, &members));
+    next.report(lead_message(true, 6, next.addr, &members));
+    let links: Vec<_> = (0..8).map(|_| link_from(cut_off.addr)).collect();
+    join_all(links.iter().map(connected)).await;
+    sleep(Duration::from_millis(500)).await;
+    follower.report(lead_message(false, 6, next.addr, &members));
+    sleep(Duration::from_secs(5)).await;
+    join_all(links.iter().map(read_state)).await;
+}
