Link to the leader: only answers show that the leader hears this host

Seen by callers: a read waits for its whole deadline at an entry host and ends as not run, a change as in doubt, though other entry hosts reach the leader.

Cause: any message of the leader counted as a sign of a healthy connection. If messages are lost on the way to the leader only, its orders, questions and lists of relays still arrive: no ping was sent, no relay tried, and the connection was kept until the leader closed it after 5 s.

Change: replies and pongs alone count. Without one, a call goes through a relay after 250 ms and the peer is pinged after 350 ms (1.5 s on an idle connection). While other messages arrive it gets a second for its pong, as it may be busy, and 0.4 s otherwise, as before.

Evidence: a_host_whose_messages_are_lost_passes_requests_through_another (a state, a cancellation) and a_connection_that_carries_messages_one_way_is_given_up failed before. The cost is a ping every 1.5 s on connections that carry orders only.

--- a/src/batch/leader_search.rs
+++ b/src/batch/leader_search.rs
@@ -28,12 +28,15 @@
 const NEXT_AFTER: Duration = Duration::from_millis(50);
 /// Delay after a pass over all known addresses that found no leader.
 const PASS_DELAY: Duration = Duration::from_millis(60);
-/// Time without messages after which the peer is pinged while calls await answers.
+/// Time without an answer after which the peer is pinged while calls await answers. Its own messages
+/// do not count: it may get none of ours.
 const PING_AFTER: Duration = Duration::from_millis(350);
-/// Time without messages after which the peer is pinged on an idle connection.
+/// Time without an answer after which the peer is pinged on an idle connection.
 const PING_AFTER_IDLE: Duration = Duration::from_millis(1500);
-/// Time to wait for the answer to a ping.
+/// Time to wait for the answer to a ping while nothing arrives.
 const PONG_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time to wait for the answer to a ping while other messages arrive: the peer may be busy.
+const BUSY_PONG_TIMEOUT: Duration = Duration::from_millis(1000);
 
 pub(super) struct LeaderSearch<M, P> {
     pub(super) contact: Contact,
@@ -218,6 +221,8 @@
         let mut open = OpenCalls::new();
         let mut number: CallNumber = 0;
         let mut last_received = Instant::now();
+        // When the peer last showed that it gets our messages.
+        let mut last_answered = last_received;
         let mut pinged_at: Option<Instant> = None;
         loop {
             let ping_after = if open.is_empty() {
@@ -225,12 +230,16 @@
             } else {
                 PING_AFTER
             };
-            let next_check = pinged_at.map_or(last_received + ping_after, |at| at + PONG_TIMEOUT);
+            let next_check = match pinged_at {
+                None => last_answered + ping_after,
+                Some(at) if last_received > at => at + BUSY_PONG_TIMEOUT,
+                Some(at) => at + PONG_TIMEOUT,
+            };
             tokio::select! {
                 outgoing = rx.0.recv() => {
                     let Some(first) = outgoing else { return Ok(()) };
                     if open.is_empty() && pinged_at.is_none() {
-                        last_received = Instant::now();
+                        last_answered = Instant::now();
                     }
                     let mut next = Some(first);
                     while let Some(PendingCall { call, reply }) = next {
@@ -259,8 +268,11 @@
                 }
                 message = messages.recv() => {
                     last_received = Instant::now();
-                    *self.contact.heard.lock().expect("no holder panics") = last_received;
-                    pinged_at = None;
+                    if let Some(ServerMessage::Reply(..) | ServerMessage::Pong(_)) = message {
+                        last_answered = last_received;
+                        pinged_at = None;
+                        *self.contact.answered.lock().expect("no holder panics") = last_received;
+                    }
                     match message {
                         None => return Err(Error::new(Step::Transfer, "the connection ended")),
                         Some(ServerMessage::Reply(number, reply)) => {
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -40,7 +40,7 @@
     leaderless.clamp(RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
-/// Time without a message of the leader after which a call is passed through a relay as well: it
+/// Time without an answer of the leader after which a call is passed through a relay as well: it
 /// usually takes a tenth of this.
 const RELAY_AFTER: Duration = Duration::from_millis(250);
 /// Delay before relays are tried again after those tried did not reach the leader. In an outage of
@@ -137,8 +137,8 @@
 /// What this process has heard from the leader; clones share it.
 #[derive(Clone)]
 pub(super) struct Contact {
-    /// When the last message of a leader arrived.
-    pub(super) heard: Arc<Mutex<Instant>>,
+    /// When a leader last answered. Its other messages arrive even if it gets none of ours.
+    pub(super) answered: Arc<Mutex<Instant>>,
     /// Entry hosts that pass on requests.
     pub(super) relays: Arc<Mutex<Vec<SocketAddr>>>,
     /// The address among them that is this process.
@@ -178,7 +178,7 @@
         let (elected_tx, elected) = watch::channel(None);
         tokio::spawn(watch_elections(known_members, keys.clone(), elected_tx));
         let contact = Contact {
-            heard: Arc::new(Mutex::new(Instant::now())),
+            answered: Arc::new(Mutex::new(Instant::now())),
             relays: Arc::default(),
             own_addr: calls.relay_addr,
             next_relay: Arc::new(Mutex::new(Instant::now())),
@@ -305,14 +305,14 @@
         }
     }
 
-    /// Waits until there is no connection to a leader, or nothing has arrived on it for
-    /// `RELAY_AFTER`, counted from now at the earliest.
+    /// Waits until there is no connection to a leader, or it has answered nothing for `RELAY_AFTER`,
+    /// counted from now at the earliest.
     async fn leader_unheard(&self) {
         let began = Instant::now();
         let mut current = self.current.clone();
         while current.borrow_and_update().is_some() {
-            let heard = *self.contact.heard.lock().expect("no holder panics");
-            let unheard_at = heard.max(began) + RELAY_AFTER;
+            let answered = *self.contact.answered.lock().expect("no holder panics");
+            let unheard_at = answered.max(began) + RELAY_AFTER;
             if Instant::now() >= unheard_at {
                 return;
             }
--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -90,6 +90,63 @@
     assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
 }
 
+/// The leader's messages arrive, but it gets none of this host's. Its orders must not count as a sign
+/// that it will answer.
+#[rstest]
+#[case::a_state(ClientAction::State, ClientReply::State(JobState::Done))]
+#[case::a_cancellation(ClientAction::Cancel, ClientReply::Accepted)]
+#[tokio::test]
+async fn a_host_whose_messages_are_lost_passes_requests_through_another(
+    #[case] action: ClientAction,
+    #[case] reply: ClientReply,
+) {
+    let reachable = relay(leader_answering(reply.clone()).await).await;
+    let link = unheard_by_the_leader(vec![reachable]).await;
+    let began = Instant::now();
+    let answered = link.call(client_call(action), began + DEADLINE).await;
+    assert_eq!(answered, Ok(CallReply::Client(reply)));
+    assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
+}
+
+/// A connection on which only the leader's own messages arrive must be replaced: calls that are not
+/// passed through relays would wait on it until their deadlines.
+#[tokio::test]
+async fn a_connection_that_carries_messages_one_way_is_given_up() {
+    let link = unheard_by_the_leader(Vec::new()).await;
+    let call = link.call(Call::GetConfig, Instant::now() + DEADLINE);
+    let lost = async {
+        while link.is_connected() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::select! {
+        answered = call => panic!("{answered:?} on a connection that is still in use"),
+        () = lost => {}
+    }
+}
+
+/// An entry host that gets the leader's messages, among them these relays, while its own are lost.
+async fn unheard_by_the_leader(relays: Vec<SocketAddr>) -> LeaderLink {
+    let mut leader = Control::start(Behavior::Hung).await;
+    let link = link_from(leader.addr);
+    let connection = leader.connection().await;
+    let _ = connection.send(lead_message(true, 1, leader.addr, &[]));
+    tokio::spawn(async move {
+        while connection
+            .send(ServerMessage::Relays(relays.clone()))
+            .is_ok()
+        {
+            sleep(Duration::from_millis(50)).await;
+        }
+        drop(leader);
+    });
+    while !link.is_connected() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    link
+}
+
 /// The direct copy may have been executed, so the caller must not be told that nothing was.
 #[rstest]
 #[case::no_service(ClientReply::Unavailable(Duration::from_secs(1)))]
