Relays: the next one is tried while one gives no answer

Seen by callers: at an entry host that does not reach the leader, a read ends as not run and a change as in doubt although another entry host would have passed it on.

Change: after 250 ms without an answer the next relay is tried beside it; a failed try starts the next at once, as before. Each copy is idempotent and counted, so a change is still in doubt while a copy has no answer.

Evidence: another_relay_is_asked_while_one_is_silent (a state, a cancellation) failed before. A relay that answers within 250 ms costs no second copy.

--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::stream::{FuturesUnordered, StreamExt};
 use rand::seq::IteratorRandom;
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
@@ -25,8 +26,11 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Relays that are tried for one request, one after the other.
+/// Relays that are tried for one request.
 const MAX_TRIES: usize = 2;
+/// Time without an answer after which the next relay is tried beside the one before. A request
+/// through a relay usually takes a tenth of this.
+const NEXT_AFTER: Duration = Duration::from_millis(250);
 
 /// Passes requests of other entry hosts on to the leader; clones share its link.
 #[derive(Clone)]
@@ -101,7 +105,8 @@
 }
 
 /// Passes a request through one of the relays; `None` if none of those tried gave an answer that
-/// holds for the request.
+/// holds for the request. A relay that gives no answer for a while doesn't keep the request from
+/// the next.
 pub(super) async fn call_by_relay(
     way: RelayWay<'_>,
     call: &ClientCall,
@@ -113,8 +118,22 @@
         .iter()
         .copied()
         .sample(&mut rand::rng(), MAX_TRIES);
-    for addr in tried {
-        let answered = timeout_at(deadline, ask(addr, way.keys, call, deadline, copies)).await;
+    let mut untried = tried.into_iter();
+    let mut asked = FuturesUnordered::new();
+    loop {
+        asked.extend(untried.next().map(|addr| {
+            let answer = ask(addr, way.keys, call, deadline, copies);
+            async move { (addr, timeout_at(deadline, answer).await) }
+        }));
+        let wait_end = if untried.len() > 0 {
+            deadline.min(Instant::now() + NEXT_AFTER)
+        } else {
+            deadline + NEXT_AFTER
+        };
+        let Ok(ended) = timeout_at(wait_end, asked.next()).await else {
+            continue;
+        };
+        let (addr, answered) = ended?;
         log_copy(way.log, addr, call, &answered);
         if let Ok(Ok((copy, reply))) = answered
             && let Conclusion::Final(reply) = copy.answered(reply)
@@ -122,7 +141,6 @@
             return Some(reply);
         }
     }
-    None
 }
 
 fn log_copy<T>(
--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -147,6 +147,25 @@
     link
 }
 
+/// A relay takes a request and answers nothing. The other one must be asked before the time for
+/// relays is over.
+#[rstest]
+#[case::a_state(ClientAction::State, ClientReply::State(JobState::Done))]
+#[case::a_cancellation(ClientAction::Cancel, ClientReply::Accepted)]
+#[tokio::test]
+async fn another_relay_is_asked_while_one_is_silent(
+    #[case] action: ClientAction,
+    #[case] reply: ClientReply,
+) {
+    let (silent, _requests) = silent_relay().await;
+    let reachable = relay(leader_answering(reply.clone()).await).await;
+    let link = cut_off(vec![silent, reachable]).await;
+    let began = Instant::now();
+    let answered = link.call(client_call(action), began + DEADLINE).await;
+    assert_eq!(answered, Ok(CallReply::Client(reply)));
+    assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
+}
+
 /// The direct copy may have been executed, so the caller must not be told that nothing was.
 #[rstest]
 #[case::no_service(ClientReply::Unavailable(Duration::from_secs(1)))]
