Relays: four are tried for a request, not two

Seen by callers: at an entry host that is cut off with its zone, some requests are refused at once, and all others of the next 0.3 s with them, although the relays of other zones reach the leader.

Cause: two of the relays were drawn for a request, and there are two in each zone: both may be those that are cut off as well. A failed round keeps all requests of this host from relays for 0.3 s.

Change: four are tried.

Evidence: relays_that_are_cut_off_do_not_end_the_attempts failed before (Err(NotRun) within 16 reads, with two of three relays cut off). In an outage of all control hosts a round sends up to four requests instead of two, every 0.3 s; an_outage_of_all_control_hosts_is_told_at_once holds.

--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -26,8 +26,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Relays that are tried for one request.
-const MAX_TRIES: usize = 2;
+/// Relays that are tried for one request. There are two in each zone, and those in the zone of the
+/// host that asks may be cut off like itself.
+const MAX_TRIES: usize = 4;
 /// Time without an answer after which the next relay is tried beside the one before. A request
 /// through a relay usually takes a tenth of this.
 const NEXT_AFTER: Duration = Duration::from_millis(250);
--- a/tests/batch_relay.rs
+++ b/tests/batch_relay.rs
@@ -166,6 +166,27 @@
     assert!(began.elapsed() < MAX_DETOUR, "{:?}", began.elapsed());
 }
 
+/// Two relays are cut off as well, as those in the zone of the host that asks. Those in other zones
+/// must be tried before the request is refused, and all requests of the next moments with it.
+#[tokio::test]
+async fn relays_that_are_cut_off_do_not_end_the_attempts() {
+    let nowhere: SocketAddr = ([127, 0, 0, 1], 1).into();
+    let mut relays = Vec::new();
+    for _ in 0..2 {
+        relays.push(relay(link_from(nowhere)).await);
+    }
+    let done = ClientReply::State(JobState::Done);
+    relays.push(relay(leader_answering(done.clone()).await).await);
+    let link = leaderless(relays).await;
+    // Requests no longer wait for a leader.
+    sleep(leader_wait(Duration::ZERO) + Duration::from_millis(100)).await;
+    for _ in 0..16 {
+        let call = client_call(ClientAction::State);
+        let answered = link.call(call, Instant::now() + DEADLINE).await;
+        assert_eq!(answered, Ok(CallReply::Client(done.clone())));
+    }
+}
+
 /// The direct copy may have been executed, so the caller must not be told that nothing was.
 #[rstest]
 #[case::no_service(ClientReply::Unavailable(Duration::from_secs(1)))]
