Control hosts: calls reach the leader that the own replica knows

Seen by operators and minions: a control host that started again after the hosts in its settings were gone answers each of their calls with 503 for good, and takes no orders of the leader, though its replica follows it.

Cause: the replica knows the members from its log, but the control host's search for the leader knew its settings only.

Change: a call at a control host that has no connection to a leader adds the members that the replica knows to the addresses that are searched.

Evidence: a_control_host_whose_seeds_are_gone_reaches_the_leader (three real control daemons; the seeds of the third are replaced by an address where nobody listens) failed before: refused for 60 s.

--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -94,6 +94,7 @@
 pub struct LeaderLink {
     current: CurrentLeader,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    members: watch::Sender<Members>,
     /// When the last leader was lost; before the first one is found, when the search began.
     lost_at: Arc<Mutex<Instant>>,
     contact: Contact,
@@ -190,7 +191,7 @@
         let search = LeaderSearch {
             contact: contact.clone(),
             seeds: Arc::clone(&seeds),
-            members,
+            members: members.clone(),
             elected,
             term: 0,
             next_addr: None,
@@ -205,6 +206,7 @@
         Self {
             current,
             seeds,
+            members,
             lost_at,
             contact,
             keys,
@@ -217,6 +219,15 @@
         *self.seeds.lock().expect("no holder panics") = seeds;
     }
 
+    /// Adds members that another part of this process knows of to the addresses that are searched.
+    pub(super) fn learn_members(&self, addrs: &[SocketAddr]) {
+        self.members.send_if_modified(|known| {
+            let before = known.all.len();
+            known.all.extend(addrs);
+            known.all.len() > before
+        });
+    }
+
     /// Whether there is a connection to a leader now.
     pub fn is_connected(&self) -> bool {
         self.current.borrow().is_some()
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -371,6 +371,11 @@
                 Err(_) => return Err(CallError::of_unanswered(&call)),
             }
         }
+        if !self.link.is_connected() {
+            // The seeds may be gone, or may not know the leader, while this replica does.
+            let members = self.local.replica.status().borrow().call_addrs.clone();
+            self.link.learn_members(&members);
+        }
         self.link.call(call, deadline).await
     }
 }
