Logs: a request without an answer is told with its way

Cause: a read that the leader refused or left in doubt, and any request whose caller left first, wrote nothing, and the line of a read without a leader did not say where it had waited. Four explanations of an unanswered read looked the same in the logs. In an outage the line was written for each read, without a bound.

Change: the line "request not answered", at most 20 a second, says path, outcome (with "caller left"), time, way and receiver of the last copy, number of copies, and for how long there has been no leader; a counter has the same labels. "request answered" is written for changes only.

Evidence: a_read_without_an_answer_is_logged_with_its_way: at a paused leader whose caller leaves after 0.2 s ("caller left", via the leader's address), and without a leader ("not run", via none).

--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::call_trace::{CallTrace, Way};
 use super::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply, RETRY_AFTER};
 use super::driver::{Minions, Policy};
 use super::election_watch::{Members, watch_elections};
@@ -243,13 +244,24 @@
     /// is not heard. That is safe, as every call is idempotent. A refusal of one copy is returned only
     /// if no other copy may have been executed.
     pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, CallError> {
+        self.call_traced(call, deadline, &CallTrace::default())
+            .await
+    }
+
+    /// `call`, with the copies that are sent recorded in `trace`.
+    pub async fn call_traced(
+        &self,
+        call: Call,
+        deadline: Instant,
+        trace: &CallTrace,
+    ) -> Result<CallReply, CallError> {
         let request = match &call {
             Call::Client(request) if request.action != ClientAction::PendingCount => {
                 request.clone()
             }
-            _ => return self.call_directly(call, deadline).await,
+            _ => return self.call_directly(call, deadline, trace).await,
         };
-        let copies = Copies::of(&call);
+        let copies = Copies::of(&call, trace);
         let direct = self.call_leader(call, deadline, &copies);
         let relayed = self.call_by_relay(request, deadline, &copies);
         tokio::pin!(direct, relayed);
@@ -274,8 +286,9 @@
         &self,
         call: Call,
         deadline: Instant,
+        trace: &CallTrace,
     ) -> Result<CallReply, CallError> {
-        let copies = Copies::of(&call);
+        let copies = Copies::of(&call, trace);
         let answer = self.call_leader(call, deadline, &copies).await;
         answer.map_or_else(|| copies.outcome(), Ok)
     }
@@ -359,7 +372,7 @@
                 call: call.clone(),
                 reply,
             };
-            let copy = copies.send();
+            let copy = copies.send(Way::Leader, leader.addr);
             if leader.calls.send(pending).is_err() {
                 copy.not_sent();
                 wait_for_change(&mut current, &leader, deadline).await;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -3,6 +3,7 @@
 //! leader's term is the fencing token of its orders.
 
 pub mod agents;
+pub mod call_trace;
 pub mod calls;
 mod client_calls;
 pub mod dispatch;
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use super::call_trace::{CallTrace, Way};
 use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
 use super::link::{CallError, CopyLog, LeaderLink};
 use super::request_copies::{Conclusion, Copies, SentCopy};
@@ -86,7 +87,9 @@
             return CallReply::NotLeader(None);
         }
         let deadline = Instant::now() + left;
-        match self.link.call_directly(Call::Client(call), deadline).await {
+        let trace = CallTrace::default();
+        let call = Call::Client(call);
+        match self.link.call_directly(call, deadline, &trace).await {
             Ok(reply) => reply,
             Err(CallError::NotRun) => CallReply::NotLeader(None),
             Err(CallError::InDoubt) => CallReply::Client(ClientReply::InDoubt),
@@ -176,7 +179,7 @@
         .map_err(|_| Error::new(Step::Connect, "no connection in time").with_peer(addr))??;
     let left = deadline.saturating_duration_since(Instant::now());
     let message = AgentMessage::Relayed(0, call.clone(), left);
-    let copy = copies.send();
+    let copy = copies.send(Way::Relay, addr);
     writer.write(&message).await?;
     match reader.read::<ServerMessage>().await? {
         Some(ServerMessage::Reply(0, reply)) => Ok((copy, reply)),
--- a/src/batch/request_copies.rs
+++ b/src/batch/request_copies.rs
@@ -1,10 +1,12 @@
 //! The copies of one request to the leader, sent directly or through relays, and the outcome that
 //! their answers allow.
 
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 
 use tokio::sync::Notify;
 
+use super::call_trace::{CallTrace, Way};
 use super::calls::{Call, CallReply, CopyOutcome};
 use super::link::CallError;
 
@@ -14,6 +16,7 @@
     state: Mutex<State>,
     /// Notified when relays should not be tried again.
     last_round: Notify,
+    trace: CallTrace,
 }
 
 #[derive(Clone, Copy)]
@@ -46,8 +49,8 @@
 }
 
 impl Copies {
-    /// The copies of `call`, none of them sent.
-    pub(super) fn of(call: &Call) -> Self {
+    /// The copies of `call`, none of them sent; those sent are recorded in `trace`.
+    pub(super) fn of(call: &Call, trace: &CallTrace) -> Self {
         let kind = if call.is_read() {
             Kind::Read
         } else {
@@ -57,11 +60,13 @@
             kind,
             state: Mutex::default(),
             last_round: Notify::new(),
+            trace: trace.clone(),
         }
     }
 
     /// Notes a copy that is about to be sent.
-    pub(super) fn send(&self) -> SentCopy<'_> {
+    pub(super) fn send(&self, way: Way, receiver: SocketAddr) -> SentCopy<'_> {
+        self.trace.record(way, receiver);
         if let Kind::Change = self.kind {
             self.lock().open += 1;
         }
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -11,6 +11,7 @@
 use super::http;
 use super::minions::calls;
 use super::settings::Boot;
+use super::unanswered::UnansweredLog;
 use crate::batch::link::LeaderLink;
 use crate::batch::model::Limits;
 use crate::batch::relay::RelayServer;
@@ -36,6 +37,7 @@
     let callers = CallerHandler {
         link: link.clone(),
         limits,
+        unanswered: UnansweredLog::new(log.clone()),
         log: log.clone(),
     };
     tokio::spawn(http::serve(front, callers, limits, stopping.clone()));
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -18,6 +18,8 @@
 };
 use super::jobs::{self, PendingBody};
 use super::settings::METRICS_PATH;
+use super::unanswered::UnansweredLog;
+use crate::batch::call_trace::CallTrace;
 use crate::batch::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply};
 use crate::batch::link::{CallError, LeaderLink, retry_after};
 use crate::batch::machine::parse_job_id;
@@ -45,6 +47,7 @@
 pub(super) struct CallerHandler {
     pub(super) link: LeaderLink,
     pub(super) limits: Limits,
+    pub(super) unanswered: UnansweredLog,
     pub(super) log: Logger,
 }
 
@@ -84,17 +87,21 @@
             action,
         };
         let path = call.path.clone();
+        let trace = CallTrace::default();
+        let open = self.unanswered.open(&self.link, &path, received, &trace);
         let timeout = timeout.saturating_sub(ANSWER_RESERVE.min(timeout / 4));
         let reply = if timeout < MIN_CALL_TIME {
             Err(CallError::NotRun)
         } else {
-            self.link.call(Call::Client(call), received + timeout).await
+            let (call, deadline) = (Call::Client(call), received + timeout);
+            self.link.call_traced(call, deadline, &trace).await
         };
         let took = received.elapsed();
         let outcome = outcome(&reply);
         counter!("yuccahold_batch_requests_total", "outcome" => outcome).increment(1);
         histogram!("yuccahold_batch_request_seconds").record(took.as_secs_f64());
-        if changes || reply.is_err() {
+        open.end((!changes && !is_answer(&reply)).then_some(outcome));
+        if changes {
             info!(self.log, "request answered"; "path" => path.as_str(),
                 "outcome" => outcome, "took_ms" => took.as_millis() as u64);
         }
@@ -103,6 +110,16 @@
     }
 }
 
+/// Whether the leader has answered the request, if only to reject it.
+fn is_answer(reply: &Result<CallReply, CallError>) -> bool {
+    match reply {
+        Ok(CallReply::Client(reply)) => {
+            !matches!(reply, ClientReply::Unavailable(_) | ClientReply::InDoubt)
+        }
+        Ok(CallReply::Operator(_) | CallReply::NotLeader(_)) | Err(_) => false,
+    }
+}
+
 fn outcome(reply: &Result<CallReply, CallError>) -> &'static str {
     match reply {
         Ok(reply) => reply.as_str(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,6 +13,7 @@
 mod operator;
 mod rows;
 mod settings;
+mod unanswered;
 
 pub use config::decode as decode_config;
 pub use control::{parse_args as parse_control_args, run as run_control};
