--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::call_trace::{CallTrace, Way};
 use super::calls::{Call, CallReply, ClientAction, ClientCall, ClientReply, RETRY_AFTER};
 use super::driver::{Minions, Policy};
 use super::election_watch::{Members, watch_elections};
@@ -40,7 +41,7 @@
     leaderless.clamp(RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
-/// Time without a message of the leader after which a call is passed through a relay as well: it
+/// Time without an answer of the leader after which a call is passed through a relay as well: it
 /// usually takes a tenth of this.
 const RELAY_AFTER: Duration = Duration::from_millis(250);
 /// Delay before relays are tried again after those tried did not reach the leader. In an outage of
@@ -94,6 +95,7 @@
 pub struct LeaderLink {
     current: CurrentLeader,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    members: watch::Sender<Members>,
     /// When the last leader was lost; before the first one is found, when the search began.
     lost_at: Arc<Mutex<Instant>>,
     contact: Contact,
@@ -137,8 +139,8 @@
 /// What this process has heard from the leader; clones share it.
 #[derive(Clone)]
 pub(super) struct Contact {
-    /// When the last message of a leader arrived.
-    pub(super) heard: Arc<Mutex<Instant>>,
+    /// When a leader last answered. Its other messages arrive even if it gets none of ours.
+    pub(super) answered: Arc<Mutex<Instant>>,
     /// Entry hosts that pass on requests.
     pub(super) relays: Arc<Mutex<Vec<SocketAddr>>>,
     /// The address among them that is this process.
@@ -178,7 +180,7 @@
         let (elected_tx, elected) = watch::channel(None);
         tokio::spawn(watch_elections(known_members, keys.clone(), elected_tx));
         let contact = Contact {
-            heard: Arc::new(Mutex::new(Instant::now())),
+            answered: Arc::new(Mutex::new(Instant::now())),
             relays: Arc::default(),
             own_addr: calls.relay_addr,
             next_relay: Arc::new(Mutex::new(Instant::now())),
@@ -190,10 +192,11 @@
         let search = LeaderSearch {
             contact: contact.clone(),
             seeds: Arc::clone(&seeds),
-            members,
+            members: members.clone(),
             elected,
             term: 0,
             next_addr: None,
+            deposed: None,
             keys: keys.clone(),
             calls,
             current: tx,
@@ -204,6 +207,7 @@
         Self {
             current,
             seeds,
+            members,
             lost_at,
             contact,
             keys,
@@ -216,6 +220,15 @@
         *self.seeds.lock().expect("no holder panics") = seeds;
     }
 
+    /// Adds members that another part of this process knows of to the addresses that are searched.
+    pub(super) fn learn_members(&self, addrs: &[SocketAddr]) {
+        self.members.send_if_modified(|known| {
+            let before = known.all.len();
+            known.all.extend(addrs);
+            known.all.len() > before
+        });
+    }
+
     /// Whether there is a connection to a leader now.
     pub fn is_connected(&self) -> bool {
         self.current.borrow().is_some()
@@ -231,13 +244,24 @@
     /// is not heard. That is safe, as every call is idempotent. A refusal of one copy is returned only
     /// if no other copy may have been executed.
     pub async fn call(&self, call: Call, deadline: Instant) -> Result<CallReply, CallError> {
+        self.call_traced(call, deadline, &CallTrace::default())
+            .await
+    }
+
+    /// `call`, with the copies that are sent recorded in `trace`.
+    pub async fn call_traced(
+        &self,
+        call: Call,
+        deadline: Instant,
+        trace: &CallTrace,
+    ) -> Result<CallReply, CallError> {
         let request = match &call {
             Call::Client(request) if request.action != ClientAction::PendingCount => {
                 request.clone()
             }
-            _ => return self.call_directly(call, deadline).await,
+            _ => return self.call_directly(call, deadline, trace).await,
         };
-        let copies = Copies::of(&call);
+        let copies = Copies::of(&call, trace);
         let direct = self.call_leader(call, deadline, &copies);
         let relayed = self.call_by_relay(request, deadline, &copies);
         tokio::pin!(direct, relayed);
@@ -262,8 +286,9 @@
         &self,
         call: Call,
         deadline: Instant,
+        trace: &CallTrace,
     ) -> Result<CallReply, CallError> {
-        let copies = Copies::of(&call);
+        let copies = Copies::of(&call, trace);
         let answer = self.call_leader(call, deadline, &copies).await;
         answer.map_or_else(|| copies.outcome(), Ok)
     }
@@ -304,14 +329,14 @@
         }
     }
 
-    /// Waits until there is no connection to a leader, or nothing has arrived on it for
-    /// `RELAY_AFTER`, counted from now at the earliest.
+    /// Waits until there is no connection to a leader, or it has answered nothing for `RELAY_AFTER`,
+    /// counted from now at the earliest.
     async fn leader_unheard(&self) {
         let began = Instant::now();
         let mut current = self.current.clone();
         while current.borrow_and_update().is_some() {
-            let heard = *self.contact.heard.lock().expect("no holder panics");
-            let unheard_at = heard.max(began) + RELAY_AFTER;
+            let answered = *self.contact.answered.lock().expect("no holder panics");
+            let unheard_at = answered.max(began) + RELAY_AFTER;
             if Instant::now() >= unheard_at {
                 return;
             }
@@ -347,7 +372,7 @@
                 call: call.clone(),
                 reply,
             };
-            let copy = copies.send();
+            let copy = copies.send(Way::Leader, leader.addr);
             if leader.calls.send(pending).is_err() {
                 copy.not_sent();
                 wait_for_change(&mut current, &leader, deadline).await;
