--- a/src/replication/addresses.rs
+++ b/src/replication/addresses.rs
@@ -62,7 +62,7 @@
     /// Addresses for an announcement: the configured ones, those of the members in the log and those
     /// of the peers that have connected. All configured replicas may be down while the group runs on
     /// others, and the members of a group connect to an empty replica at the address of its former
-    /// life.
+    /// life for as long as its former id is a member.
     pub(crate) fn for_announcement(&self, in_log: Vec<SocketAddr>) -> Vec<SocketAddr> {
         let mut addrs = in_log;
         addrs.extend(&self.configured);
