Tests: a soak profile in which control daemons lose their disks in series

The soak of real processes lost one disk now and then among the seeds, changed no seeds, replaced no host and sent few configurations.

Change: a profile with five control daemons or more. One after the other loses its disk, the leader in half of the cases, each after the 4 s that the platform gives the one before; a quarter of them are gone for good, and an empty one starts at another address. Seeds change, with and without SIGHUP, so that the leader is not among them. Configurations come 0.1 to 0.5 s apart. Control daemons and entry hosts get SIGTERM, SIGKILL, SIGHUP and SIGSTOP, minions crash, drain, and leave with a final message. Callers keep their connections open and submit quick, long and lasting jobs. In the end all processes are killed, and one has lost its disk. The checks after that: a leader and five live voters within 12 s, the last configuration on every control daemon, every accepted job readable within 14 s, a run of every lasting task within 6 s, and those of the other profiles.

The operator and the reports of the minions move to files of their own, and settings files are replaced by renaming, as a daemon may otherwise read a half-written one.

--- a/tests/platform_cell/caller.rs
+++ b/tests/platform_cell/caller.rs
@@ -39,6 +39,10 @@
     recorder: Recorder,
     /// Fraction of jobs whose tasks crash the minions that start them.
     pub crash_share: f64,
+    /// Whether it submits long jobs, and jobs that last, of which it keeps one at a time.
+    pub lasting: bool,
+    /// Its job that lasts, if there is one.
+    kept: Option<String>,
     /// Index of its workspace; unused when there are no workspaces.
     pub workspace: usize,
 }
@@ -51,6 +55,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             recorder,
             crash_share: 0.0,
+            lasting: false,
+            kept: None,
             workspace: 0,
         }
     }
@@ -62,6 +68,7 @@
             entry_addrs: self.entry_addrs.clone(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             recorder: self.recorder.clone(),
+            kept: None,
             ..*self
         }
     }
@@ -73,6 +80,10 @@
             if self.recorder.workspaces.key(self.workspace, 0).is_some() {
                 self.recorder.submitted_by(&job, self.workspace);
             }
+            if self.lasting && self.rng.random_bool(0.1) {
+                self.submit_lasting(job).await;
+                continue;
+            }
             let unknown = !self.rng.random_bool(0.2) || self.submit_with_old_key(&job).await;
             if self.submit(&job, unknown).await {
                 if self.rng.random_bool(0.1) {
@@ -86,12 +97,48 @@
         }
     }
 
+    /// Cancels its job that lasts, and submits another.
+    async fn submit_lasting(&mut self, job: String) {
+        if let Some(kept) = self.kept.take() {
+            self.cancel(&kept).await;
+        }
+        let tasks = self.rng.random_range(1..=3);
+        let ends_after_ms = match self.rng.random_range(0..2) {
+            0 => self.rng.random_range(3_000..10_000),
+            _ => 1_000_000_000,
+        };
+        let payload = Payload {
+            need: Resources {
+                millicores: self.rng.random_range(200..1_000),
+                memory_mb: self.rng.random_range(100..500),
+            },
+            duration_ms: ends_after_ms,
+            fail_percent: 100,
+            crashes: false,
+            copies: false,
+        };
+        let body = json!({"spec": payload.text(), "steps": [{
+            "count": tasks, "cpu": payload.need.millicores, "mem_mb": payload.need.memory_mb,
+            "est_ms": 1_000, "runs_forever": true,
+        }]});
+        self.recorder.lasts(&job, tasks);
+        if self.submit_body(&job, true, &body).await {
+            self.kept = Some(job);
+        } else {
+            // An attempt without an answer may have been accepted.
+            self.ask(reqwest::Method::DELETE, &job, None).await;
+        }
+    }
+
     fn job(&mut self) -> Value {
         let need = Resources {
             millicores: self.rng.random_range(200..3_000),
             memory_mb: self.rng.random_range(100..2_000),
         };
-        let duration_ms = self.rng.random_range(50..900);
+        let duration_ms = match self.lasting && self.rng.random_bool(0.06) {
+            true => self.rng.random_range(3_000..8_000),
+            false => self.rng.random_range(50..900),
+        };
         let payload = Payload {
             need,
             duration_ms,
@@ -116,16 +163,20 @@
     /// answer must never run; with `unknown`, no earlier submission of it was without a rejection.
     async fn submit(&mut self, job: &str, unknown: bool) -> bool {
         let body = self.job();
+        self.submit_body(job, unknown, &body).await
+    }
+
+    async fn submit_body(&mut self, job: &str, unknown: bool, body: &Value) -> bool {
         let mut only_refused = unknown;
         // A new leader may reject only the first attempt, so some callers make no other.
         let attempts = if self.rng.random_bool(0.3) { 1 } else { 6 };
         for _ in 0..attempts {
-            match self.ask(reqwest::Method::POST, job, Some(&body)).await {
+            match self.ask(reqwest::Method::POST, job, Some(body)).await {
                 Outcome::Status(200..=299, _) => {
                     self.recorder.accepted(job);
                     // A delayed duplicate of the request must find the same job.
                     if self.rng.random_bool(0.05) {
-                        self.ask(reqwest::Method::POST, job, Some(&body)).await;
+                        self.ask(reqwest::Method::POST, job, Some(body)).await;
                     }
                     return true;
                 }
@@ -151,7 +202,7 @@
         matches!(sent.await, Outcome::Status(status, _) if is_rejection(status))
     }
 
-    async fn cancel(&mut self, job: &str) {
+    pub async fn cancel(&mut self, job: &str) {
         let outcome = self.ask(reqwest::Method::DELETE, job, None).await;
         // Without an answer the job may or may not be cancelled, so it isn't required to end.
         self.recorder.cancelled(job);
--- a/tests/platform_cell/minion.rs
+++ b/tests/platform_cell/minion.rs
@@ -14,13 +14,13 @@
 use yuccahold::fault::{Fault, TcpProxy};
 
 use super::capacity::MinionCapacity;
+use super::operator::Directory;
 use super::payload::Payload;
 use super::policy::listen;
 use super::recorder::{Recorder, Resources};
 
 /// Longest lease in ms.
 pub const LEASE_MAX_MS: u64 = 3_000;
-const HEARTBEAT: Duration = Duration::from_millis(300);
 const TICK: Duration = Duration::from_millis(10);
 /// Time from a stop order to the end of the run, in ms.
 const STOP_TIME_MS: u64 = 60;
@@ -46,11 +46,11 @@
     void: bool,
 }
 
-struct State {
-    id: String,
+pub(super) struct State {
+    pub(super) id: String,
     started_at: Instant,
     /// Unix time of the start in ms.
-    started_unix_ms: u64,
+    pub(super) started_unix_ms: u64,
     /// Time by its clock at which a task will crash it, if one will.
     crashes_at: Option<u64>,
     /// Highest fencing token seen.
@@ -62,8 +62,8 @@
     highest_ended: BTreeMap<String, u32>,
     ended: Vec<EndedRun>,
     last_end: u64,
-    sequence: u64,
-    draining: bool,
+    pub(super) sequence: u64,
+    pub(super) draining: bool,
 }
 
 impl State {
@@ -84,7 +84,7 @@
         }
     }
 
-    fn clock(&self) -> u64 {
+    pub(super) fn clock(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
 
@@ -160,9 +160,9 @@
     drawn: AtomicU64,
     capacity: Mutex<MinionCapacity>,
     /// It has crashed and has not recovered yet.
-    is_down: AtomicBool,
+    pub(super) is_down: AtomicBool,
     /// Its cell has ended: it must send no more reports.
-    is_stopped: AtomicBool,
+    pub(super) is_stopped: AtomicBool,
     recorder: Recorder,
     /// The address at which the system reaches the minion; tests inject network faults here.
     pub proxy: TcpProxy,
@@ -171,7 +171,7 @@
 type Answer = (StatusCode, Value);
 
 impl Minion {
-    pub async fn start(number: usize, controls: Vec<SocketAddr>, recorder: Recorder) -> Arc<Self> {
+    pub async fn start(number: usize, controls: Directory, recorder: Recorder) -> Arc<Self> {
         let proxy = TcpProxy::start(None, number as u64).await.expect("a proxy");
         let minion = Arc::new(Self {
             state: Mutex::new(State::new(format!("i-{number}-0"))),
@@ -193,7 +193,7 @@
         minion
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
 
@@ -210,7 +210,7 @@
         self.restart(name);
     }
 
-    fn restart(&self, name: RestartName) {
+    pub(super) fn restart(&self, name: RestartName) {
         let incarnation = match name {
             RestartName::New => self.incarnations.fetch_add(1, Ordering::Relaxed) + 1,
             RestartName::Same => self.incarnations.load(Ordering::Relaxed),
@@ -244,17 +244,10 @@
         capacity.resize(percent, Instant::now());
     }
 
-    fn capacity(&self) -> MinionCapacity {
+    pub(super) fn capacity(&self) -> MinionCapacity {
         *self.capacity.lock().expect("no holder panics")
     }
 
-    /// Reports that it is draining, and restarts as a new instance after 2 s.
-    pub async fn drain(&self) {
-        self.lock().draining = true;
-        tokio::time::sleep(Duration::from_millis(2_000)).await;
-        self.restart(RestartName::New);
-    }
-
     pub fn set_late(&self, percent: u64) {
         self.late_percent.store(percent, Ordering::Relaxed);
     }
@@ -295,43 +288,6 @@
         }
     }
 
-    async fn report(self: Arc<Self>, controls: Vec<SocketAddr>) {
-        let client = reqwest::Client::new();
-        let mut next = 0;
-        while !self.is_stopped.load(Ordering::Relaxed) {
-            if self.is_down.load(Ordering::Relaxed) {
-                tokio::time::sleep(HEARTBEAT).await;
-                continue;
-            }
-            let capacity = self.capacity().now;
-            let (id, body) = {
-                let mut state = self.lock();
-                state.sequence += 1;
-                let body = json!({
-                    "service": "desk", "addr": self.proxy.addr().to_string(), "zone": "z-a",
-                    "version": "v1", "slots": 8, "cold_left_ms": 0,
-                    "state": if state.draining { "draining" } else { "ready" },
-                    "capacity": {
-                        "cpu": capacity.millicores, "mem_mb": capacity.memory_mb, "gpu": 0,
-                    },
-                    "labels": ["a", "r1-1"], "clock_ms": state.clock(), "seq": state.sequence,
-                    "born": state.started_unix_ms,
-                });
-                (state.id.clone(), body)
-            };
-            for _ in 0..controls.len() {
-                let control = controls[next % controls.len()];
-                let url = format!("http://{control}/yuccahold/instances/{id}");
-                let sent = client.put(url).json(&body).timeout(Duration::from_secs(1));
-                if sent.send().await.is_ok_and(|r| r.status().is_success()) {
-                    break;
-                }
-                next += 1;
-            }
-            tokio::time::sleep(HEARTBEAT).await;
-        }
-    }
-
     fn refused(clock: u64, reason: &str) -> Answer {
         let body = json!({"clock_ms": clock, "reason": reason});
         (StatusCode::CONFLICT, body)
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -5,10 +5,14 @@
 
 pub mod caller;
 mod capacity;
+pub mod losses;
 pub mod minion;
+pub mod operator;
 pub mod payload;
 mod policy;
 pub mod recorder;
+mod reports;
+pub mod settle;
 pub mod workspaces;
 
 use std::fs::File;
@@ -16,16 +20,15 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use caller::{HOST, PREFIX};
 use minion::{LEASE_MAX_MS, Minion};
-use recorder::{ATTEMPTS, Recorder};
+use operator::{Directory, Operator};
+use recorder::Recorder;
 
 /// Longest wait for processes to start, or for a condition to hold, on a busy host.
 pub const DEADLINE: Duration = Duration::from_secs(60);
@@ -54,6 +57,8 @@
     ip: Ipv4Addr,
     folder: PathBuf,
     child: Option<Child>,
+    /// Whether the operator knows it: it was started and is not gone for good.
+    pub deployed: bool,
 }
 
 impl Process {
@@ -100,6 +105,43 @@
         }
     }
 
+    /// Whether it has exited without having been killed or replaced.
+    pub fn has_exited(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| child.try_wait().expect("a child").is_some())
+    }
+
+    /// Its newest view of the replication group since its last start, as a line of its log.
+    pub fn group_view(&self) -> Option<String> {
+        let log = std::fs::read_to_string(self.log()).unwrap_or_default();
+        let since_start = log.rsplit("\"first_start\"").next()?;
+        let last = since_start.lines().rfind(|l| l.contains("\"role\":"))?;
+        Some(last.to_owned())
+    }
+
+    pub fn is_leader(&self) -> bool {
+        let view = self.group_view();
+        view.is_some_and(|view| view.contains("\"role\":\"Leader\""))
+    }
+
+    pub fn is_voter(&self) -> bool {
+        let view = self.group_view();
+        view.is_some_and(|view| !view.contains("\"role\":\"Learner\""))
+    }
+
+    pub fn log(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    pub fn is_started(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Sends SIGTERM.
+    pub fn begin_termination(&self) {
+        self.signal(Signal::TERM);
+    }
+
     pub fn start(&mut self) {
         let binary = match self.role {
             Role::Control => env!("CARGO_BIN_EXE_yuccahold-control"),
@@ -108,7 +150,7 @@
         let log = File::options()
             .create(true)
             .append(true)
-            .open(self.folder.join("log"))
+            .open(self.log())
             .expect("a log file");
         let child = Command::new(binary)
             .arg("--platform")
@@ -119,6 +161,7 @@
             .spawn()
             .expect("the daemon starts");
         self.child = Some(child);
+        self.deployed = true;
     }
 
     /// Deletes its data, so that it next starts as a new replica.
@@ -144,11 +187,12 @@
     pub processes: Vec<Process>,
     pub minions: Vec<Arc<Minion>>,
     pub recorder: Recorder,
+    pub operator: Operator,
+    /// Control daemons, as the operator and the minions know them.
+    pub directory: Directory,
+    /// Indexes of the processes that the settings files name as seeds.
+    pub seeds: Vec<usize>,
     policy: SocketAddr,
-    client: reqwest::Client,
-    version: u64,
-    /// Highest configuration version that was acknowledged.
-    acknowledged: u64,
 }
 
 impl Drop for System {
@@ -161,12 +205,24 @@
 
 impl System {
     pub async fn start(name: &str, controls: usize, entries: usize, minions: usize) -> Self {
-        static CELLS: AtomicU8 = AtomicU8::new(0);
-        // Each cell uses 16 of 256 addresses. The seventeenth cell reuses those of the first, which
-        // has ended by then.
-        let cell = CELLS.fetch_add(1, Ordering::Relaxed) % 16;
+        Self::start_with_spares(name, controls, 0, entries, minions).await
+    }
+
+    /// Starts a system and prepares `spares` more control daemons, the last of its processes.
+    pub async fn start_with_spares(
+        name: &str,
+        controls: usize,
+        spares: usize,
+        entries: usize,
+        minions: usize,
+    ) -> Self {
+        static ADDRESSES: AtomicUsize = AtomicUsize::new(0);
+        // Each cell uses a multiple of 16 addresses of 255. Later cells reuse those of the first,
+        // which have ended by then.
+        let needed = (controls + entries + spares).next_multiple_of(16);
+        let first = ADDRESSES.fetch_add(needed, Ordering::Relaxed);
         let [.., b, c] = std::process::id().to_be_bytes();
-        let ip = |i: usize| Ipv4Addr::new(127, 128 | b, c, 1 + cell * 16 + i as u8);
+        let ip = |i: usize| Ipv4Addr::new(127, 128 | b, c, 1 + ((first + i) % 255) as u8);
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = std::fs::remove_dir_all(&folder);
         let process = |(i, role): (usize, Role)| {
@@ -177,25 +233,30 @@
                 ip: ip(i),
                 folder,
                 child: None,
+                deployed: false,
             }
         };
         let roles = std::iter::repeat_n(Role::Control, controls)
-            .chain(std::iter::repeat_n(Role::Entry, entries));
+            .chain(std::iter::repeat_n(Role::Entry, entries))
+            .chain(std::iter::repeat_n(Role::Control, spares));
+        let recorder = Recorder::default();
+        let directory = Directory::default();
         let mut system = Self {
             processes: roles.enumerate().map(process).collect(),
             folder,
             minions: Vec::new(),
-            recorder: Recorder::default(),
+            operator: Operator::new(directory.clone(), recorder.clone()),
+            recorder,
+            directory: directory.clone(),
+            seeds: (0..controls.min(3)).collect(),
             policy: policy::serve_policy().await,
-            client: reqwest::Client::new(),
-            version: 0,
-            acknowledged: 0,
         };
         system.write_settings(true);
-        system.processes.iter_mut().for_each(Process::start);
-        let addrs = system.controls();
+        let started = &mut system.processes[..controls + entries];
+        started.iter_mut().for_each(Process::start);
+        directory.set(system.controls());
         for i in 0..minions {
-            let minion = Minion::start(i, addrs.clone(), system.recorder.clone()).await;
+            let minion = Minion::start(i, directory.clone(), system.recorder.clone()).await;
             system.minions.push(minion);
         }
         system.put_config().await;
@@ -204,8 +265,8 @@
 
     /// Writes the settings of all processes. With `first`, one of them forms the replication group.
     pub fn write_settings(&self, first: bool) {
-        let controls = self.controls();
-        let seeds: Vec<_> = controls.iter().take(3).map(ToString::to_string).collect();
+        let seeds = self.seeds.iter().map(|i| self.processes[*i].ip);
+        let seeds: Vec<_> = seeds.map(|ip| format!("{ip}:{CONTROL_PORT}")).collect();
         for process in &self.processes {
             let ip = process.ip;
             let listen = match process.role {
@@ -222,12 +283,15 @@
                 process.folder.join("data").display(),
                 self.policy,
             );
-            std::fs::write(process.folder.join("boot.conf"), text).expect("settings");
+            let part = process.folder.join("boot.part");
+            std::fs::write(&part, text).expect("settings");
+            std::fs::rename(part, process.folder.join("boot.conf")).expect("settings");
         }
     }
 
     fn addrs(&self, role: Role, port: u16) -> Vec<SocketAddr> {
-        let of_role = self.processes.iter().filter(|p| p.role == role);
+        let of_role = self.processes.iter();
+        let of_role = of_role.filter(|p| p.role == role && p.deployed);
         of_role.map(|p| SocketAddr::from((p.ip, port))).collect()
     }
 
@@ -239,70 +303,15 @@
         self.addrs(Role::Entry, ENTRY_PORT)
     }
 
-    fn document(&self) -> Value {
-        let mut document = json!({
-            "version": self.version,
-            "routes": [{
-                "name": "work", "host": HOST, "path_prefix": PREFIX, "kind": "unsafe",
-                "timeout_ms": 3000, "slo_ms": 300, "priority": 0, "service": "desk",
-                "attempts": ATTEMPTS, "stretch": 2.0,
-                "advice": {"decide_ms": 20.0, "each_ms": 0.1, "validity_ms": 2000},
-            }],
-            "services": [{"name": "desk", "health_path": "/health", "max_conns": 64}],
-        });
-        if let Some(workspaces) = self.recorder.workspaces.document() {
-            document["tenants"] = workspaces;
-        }
-        document
-    }
-
-    /// Sends the next configuration version until it is acknowledged.
     pub async fn put_config(&mut self) {
-        self.version += 7;
-        let document = self.document();
-        let controls = self.controls();
-        let mut next = self.version as usize;
-        let client = self.client.clone();
-        wait_for("a configuration to be acknowledged", async || {
-            next += 1;
-            let url = format!(
-                "http://{}/yuccahold/config",
-                controls[next % controls.len()]
-            );
-            let sent = client
-                .put(url)
-                .json(&document)
-                .timeout(Duration::from_secs(1));
-            sent.send().await.is_ok_and(|r| r.status().is_success())
-        })
-        .await;
-        self.acknowledged = self.version;
-        self.recorder.workspaces.acknowledged();
+        self.operator.put().await;
     }
 
-    /// Version of the configuration that the system returns; `None` when no control daemon answers.
     pub async fn config_version(&self) -> Option<u64> {
-        for control in self.controls() {
-            let url = format!("http://{control}/yuccahold/config");
-            let asked = self.client.get(url).timeout(Duration::from_secs(1)).send();
-            if let Ok(reply) = asked.await
-                && reply.status().is_success()
-            {
-                let text = reply.json::<Value>().await.ok()?;
-                return text["version"].as_u64();
-            }
-        }
-        None
+        self.operator.config_version().await
     }
 
-    /// Records a violation when the system returns a configuration older than the acknowledged one.
     pub async fn check_config(&self) {
-        if let Some(version) = self.config_version().await
-            && version < self.acknowledged
-        {
-            let acknowledged = self.acknowledged;
-            let text = format!("CONFIG {version} was read after {acknowledged} was acknowledged");
-            self.recorder.record_violation(text);
-        }
+        self.operator.check_config().await;
     }
 }
--- a/tests/platform_cell/recorder.rs
+++ b/tests/platform_cell/recorder.rs
@@ -47,6 +47,8 @@
     refused: BTreeSet<String>,
     accepted: BTreeSet<String>,
     cancelled: BTreeSet<String>,
+    /// Tasks of submitted jobs that last, by job.
+    lasting: BTreeMap<String, Vec<String>>,
     /// Workspace index, by job.
     owners: BTreeMap<String, usize>,
     violations: Vec<String>,
@@ -192,14 +194,45 @@
         self.lock().violations.push(what);
     }
 
-    /// Accepted jobs that were not cancelled; all of them have to end.
+    /// Records that a job, about to be submitted, has one step of this many tasks that run until it is cancelled.
+    pub fn lasts(&self, job: &str, tasks: u32) {
+        let tasks = (0..tasks).map(|i| format!("{job}.0.0.{i}")).collect();
+        self.lock().lasting.insert(job.to_owned(), tasks);
+    }
+
+    /// Accepted jobs that were not cancelled.
+    pub fn kept(&self) -> Vec<String> {
+        let records = self.lock();
+        let kept = records.accepted.difference(&records.cancelled);
+        kept.cloned().collect()
+    }
+
+    /// Accepted jobs that were not cancelled and do not last; all of them have to end.
     pub fn must_finish(&self) -> Vec<String> {
+        let mut jobs = self.kept();
+        jobs.retain(|job| !self.lock().lasting.contains_key(job));
+        jobs
+    }
+
+    /// Jobs that last and were not cancelled.
+    pub fn must_last(&self) -> Vec<String> {
+        let mut jobs = self.kept();
+        jobs.retain(|job| self.lock().lasting.contains_key(job));
+        jobs
+    }
+
+    /// Submitted jobs that last.
+    pub fn lasting(&self) -> Vec<String> {
+        self.lock().lasting.keys().cloned().collect()
+    }
+
+    /// Tasks of jobs that last and were not cancelled, without those that run now.
+    pub fn idle_lasting(&self) -> BTreeSet<String> {
+        let jobs = self.must_last();
         let records = self.lock();
-        records
-            .accepted
-            .difference(&records.cancelled)
-            .cloned()
-            .collect()
+        let tasks = jobs.iter().flat_map(|job| &records.lasting[job]);
+        let idle = tasks.filter(|task| !records.running.contains_key(*task));
+        idle.cloned().collect()
     }
 
     /// Whether a task of the job has used up its attempts, or has caused enough crashes to be given
--- a/tests/platform_cell/workspaces.rs
+++ b/tests/platform_cell/workspaces.rs
@@ -68,11 +68,11 @@
     }
 
     /// The `tenants` section of the configuration; `None` when there are no workspaces.
-    pub fn document(&self) -> Option<Value> {
+    pub fn document(&self, weight: u32) -> Option<Value> {
         let state = self.lock();
         let each = state.workspaces.iter().enumerate().map(|(i, w)| {
             json!({"name": format!("workspace-{i}"), "api_keys": [key_text(i, w.key)],
-                "weight": 4, "max_count": {"cpu": w.limit, "mem_mb": 0, "gpu": 0}})
+                "weight": weight, "max_count": {"cpu": w.limit, "mem_mb": 0, "gpu": 0}})
         });
         (!state.workspaces.is_empty()).then(|| each.collect())
     }
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -12,12 +12,15 @@
 
 use std::time::Duration;
 
-use platform_cell::caller::{Caller, Outcome};
+use platform_cell::caller::Caller;
+use platform_cell::losses::{CATCH_UP_TIME, Losses};
 use platform_cell::minion::RestartName;
-use platform_cell::{Process, Role, System, wait_for};
+use platform_cell::settle::{check_recovery, settle};
+use platform_cell::{Process, Role, System};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 use yuccahold::fault::{Direction, Fault};
 
@@ -28,11 +31,6 @@
 /// Time between SIGTERM and SIGKILL, as in the settings.
 const STOP_GRACE: Duration = Duration::from_secs(2);
 
-/// Time from its first start within which a replica must become a voter, as the platform requires.
-/// If a disk is lost earlier, such as 0.4 s after the start while the group has one voter or two,
-/// the only copy or the majority is lost with it.
-const CATCH_UP_TIME: Duration = Duration::from_secs(4);
-
 /// A fault that the test injects. Numbers are indexes of processes, minions or workspaces.
 #[derive(Clone, Copy, Debug)]
 enum FaultEvent {
@@ -118,7 +116,9 @@
         }
         FaultEvent::Wipe(i) => {
             // Only one disk of three may be lost at a time, and the new replica has to catch up
-            // before the next loss: the others must have committed a change since then.
+            // before the next loss: the others must have committed a change since then. If a disk
+            // is lost earlier, such as 0.4 s after the start while the group has one voter or two,
+            // the only copy or the majority is lost with it.
             system.put_config().await;
             system.processes[i].kill();
             system.processes[i].wipe();
@@ -259,50 +259,92 @@
     );
 }
 
-/// Waits, after the last fault, until every accepted job that was not cancelled has ended, no run is
-/// left, and the newest configuration can be read.
-async fn settle(system: &System, seed: u64) {
-    let mut caller = Caller::new(system.entry_addrs(), seed, system.recorder.clone());
-    let mut must_finish = system.recorder.must_finish();
-    wait_for("every accepted job to end", async || {
-        let mut left = Vec::new();
-        for job in must_finish.drain(..) {
-            caller.workspace = system.recorder.owner(&job).unwrap_or_default();
-            match caller.ask(reqwest::Method::GET, &job, None).await {
-                Outcome::Status(200, Some(state)) if state == "done" => {}
-                Outcome::Status(200, Some(state)) if state == "failed" => {
-                    if !system.recorder.may_have_failed(&job) {
-                        system
-                            .recorder
-                            .record_violation(format!("LOST {job}: failed without cause"));
-                    }
-                }
-                Outcome::Status(200, Some(state)) if state == "canceled" => {
-                    system
-                        .recorder
-                        .record_violation(format!("LOST {job}: nobody cancelled it"));
-                }
-                Outcome::Status(status @ (404 | 410), _) => {
-                    system
-                        .recorder
-                        .record_violation(format!("LOST {job}: {status} at the end"));
-                }
-                _ => left.push(job),
-            }
-        }
-        must_finish = left;
-        must_finish.is_empty()
-    })
-    .await;
-    wait_for("runs to end", async || system.recorder.running() == 0).await;
-    wait_for("the configuration to be read", async || {
-        system.config_version().await.is_some()
-    })
-    .await;
-    system.check_config().await;
-    let (starts, accepted, cancelled) = system.recorder.counts();
-    println!("seed {seed}: {starts} starts, {accepted} jobs accepted, {cancelled} cancelled");
-    assert!(accepted > 0, "nothing was accepted");
+/// Sizes of a cell that loses disks in series.
+#[derive(Clone, Copy, Debug)]
+struct Sizes {
+    controls: usize,
+    spares: usize,
+    entries: usize,
+    minions: usize,
+    callers: u64,
+}
+
+const SMALL: Sizes = Sizes {
+    controls: 5,
+    spares: 3,
+    entries: 3,
+    minions: 8,
+    callers: 6,
+};
+const LARGE: Sizes = Sizes {
+    controls: 7,
+    spares: 5,
+    entries: 100,
+    minions: 120,
+    callers: 60,
+};
+/// Time after the last start within which the platform expects service again.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+/// Limits of the workspaces in millicores, so high that every job fits.
+const HIGH_LIMITS: [u32; 2] = [400_000, 400_000];
+
+/// Control daemons lose their disks one after the other while seeds and configurations change;
+/// finally all processes are killed at once, and one of them has lost its disk.
+async fn soak_losses(seed: u64, length: Duration, sizes: Sizes) {
+    let process = std::process::id();
+    let name = format!("soak-losses-{seed}-{process}");
+    let Sizes {
+        controls,
+        spares,
+        entries,
+        minions,
+        ..
+    } = sizes;
+    let mut system = System::start_with_spares(&name, controls, spares, entries, minions).await;
+    system.write_settings(false);
+    system.recorder.workspaces.create(&HIGH_LIMITS);
+    system.put_config().await;
+    sleep(CATCH_UP_TIME).await;
+    let end = Instant::now() + length;
+    let callers = (0..sizes.callers).map(|i| {
+        let mut caller = Caller::new(
+            system.entry_addrs(),
+            seed * 100 + i,
+            system.recorder.clone(),
+        );
+        caller.lasting = true;
+        caller.workspace = i as usize % HIGH_LIMITS.len();
+        tokio::spawn(caller.run(end + 2 * CATCH_UP_TIME))
+    });
+    let callers: Vec<_> = callers.collect();
+    let (stop, stopping) = watch::channel(false);
+    let operator = system.operator.clone();
+    let operator = tokio::spawn(operator.run(seed, &HIGH_LIMITS, stopping));
+    let mut losses = Losses::new(seed, &system);
+    losses.run(&mut system, end).await;
+    let _ = stop.send(true);
+    system.operator = operator.await.expect("the operator ends");
+    losses.final_fault(&mut system).await;
+    let recovered = Instant::now() + RECOVERY_TIME;
+    for caller in callers {
+        caller.await.expect("callers end");
+    }
+    if check_recovery(&system, seed, recovered).await {
+        settle(&system, seed).await;
+    }
+    let violations = system.recorder.violations();
+    println!(
+        "seed {seed}: {} disks lost, {} configurations, {} violations",
+        losses.disks_lost,
+        system.operator.sent(),
+        violations.len()
+    );
+    let logs = system.folder.display();
+    let violations = violations.join("\n");
+    assert!(
+        violations.is_empty(),
+        "seed {seed}: {violations}\nlogs are in {logs}"
+    );
 }
 
 /// Short soak tests with seeds that failed once.
@@ -332,16 +374,38 @@
     soak(seed, Duration::from_secs(10), Profile::Workspaces).await;
 }
 
-/// Runs the seeds given in `SOAK_SEEDS` one after the other, with every profile.
+/// Short soak tests with lost disks in series.
+#[rstest]
+#[case::an_empty_replica_that_no_seed_admits(1)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
-#[ignore = "takes half a minute for each seed"]
-async fn guarantees_hold_under_the_given_seeds() {
+async fn guarantees_hold_while_disks_are_lost_in_series(#[case] seed: u64) {
+    soak_losses(seed, Duration::from_secs(14), SMALL).await;
+}
+
+fn given_seeds() -> std::ops::Range<u64> {
     let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..10".to_owned());
     let (from, to) = seeds.split_once("..").expect("SOAK_SEEDS is FROM..TO");
     let number = |text: &str| text.parse::<u64>().expect("a number");
-    for seed in number(from)..number(to) {
+    number(from)..number(to)
+}
+
+/// Runs the seeds given in `SOAK_SEEDS` one after the other, with the profiles of random faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+#[ignore = "takes half a minute for each seed"]
+async fn guarantees_hold_under_the_given_seeds() {
+    for seed in given_seeds() {
         soak(seed, Duration::from_secs(20), Profile::Mixed).await;
         soak(seed, Duration::from_secs(20), Profile::Minions).await;
         soak(seed, Duration::from_secs(20), Profile::Workspaces).await;
     }
 }
+
+/// Runs the seeds given in `SOAK_SEEDS` one after the other; every tenth plays in a large cell.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+#[ignore = "takes a minute and a half for each seed"]
+async fn guarantees_hold_while_disks_are_lost_under_the_given_seeds() {
+    for seed in given_seeds() {
+        let sizes = if seed % 10 == 0 { LARGE } else { SMALL };
+        soak_losses(seed, Duration::from_secs(50), sizes).await;
+    }
+}
