Platform: SIGHUP during the start of a daemon no longer ends it

Cause: the handlers of SIGHUP and SIGTERM were installed when the daemon began to wait for its end, after it had opened its log on disk. SIGHUP, which tells that the settings have changed, ends a process that has no handler for it.

Change: the handlers are installed first, before the log and the settings. SIGTERM during the start is handled once the daemon has started.

--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -8,7 +8,9 @@
 use tokio::sync::{mpsc, watch};
 
 use super::client::Client;
-use super::daemon::{bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end};
+use super::daemon::{
+    Signals, bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end,
+};
 use super::http;
 use super::minions::{self, MinionClient};
 use super::operator::ControlHandler;
@@ -47,9 +49,9 @@
             return ExitCode::Usage.into();
         }
     };
-    run_daemon("yuccahold-control", |mut boot, log| {
+    run_daemon("yuccahold-control", |mut boot, signals, log| {
         boot.dispatch.mechanisms = mechanisms;
-        serve(boot, log)
+        serve(boot, signals, log)
     })
 }
 
@@ -75,7 +77,7 @@
     Ok(mechanisms)
 }
 
-async fn serve(boot: Boot, log: Logger) -> Result<()> {
+async fn serve(boot: Boot, signals: Signals, log: Logger) -> Result<()> {
     let data = boot
         .data
         .clone()
@@ -135,7 +137,7 @@
     };
     tokio::spawn(http::serve(control, handler, Limits::default(), stopping));
     tokio::spawn(log_status(replica.status(), log.clone()));
-    wait_for_end(&link, &log).await?;
+    wait_for_end(signals, &link, &log).await;
     info!(log, "stopping"; "farewell_ms" => drain_time(&boot).as_millis() as u64);
     replica.transfer_leadership().await;
     tokio::time::sleep(drain_time(&boot) / 2).await;
--- a/src/platform/daemon.rs
+++ b/src/platform/daemon.rs
@@ -6,7 +6,8 @@
 
 use slog::{Logger, crit, info, warn};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 use super::front::MetricsHandler;
@@ -36,14 +37,41 @@
     CellKeys::new([CellKey::from_text(OPEN_CELL_KEY)])
 }
 
+/// Signals that a daemon handles. They are installed before the settings are read: a start may wait
+/// for a slow disk, and SIGHUP ends a process that has no handler for it.
+pub(super) struct Signals {
+    terminate: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+fn runtime_with_signals() -> std::io::Result<(Runtime, Signals)> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let entered = runtime.enter();
+    let signals = Signals::install()?;
+    drop(entered);
+    Ok((runtime, signals))
+}
+
 /// Sets up the log and the settings and runs `body` on a single-threaded runtime.
 pub(super) fn run_daemon<F>(
     name: &'static str,
-    body: impl FnOnce(Boot, Logger) -> F,
+    body: impl FnOnce(Boot, Signals, Logger) -> F,
 ) -> ProcessExitCode
 where
     F: Future<Output = Result<()>>,
 {
+    let runtime = runtime_with_signals();
     let (log, guard) = match telemetry::stdout_logger(name) {
         Ok(made) => made,
         Err(e) => {
@@ -63,11 +91,8 @@
         "zone" => boot.zone.as_str(), "first_start" => boot.first_start,
         "seeds" => format!("{:?}", boot.seed_calls()));
     warn_unreadable_seeds(&boot, &log);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
     let done = match runtime {
-        Ok(runtime) => runtime.block_on(body(boot, log.clone())),
+        Ok((runtime, signals)) => runtime.block_on(body(boot, signals, log.clone())),
         Err(e) => Err(Error::caused(Step::Listen, "starting a runtime", e)),
     };
     let code = match done {
@@ -105,15 +130,12 @@
 
 /// Waits for SIGTERM. Meanwhile it reloads the settings on SIGHUP or when the file changes, and
 /// passes the new seeds to `link`.
-pub(super) async fn wait_for_end(link: &LeaderLink, log: &Logger) -> Result<()> {
-    let failed = |e| Error::caused(Step::Listen, "receiving signals", e);
-    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
+pub(super) async fn wait_for_end(mut signals: Signals, link: &LeaderLink, log: &Logger) {
     let mut loaded = settings_modified_at();
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = reload.recv() => {}
+            _ = signals.terminate.recv() => return,
+            _ = signals.reload.recv() => {}
             // The file may also change without a signal.
             () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => {
                 if settings_modified_at() == loaded {
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -6,7 +6,9 @@
 use tokio::sync::watch;
 
 use super::client::Client;
-use super::daemon::{bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end};
+use super::daemon::{
+    Signals, bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end,
+};
 use super::front::{CallerHandler, ReadinessHandler};
 use super::http;
 use super::minions::calls;
@@ -21,7 +23,7 @@
     run_daemon("yuccahold-entry", serve)
 }
 
-async fn serve(boot: Boot, log: Logger) -> Result<()> {
+async fn serve(boot: Boot, signals: Signals, log: Logger) -> Result<()> {
     serve_metrics(&boot, &log).await?;
     let front = bind(boot.front, "callers").await?;
     let ready = bind(boot.ready, "the balancer").await?;
@@ -44,7 +46,7 @@
         stopping: stopping.clone(),
     };
     tokio::spawn(http::serve(ready, balancer, limits, stopping));
-    wait_for_end(&link, &log).await?;
+    wait_for_end(signals, &link, &log).await;
     info!(log, "stopping"; "farewell_ms" => drain_time(&boot).as_millis() as u64);
     stop.send_replace(true);
     tokio::time::sleep(drain_time(&boot)).await;
