--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -6,7 +6,9 @@
 use tokio::sync::watch;
 
 use super::client::Client;
-use super::daemon::{bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end};
+use super::daemon::{
+    Signals, bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end,
+};
 use super::front::{CallerHandler, ReadinessHandler};
 use super::http;
 use super::minions::calls;
@@ -22,7 +24,7 @@
     run_daemon("yuccahold-entry", serve)
 }
 
-async fn serve(boot: Boot, log: Logger) -> Result<()> {
+async fn serve(boot: Boot, signals: Signals, log: Logger) -> Result<()> {
     serve_metrics(&boot, &log).await?;
     let front = bind(boot.front, "callers").await?;
     let ready = bind(boot.ready, "the balancer").await?;
@@ -46,7 +48,7 @@
         stopping: stopping.clone(),
     };
     tokio::spawn(http::serve(ready, balancer, limits, stopping));
-    wait_for_end(&log, |boot| link.set_seeds(boot.seed_calls())).await?;
+    wait_for_end(signals, &log, |boot| link.set_seeds(boot.seed_calls())).await;
     info!(log, "stopping"; "farewell_ms" => drain_time(&boot).as_millis() as u64);
     stop.send_replace(true);
     tokio::time::sleep(drain_time(&boot)).await;
