Dispatch: a lost question about a lasting task is repeated in time

Callers saw a lasting task without a run for 6.8 to 7.5 s beside room twice over. A question to the policy service without an answer counted as lost only after 4 s, so two lost in a row took 8 s, where the task has to run again within 6 s.

A question about lasting tasks is now given up after twice its cost and 1 s, 2 s for 30 minions at 370 ms and 5.3 ms each, and another one is sent at once. The late answer to the question given up last counts for the minions that this question named, so a policy service that is slower than expected is of use all the same.

The two questions are also tested alone in tests/batch_advice.rs.

The simulated minions accept the longest lease of their cell's configuration, and end the members of a lasting gang together, as the platform does.

--- a/src/batch/dispatch/advice.rs
+++ b/src/batch/dispatch/advice.rs
@@ -35,6 +35,9 @@
 const LOOK_AHEAD_PAUSE_MAX: Duration = Duration::from_millis(500);
 /// A question that is not answered after this long counts as lost.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time beyond the cost of two questions after which one about lasting tasks is asked again. Two lost
+/// questions in a row must not use up the 6 s within which a lasting task has to run again.
+const LASTING_QUESTION_RESERVE: Duration = Duration::from_secs(1);
 /// Time without a question after which a step with room for its tasks counts as passed over.
 const PASSED_OVER_AFTER: Duration = Duration::from_secs(1);
 /// Pause between two searches for steps that were passed over.
@@ -51,6 +54,8 @@
     tickets: BTreeMap<MinionNumber, (CompactString, Timestamp)>,
     /// The question that was sent and is not answered.
     pending: Option<PendingQuestion>,
+    /// The question that was given up last. A late answer to it is still of use.
+    given_up: Option<PendingQuestion>,
     /// When the latest question was sent.
     last_asked: Option<Timestamp>,
     /// No question is sent before this time.
@@ -104,6 +109,11 @@
         self.pending.take_if(|asked| asked.id == question)
     }
 
+    /// Removes and returns the question given up last if it has this id.
+    fn take_given_up(&mut self, question: QuestionId) -> Option<PendingQuestion> {
+        self.given_up.take_if(|asked| asked.id == question)
+    }
+
     pub(super) fn forget_ticket(&mut self, minion: MinionNumber) {
         self.tickets.remove(&minion);
     }
@@ -121,6 +131,9 @@
         reason: QuestionReason,
     ) {
         self.expire_lost_questions(now);
+        if step.is_lasting() {
+            self.give_up_overdue_question(now, id, policy);
+        }
         let Some(class) = self.available_class(step, reason) else {
             return;
         };
@@ -237,10 +250,33 @@
     /// more.
     fn expire_lost_questions(&mut self, now: Timestamp) {
         while let Some(question) = self.questions.take_older(now, QUESTION_TIMEOUT) {
-            let step_advice = self.step_advice.get_mut(&question.step);
-            if let Some(lost) = step_advice.and_then(|k| k.take_pending(question)) {
-                self.questions.remove(&lost);
-            }
+            self.give_up(question);
+        }
+    }
+
+    /// Gives up the question about a step of lasting tasks if it should have been answered long
+    /// ago, so that another one is sent at once, through another agent if there are several.
+    fn give_up_overdue_question(&mut self, now: Timestamp, id: StepId, policy: PolicyConfig) {
+        let step_advice = self.step_advice.get(&id);
+        let Some(asked) = step_advice.and_then(|k| k.pending.as_ref()) else {
+            return;
+        };
+        let cost = policy.base + policy.per_minion * asked.minions.len() as u32;
+        let overdue_after = (cost * 2 + LASTING_QUESTION_RESERVE).min(QUESTION_TIMEOUT);
+        let question = asked.id;
+        if now >= asked.at + overdue_after {
+            self.give_up(question);
+        }
+    }
+
+    /// Stops waiting for the answer to a question, if it is still pending.
+    fn give_up(&mut self, question: QuestionId) {
+        let Some(step_advice) = self.step_advice.get_mut(&question.step) else {
+            return;
+        };
+        if let Some(lost) = step_advice.take_pending(question) {
+            self.questions.remove(&lost);
+            step_advice.given_up = Some(lost);
         }
     }
 
@@ -332,9 +368,9 @@
 
     /// Handles the answer to a question; `None` if the call failed.
     ///
-    /// A late answer to an expired question is ignored. Matched to the next question, it would mark
-    /// minions that only the next one names as permanently forbidden: with agents cut off for 4 s,
-    /// a gang of 45 in a half-empty cell was never asked about again.
+    /// A late answer counts for the minions that its own question named. Matched to the next
+    /// question, it would mark minions that only the next one names as permanently forbidden: with
+    /// agents cut off for 4 s, a gang of 45 in a half-empty cell was never asked about again.
     pub fn advice_received(
         &mut self,
         now: Timestamp,
@@ -352,10 +388,16 @@
         let Some(step_advice) = self.step_advice.get_mut(&id) else {
             return;
         };
-        let Some(asked) = step_advice.take_pending(question) else {
-            return;
+        let asked = match step_advice.take_pending(question) {
+            Some(asked) => {
+                self.questions.remove(&asked);
+                asked
+            }
+            None => match step_advice.take_given_up(question) {
+                Some(asked) => asked,
+                None => return,
+            },
         };
-        self.questions.remove(&asked);
         self.out.push(Order::Event(Box::new(Event::StepAdvised {
             step: id,
             waiting,
--- a/tests/batch_advice.rs
+++ b/tests/batch_advice.rs
@@ -6,7 +6,7 @@
     JOB, World, checkpointed, lasting, listed, low_priority_queue, ms, one_per_minion, queue,
     report, step,
 };
-use yuccahold::batch::dispatch::{Advice, AdviceQuestion, Listing, StartOrder};
+use yuccahold::batch::dispatch::{Advice, AdviceQuestion, Listing, Order, StartOrder};
 use yuccahold::batch::ledger::Command;
 use yuccahold::batch::model::{EndKind, PolicyConfig, Queue, StepSpec};
 use yuccahold::ids::MinionId;
@@ -204,6 +204,42 @@
     assert_eq!(started.len(), 1);
 }
 
+/// Guards against two lost questions in a row that keep a lasting task without a run for 8 s beside
+/// room; it has to run again within 6 s.
+#[test]
+fn two_lost_questions_about_a_lasting_task_leave_time_for_a_third() {
+    let mut world = World::new();
+    world.join_all("i", 0..30);
+    world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
+    let begun = world.now;
+    for _ in 0..2 {
+        assert_eq!(world.take_questions().len(), 1);
+        while world.orders.iter().all(|o| !matches!(o, Order::Advise(_))) {
+            world.advance(ms(50));
+        }
+    }
+    let waited = world.now - begun;
+    assert!(
+        waited < ms(5_000),
+        "asked for the third time after {waited:?}"
+    );
+}
+
+/// Guards against a policy service that answers later than expected, each time after the question was
+/// given up, so that its answers are never of use.
+#[test]
+fn a_late_answer_about_a_lasting_task_still_counts() {
+    let mut world = World::new();
+    world.join_all("i", 0..30);
+    world.submit_to(JOB, advised_queue(), vec![lasting(1, 1_000)]);
+    let first = world.take_questions().remove(0);
+    while world.orders.iter().all(|o| !matches!(o, Order::Advise(_))) {
+        world.advance(ms(50));
+    }
+    allow_all(&mut world, &first);
+    assert_eq!(world.start_all().len(), 1);
+}
+
 /// Four questions, the limit of pending ones, are lost together as all agents are cut off. They
 /// must not count against the limit permanently: no question would be sent again, and jobs with
 /// room for them would wait until the next change of leader.
--- a/tests/batch_world/hosts/mod.rs
+++ b/tests/batch_world/hosts/mod.rs
@@ -3,17 +3,20 @@
 mod checks;
 mod crashes;
 mod cuts;
+mod gangs;
+mod rooms;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use compact_str::CompactString;
 use yuccahold::batch::dispatch::{
     Answer, CallFailure, DispatchConfig, HoldAnswer, HoldOrder, MinionAnswer, MinionOrder, Order,
     OrderKind, StartOrder, StartRefusal, Target,
 };
 use yuccahold::batch::model::{
-    EndKind, JobId, JobState, Lifetime, MinionNumber, MinionReport, Queue, Readiness, StepSpec,
-    TaskId,
+    EndKind, JobId, JobState, Lifetime, MinionNumber, MinionReport, Queue, Readiness, StepId,
+    StepSpec, TaskId,
 };
 use yuccahold::resources::Resources;
 
@@ -52,6 +55,7 @@
 /// A leader and hosts, each of which runs successive incarnations of one minion.
 pub struct Cell {
     pub world: World,
+    lease_max: Duration,
     hosts: BTreeMap<u16, Host>,
     deliveries: VecDeque<Delivery>,
     late_orders: Vec<LateOrder>,
@@ -91,6 +95,10 @@
     pub limits: Limits,
     /// Ports of the hosts that are cut off from the leader.
     cut: BTreeMap<u16, Cut>,
+    /// Lasting gangs at work.
+    gangs: BTreeMap<StepId, gangs::GangSight>,
+    /// Labels of the hosts that have others than the usual ones.
+    pub labels: BTreeMap<u16, Vec<CompactString>>,
     /// All orders and events of the leaders, in their order.
     pub orders: Vec<Order>,
 }
@@ -104,6 +112,7 @@
     /// The same with a leader of this configuration.
     pub fn with(ports: std::ops::Range<u16>, cfg: DispatchConfig) -> Self {
         let mut cell = Self {
+            lease_max: cfg.lease_max,
             world: World::with(cfg),
             hosts: BTreeMap::new(),
             deliveries: VecDeque::new(),
@@ -129,6 +138,8 @@
             specs: BTreeMap::new(),
             limits: Limits::default(),
             cut: BTreeMap::new(),
+            gangs: BTreeMap::new(),
+            labels: BTreeMap::new(),
             orders: Vec::new(),
         };
         for port in ports {
@@ -139,7 +150,7 @@
                 restarts: 0,
                 sequence: 0,
                 reports_at: cell.world.now,
-                inc: Some(Incarnation::new(cell.world.now)),
+                inc: Some(Incarnation::new(cell.world.now, cell.lease_max)),
                 restarts_at: Duration::ZERO,
                 departure: None,
             };
@@ -174,6 +185,12 @@
         self.world.submit(job, steps);
     }
 
+    /// Submits a job to a queue, without an owner.
+    pub fn submit_to(&mut self, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
+        self.specs.insert(job, steps.clone());
+        self.world.submit_to(job, queue, steps);
+    }
+
     /// Submits a job of a workspace.
     pub fn submit_for(
         &mut self,
@@ -232,13 +249,16 @@
             .map_or(Readiness::Ready, |d| Readiness::Draining {
                 remaining: Some(d.announced.saturating_sub(now)),
             });
+        let usual = report(&host.name, port);
+        let labels = self.labels.get(&port).cloned();
         Some(MinionReport {
             readiness,
             started: Some(inc.started()),
             capacity: host.capacity,
+            labels: labels.unwrap_or_else(|| usual.labels.clone()),
             clock: inc.clock(now),
             sequence: host.sequence,
-            ..report(&host.name, port)
+            ..usual
         })
     }
 
@@ -255,6 +275,7 @@
         for port in self.hosts.keys().copied().collect::<Vec<_>>() {
             self.advance_host(port, now);
         }
+        self.advance_lasting_gangs(now);
         let (due, later) = std::mem::take(&mut self.late_orders)
             .into_iter()
             .partition(|late| late.at <= now);
@@ -285,7 +306,7 @@
             return;
         };
         if host.inc.is_none() && now >= host.restarts_at {
-            host.inc = Some(Incarnation::new(now));
+            host.inc = Some(Incarnation::new(now, self.lease_max));
             host.restarts += 1;
             if restart == Restart::NewName {
                 host.name = format!("i-{port}-{}", host.restarts);
--- a/tests/batch_world/incarnation.rs
+++ b/tests/batch_world/incarnation.rs
@@ -7,9 +7,7 @@
 use yuccahold::batch::model::{EndKind, MinionNumber, RunNumber, TaskId};
 use yuccahold::resources::Resources;
 
-use super::{UNIX, ms};
-
-const LEASE_MAX: Duration = ms(6_000);
+use super::UNIX;
 
 struct Running {
     run: RunNumber,
@@ -28,6 +26,8 @@
 /// State of one incarnation; its clock starts at zero.
 pub struct Incarnation {
     started_at: Duration,
+    /// Longest lease that it accepts.
+    lease_max: Duration,
     running: BTreeMap<TaskId, Running>,
     /// Highest run of each task that was stopped or ended.
     last_ended: BTreeMap<TaskId, RunNumber>,
@@ -43,9 +43,10 @@
 }
 
 impl Incarnation {
-    pub fn new(now: Duration) -> Self {
+    pub fn new(now: Duration, lease_max: Duration) -> Self {
         Self {
             started_at: now,
+            lease_max,
             running: BTreeMap::new(),
             last_ended: BTreeMap::new(),
             ended: Vec::new(),
@@ -97,7 +98,7 @@
     }
 
     fn extend(&mut self, now: Duration, deadline: Duration) {
-        let longest = self.clock(now) + LEASE_MAX;
+        let longest = self.clock(now) + self.lease_max;
         self.lease = self.lease.max(deadline.min(longest));
     }
 
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -10,6 +10,7 @@
 mod incarnation;
 mod limits;
 mod options;
+pub mod watch;
 
 use std::collections::BTreeMap;
 use std::ops::Range;
