Observability: what a lasting task without a run lacks

`step waits` tells of four steps that wait for over 3 s, in the order of service, and says nothing of a run on a silent minion, of a start order that may still be carried out, or of why no minion is taken.

`lasting step waits` tells of at most four lasting steps a second with tasks without a run for over 2 s, the longest first: the runs on silent minions and the time left of their leases, tasks held back by an unanswered start order and until when, a question that is asked, the limit of the workspace, and how many minions each constraint excludes (service, label, forbidden by the policy, silent, no new work, max per minion, room, reserved, no ticket). `cell` and the gauge `yuccahold_batch_lasting_tasks_overdue` count the lasting tasks without a run for over 6 s; a run on a silent minion counts as none from its last answer on.

--- a/src/batch/dispatch/cell_report.rs
+++ b/src/batch/dispatch/cell_report.rs
@@ -36,6 +36,7 @@
         }
         self.next_cell_report = now + REPORT_INTERVAL;
         debug_assert!(self.room_index_is_exact());
+        let lasting_overdue = self.refresh_without_run(now);
         let taking = || self.minions.values().filter(|m| m.takes_work(now));
         let sum = |sum: Resources, part: &Resources| sum.saturating_add(part);
         let cell = Event::Cell {
@@ -49,11 +50,15 @@
             questions: self.questions.count(),
             agents: self.agents,
             copies: self.active_copies(),
+            lasting_overdue,
         };
         self.emit(cell);
         for event in self.workspace_uses() {
             self.emit(event);
         }
+        for event in self.lasting_waits(now) {
+            self.emit(event);
+        }
         let order = self.service_order(unix);
         let long = order.iter().filter_map(|id| {
             let step = self.ready.get(id)?;
--- a/src/batch/dispatch/late_starts.rs
+++ b/src/batch/dispatch/late_starts.rs
@@ -18,6 +18,8 @@
 pub(super) struct LateStarts {
     until: BTreeMap<TaskId, Timestamp>,
     by_time: BTreeSet<(Timestamp, TaskId)>,
+    /// Those of the tasks that are lasting.
+    lasting: BTreeSet<TaskId>,
 }
 
 impl LateStarts {
@@ -36,9 +38,20 @@
         }
         self.by_time.pop_first();
         self.until.remove(&task);
+        self.lasting.remove(&task);
         Some(task)
     }
 
+    /// Lasting tasks that wait.
+    pub(super) fn lasting(&self) -> impl Iterator<Item = TaskId> + '_ {
+        self.lasting.iter().copied()
+    }
+
+    /// Until when a task waits; `None` if it doesn't.
+    pub(super) fn until(&self, task: TaskId) -> Option<Timestamp> {
+        self.until.get(&task).copied()
+    }
+
     /// Whether an order to start an earlier run of a task may still be carried out.
     pub(super) fn contains(&self, task: TaskId) -> bool {
         self.until.contains_key(&task)
@@ -75,6 +88,9 @@
             return;
         };
         self.late_starts.hold(task, until);
+        if !run.ends {
+            self.late_starts.lasting.insert(task);
+        }
     }
 
     /// Makes tasks ready again whose unanswered start orders have expired.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod gangs;
 mod health;
 mod holds;
+mod lasting_waits;
 mod late_starts;
 mod listings;
 mod mechanisms;
@@ -137,6 +138,8 @@
     expected_losses: expected_losses::ExpectedLosses,
     /// Lasting tasks whose runs lapsed; their ends may not be committed.
     lapsing: BTreeSet<TaskId>,
+    /// Lasting tasks without a run, at the last report.
+    without_run: lasting_waits::WithoutRun,
     /// Minions that may be silent; all that are.
     silent: BTreeSet<MinionNumber>,
     /// Tasks that wait until an unanswered start order for them has expired.
@@ -221,6 +224,7 @@
             admission: admission::AdmissionState::default(),
             expected_losses: Default::default(),
             lapsing: BTreeSet::new(),
+            without_run: Default::default(),
             silent: BTreeSet::new(),
             late_starts: late_starts::LateStarts::default(),
             copies: copies::Copies::default(),
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -267,6 +267,31 @@
         /// Whether its job exceeds the guaranteed rate of its workspace.
         excess: bool,
     },
+    /// Periodic: a step of lasting tasks has had tasks without a run for long.
+    LastingWaits {
+        /// Step that the tasks belong to.
+        step: StepId,
+        /// Longest time without a run among its tasks.
+        without: Duration,
+        /// Number of its tasks that wait for a minion.
+        waiting: usize,
+        /// Number of its runs on silent minions, which may continue.
+        silent: usize,
+        /// Time until the last lease of these ends.
+        lease: Duration,
+        /// Number of its tasks that wait until an unanswered start order has expired.
+        late_starts: usize,
+        /// Time until the last of these orders expires.
+        late: Duration,
+        /// Whether a question about the step is open.
+        asked: bool,
+        /// Whether the limit of its workspace leaves no room for a task.
+        limited: bool,
+        /// Number of minions.
+        minions: usize,
+        /// Those that can't take one of its tasks now.
+        excluded: Exclusions,
+    },
     /// Periodic: resource usage of a workspace that has a limit.
     WorkspaceUse {
         /// Name of the workspace.
@@ -298,5 +323,30 @@
         agents: usize,
         /// Number of active copies.
         copies: usize,
+        /// Number of lasting tasks that have had no run for longer than they may.
+        lasting_overdue: usize,
     },
 }
+
+/// Numbers of minions that can't take a task, each counted for the first constraint that applies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Exclusions {
+    /// They belong to another service, or to one that isn't configured.
+    pub service: usize,
+    /// They lack the required label.
+    pub label: usize,
+    /// The policy service forbids them.
+    pub forbidden: usize,
+    /// They don't answer.
+    pub silent: usize,
+    /// They get no new work: they drain, have restarted, failed too often, or try a suspected task.
+    pub no_work: usize,
+    /// They run as many tasks of the step as they may.
+    pub max_per_minion: usize,
+    /// Their free resources don't suffice.
+    pub room: usize,
+    /// Their free resources are reserved for other tasks.
+    pub reserved: usize,
+    /// They lack only a valid ticket.
+    pub no_ticket: usize,
+}
--- a/src/batch/event_output.rs
+++ b/src/batch/event_output.rs
@@ -149,6 +149,26 @@
         } => info!(log, "step waits"; "step" => %step, "waiting" => waiting,
             "age_ms" => ms(age), "good" => good, "tickets" => tickets, "room" => room,
             "asked" => asked, "limited" => limited, "surplus" => excess),
+        Event::LastingWaits {
+            step,
+            without,
+            waiting,
+            silent,
+            lease,
+            late_starts,
+            late,
+            asked,
+            limited,
+            minions,
+            excluded,
+        } => info!(log, "lasting step waits"; "step" => %step, "without_ms" => ms(without),
+            "waiting" => waiting, "silent" => silent, "lease_ms" => ms(lease),
+            "late_starts" => late_starts, "late_ms" => ms(late), "asked" => asked,
+            "limited" => limited, "minions" => minions, "other_service" => excluded.service,
+            "no_label" => excluded.label, "forbidden" => excluded.forbidden,
+            "silent_minions" => excluded.silent, "no_work" => excluded.no_work,
+            "max_per_minion" => excluded.max_per_minion, "no_room" => excluded.room,
+            "reserved" => excluded.reserved, "no_ticket" => excluded.no_ticket),
         Event::WorkspaceUse {
             workspace,
             used,
@@ -174,11 +194,13 @@
             questions,
             agents,
             copies,
+            lasting_overdue,
         } => info!(log, "cell"; "minions" => minions, "used_millicores" => used.millicores,
             "millicores" => capacity.millicores, "used_mb" => used.memory_mb,
             "mb" => capacity.memory_mb, "used_accelerators" => used.accelerators,
             "accelerators" => capacity.accelerators, "waiting" => waiting, "steps" => steps,
-            "questions" => questions, "agents" => agents, "copies" => copies),
+            "questions" => questions, "agents" => agents, "copies" => copies,
+            "lasting_overdue" => lasting_overdue),
         Event::ConfigInForce { version, queues } => info!(log, "configuration in force";
             "version" => version, "queues" => queues),
     }
@@ -263,7 +285,7 @@
             let won = if *won { "yes" } else { "no" };
             counter!("yuccahold_batch_copies_over_total", "won" => won).increment(1);
         }
-        Event::StepWaits { .. } => {}
+        Event::StepWaits { .. } | Event::LastingWaits { .. } => {}
         Event::WorkspaceUse {
             workspace,
             used,
@@ -289,6 +311,7 @@
             capacity,
             waiting,
             copies,
+            lasting_overdue,
             ..
         } => {
             gauge!("yuccahold_batch_minions").set(*minions as f64);
@@ -296,6 +319,7 @@
             gauge!("yuccahold_batch_millicores").set(f64::from(capacity.millicores));
             gauge!("yuccahold_batch_tasks_waiting").set(*waiting as f64);
             gauge!("yuccahold_batch_copies").set(*copies as f64);
+            gauge!("yuccahold_batch_lasting_tasks_overdue").set(*lasting_overdue as f64);
         }
         Event::ConfigInForce { version, .. } => {
             gauge!("yuccahold_batch_config_version").set(*version as f64);
