Ledger: the cancellation of an unknown job holds for a submission that arrives later

The client had sent the POST to an entry host that stood still, left, and cancelled at another one; the first host passed the POST on 3.2 s later and all tasks ran.

Cause: a DELETE of a job that is not in the ledger was answered from the ledger and stored nothing, so a POST that came later found no trace of it. What holds the POST doesn't matter: the socket buffer of a frozen entry host (shown), a relay, the leader's own buffer, a repeat through another host. That the frozen host sees the client's FIN wouldn't be enough: a half-closed connection isn't a client that left, and copies take other ways.

Change: such a DELETE is an entry of the log (`CancelUnknown`), with queue and workspace, and is answered after its commit. A later POST of the same queue and workspace is stored as cancelled: 200, then `canceled` on GET. Before it, GET says 410. Applied after the POST, the entry cancels the job. A job of another workspace or queue under the same id is not affected. Commands that format 4 has are still written in it.

--- a/src/batch/client_calls.rs
+++ b/src/batch/client_calls.rs
@@ -65,15 +65,15 @@
             Err(not_leader) => return not_leader,
         };
         let reply = match decided.admission {
-            Admission::Answer(reply) => reply,
+            Admission::Answer(reply) => without_false_refusal(reply, decided.pending),
             Admission::Propose(command) => match self.propose_for_client(*command).await {
                 CallReply::Client(reply @ ClientReply::Unavailable(_)) => {
                     return self.after_overload(&call, reply).await;
                 }
-                reply => return reply,
+                CallReply::Client(reply) => reply,
+                not_leader => return not_leader,
             },
         };
-        let reply = without_false_refusal(reply, decided.pending);
         if call.action.is_change() && reply != ClientReply::Accepted {
             self.log_refusal(&call.path, &reply, decided.at);
         }
@@ -123,6 +123,7 @@
         match self.propose(command).await {
             Ok(Reply::Accepted) => CallReply::Client(ClientReply::Accepted),
             Ok(Reply::Unknown) => CallReply::Client(ClientReply::NotFound),
+            Ok(Reply::NotRemembered) => CallReply::Client(ClientReply::Unavailable(RETRY_AFTER)),
             Ok(Reply::IdTaken) => CallReply::Client(ClientReply::IdTaken),
             Err(ProposeError::NotLeader { leader }) => CallReply::NotLeader(leader),
             Err(ProposeError::Overloaded(_)) => {
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -38,6 +38,11 @@
                         workspace: owner.clone(),
                         unstarted: ledger.unstarted.len(),
                     });
+                    if is_final(ledger, *job) {
+                        self.emit(Event::JobArrivedCancelled { job: *job });
+                        self.job_ended(now, ledger, *job);
+                        return;
+                    }
                     if let Some(job) = ledger.jobs.get(job) {
                         self.profiles.declared(job);
                     }
@@ -52,6 +57,12 @@
                     self.job_ended(now, ledger, *job);
                 }
             }
+            Command::CancelUnknown { job, .. } => {
+                if fresh && is_final(ledger, *job) {
+                    self.job_ended(now, ledger, *job);
+                }
+                self.emit(Event::EarlyCancels(ledger.early_cancels.len()));
+            }
             Command::Batch(batch) => self.batch_applied(now, ledger, batch),
         }
     }
@@ -171,6 +182,11 @@
     }
 }
 
+fn is_final(ledger: &Ledger, job: JobId) -> bool {
+    let state = ledger.job_state(job);
+    state.is_some_and(|state| state.is_final())
+}
+
 fn is_gang(step: StepId, ledger: &Ledger) -> bool {
     let job = ledger.jobs.get(&step.job);
     let spec = job.and_then(|job| job.spec.steps.get(usize::from(step.step)));
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -23,6 +23,13 @@
         /// Number of jobs in all queues of which no task has started.
         unstarted: usize,
     },
+    /// A job was accepted that had been cancelled before it arrived.
+    JobArrivedCancelled {
+        /// Id of the job.
+        job: JobId,
+    },
+    /// Number of cancellations of unknown jobs that are remembered.
+    EarlyCancels(u32),
     /// A job was refused for lack of capacity.
     JobRefused {
         /// Id of the job.
--- a/src/batch/event_output.rs
+++ b/src/batch/event_output.rs
@@ -19,6 +19,9 @@
         } => info!(log, "job accepted"; "job" => format!("{job:016x}"),
             "queue" => queue.as_str(), "workspace" => workspace.as_deref(),
             "unstarted" => unstarted),
+        Event::JobArrivedCancelled { job } => info!(log, "job arrived after its cancellation";
+            "job" => format!("{job:016x}")),
+        Event::EarlyCancels(_) => {}
         Event::JobRefused {
             job,
             queue,
@@ -213,6 +216,12 @@
             counter!("yuccahold_batch_jobs_accepted_total").increment(1);
             gauge!("yuccahold_batch_jobs_unstarted").set(*unstarted as f64);
         }
+        Event::JobArrivedCancelled { .. } => {
+            counter!("yuccahold_batch_jobs_arrived_cancelled_total").increment(1);
+        }
+        Event::EarlyCancels(remembered) => {
+            gauge!("yuccahold_batch_early_cancels").set(f64::from(*remembered));
+        }
         Event::JobRefused {
             excess,
             after,
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -10,11 +10,12 @@
 use super::batch::{Batch, Crash, End, Start};
 use super::records::TaskState;
 use super::{
-    FORMAT_VERSION, Job, Ledger, MinionRecord, StoredConfig, format_2, format_3, unknown_format,
+    FORMAT_VERSION, Job, Ledger, MinionRecord, StoredConfig, format_2, format_3, format_4,
+    unknown_format,
 };
 use crate::batch::model::{
     ConfigVersion, Configuration, EndKind, Grouping, JobId, JobSpec, JobState, Lifetime,
-    MinionNumber, Queue, RunNumber, TaskId,
+    MinionNumber, Queue, QueueKey, RunNumber, TaskId,
 };
 use crate::batch::workspaces::Workspace;
 use crate::error::{Error, Result, Step};
@@ -55,6 +56,16 @@
     },
     /// Decisions and observations of a leader.
     Batch(Batch),
+    /// Cancels a job that was not known when the request arrived. If it still is not known, the
+    /// cancellation is remembered for a submission that arrives late.
+    CancelUnknown {
+        /// Id of the job.
+        job: JobId,
+        /// Queue that the request was for.
+        queue: QueueKey,
+        /// Workspace that cancels; `None` on a public queue.
+        owner: Option<WorkspaceName>,
+    },
 }
 
 /// Result of applying a command.
@@ -62,16 +73,22 @@
 pub enum Reply {
     /// The command took effect, or had done so before.
     Accepted,
-    /// No job has this id, or the command could not be decoded.
+    /// No job has this id, or the command could not be decoded. A cancellation is remembered.
     Unknown,
+    /// No job has this id, and the cancellation could not be remembered.
+    NotRemembered,
     /// Another job already has this id.
     IdTaken,
 }
 
 impl Command {
-    /// Encodes the command for the log, prefixed with the format version.
+    /// Encodes the command for the log, prefixed with the version of the first format that has it.
     pub fn to_bytes(&self) -> Result<Vec<u8>> {
-        postcard::to_allocvec(&(FORMAT_VERSION, self))
+        let version = match self {
+            Self::CancelUnknown { .. } => FORMAT_VERSION,
+            _ => format_4::VERSION,
+        };
+        postcard::to_allocvec(&(version, self))
             .map_err(|e| Error::caused(Step::Codec, "encoding a command", e))
     }
 
@@ -80,7 +97,7 @@
         let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
             .map_err(|e| Error::caused(Step::Codec, "decoding a command", e))?;
         let read = match version {
-            FORMAT_VERSION => postcard::from_bytes(rest),
+            FORMAT_VERSION | format_4::VERSION => postcard::from_bytes(rest),
             format_3::VERSION => postcard::from_bytes::<format_3::Command>(rest).map(Into::into),
             format_2::VERSION => postcard::from_bytes::<format_2::Command>(rest).map(Into::into),
             _ => return Err(unknown_format("command", version)),
@@ -92,6 +109,7 @@
 impl Ledger {
     /// Applies a committed command. `at` is the leader's Unix time and never decreases.
     pub fn apply(&mut self, at: Timestamp, command: &Command) -> Reply {
+        self.early_cancels.advance(at.saturating_sub(self.clock));
         self.clock = at;
         self.remove_expired_jobs();
         match command {
@@ -108,6 +126,9 @@
             } => self.submit(*job, queue, owner.clone(), spec),
             Command::Cancel { job } => self.cancel(*job),
             Command::Batch(batch) => self.apply_batch(batch),
+            Command::CancelUnknown { job, queue, owner } => {
+                self.cancel_unknown(*job, queue, owner.as_ref())
+            }
         }
     }
 
@@ -162,9 +183,13 @@
                 Reply::IdTaken
             };
         }
+        let cancelled = self.early_cancels.covers(id, &queue.key(), owner.as_ref());
         let job = Job::new(Arc::clone(spec), Arc::clone(queue), owner, self.clock);
         self.jobs.insert(id, job);
         self.unstarted.insert(id);
+        if cancelled {
+            self.finish_job(id, JobState::Canceled);
+        }
         Reply::Accepted
     }
 
@@ -178,6 +203,24 @@
         Reply::Accepted
     }
 
+    fn cancel_unknown(
+        &mut self,
+        id: JobId,
+        queue: &QueueKey,
+        owner: Option<&WorkspaceName>,
+    ) -> Reply {
+        // A submission may have been applied since the request arrived.
+        let known = self.jobs.get(&id);
+        if known.is_some_and(|job| job.is_visible(queue, owner)) {
+            return self.cancel(id);
+        }
+        if self.early_cancels.remember(id, queue, owner) {
+            Reply::Unknown
+        } else {
+            Reply::NotRemembered
+        }
+    }
+
     fn apply_batch(&mut self, batch: &Batch) -> Reply {
         for (number, report) in &batch.joined {
             self.next_minion = self.next_minion.max(number + 1);
--- a/src/batch/ledger/format_2.rs
+++ b/src/batch/ledger/format_2.rs
@@ -101,6 +101,7 @@
             ended: old.ended,
             removed_workspaces: BTreeMap::new(),
             copies: BTreeMap::new(),
+            early_cancels: Default::default(),
         }
     }
 }
--- a/src/batch/ledger/format_3.rs
+++ b/src/batch/ledger/format_3.rs
@@ -81,6 +81,7 @@
             ended: old.ended,
             removed_workspaces: old.removed_workspaces,
             copies: BTreeMap::new(),
+            early_cancels: Default::default(),
         }
     }
 }
--- a/src/batch/ledger/mod.rs
+++ b/src/batch/ledger/mod.rs
@@ -5,8 +5,10 @@
 mod batch;
 mod commands;
 mod copies;
+mod early_cancels;
 mod format_2;
 mod format_3;
+mod format_4;
 mod queries;
 mod records;
 
@@ -23,12 +25,13 @@
 
 pub use batch::{Batch, Certainty, Crash, End, Start};
 pub use commands::{Command, Reply};
+use early_cancels::EarlyCancels;
 pub use records::{
     CopyRecord, Crashes, Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState,
 };
 
-/// Version of the encoding of snapshots and commands. Formats 2 and 3 can be read too.
-pub const FORMAT_VERSION: u16 = 4;
+/// Version of the encoding of snapshots and commands. Formats 2 to 4 can be read too.
+pub const FORMAT_VERSION: u16 = 5;
 
 /// The configuration in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -61,6 +64,8 @@
     pub(crate) removed_workspaces: BTreeMap<WorkspaceName, Workspace>,
     /// Runs beside those in the records of their tasks, by task.
     pub(crate) copies: BTreeMap<TaskId, CopyRecord>,
+    /// Cancellations of jobs that are not in `jobs`, for submissions that arrive late.
+    pub(crate) early_cancels: EarlyCancels,
 }
 
 impl Ledger {
@@ -76,6 +81,7 @@
             .map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))?;
         let read = match version {
             FORMAT_VERSION => postcard::from_bytes(rest),
+            format_4::VERSION => postcard::from_bytes::<format_4::Ledger>(rest).map(Into::into),
             format_3::VERSION => postcard::from_bytes::<format_3::Ledger>(rest).map(Into::into),
             format_2::VERSION => postcard::from_bytes::<format_2::Ledger>(rest).map(Into::into),
             _ => return Err(unknown_format("snapshot", version)),
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -3,7 +3,7 @@
 use super::records::{Occurrence, StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
 use crate::batch::model::{
-    ConfigVersion, JobId, JobState, MinionNumber, Queue, StepId, StepSpec, TaskId,
+    ConfigVersion, JobId, JobState, MinionNumber, Queue, QueueKey, StepId, StepSpec, TaskId,
 };
 use crate::batch::workspaces::Workspace;
 use crate::ids::WorkspaceName;
@@ -12,11 +12,19 @@
     /// Whether a submission under its id repeats this job. A missing owner matches any: the queue
     /// may have become public, or ceased to be, between the two submissions.
     pub(super) fn is_duplicate(&self, queue: &Queue, owner: Option<&WorkspaceName>) -> bool {
-        let same_owner = match (&self.owner, owner) {
+        self.is_in(queue) && self.may_belong_to(owner)
+    }
+
+    /// Whether a caller without a workspace, or of this one, may see it in this queue.
+    pub(super) fn is_visible(&self, queue: &QueueKey, owner: Option<&WorkspaceName>) -> bool {
+        self.queue.key() == *queue && self.may_belong_to(owner)
+    }
+
+    fn may_belong_to(&self, owner: Option<&WorkspaceName>) -> bool {
+        match (&self.owner, owner) {
             (Some(held), Some(owner)) => held == owner,
             _ => true,
-        };
-        self.is_in(queue) && same_owner
+        }
     }
 
     /// Whether it was submitted to this queue; queues are identified by host and path prefix.
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -96,6 +96,7 @@
             (_, None) => return Admission::Answer(ClientReply::NoQueue),
         };
         let existing = self.ledger.jobs.get(&job);
+        let cancels = &self.ledger.early_cancels;
         let visible = existing.filter(|j| j.is_in(queue) && caller.may_access(j.owner.as_ref()));
         match call.action {
             ClientAction::Submit(_) if visible.is_some() => {
@@ -111,6 +112,10 @@
                     owner: caller.into_owner(),
                     spec,
                 };
+                // It takes no capacity: it is recorded as cancelled.
+                if cancels.covers(job, &queue.key(), new.owner.as_ref()) {
+                    return propose_submission(new);
+                }
                 admit_job(self.dispatcher.as_mut(), now, &self.ledger, new)
             }
             ClientAction::State => Admission::Answer(match visible {
@@ -118,7 +123,20 @@
                 None => ClientReply::NotFound,
             }),
             ClientAction::Cancel => match visible {
-                None => Admission::Answer(ClientReply::NotFound),
+                None => {
+                    let (key, owner) = (queue.key(), caller.into_owner());
+                    if cancels.is_recent(job, &key, owner.as_ref()) {
+                        return Admission::Answer(ClientReply::NotFound);
+                    }
+                    if !cancels.has_room(owner.as_ref()) {
+                        return Admission::Answer(ClientReply::Unavailable(RETRY_AFTER));
+                    }
+                    Admission::Propose(Box::new(Command::CancelUnknown {
+                        job,
+                        queue: key,
+                        owner,
+                    }))
+                }
                 Some(visible) if visible.state.is_final() => {
                     Admission::Answer(ClientReply::Accepted)
                 }
@@ -211,6 +229,10 @@
                 let state = self.ledger.job_state(*job);
                 state.is_some_and(|state| !state.is_final())
             }
+            Command::CancelUnknown { job, .. } => {
+                let state = self.ledger.job_state(*job);
+                state.is_some_and(|state| !state.is_final())
+            }
             Command::Batch(_) => true,
         }
     }
@@ -227,6 +249,10 @@
     if let Some(Verdict::Refused { after, useful }) = verdict {
         return Admission::Answer(ClientReply::Refused { after, useful });
     }
+    propose_submission(new)
+}
+
+fn propose_submission(new: Submission) -> Admission {
     Admission::Propose(Box::new(Command::Submit {
         job: new.job,
         queue: new.queue,
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -228,6 +228,25 @@
     pub public: bool,
 }
 
+/// Identity of a queue: unlike its name, it does not change with the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueKey {
+    /// Host in the requests of callers.
+    pub host: CompactString,
+    /// Prefix of the request paths that belong to the queue.
+    pub prefix: CompactString,
+}
+
+impl Queue {
+    /// Identity of the queue.
+    pub fn key(&self) -> QueueKey {
+        QueueKey {
+            host: self.host.clone(),
+            prefix: self.prefix.clone(),
+        }
+    }
+}
+
 /// A pool of minions.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
--- a/tests/batch_ledger.rs
+++ b/tests/batch_ledger.rs
@@ -52,25 +52,50 @@
     assert_eq!(again, ledger);
 }
 
-/// Guards against snapshots and commands from before copies existed becoming unreadable. Format 3 has
-/// no copies; the current format writes them last.
-#[test]
-fn files_of_format_3_are_read() {
-    let as_format_3 = |mut bytes: Vec<u8>| {
-        assert_eq!(bytes.pop(), Some(0), "no copies");
-        bytes[0] = 3;
+/// Guards against snapshots and commands of earlier formats becoming unreadable. Each format appended
+/// to the one before: 4 the copies, 5 the early cancellations.
+#[rstest]
+#[case::format_3(3, 6, 1)]
+#[case::format_4(4, 5, 0)]
+fn files_of_earlier_formats_are_read(
+    #[case] format: u8,
+    #[case] added_to_snapshot: usize,
+    #[case] added_to_batch: usize,
+) {
+    let as_format = |mut bytes: Vec<u8>, added: usize| {
+        let kept = bytes.len() - added;
+        assert!(bytes[kept..].iter().all(|b| *b == 0), "nothing in them");
+        bytes.truncate(kept);
+        bytes[0] = format;
         bytes
     };
     let mut world = World::new();
     world.join("i-1", 1);
     world.submit(JOB, vec![step(2, 1_000)]);
-    let snapshot = as_format_3(world.ledger.to_bytes().expect("writes"));
+    let snapshot = world.ledger.to_bytes().expect("writes");
+    let snapshot = as_format(snapshot, added_to_snapshot);
     assert_eq!(Ledger::from_bytes(&snapshot).expect("reads"), world.ledger);
     let batch = Command::Batch(Default::default());
-    let command = as_format_3(batch.to_bytes().expect("writes"));
+    let command = as_format(batch.to_bytes().expect("writes"), added_to_batch);
     assert_eq!(Command::from_bytes(&command).expect("reads"), batch);
 }
 
+/// Guards against replicas of the version before skipping commands that they have.
+#[test]
+fn commands_are_written_in_the_first_format_that_has_them() {
+    let formats = [
+        Command::Batch(Default::default()),
+        Command::Cancel { job: JOB },
+        Command::CancelUnknown {
+            job: JOB,
+            queue: queue().key(),
+            owner: None,
+        },
+    ];
+    let formats = formats.map(|command| command.to_bytes().expect("writes")[0]);
+    assert_eq!(formats, [4, 4, 5]);
+}
+
 /// Guards against jobs submitted before workspaces existed never being scheduled.
 #[test]
 fn jobs_of_format_2_continue_to_run() {
--- a/tests/batch_workspaces.rs
+++ b/tests/batch_workspaces.rs
@@ -81,6 +81,7 @@
                 Reply::Accepted => "accepted",
                 Reply::Unknown => "gone",
                 Reply::IdTaken => "taken",
+                Reply::NotRemembered => "not remembered",
             },
         }
     }
