Platform: requests that a stopped daemon reads late are not carried out

It bounds how late a submission can be, on which the memory of cancellations relies: an entry host that was stopped for 32 s passed on a POST that it found in its socket, as the time for an answer begins when the request is read, and steady time doesn't count a suspension.

Change: each request carries when its connection began to wait for it, by the clock that counts suspensions; new connections count from when their queue was last seen empty. A change that is over 30 s old is answered 504, which promises nothing, and the connection is closed. The copies of a request are sent for 60 s at most. Entry hosts, relays and leaders close a connection of which they have read nothing for 5 s before they handle what they then find; the leader appends a caller's command within 10 s of reading it or not at all. All in all a submission is at most 210 s late, and a cancellation holds for 300 s or more. The line `request answered` says how long a request may have waited.

--- a/src/batch/client_calls.rs
+++ b/src/batch/client_calls.rs
@@ -10,6 +10,7 @@
 use super::machine::{Admission, Machine, parse_job_id};
 use super::model::JobId;
 use super::server::{CallServer, not_leader};
+use crate::ids::Timestamp;
 use crate::replication::{ProposeError, ReadPoint};
 
 /// Submissions that are proposed and not applied yet, by job. The ledger does not show them, so a
@@ -59,14 +60,15 @@
 }
 
 impl CallServer {
-    pub(super) async fn answer_client(&self, call: ClientCall) -> CallReply {
+    /// Answers a caller's request; nothing is appended to the log after `until`, in monotonic time.
+    pub(super) async fn answer_client(&self, until: Timestamp, call: ClientCall) -> CallReply {
         let decided = match self.decide(&call).await {
             Ok(decided) => decided,
             Err(not_leader) => return not_leader,
         };
         let reply = match decided.admission {
             Admission::Answer(reply) => without_false_refusal(reply, decided.pending),
-            Admission::Propose(command) => match self.propose_for_client(*command).await {
+            Admission::Propose(command) => match self.propose_for_client(until, *command).await {
                 CallReply::Client(reply @ ClientReply::Unavailable(_)) => {
                     return self.after_overload(&call, reply).await;
                 }
@@ -115,12 +117,12 @@
         }
     }
 
-    async fn propose_for_client(&self, command: Command) -> CallReply {
+    async fn propose_for_client(&self, until: Timestamp, command: Command) -> CallReply {
         let _pending = match &command {
             Command::Submit { job, .. } => Some(self.pending.begin(*job)),
             _ => None,
         };
-        match self.propose(command).await {
+        match self.propose(until, command).await {
             Ok(Reply::Accepted) => CallReply::Client(ClientReply::Accepted),
             Ok(Reply::Unknown) => CallReply::Client(ClientReply::NotFound),
             Ok(Reply::NotRemembered) => CallReply::Client(ClientReply::Unavailable(RETRY_AFTER)),
@@ -129,7 +131,7 @@
             Err(ProposeError::Overloaded(_)) => {
                 CallReply::Client(ClientReply::Unavailable(RETRY_AFTER))
             }
-            Err(ProposeError::Unknown | ProposeError::Stopping) => {
+            Err(ProposeError::Expired | ProposeError::Unknown | ProposeError::Stopping) => {
                 CallReply::Client(ClientReply::InDoubt)
             }
         }
--- a/src/batch/leader_search.rs
+++ b/src/batch/leader_search.rs
@@ -15,10 +15,12 @@
 use super::driver::{Minions, Policy, send_order};
 use super::election_watch::{ElectedLeader, Members};
 use super::link::{AgentCalls, Contact, LeaderConnection, PendingCall};
+use super::recent_reader::RecentReader;
 use crate::error::{Error, Result, Step};
 use crate::ids::Term;
+use crate::replication::monotonic_now;
 use crate::task::AbortOnDrop;
-use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
+use crate::wire::{self, CellKeys, FrameWriter};
 
 /// Timeout for opening and authenticating a connection and receiving the first message, with room
 /// for slow hosts.
@@ -197,7 +199,7 @@
     async fn serve(
         &mut self,
         addr: SocketAddr,
-        mut reader: FrameReader,
+        mut reader: RecentReader,
         mut writer: FrameWriter,
     ) -> Result<()> {
         let (tx, rx) = mpsc::unbounded_channel::<PendingCall>();
@@ -242,11 +244,15 @@
                         last_answered = Instant::now();
                     }
                     let mut next = Some(first);
-                    while let Some(PendingCall { call, reply }) = next {
+                    while let Some(PendingCall { call, until, reply }) = next {
+                        next = rx.0.try_recv().ok();
+                        if monotonic_now() > until {
+                            let _ = reply.send(CallReply::NotLeader(None));
+                            continue;
+                        }
                         number += 1;
                         open.insert(number, reply);
                         writer.queue(&AgentMessage::Call(number, call))?;
-                        next = rx.0.try_recv().ok();
                     }
                     flush(&mut writer).await?;
                 }
@@ -347,7 +353,7 @@
 /// A connection to a control daemon, and what it said first.
 struct Greeting {
     addr: SocketAddr,
-    reader: FrameReader,
+    reader: RecentReader,
     writer: FrameWriter,
     is_leader: bool,
     term: Term,
@@ -356,9 +362,11 @@
 }
 
 async fn greet(addr: SocketAddr, keys: CellKeys, first: Vec<AgentMessage>) -> Result<Greeting> {
+    let began = monotonic_now();
     let greeted = timeout(CONNECT_TIMEOUT, async {
         let stream = wire::dial(addr, PONG_TIMEOUT * 2).await?;
-        let (mut reader, mut writer) = wire::client_handshake(stream, &keys).await?;
+        let (reader, mut writer) = wire::client_handshake(stream, &keys).await?;
+        let mut reader = RecentReader::new(began, reader);
         for message in &first {
             writer.write(message).await?;
         }
--- a/src/batch/link.rs
+++ b/src/batch/link.rs
@@ -16,7 +16,7 @@
 use super::leader_search::LeaderSearch;
 use super::relay::{RelayWay, call_by_relay};
 use super::request_copies::{Conclusion, Copies};
-use crate::ids::{Term, ZoneName};
+use crate::ids::{Term, Timestamp, ZoneName};
 use crate::replication::monotonic_now;
 use crate::telemetry::LineLimit;
 use crate::wire::CellKeys;
@@ -87,6 +87,8 @@
 
 pub(super) struct PendingCall {
     pub(super) call: Call,
+    /// Monotonic time after which it is not sent.
+    pub(super) until: Timestamp,
     pub(super) reply: oneshot::Sender<CallReply>,
 }
 
@@ -261,7 +263,7 @@
             }
             _ => return self.call_directly(call, deadline, trace).await,
         };
-        let copies = Copies::of(&call, trace);
+        let copies = Copies::of(monotonic_now(), &call, trace);
         let direct = self.call_leader(call, deadline, &copies);
         let relayed = self.call_by_relay(request, deadline, &copies);
         tokio::pin!(direct, relayed);
@@ -288,7 +290,7 @@
         deadline: Instant,
         trace: &CallTrace,
     ) -> Result<CallReply, CallError> {
-        let copies = Copies::of(&call, trace);
+        let copies = Copies::of(monotonic_now(), &call, trace);
         let answer = self.call_leader(call, deadline, &copies).await;
         answer.map_or_else(|| copies.outcome(), Ok)
     }
@@ -370,6 +372,7 @@
             let (reply, rx) = oneshot::channel();
             let pending = PendingCall {
                 call: call.clone(),
+                until: copies.until(),
                 reply,
             };
             let copy = copies.send(Way::Leader, leader.addr);
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod machine;
 pub mod model;
+mod recent_reader;
 pub mod relay;
 mod rendezvous;
 pub mod report_batch;
--- a/src/batch/relay.rs
+++ b/src/batch/relay.rs
@@ -17,14 +17,14 @@
 use super::call_trace::{CallTrace, Way};
 use super::calls::{AgentMessage, Call, CallReply, ClientCall, ClientReply, ServerMessage};
 use super::link::{CallError, CopyLog, LeaderLink};
+use super::recent_reader::{PEER_TIMEOUT, RecentReader};
 use super::request_copies::{Conclusion, Copies, SentCopy};
 use crate::error::{Error, Result, Step};
+use crate::replication::monotonic_now;
 use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
 
 /// Timeout for opening and authenticating a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time without a message after which a relay closes a connection.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Relays that are tried for one request. There are two in each zone, and those in the zone of the
@@ -66,10 +66,12 @@
     }
 
     async fn connection(&self, stream: TcpStream) -> Result<()> {
-        let accepted = timeout(IDLE_TIMEOUT, wire::accept(stream, &self.keys)).await;
-        let (mut reader, mut writer) = accepted.map_err(|_| silent())??;
+        let began = monotonic_now();
+        let accepted = timeout(PEER_TIMEOUT, wire::accept(stream, &self.keys)).await;
+        let (reader, mut writer) = accepted.map_err(|_| silent())??;
+        let mut reader = RecentReader::new(began, reader);
         loop {
-            let message = timeout(IDLE_TIMEOUT, reader.read::<AgentMessage>()).await;
+            let message = timeout(PEER_TIMEOUT, reader.read::<AgentMessage>()).await;
             match message.map_err(|_| silent())?? {
                 Some(AgentMessage::Relayed(number, call, left)) => {
                     let reply = self.pass_on(call, left).await;
@@ -179,6 +181,12 @@
         .map_err(|_| Error::new(Step::Connect, "no connection in time").with_peer(addr))??;
     let left = deadline.saturating_duration_since(Instant::now());
     let message = AgentMessage::Relayed(0, call.clone(), left);
+    if monotonic_now() > copies.until() {
+        return Err(Error::new(
+            Step::Transfer,
+            "the request has waited for too long",
+        ));
+    }
     let copy = copies.send(Way::Relay, addr);
     writer.write(&message).await?;
     match reader.read::<ServerMessage>().await? {
--- a/src/batch/request_copies.rs
+++ b/src/batch/request_copies.rs
@@ -9,10 +9,17 @@
 use super::call_trace::{CallTrace, Way};
 use super::calls::{Call, CallReply, CopyOutcome};
 use super::link::CallError;
+use crate::ids::Timestamp;
+
+/// Time after which no copy of a call is sent, whatever the deadline of its caller: longer than any
+/// deadline, so that only a process that was stopped or suspended meanwhile comes to it.
+const MAX_CALL_AGE: Timestamp = Timestamp::from_secs(60);
 
 /// The copies of one request.
 pub(super) struct Copies {
     kind: Kind,
+    /// Monotonic time after which none is sent.
+    until: Timestamp,
     state: Mutex<State>,
     /// Notified when relays should not be tried again.
     last_round: Notify,
@@ -49,8 +56,9 @@
 }
 
 impl Copies {
-    /// The copies of `call`, none of them sent; those sent are recorded in `trace`.
-    pub(super) fn of(call: &Call, trace: &CallTrace) -> Self {
+    /// The copies of `call`, which was made at `now`, in monotonic time. None is sent yet; those sent
+    /// are recorded in `trace`.
+    pub(super) fn of(now: Timestamp, call: &Call, trace: &CallTrace) -> Self {
         let kind = if call.is_read() {
             Kind::Read
         } else {
@@ -58,12 +66,18 @@
         };
         Self {
             kind,
+            until: now + MAX_CALL_AGE,
             state: Mutex::default(),
             last_round: Notify::new(),
             trace: trace.clone(),
         }
     }
 
+    /// Monotonic time after which no copy is sent.
+    pub(super) fn until(&self) -> Timestamp {
+        self.until
+    }
+
     /// Notes a copy that is about to be sent.
     pub(super) fn send(&self, way: Way, receiver: SocketAddr) -> SentCopy<'_> {
         self.trace.record(way, receiver);
--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -16,13 +16,14 @@
 use super::ledger::{Command, Reply};
 use super::link::{CallError, LeaderLink};
 use super::machine::Machine;
+use super::recent_reader::{PEER_TIMEOUT, RecentReader};
 use super::report_batch::{LeaderCalls, Outcome};
 use crate::error::{Error, Result, Step};
-use crate::ids::ZoneName;
+use crate::ids::{Timestamp, ZoneName};
 use crate::replication::{ProposeError, ReadError, ReplicaHandle, ReplicaStatus, monotonic_now};
 use crate::task::AbortOnDrop;
 use crate::telemetry::LineLimit;
-use crate::wire::{self, CellKeys, FrameReader, FrameWriter};
+use crate::wire::{self, CellKeys, FrameWriter};
 
 /// Timeout for the authentication of a new connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -30,11 +31,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Timeout for writing to a peer; then the connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time without messages after which a connection is closed. A healthy peer sends a ping after at
-/// most 2 s without other messages, and answers a forwarded hold within 2.3 s. A connection can
-/// stall without a reset when its peer is gone for good; orders and questions given to it would be
-/// lost.
-const PEER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time from reading a caller's request to appending its command. Only a process that was
+/// stopped in between takes longer.
+const MAX_CALL_AGE: Duration = Duration::from_secs(10);
 /// Most log lines a second about changes that were not accepted.
 const MAX_REFUSAL_LINES: u32 = 20;
 
@@ -82,8 +81,13 @@
 
     /// Answers a call, with `NotLeader` unless this replica leads.
     pub async fn answer(&self, call: Call) -> CallReply {
+        self.answer_received(monotonic_now(), call).await
+    }
+
+    /// Answers a call that was read at `received`, in monotonic time.
+    async fn answer_received(&self, received: Timestamp, call: Call) -> CallReply {
         match call {
-            Call::Client(call) => self.answer_client(call).await,
+            Call::Client(call) => self.answer_client(received + MAX_CALL_AGE, call).await,
             Call::Report(report) => {
                 let reported = self.replica.leased(move |m, at| m.report(at.now, *report));
                 accepted(reported.await)
@@ -124,18 +128,22 @@
     }
 
     async fn propose_for_operator(&self, command: Command) -> CallReply {
-        match self.propose(command).await {
+        match self.propose(Timestamp::MAX, command).await {
             Ok(_) => CallReply::Operator(OperatorReply::Accepted),
             Err(ProposeError::NotLeader { leader }) => CallReply::NotLeader(leader),
             Err(_) => CallReply::Operator(OperatorReply::Unavailable),
         }
     }
 
-    pub(super) async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
+    pub(super) async fn propose(
+        &self,
+        until: Timestamp,
+        command: Command,
+    ) -> Result<Reply, ProposeError> {
         let bytes = command
             .to_bytes()
             .map_err(|_| ProposeError::Overloaded("the command cannot be encoded"))?;
-        self.replica.propose(bytes).await
+        self.replica.propose_until(until, bytes).await
     }
 
     /// Accepts connections; never returns.
@@ -156,13 +164,16 @@
     }
 
     async fn connection(&self, stream: TcpStream) -> Result<()> {
+        let began = monotonic_now();
         let accepted = timeout(HANDSHAKE_TIMEOUT, wire::accept(stream, &self.keys)).await;
         let (reader, writer) = accepted
             .map_err(|_| Error::new(Step::Handshake, "the peer did not authenticate in time"))??;
         let id = self.connections.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = mpsc::unbounded_channel();
         let writing = tokio::spawn(write_all(writer, rx));
-        let done = self.read_all(reader, id, &tx).await;
+        let done = self
+            .read_all(RecentReader::new(began, reader), id, &tx)
+            .await;
         let unanswered = self.agents.remove(id);
         let agents = self.agents.count();
         let reported = self.replica.update_machine(move |m, now| {
@@ -195,7 +206,7 @@
 
     async fn read_all(
         &self,
-        mut reader: FrameReader,
+        mut reader: RecentReader,
         id: u64,
         tx: &mpsc::UnboundedSender<ServerMessage>,
     ) -> Result<()> {
@@ -207,10 +218,10 @@
         let mut relay: Option<SocketAddr> = None;
         let on_this_host =
             reader.peer().split(':').next() == Some(self.host_ip.to_string().as_str());
-        let (frames_tx, mut frames) = mpsc::channel::<AgentMessage>(64);
+        let (frames_tx, mut frames) = mpsc::channel::<(Timestamp, AgentMessage)>(64);
         let reading = tokio::spawn(async move {
             while let Ok(Some(message)) = reader.read::<AgentMessage>().await {
-                if frames_tx.send(message).await.is_err() {
+                if frames_tx.send((monotonic_now(), message)).await.is_err() {
                     break;
                 }
             }
@@ -222,19 +233,21 @@
                 message = frames.recv() => {
                     last_received = Instant::now();
                     self.agents.heard(id, monotonic_now());
+                    let Some((received, message)) = message else {
+                        return Ok(());
+                    };
                     match message {
-                        None => return Ok(()),
-                        Some(AgentMessage::Hello(peer_zone)) => {
+                        AgentMessage::Hello(peer_zone) => {
                             if last_sent.0 {
                                 self.add_agent(id, tx, &peer_zone, relay, on_this_host).await;
                             }
                             zone = Some(peer_zone);
                         }
-                        Some(AgentMessage::RelayAt(addr)) => {
+                        AgentMessage::RelayAt(addr) => {
                             relay = Some(addr);
                             self.agents.set_relay(id, addr);
                         }
-                        Some(message) => self.handle(id, tx, message).await,
+                        message => self.handle(id, tx, received, message).await,
                     }
                 }
                 () = sleep_until(last_received + PEER_TIMEOUT) => {
@@ -268,13 +281,14 @@
         &self,
         id: AgentId,
         tx: &mpsc::UnboundedSender<ServerMessage>,
+        received: Timestamp,
         message: AgentMessage,
     ) {
         match message {
             AgentMessage::Call(number, call) => {
                 let (server, tx) = (self.clone(), tx.clone());
                 tokio::spawn(async move {
-                    let reply = server.answer(call).await;
+                    let reply = server.answer_received(received, call).await;
                     let _ = tx.send(ServerMessage::Reply(number, reply));
                 });
             }
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -230,7 +230,7 @@
             ProposeError::Overloaded(message) => {
                 refuse_with_retry(RefusalKind::Overloaded, message)
             }
-            ProposeError::Unknown => Answer::Unknown,
+            ProposeError::Expired | ProposeError::Unknown => Answer::Unknown,
             ProposeError::Stopping => Answer::NotLeader(None),
         })
     }
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -13,8 +13,8 @@
 use tokio::time::Instant;
 
 use super::http::{
-    Handler, Reply, body_error_reply, empty, error_reply, json, read_body, retry_later, text,
-    with_retry_after,
+    Handler, Reply, WaitingSince, body_error_reply, empty, error_reply, json, read_body,
+    retry_later, stale, text, with_retry_after,
 };
 use super::jobs::{self, PendingBody};
 use super::settings::METRICS_PATH;
@@ -25,6 +25,7 @@
 use crate::batch::machine::parse_job_id;
 use crate::batch::model::Limits;
 use crate::batch::workspaces::KeyHash;
+use crate::replication::monotonic_now;
 use crate::telemetry::MetricsPage;
 
 /// Header with the time in ms for which the caller waits for an answer.
@@ -54,6 +55,7 @@
 impl Handler for CallerHandler {
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         let received = Instant::now();
+        let waiting = WaitingSince::of(&req);
         let host = host_of(&req);
         let path = CompactString::from(req.uri().path());
         let timeout = timeout_of(&req);
@@ -80,6 +82,12 @@
             _ => return error_reply(StatusCode::METHOD_NOT_ALLOWED, "only GET, POST and DELETE"),
         };
         let changes = action.is_change();
+        let waited = waiting.age(monotonic_now());
+        if waiting.is_stale(monotonic_now()) {
+            info!(self.log, "request read too late"; "path" => path.as_str(),
+                "waited_ms" => waited.as_millis() as u64);
+            return stale();
+        }
         let call = ClientCall {
             host,
             path,
@@ -103,7 +111,8 @@
         open.end((!changes && !is_answer(&reply)).then_some(outcome));
         if changes {
             info!(self.log, "request answered"; "path" => path.as_str(),
-                "outcome" => outcome, "took_ms" => took.as_millis() as u64);
+                "outcome" => outcome, "took_ms" => took.as_millis() as u64,
+                "waited_ms" => waited.as_millis() as u64);
         }
         let leaderless = self.link.leaderless_for(Instant::now());
         to_http(reply, retry_after(leaderless.unwrap_or_default()))
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,7 +2,8 @@
 //! connections at a stop.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,15 +14,56 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics::counter;
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::batch::model::Limits;
+use crate::ids::Timestamp;
+use crate::replication::monotonic_now;
 
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest time from when a connection begins to wait for a request to its end: idle connections and
+/// slow bodies end sooner. Only a process that was stopped or suspended meanwhile takes longer, and a
+/// request that it finds in its sockets may have been given up long ago.
+const MAX_REQUEST_AGE: Duration = Duration::from_secs(30);
+
+/// When the connection of a request began to wait for it, in monotonic time. The request arrived
+/// later.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WaitingSince(Timestamp);
+
+impl WaitingSince {
+    /// The value that `serve` attached to a request.
+    pub(super) fn of<B>(req: &Request<B>) -> Self {
+        let attached = req.extensions().get().copied();
+        attached.unwrap_or(Self(Timestamp::ZERO))
+    }
+
+    /// Time from when the connection began to wait until `now`.
+    pub(super) fn age(self, now: Timestamp) -> Duration {
+        now.saturating_sub(self.0)
+    }
+
+    /// Whether the request may have arrived too long ago to be carried out.
+    pub(super) fn is_stale(self, now: Timestamp) -> bool {
+        self.age(now) > MAX_REQUEST_AGE
+    }
+}
+
+/// The answer to a request that may have arrived too long ago. It promises nothing: a newer copy of
+/// the request may be under way.
+pub(super) fn stale() -> Reply {
+    counter!("yuccahold_http_requests_stale_total").increment(1);
+    error_reply(
+        StatusCode::GATEWAY_TIMEOUT,
+        "the request has waited for too long and was not carried out; ask again",
+    )
+}
+
 pub(super) type Reply = Response<Full<Bytes>>;
 
 /// Turns one request into a reply; clones serve connections concurrently.
@@ -38,8 +80,17 @@
     limits: Limits,
     stopping: watch::Receiver<bool>,
 ) {
+    // When the queue of new connections was last seen empty: those in it have come since.
+    let mut empty_at = monotonic_now();
     loop {
-        let stream = match listener.accept().await {
+        let accepted = poll_fn(|cx| {
+            let accepted = listener.poll_accept(cx);
+            if accepted.is_pending() {
+                empty_at = monotonic_now();
+            }
+            accepted
+        });
+        let stream = match accepted.await {
             Ok((stream, _)) => stream,
             Err(_) => {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -49,11 +100,18 @@
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let stopping = stopping.clone();
-        let service = service_fn(move |req| {
+        let waiting = Arc::new(Mutex::new(WaitingSince(empty_at)));
+        let service = service_fn(move |mut req: Request<Incoming>| {
             let (handler, stopping) = (handler.clone(), stopping.clone());
+            let waiting = Arc::clone(&waiting);
             async move {
+                let since = *waiting.lock().expect("no holder panics");
+                req.extensions_mut().insert(since);
                 let mut reply = handler.handle(req).await;
-                if *stopping.borrow() {
+                let now = monotonic_now();
+                *waiting.lock().expect("no holder panics") = WaitingSince(now);
+                // The next request may be in the buffer of the connection already.
+                if *stopping.borrow() || since.is_stale(now) {
                     let close = HeaderValue::from_static("close");
                     reply.headers_mut().insert(CONNECTION, close);
                 }
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -8,13 +8,15 @@
 use tokio::time::Instant;
 
 use super::http::{
-    Handler, Reply, body_error_reply, empty, error_reply, json_bytes, read_body, retry_later,
+    Handler, Reply, WaitingSince, body_error_reply, empty, error_reply, json_bytes, read_body,
+    retry_later, stale,
 };
 use super::{config, minions};
 use crate::batch::calls::{Call, CallReply, OperatorReply, RETRY_AFTER};
 use crate::batch::link::CallError;
 use crate::batch::report_batch::{LeaderCalls, Outcome, ReportBatcher};
 use crate::batch::server::LeaderClient;
+use crate::replication::monotonic_now;
 
 /// Largest accepted body: the platform contract's limit for a minion's report. Configurations with
 /// many routes are smaller.
@@ -33,6 +35,7 @@
 impl Handler for ControlHandler {
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         let deadline = Instant::now() + CALL_TIMEOUT;
+        let waiting = WaitingSince::of(&req);
         let path = req.uri().path().to_owned();
         let parts: Vec<_> = path.trim_matches('/').split('/').collect();
         match (req.method().clone(), parts.as_slice()) {
@@ -47,6 +50,9 @@
                 }
             }
             (Method::DELETE, ["yuccahold", "instances", id]) => {
+                if waiting.is_stale(monotonic_now()) {
+                    return stale();
+                }
                 self.call(Call::Left((*id).into()), deadline).await
             }
             (Method::PUT, ["yuccahold", "config"]) => {
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -177,6 +177,9 @@
     /// full.
     #[error("the replica is overloaded: {0}")]
     Overloaded(&'static str),
+    /// Nothing was appended: the command waited for longer than its proposer allows.
+    #[error("the command waited for too long")]
+    Expired,
     /// Leadership was lost after the append; the command may still be applied.
     #[error("leadership was lost; the outcome is unknown")]
     Unknown,
--- a/src/replication/runtime/control.rs
+++ b/src/replication/runtime/control.rs
@@ -261,7 +261,16 @@
     type Return = ();
 
     async fn handle(&mut self, message: Propose<M>, _: &mut Context<Self>) {
-        let Propose { command, reply } = message;
+        let Propose {
+            command,
+            until,
+            reply,
+        } = message;
+        let now = monotonic_now();
+        if now > until {
+            let _ = reply.send(Err(ProposeError::Expired));
+            return;
+        }
         if self.pending.len() >= MAX_PENDING {
             let _ = reply.send(Err(ProposeError::Overloaded("too many commands wait")));
             return;
@@ -270,7 +279,7 @@
             let _ = reply.send(Err(ProposeError::Overloaded("the command is too long")));
             return;
         }
-        match self.core.propose(monotonic_now(), unix_now(), command) {
+        match self.core.propose(now, unix_now(), command) {
             Ok(index) => {
                 self.pending.insert(index, (self.core.term(), reply));
             }
--- a/src/replication/runtime/handle.rs
+++ b/src/replication/runtime/handle.rs
@@ -233,8 +233,22 @@
     /// Appends a command to the log and returns the state machine's reply once it is committed and
     /// applied.
     pub async fn propose(&self, command: Vec<u8>) -> Result<M::Reply, ProposeError> {
+        self.propose_until(Timestamp::MAX, command).await
+    }
+
+    /// `propose`, but nothing is appended after `until`, in monotonic time. This process may be
+    /// stopped for any time before the append.
+    pub async fn propose_until(
+        &self,
+        until: Timestamp,
+        command: Vec<u8>,
+    ) -> Result<M::Reply, ProposeError> {
         let (reply, rx) = oneshot::channel();
-        let message = Propose { command, reply };
+        let message = Propose {
+            command,
+            until,
+            reply,
+        };
         if self.control.send(message).detach().await.is_err() {
             return Err(ProposeError::Stopping);
         }
--- a/src/replication/runtime/messages.rs
+++ b/src/replication/runtime/messages.rs
@@ -10,6 +10,8 @@
 /// Appends a command to the log.
 pub(super) struct Propose<M: StateMachine> {
     pub(super) command: Vec<u8>,
+    /// Monotonic time after which it is not appended.
+    pub(super) until: Timestamp,
     pub(super) reply: oneshot::Sender<Result<M::Reply, ProposeError>>,
 }
 
