Dispatch: a new leader knows which restarted minions have not reported

The leader had learnt of the restart from a listing, rightly gave the minion no work before its first report, and was killed; the next leader filled it within 0.4 s.

Cause: the leader stored the new incarnation with the capacity and labels of the former one, and kept to itself that they weren't known (`Minion::unreported`).

Change: an incarnation that is known from a listing only is stored without capacity and labels, which is also what says that it has not reported; the flag is gone, so no two leaders can differ. Its first report replaces the record, as before, now with a leaving that was announced meanwhile.

Waiting for a report in each new term was weighed and left: it costs up to a heartbeat after every change of leader, and a minion that was up all along can't have changed.

Evidence: tests/batch_restarts.rs, `a_new_leader_does_not_overfill_a_restarted_minion`: 2 of its 8 cases (a leader lost between the commit and the report, and two of them) fail on the code before with up to 16 of 8 cores in use.

--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -118,8 +118,6 @@
     /// It reports a service that isn't configured. It may not be a minion at all and gets no calls.
     pub(super) foreign: bool,
     pub(super) presence: Presence,
-    /// It restarted and has not reported since, so its capacity and labels may have changed.
-    pub(super) unreported: bool,
     /// It has answered a hold with this leader's token, so it refuses orders of earlier leaders.
     pub(super) fenced: bool,
     /// When leases granted by earlier leaders are certainly over, on this replica's clock.
@@ -186,7 +184,6 @@
             rack: 0,
             foreign: false,
             presence: Presence::Present,
-            unreported: false,
             fenced: false,
             earlier_leases_until: Timestamp::ZERO,
             lease: Duration::ZERO,
@@ -398,7 +395,8 @@
     /// Whether it may get new work now.
     pub(super) fn takes_work(&self, now: Timestamp) -> bool {
         let sound = self.is_responsive() && self.health.takes_work(now);
-        self.fenced && self.stays() && !self.foreign && !self.unreported && sound
+        let reported = self.report.has_resources();
+        self.fenced && self.stays() && !self.foreign && reported && sound
     }
 
     /// Records a start that got no answer by `now`, and drops those that can no longer be carried
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -2,7 +2,6 @@
 
 use super::Dispatcher;
 use super::minion::{Minion, ends_after};
-use super::restarts::RestartSource;
 use crate::batch::event::Event;
 use crate::batch::model::{MinionNumber, MinionReport, Readiness};
 use crate::ids::{MinionId, Timestamp};
@@ -44,7 +43,7 @@
         };
         match (report.started, minion.report.started) {
             (Some(reported), Some(known)) if reported > known => {
-                self.restarted(now, number, now, report, RestartSource::Report);
+                self.restarted(now, number, now, report);
                 return;
             }
             (Some(reported), Some(known)) if reported < known => {
@@ -66,7 +65,7 @@
         let (id, sequence) = (report.id.clone(), report.sequence);
         let capacity_changed =
             (report.capacity != minion.report.capacity).then_some(report.capacity);
-        let unreported = minion.unreported;
+        let is_first = !minion.report.has_resources() && report.has_resources();
         let started = report.started.or(minion.report.started);
         let addr_before = (minion.report.addr != report.addr).then_some(minion.report.addr);
         minion.report = MinionReport { started, ..report };
@@ -82,7 +81,7 @@
             self.addr_changed(number, before);
         }
         self.index_room(number);
-        if unreported {
+        if is_first {
             self.first_report(number);
         } else if let Some(capacity) = capacity_changed {
             self.capacity_changed(number, capacity);
--- a/src/batch/dispatch/restarts.rs
+++ b/src/batch/dispatch/restarts.rs
@@ -18,15 +18,6 @@
 use crate::batch::model::{EndKind, MinionNumber, MinionReport, Readiness, TaskId};
 use crate::ids::Timestamp;
 
-/// How a restart was detected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RestartSource {
-    /// A report of the new incarnation.
-    Report,
-    /// The new incarnation's answer to a hold, which has no capacity or labels.
-    List,
-}
-
 impl Dispatcher {
     /// Handles a listing which shows that a minion restarted at `started`. `sent` is when the hold
     /// was sent.
@@ -47,7 +38,8 @@
             readiness: Readiness::Ready,
             ..minion.report.clone()
         };
-        self.restarted(now, number, sent, report, RestartSource::List);
+        let report = report.without_resources();
+        self.restarted(now, number, sent, report);
     }
 
     /// Replaces a minion that restarted by its new incarnation. The call or report that showed the
@@ -58,7 +50,6 @@
         number: MinionNumber,
         sent: Timestamp,
         report: MinionReport,
-        source: RestartSource,
     ) {
         let Some(former) = self.minions.remove(&number) else {
             return;
@@ -80,7 +71,6 @@
         let unanswered = self.unanswered_starts(&former, now);
 
         let mut minion = Minion::new(self.next_minion, report, now);
-        minion.unreported = source == RestartSource::List;
         // An order to the old incarnation may have granted the new one a lease, or may still do so.
         let late = if unanswered.is_empty() {
             Duration::ZERO
@@ -162,14 +152,18 @@
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
-        minion.unreported = false;
         let report = minion.report.clone();
+        let draining = minion.draining;
         let rack = self.rack_of(&report);
         if let Some(minion) = self.minions.get_mut(&number) {
             minion.rack = rack;
         }
         self.batch.joined.push((number, report));
+        if draining {
+            self.batch.draining.push(number);
+        }
         self.utilizations.changed();
+        self.forget_releases(number);
         self.placement_requested = true;
     }
 }
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -358,6 +358,23 @@
     pub sequence: u64,
 }
 
+impl MinionReport {
+    /// The report of an incarnation that has not reported: without what its start may have changed.
+    /// No task fits into it.
+    pub fn without_resources(self) -> Self {
+        Self {
+            capacity: Resources::default(),
+            labels: Vec::new(),
+            ..self
+        }
+    }
+
+    /// Whether the incarnation itself has told its resources.
+    pub fn has_resources(&self) -> bool {
+        self.capacity != Resources::default()
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EndKind {
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -191,6 +191,83 @@
     assert_eq!((before, after), (0, 1));
 }
 
+/// A restart of a minion, and leaders that are lost around it.
+struct LostLeaders {
+    /// Time from the crash to the loss of each leader.
+    at: &'static [u64],
+    /// Time from the crash to a second one.
+    crash_again: Option<u64>,
+    /// Capacity after the restart.
+    capacity: Resources,
+    /// Time from the start of an incarnation to its first report.
+    report_after: u64,
+}
+
+const SMALLER: Resources = Resources::new(8, 64_000, 0);
+const LESS_MEMORY: Resources = Resources::new(32, 300, 0);
+const LARGER: Resources = Resources::new(48, 64_000, 0);
+
+/// Guards against a new leader that fills a restarted minion by the capacity of its former
+/// incarnation, because only the leader before knew that it had not reported.
+#[rstest]
+#[case::before_the_restart(LostLeaders { at: &[50], crash_again: None, capacity: SMALLER, report_after: 1_500 })]
+#[case::during_it(LostLeaders { at: &[105], crash_again: None, capacity: SMALLER, report_after: 1_500 })]
+#[case::before_the_report(LostLeaders { at: &[700], crash_again: None, capacity: SMALLER, report_after: 1_500 })]
+#[case::less_memory(LostLeaders { at: &[700], crash_again: None, capacity: LESS_MEMORY, report_after: 1_500 })]
+#[case::larger(LostLeaders { at: &[700], crash_again: None, capacity: LARGER, report_after: 1_500 })]
+#[case::two_leaders(LostLeaders { at: &[700, 1_000], crash_again: None, capacity: SMALLER, report_after: 1_500 })]
+#[case::two_restarts(LostLeaders { at: &[400, 900], crash_again: Some(600), capacity: SMALLER, report_after: 1_500 })]
+#[case::after_the_report(LostLeaders { at: &[700], crash_again: None, capacity: SMALLER, report_after: 300 })]
+fn a_new_leader_does_not_overfill_a_restarted_minion(#[case] lost: LostLeaders) {
+    let mut cell = cell(1..3);
+    for job in 0..20 {
+        cell.submit(JOB + job, vec![step(8, 4_000)]);
+    }
+    cell.run(ms(500));
+    cell.first_report_delay = ms(lost.report_after);
+    cell.crash(1);
+    cell.resize(1, lost.capacity);
+    let mut events: Vec<_> = lost.at.iter().map(|at| (*at, true)).collect();
+    events.extend(lost.crash_again.map(|at| (at, false)));
+    events.sort_unstable();
+    let (mut now, mut term) = (0, 1);
+    for (at, leader) in events {
+        cell.run(ms(at - now));
+        now = at;
+        if leader {
+            term += 1;
+            cell.new_leader(term);
+        } else {
+            cell.crash(1);
+        }
+    }
+    cell.run(ms(30_000));
+    assert_eq!(states(&cell, JOB, 20), [Some(JobState::Done); 20]);
+    assert_eq!(cell.violations, [""; 0]);
+}
+
+/// Guards against a new leader that never learns the labels of a restarted minion, or doesn't pass
+/// them on to the next.
+#[test]
+fn leaders_after_a_restart_learn_the_labels_of_the_minion() {
+    let mut cell = cell(1..2);
+    cell.run(ms(3_000));
+    cell.first_report_delay = ms(1_500);
+    cell.crash(1);
+    cell.labels.insert(1, vec!["b".into(), "r2-1".into()]);
+    cell.run(ms(700));
+    cell.new_leader(2);
+    cell.run(ms(2_000));
+    cell.new_leader(3);
+    let labelled = StepSpec {
+        label: Some("b".into()),
+        ..step(1, 1_000)
+    };
+    cell.submit(JOB, vec![labelled]);
+    cell.run(ms(500));
+    assert_eq!(cell.starts.len(), 1, "before its next report");
+}
+
 /// Tasks of a minion that restarted and then stopped answering run elsewhere once its lease is
 /// over.
 #[test]
