Platform: crowds of clients that stop short of the end don't exhaust a daemon

Operators saw: a process ran out of memory under many large bodies, whole or in pieces, in large or small chunks, most of them one byte short and left open.

Cause: nothing bounded connections, the time of a body, or the bytes of all bodies together. `collect` kept each frame, and a frame of a byte costs 40. An empty step of three bytes took two hundred when parsed, and all of a body's were parsed before they were counted.

Change: `platform/connections.rs` counts the connections of a listener and the bytes of its bodies, by the process's own `limits.memory_mb` and `limits.max_fds`. When either is used up, the connection is closed that has waited longest for its client. In the order of arrival a crowd would hold the limit for ever; by bytes read it could trickle; so ordinary requests, which are short, are served meanwhile. A connection whose request is being served isn't closed for others; if all are, the new one is. Bodies are copied into one buffer, charged as it grows and until they are answered, and have 15 s. What is cut off or late gets no answer or 504, which promise nothing. No more than 200 steps are parsed.

Open: replies that aren't read are bounded by the number of connections only; requests that many entry hosts send one leader, and accepted jobs themselves, by nothing new; the product's own interface.

--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -8,12 +8,13 @@
 use tokio::sync::{mpsc, watch};
 
 use super::client::Client;
+use super::connections::{ConnectionLimits, Connections};
 use super::daemon::{
     Signals, bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end,
 };
 use super::http;
 use super::minions::{self, MinionClient};
-use super::operator::ControlHandler;
+use super::operator::{ControlHandler, MAX_BODY};
 use super::settings::Boot;
 use crate::batch::agents::Agents;
 use crate::batch::dispatch::{Mechanism, Mechanisms};
@@ -135,7 +136,10 @@
         leader,
         log: log.clone(),
     };
-    tokio::spawn(http::serve(control, handler, Limits::default(), stopping));
+    let crowd = ConnectionLimits::of_process(boot.memory, boot.descriptors, MAX_BODY);
+    let connections = Connections::new(crowd);
+    let limits = Limits::default();
+    tokio::spawn(http::serve(control, handler, limits, connections, stopping));
     tokio::spawn(log_status(replica.status(), log.clone()));
     let reloaded = |boot: &Boot| {
         link.set_seeds(boot.seed_calls());
--- a/src/platform/daemon.rs
+++ b/src/platform/daemon.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+use super::connections::{Connections, OWN_CLIENTS};
 use super::front::MetricsHandler;
 use super::http;
 use super::settings::{Boot, PATH_VARIABLE};
@@ -174,7 +175,14 @@
                     page.upkeep();
                 }
             });
-            tokio::spawn(http::serve(listener, handler, Limits::default(), stopping));
+            let (limits, connections) = (Limits::default(), Connections::new(OWN_CLIENTS));
+            tokio::spawn(http::serve(
+                listener,
+                handler,
+                limits,
+                connections,
+                stopping,
+            ));
         }
         Err(e) => warn!(log, "metrics are not served"; "error" => %e),
     }
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use super::client::Client;
+use super::connections::{ConnectionLimits, Connections, OWN_CLIENTS};
 use super::daemon::{
     Signals, bind, drain_time, open_cell_keys, run_daemon, serve_metrics, wait_for_end,
 };
@@ -42,12 +43,22 @@
         unanswered: UnansweredLog::new(log.clone()),
         log: log.clone(),
     };
-    tokio::spawn(http::serve(front, callers, limits, stopping.clone()));
+    let body_bytes = limits.body_bytes as usize;
+    let crowd = ConnectionLimits::of_process(boot.memory, boot.descriptors, body_bytes);
+    let connections = Connections::new(crowd);
+    tokio::spawn(http::serve(
+        front,
+        callers,
+        limits,
+        connections,
+        stopping.clone(),
+    ));
     let balancer = ReadinessHandler {
         link: link.clone(),
         stopping: stopping.clone(),
     };
-    tokio::spawn(http::serve(ready, balancer, limits, stopping));
+    let connections = Connections::new(OWN_CLIENTS);
+    tokio::spawn(http::serve(ready, balancer, limits, connections, stopping));
     wait_for_end(signals, &log, |boot| link.set_seeds(boot.seed_calls())).await;
     info!(log, "stopping"; "farewell_ms" => drain_time(&boot).as_millis() as u64);
     stop.send_replace(true);
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -63,7 +63,7 @@
         let is_job = path.rsplit('/').next().and_then(parse_job_id).is_some();
         let action = match (req.method().clone(), is_job) {
             (Method::POST, true) => {
-                let body = match read_body(req.into_body(), self.limits.body_bytes as usize).await {
+                let body = match read_body(req, self.limits.body_bytes as usize).await {
                     Ok(body) => body,
                     Err(e) => return body_error_reply(e),
                 };
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -10,7 +10,7 @@
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,7 +18,9 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
+use super::connections::{Connection, Connections};
 use crate::batch::model::Limits;
 use crate::ids::Timestamp;
 use crate::replication::monotonic_now;
@@ -26,6 +28,9 @@
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time within which a body must arrive after its head.
+const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Longest time from when a connection begins to wait for a request to its end: idle connections and
 /// slow bodies end sooner. Only a process that was stopped or suspended meanwhile takes longer, and a
 /// request that it finds in its sockets may have been given up long ago.
@@ -78,6 +83,7 @@
     listener: TcpListener,
     handler: H,
     limits: Limits,
+    connections: Connections,
     stopping: watch::Receiver<bool>,
 ) {
     // When the queue of new connections was last seen empty: those in it have come since.
@@ -97,18 +103,27 @@
                 continue;
             }
         };
+        let Some(slot) = connections.open(monotonic_now()).await else {
+            continue;
+        };
+        let slot = Arc::new(slot);
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let stopping = stopping.clone();
         let waiting = Arc::new(Mutex::new(WaitingSince(empty_at)));
+        let served = Arc::clone(&slot);
         let service = service_fn(move |mut req: Request<Incoming>| {
             let (handler, stopping) = (handler.clone(), stopping.clone());
-            let waiting = Arc::clone(&waiting);
+            let (waiting, slot) = (Arc::clone(&waiting), Arc::clone(&served));
             async move {
+                slot.serves();
                 let since = *waiting.lock().expect("no holder panics");
                 req.extensions_mut().insert(since);
+                req.extensions_mut().insert(Arc::clone(&slot));
                 let mut reply = handler.handle(req).await;
                 let now = monotonic_now();
+                slot.release();
+                slot.waits(now);
                 *waiting.lock().expect("no holder panics") = WaitingSince(now);
                 // The next request may be in the buffer of the connection already.
                 if *stopping.borrow() || since.is_stale(now) {
@@ -124,8 +139,11 @@
             .max_buf_size(limits.header_bytes as usize)
             .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
-            // A client that disconnects is not an error of this process.
-            let _ = connection.await;
+            tokio::select! {
+                // A client that disconnects is not an error of this process.
+                _ = connection => {}
+                () = slot.closed() => {}
+            }
         });
     }
 }
@@ -136,20 +154,60 @@
     TooLarge,
     /// The connection failed before the end of the body.
     Broken,
+    /// The body did not end in time, or there was no memory for it.
+    Unfinished,
 }
 
-pub(super) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Broken),
+/// Smallest buffer for a body.
+const MIN_BODY_BUFFER: usize = 4 * 1024;
+
+/// Reads a whole body of at most `limit` bytes. The bytes are copied: a frame keeps the buffer of the
+/// connection that it was read into, and a body may consist of as many frames as bytes.
+pub(super) async fn read_body(req: Request<Incoming>, limit: usize) -> Result<Bytes, BodyError> {
+    let slot = req.extensions().get::<Arc<Connection>>().cloned();
+    let slot = slot.ok_or(BodyError::Broken)?;
+    slot.waits(monotonic_now());
+    let body = req.into_body();
+    let largest = body.size_hint().exact().map_or(limit, |size| size as usize);
+    let mut body = Limited::new(body, limit);
+    let mut buf = Vec::new();
+    let end = Instant::now() + BODY_TIMEOUT;
+    loop {
+        let frame = timeout_at(end, body.frame()).await;
+        let data = match frame.map_err(|_| BodyError::Unfinished)? {
+            None => break,
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+                return Err(BodyError::TooLarge);
+            }
+            Some(Err(_)) => return Err(BodyError::Broken),
+        };
+        let needed = buf.len() + data.len();
+        if needed > buf.capacity() {
+            let doubled = (buf.capacity() * 2).max(MIN_BODY_BUFFER);
+            let capacity = doubled.min(largest).max(needed);
+            if !slot.reserve(capacity - buf.capacity()) {
+                return Err(BodyError::Unfinished);
+            }
+            buf.reserve_exact(capacity - buf.len());
+        }
+        buf.extend_from_slice(&data);
     }
+    slot.serves();
+    Ok(buf.into())
 }
 
 pub(super) fn body_error_reply(e: BodyError) -> Reply {
     match e {
         BodyError::TooLarge => error_reply(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
         BodyError::Broken => error_reply(StatusCode::BAD_REQUEST, "the body did not arrive whole"),
+        BodyError::Unfinished => {
+            let why = "the body did not arrive in time, or there are too many; send it again";
+            let mut reply = error_reply(StatusCode::GATEWAY_TIMEOUT, why);
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(CONNECTION, close);
+            reply
+        }
     }
 }
 
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -1,10 +1,12 @@
 //! Parses and validates jobs from callers' JSON, and encodes job states for them.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use serde::de::{self, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::batch::model::{Grouping, JobSpec, JobState, Lifetime, StepSpec, Timetable};
 use crate::resources::Resources;
@@ -23,6 +25,7 @@
 struct JobBody {
     #[serde(default)]
     spec: CompactString,
+    #[serde(deserialize_with = "bounded_steps")]
     steps: Vec<StepBody>,
     #[serde(default)]
     times: u32,
@@ -75,6 +78,36 @@
     may_miss: u32,
 }
 
+/// Reads no more steps than allowed: the parsed form of an empty one takes a hundred times its text.
+fn bounded_steps<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<StepBody>, D::Error> {
+    struct Steps;
+
+    impl<'de> Visitor<'de> for Steps {
+        type Value = Vec<StepBody>;
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            write!(f, "1 to {MAX_STEPS} steps")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut rows: A) -> Result<Self::Value, A::Error> {
+            let mut steps = Vec::new();
+            while let Some(step) = rows.next_element()? {
+                if steps.len() == MAX_STEPS {
+                    return Err(de::Error::custom(too_many_steps()));
+                }
+                steps.push(step);
+            }
+            Ok(steps)
+        }
+    }
+
+    from.deserialize_seq(Steps)
+}
+
+fn too_many_steps() -> String {
+    format!("a job has 1 to {MAX_STEPS} steps")
+}
+
 /// Parses and validates a job; the error is one sentence for the caller.
 pub fn decode(body: &[u8]) -> Result<Arc<JobSpec>, String> {
     let job: JobBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
@@ -82,7 +115,7 @@
         return Err(format!("spec is longer than {MAX_PAYLOAD} bytes"));
     }
     if job.steps.is_empty() || job.steps.len() > MAX_STEPS {
-        return Err(format!("a job has 1 to {MAX_STEPS} steps"));
+        return Err(too_many_steps());
     }
     let steps = job.steps.into_iter().enumerate().map(|(i, s)| step(i, s));
     let steps = steps.collect::<Result<Vec<_>, _>>()?;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod config;
+mod connections;
 mod control;
 mod daemon;
 mod entry;
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -20,7 +20,7 @@
 
 /// Largest accepted body: the platform contract's limit for a minion's report. Configurations with
 /// many routes are smaller.
-const MAX_BODY: usize = 4 * 1024 * 1024;
+pub(super) const MAX_BODY: usize = 4 * 1024 * 1024;
 /// Time for the leader's answer; callers try another daemon after one second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -40,7 +40,7 @@
         let parts: Vec<_> = path.trim_matches('/').split('/').collect();
         match (req.method().clone(), parts.as_slice()) {
             (Method::PUT, ["yuccahold", "instances", id]) => {
-                let body = match read_body(req.into_body(), MAX_BODY).await {
+                let body = match read_body(req, MAX_BODY).await {
                     Ok(body) => body,
                     Err(e) => return body_error_reply(e),
                 };
@@ -56,7 +56,7 @@
                 self.call(Call::Left((*id).into()), deadline).await
             }
             (Method::PUT, ["yuccahold", "config"]) => {
-                let body = match read_body(req.into_body(), MAX_BODY).await {
+                let body = match read_body(req, MAX_BODY).await {
                     Ok(body) => body,
                     Err(e) => return body_error_reply(e),
                 };
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -50,6 +50,10 @@
     pub data: Option<PathBuf>,
     /// The policy service that decides which minions may run a step; absent when there is none.
     pub policy: Option<SocketAddr>,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
+    /// File descriptors that the process may have open.
+    pub descriptors: usize,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// Time limits for the dispatcher. The file sets them; mechanisms are set by the command line.
@@ -120,6 +124,17 @@
         self.duration(key, unit)
     }
 
+    /// Parses an amount above zero; `default` applies when the file has none.
+    fn amount(&mut self, key: &str, default: f64) -> f64 {
+        let amount = self.optional(key).unwrap_or(default);
+        if !(1.0..1e9).contains(&amount) {
+            self.problems
+                .push(format!("{key}={amount}: not a valid amount"));
+            return default;
+        }
+        amount
+    }
+
     /// Parses a comma-separated list into addresses and unreadable entries. Unreadable entries are
     /// no problem as long as one address is left: a daemon that refused its settings because of one
     /// of them would not start at all.
@@ -144,6 +159,10 @@
 /// than any value that a platform has set so far, so that the run's resources are not expected to be
 /// free too early.
 const STOP_TIME: Duration = Duration::from_secs(1);
+/// Assumed limits of the process when the file doesn't set them.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+const DEFAULT_DESCRIPTORS: f64 = 4096.0;
+const MEGABYTE: f64 = 1024.0 * 1024.0;
 const MILLISECOND: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 const NO_IP: IpAddr = IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED);
@@ -198,6 +217,8 @@
             first_start: r.parsed("bootstrap", false),
             data: r.optional("data_dir"),
             policy: r.optional("advice"),
+            memory: (r.amount("limits.memory_mb", DEFAULT_MEMORY_MB) * MEGABYTE) as usize,
+            descriptors: r.amount("limits.max_fds", DEFAULT_DESCRIPTORS) as usize,
             grace: r.duration("bounds.grace_s", SECOND),
             dispatch: DispatchConfig {
                 lease_max: r.duration("bounds.hold_max_ms", MILLISECOND),
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Its process id; `None` while it doesn't run.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub fn pause(&self) {
         self.signal(Signal::STOP);
     }
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -114,6 +114,27 @@
     insta::assert_debug_snapshot!(problems);
 }
 
+/// Guards against limits of a process that are read wrongly, or refused as they are no whole numbers.
+#[rstest]
+#[case::absent("", Some((256 << 20, 4096)))]
+#[case::given("limits.memory_mb=120.5\nlimits.max_fds=3075\n", Some((241 << 19, 3075)))]
+#[case::no_number("limits.memory_mb=much\n", None)]
+#[case::zero("limits.max_fds=0\n", None)]
+fn limits_of_a_process(#[case] lines: &str, #[case] expected: Option<(usize, usize)>) {
+    let boot = Boot::parse(&format!("{BOOT}{lines}")).ok();
+    assert_eq!(boot.map(|boot| (boot.memory, boot.descriptors)), expected);
+}
+
+/// Guards against a small body whose parsed form takes a hundred times its size.
+#[test]
+fn no_more_steps_are_parsed_than_a_job_may_have() {
+    let steps = vec!["{}"; 80_000].join(",");
+    let refused = decode_job(format!(r#"{{"steps":[{steps}]}}"#).as_bytes());
+    let why = refused.expect_err("too many");
+    assert!(why.starts_with("a job has 1 to 200 steps"), "{why}");
+    assert!(why.ends_with("column 613"), "where reading ended: {why}");
+}
+
 /// Bodies with random bytes replaced, inserted and cut off: refused or accepted, never a panic.
 #[test]
 fn damaged_bodies_never_cause_a_panic() {
