Dispatch: a minion that goes on reporting itself ready is in service again

A control host that stood still had passed on the DELETE of the minion's former life after it had started again under its id.

Cause: a DELETE names an id and no incarnation, and nothing ever ended draining, on any leader.

Change: a minion that counts as draining and reports itself ready for 3 s is in service again; its record is stored anew, without draining. One report isn't enough: it may have been sent before the minion began to drain. With a record that is stored anew, each replica forgets since when the minion drained, as it gets long leases again.

--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -19,6 +19,10 @@
 /// Age up to which a sign of life counts as evidence that a minion is up.
 const SIGN_OF_LIFE_MAX_AGE: Duration = Duration::from_millis(100);
 
+/// Time for which a minion that counts as draining must report itself ready to be in service again:
+/// longer than reports are on their way.
+const READY_FOR: Duration = Duration::from_secs(3);
+
 /// Time after which a call that was neither refused nor answered must have been accepted.
 const ACCEPTED_AFTER: Duration = Duration::from_millis(50);
 
@@ -113,6 +117,8 @@
     pub(super) rack: usize,
     /// It gets no new work, as it has reported or announced that it drains.
     pub(super) draining: bool,
+    /// When it first reported itself ready while it counted as draining.
+    pub(super) ready_since: Option<Timestamp>,
     /// Earliest time at which it ends, as it reported; `None` if it did not say.
     pub(super) ends_after: Option<Timestamp>,
     /// It reports a service that isn't configured. It may not be a minion at all and gets no calls.
@@ -179,6 +185,7 @@
         Self {
             number,
             draining: report.readiness != Readiness::Ready,
+            ready_since: None,
             ends_after: ends_after(&report, now),
             report,
             rack: 0,
@@ -247,6 +254,25 @@
         self.make_hold_due(now);
     }
 
+    /// Records a report of its own that it is ready. Returns whether it has reported so for long
+    /// enough to be in service again if it counts as draining: the announcement of its end may have
+    /// been that of a former incarnation.
+    pub(super) fn is_back(&mut self, now: Timestamp) -> bool {
+        if !self.draining {
+            return false;
+        }
+        now >= *self.ready_since.get_or_insert(now) + READY_FOR
+    }
+
+    /// Puts it into service again.
+    pub(super) fn mark_back(&mut self) {
+        self.draining = false;
+        self.ready_since = None;
+        if matches!(self.presence, Presence::Leaving(_)) {
+            self.presence = Presence::Present;
+        }
+    }
+
     /// Whether it announced its end and has answered no call since.
     pub(super) fn may_have_ended(&self) -> bool {
         matches!(self.presence, Presence::Leaving(at) if self.heard <= at)
--- a/src/batch/dispatch/reports.rs
+++ b/src/batch/dispatch/reports.rs
@@ -69,6 +69,10 @@
         let started = report.started.or(minion.report.started);
         let addr_before = (minion.report.addr != report.addr).then_some(minion.report.addr);
         minion.report = MinionReport { started, ..report };
+        if draining {
+            minion.ready_since = None;
+        }
+        let is_back = !draining && minion.is_back(now);
         if draining && !minion.draining {
             minion.draining = true;
             self.batch.draining.push(number);
@@ -81,6 +85,9 @@
             self.addr_changed(number, before);
         }
         self.index_room(number);
+        if is_back {
+            self.minion_back(number);
+        }
         if is_first {
             self.first_report(number);
         } else if let Some(capacity) = capacity_changed {
@@ -88,6 +95,21 @@
         }
     }
 
+    fn minion_back(&mut self, number: MinionNumber) {
+        let Some(minion) = self.minions.get_mut(&number) else {
+            return;
+        };
+        minion.mark_back();
+        let report = minion.report.clone();
+        self.emit(Event::MinionBack {
+            minion: report.id.clone(),
+        });
+        self.batch.draining.retain(|n| *n != number);
+        self.batch.joined.push((number, report));
+        self.utilizations.changed();
+        self.placement_requested = true;
+    }
+
     fn capacity_changed(&mut self, number: MinionNumber, capacity: Resources) {
         let Some(minion) = self.minions.get(&number) else {
             return;
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -112,6 +112,11 @@
         /// Start time by the minion's Unix clock; `None` when it did not say.
         started: Option<Timestamp>,
     },
+    /// A minion that counted as draining is in service again: it goes on reporting itself ready.
+    MinionBack {
+        /// Name of the incarnation.
+        minion: MinionId,
+    },
     /// A minion restarted under the same name.
     MinionRestarted {
         /// Name of both incarnations.
--- a/src/batch/event_output.rs
+++ b/src/batch/event_output.rs
@@ -88,6 +88,8 @@
             "minion" => minion.as_str(), "sequence" => sequence),
         Event::MinionLeft { minion, runs } => info!(log, "minion left";
             "minion" => minion.as_str(), "runs" => runs),
+        Event::MinionBack { minion } => info!(log, "minion back in service";
+            "minion" => minion.as_str()),
         Event::MinionSilent {
             minion,
             brought,
@@ -251,6 +253,7 @@
             counter!("yuccahold_batch_starts_failed_total", "why" => *why).increment(1);
         }
         Event::MinionJoined { .. } => counter!("yuccahold_batch_minions_joined_total").increment(1),
+        Event::MinionBack { .. } => counter!("yuccahold_batch_minions_back_total").increment(1),
         Event::MinionRestarted { .. } => {
             counter!("yuccahold_batch_minions_restarted_total").increment(1);
         }
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -212,6 +212,9 @@
     }
 
     fn record_draining(&mut self, now: Timestamp, batch: &Batch) {
+        for (number, _) in &batch.joined {
+            self.draining_since.remove(number);
+        }
         for number in &batch.draining {
             self.draining_since.entry(*number).or_insert(now);
         }
--- a/tests/batch_restarts.rs
+++ b/tests/batch_restarts.rs
@@ -150,6 +150,32 @@
     assert_eq!(cell.violations, [""; 0]);
 }
 
+/// Guards against a late announcement of the old incarnation that takes the new one out of service
+/// for good.
+#[rstest]
+#[case::one_leader(&[])]
+#[case::a_new_leader(&[2])]
+#[case::two_new_leaders(&[2, 3])]
+fn a_late_announcement_of_the_old_incarnation_does_not_last(#[case] terms: &[u64]) {
+    let mut cell = cell(1..2);
+    cell.run(ms(3_000));
+    cell.crash(1);
+    cell.run(ms(3_000));
+    let id = cell.report_of(1).expect("it is up").id;
+    let now = cell.world.now;
+    cell.world.leader.minion_left(now, &id);
+    for term in terms {
+        cell.run(ms(500));
+        cell.new_leader(*term);
+    }
+    cell.submit(JOB, vec![step(4, 4_000)]);
+    cell.run(ms(2_000));
+    assert_eq!(cell.starts.len(), 0, "its report may have been on its way");
+    cell.run(ms(6_000));
+    assert_eq!(cell.state(JOB), Some(JobState::Done));
+    assert_eq!(cell.violations, [""; 0]);
+}
+
 /// Reports of a new incarnation are accepted although their sequence numbers restart.
 #[test]
 fn a_report_of_the_new_incarnation_is_accepted() {
