Control: no configuration is acknowledged while the group is forming

Cause: a group begins with one voter, which commits alone until others have joined, half a second later.

Change: the leader answers 503 to a new configuration until the group has as many voters as the settings name seeds, three at most. Jobs need a configuration, so nothing else can be acknowledged before.

--- a/src/batch/server.rs
+++ b/src/batch/server.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -46,6 +46,8 @@
     /// Address of this host; agents that connect from it are not given orders.
     host_ip: IpAddr,
     connections: Arc<AtomicU64>,
+    /// Number of voters below which no configuration is accepted.
+    min_voters: usize,
     pub(super) pending: PendingSubmissions,
     pub(super) refusals: LineLimit,
     pub(super) log: Logger,
@@ -66,12 +68,24 @@
             agents,
             host_ip,
             connections: Arc::default(),
+            min_voters: 1,
             pending: PendingSubmissions::default(),
             refusals: LineLimit::per_second(MAX_REFUSAL_LINES),
             log,
         }
     }
 
+    /// Accepts configurations only once the group has this many voters. A group begins with one, and
+    /// what it acknowledged would be lost with a single disk.
+    pub fn require_voters(mut self, min_voters: usize) -> Self {
+        self.min_voters = min_voters;
+        self
+    }
+
+    fn is_forming(&self) -> bool {
+        self.replica.status().borrow().voters.len() < self.min_voters
+    }
+
     /// Whether this replica believes that it leads; another one may already have been elected.
     pub fn leads(&self) -> bool {
         let status = self.replica.status();
@@ -109,6 +123,11 @@
                 let newer = self.replica.leased(move |m, _| m.is_newer(version)).await;
                 match newer {
                     Ok(false) => CallReply::Operator(OperatorReply::Accepted),
+                    Ok(true) if self.is_forming() => {
+                        info!(self.log, "configuration refused while the group is forming";
+                            "version" => version);
+                        CallReply::Operator(OperatorReply::Unavailable)
+                    }
                     Ok(true) => {
                         let command = Command::PutConfig {
                             version: order.version,
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -38,6 +38,9 @@
 const REPLACE_AFTER: Duration = Duration::from_millis(2500);
 /// Log size that triggers a snapshot; a tenth of the disk holds several snapshots.
 const SNAPSHOT_BYTES: u64 = 6 * 1024 * 1024;
+/// Voters without which no configuration is accepted, where there are as many seeds: with three, the
+/// loss of any one disk loses nothing.
+const MIN_VOTERS: usize = 3;
 /// Target number of voters; the group has fewer while fewer replicas exist.
 const VOTERS: usize = 5;
 
@@ -125,6 +128,7 @@
     let calls_out = minions::calls(&boot, client);
     let link = LeaderLink::start(boot.seed_calls(), keys.clone(), calls_out, log.clone());
     let server = CallServer::new(replica.clone(), keys, agents, boot.ip, log.clone());
+    let server = server.require_voters(boot.seed_replicas().len().min(MIN_VOTERS));
     tokio::spawn(server.clone().serve(calls));
     let (_stop, stopping) = watch::channel(false);
     let leader = LeaderClient {
--- a/tests/batch_server.rs
+++ b/tests/batch_server.rs
@@ -166,6 +166,25 @@
     }
 }
 
+/// Guards against a configuration that is acknowledged while a single lost disk would lose it: the
+/// group has not as many voters yet as there are seeds.
+#[tokio::test]
+async fn a_group_that_is_forming_acknowledges_no_new_configuration() {
+    let control = Control::start("forming").await;
+    control.configure().await;
+    let order = |version: u64| {
+        let document = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
+        Call::PutConfig(decode_config(document.into()).expect("a configuration"))
+    };
+    let forming = control.server.clone().require_voters(3);
+    let held = forming.answer(order(1)).await;
+    assert_eq!(held, CallReply::Operator(OperatorReply::Accepted));
+    let newer = forming.answer(order(2)).await;
+    assert_eq!(newer, CallReply::Operator(OperatorReply::Unavailable));
+    let formed = control.server.answer(order(2)).await;
+    assert_eq!(formed, CallReply::Operator(OperatorReply::Accepted));
+}
+
 /// An entry host fails, and its connection stalls without being closed. Unless the server closes
 /// the connection, the leader keeps giving the failed process its share of the orders and of the
 /// questions to the policy service; each must time out first, which delays jobs by seconds.
