Soak: callers cancel what they got no answer for, and their tasks must not start afterwards

The soak cancelled accepted jobs, and lasting ones without an answer, and checked nothing afterwards. Half of the submissions that weren't accepted, by their id, are cancelled now; a task that starts over 6 s after an acknowledged cancellation is a violation (3 s as the contract has it, and 3 s until a host counts as in touch).

--- a/tests/platform_cell/caller.rs
+++ b/tests/platform_cell/caller.rs
@@ -91,6 +91,9 @@
                 } else {
                     self.check_known(&job).await;
                 }
+            } else if job.as_str() < "8" {
+                // It may be on its way in a process that stands still.
+                self.cancel(&job).await;
             }
             let pause = self.rng.random_range(400..1_200);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -126,7 +129,7 @@
             self.kept = Some(job);
         } else {
             // An attempt without an answer may have been accepted.
-            self.ask(reqwest::Method::DELETE, &job, None).await;
+            self.cancel(&job).await;
         }
     }
 
@@ -206,6 +209,9 @@
         let outcome = self.ask(reqwest::Method::DELETE, job, None).await;
         // Without an answer the job may or may not be cancelled, so it isn't required to end.
         self.recorder.cancelled(job);
+        if let Outcome::Status(200..=299 | 410, _) = outcome {
+            self.recorder.cancel_acked(job);
+        }
         if let Outcome::Status(status @ (404 | 400), _) = outcome {
             self.recorder
                 .record_violation(format!("LOST {job}: its cancelling got {status}"));
--- a/tests/platform_cell/recorder.rs
+++ b/tests/platform_cell/recorder.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use super::payload::Payload;
 use super::workspaces::Workspaces;
@@ -21,6 +22,10 @@
 /// Failed runs after which a task has failed; the configuration sets it.
 pub const ATTEMPTS: u32 = 6;
 
+/// Time after the acknowledged cancellation of a job in which its tasks may still start: the contract's
+/// for a host that is in touch, and the time until a host counts as that.
+const MAX_START_AFTER_CANCEL: Duration = Duration::from_secs(6);
+
 /// Minion crashes caused by a task after which the task may be given up.
 const CRASHES_TO_GIVE_UP: u32 = 2;
 /// Minion crashes caused by a task after which it may be started at most twice more.
@@ -47,6 +52,8 @@
     refused: BTreeSet<String>,
     accepted: BTreeSet<String>,
     cancelled: BTreeSet<String>,
+    /// When the cancellation of a job was acknowledged.
+    cancel_acked: BTreeMap<String, Instant>,
     /// Tasks of submitted jobs that last, by job.
     lasting: BTreeMap<String, Vec<String>>,
     /// Workspace index, by job.
@@ -99,6 +106,11 @@
             let text = format!("REFUSED {task}: run {run} though its job was refused");
             records.violations.push(text);
         }
+        let cancelled = records.cancel_acked.get(job_of(task)).copied();
+        if cancelled.is_some_and(|at| at.elapsed() > MAX_START_AFTER_CANCEL) {
+            let text = format!("UNASKED {task}: run {run} after its job was cancelled");
+            records.violations.push(text);
+        }
         let runs = records.running.entry(task.to_owned()).or_default();
         runs.push((run, minion.to_owned()));
         let used = records.used.entry(minion.to_owned()).or_default();
@@ -190,6 +202,13 @@
         self.lock().cancelled.insert(job.to_owned());
     }
 
+    /// Records that the cancellation of a job was acknowledged.
+    pub fn cancel_acked(&self, job: &str) {
+        self.lock()
+            .cancel_acked
+            .insert(job.to_owned(), Instant::now());
+    }
+
     pub fn record_violation(&self, what: String) {
         self.lock().violations.push(what);
     }
