Platform: the first request after a quiet time is not taken for an old one

Cause: a new connection counts from when the queue was last seen empty, and an idle listener was not looked at again.

Change: the listener is looked at every 5 s. A look that comes late, after a stop, doesn't count: the runtime may not have noticed connections that came meanwhile.

Evidence: `the_first_request_after_a_quiet_time_is_served` passes with the regular look.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::connections::{Connection, Connections};
 use crate::batch::model::Limits;
@@ -28,6 +28,9 @@
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Interval at which the queue of new connections is looked at while none comes.
+const ACCEPT_CHECK: Duration = Duration::from_secs(5);
+
 /// Time within which a body must arrive after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -88,15 +91,29 @@
 ) {
     // When the queue of new connections was last seen empty: those in it have come since.
     let mut empty_at = monotonic_now();
+    let mut looked_at = empty_at;
+    let mut trusted_from = empty_at;
     loop {
         let accepted = poll_fn(|cx| {
             let accepted = listener.poll_accept(cx);
             if accepted.is_pending() {
-                empty_at = monotonic_now();
+                let now = monotonic_now();
+                // After a stop, connections may have come that the runtime has not noticed yet.
+                if now.saturating_sub(looked_at) > 2 * ACCEPT_CHECK {
+                    trusted_from = now + ACCEPT_CHECK / 2;
+                }
+                looked_at = now;
+                if now >= trusted_from {
+                    empty_at = now;
+                }
             }
             accepted
         });
-        let stream = match accepted.await {
+        // Elapses for the sake of `empty_at` only.
+        let Ok(accepted) = timeout(ACCEPT_CHECK, accepted).await else {
+            continue;
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(_) => {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/tests/platform_late_requests.rs
+++ b/tests/platform_late_requests.rs
@@ -67,3 +67,14 @@
     let state = ask(other, Method::GET, JOB, Duration::from_secs(3)).await;
     assert_eq!(state, Some(410), "nothing was submitted");
 }
+
+/// Guards against taking the first request after a quiet time for one that has waited for long.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_first_request_after_a_quiet_time_is_served() {
+    let system = System::start("late-requests-quiet", 1, 1, 0).await;
+    let front = system.entry_addrs()[0];
+    wait_until_served(front, Method::GET, JOB, 410).await;
+    sleep(Duration::from_secs(32)).await;
+    let status = ask(front, Method::POST, JOB, Duration::from_secs(3)).await;
+    assert_eq!(status, Some(200));
+}
