Dispatch: the log says why a job ended and which failed runs counted

Callers saw: jobs of gangs were shown as `failed` with attempts left. Operators could not tell whether attempts or crashes had failed a job, nor which failed ends had counted.

Cause: `job ended` had only `job`, `state` and `age_ms`, and `run ended` says how a run ended, not whether it counted.

Change: `job ended` has `why`, and for a failed job the task or the step of the gang that decided, with its attempts or its crashes. They are read from the ledger when the job ends: nothing is counted for an ended job, so the count that has reached its limit is the one that decided. A new line `attempt counted` follows each failed run that counted. The leader compares the ledger before and after the batch, as only the ledger knows whether an end still counted; machine.rs calls `before_apply` for that. `why` is a label of `yuccahold_batch_jobs_ended_total`, and `yuccahold_batch_attempts_counted_total` counts by `grouping`. What the ledger and the dispatcher decide is the same as before. `write_event` is public so that a test can read the lines. The pattern of tests/batch_copies.rs for `JobEnded` passes over the new field; its checks are unchanged.

Evidence: tests/batch_job_reasons.rs, 29 cases: 13 causes, 9 of attempts, 2 with simulated minions, 5 of the lines' fields. With every failed end reported as counted, 4 cases fail: of a job that failed in the batch, of a cancelled one, of a lasting task and of an earlier run. In a simulated run of a gang of three with two attempts whose members all failed in run 1, the lines show the fault that is still there: `attempt counted` run 1 with `used` 1 and again run 1 with `used` 2, then `job ended` at 70 ms with `attempts used up`.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 
+use super::job_reasons::end_reason;
 use super::ready::remove_job;
 use super::run::{Run, RunState};
 use super::{Dispatcher, JobId, StepId, TaskId};
 use crate::batch::event::Event;
+use crate::batch::job_end::JobEndReason;
 use crate::batch::ledger::{Batch, Command, Ledger, Start};
 use crate::batch::model::{EndKind, Grouping, JobState};
 use crate::ids::Timestamp;
@@ -40,7 +42,8 @@
                     });
                     if is_final(ledger, *job) {
                         self.emit(Event::JobArrivedCancelled { job: *job });
-                        self.job_ended(now, ledger, *job);
+                        let reason = JobEndReason::CancelledBeforeArrival;
+                        self.job_ended(now, ledger, *job, Some(reason));
                         return;
                     }
                     if let Some(job) = ledger.jobs.get(job) {
@@ -54,12 +57,12 @@
             }
             Command::Cancel { job } => {
                 if fresh {
-                    self.job_ended(now, ledger, *job);
+                    self.job_ended(now, ledger, *job, None);
                 }
             }
             Command::CancelUnknown { job, .. } => {
                 if fresh && is_final(ledger, *job) {
-                    self.job_ended(now, ledger, *job);
+                    self.job_ended(now, ledger, *job, None);
                 }
                 self.emit(Event::EarlyCancels(ledger.early_cancels.len()));
             }
@@ -80,13 +83,14 @@
             self.follow_ledger(now, ledger, end.task);
             self.dirty_jobs.insert(end.task.step.job);
         }
+        self.emit_counted_attempts(ledger, batch);
         for (job, _) in &batch.due {
             self.dirty_jobs.insert(*job);
             self.schedule_next(ledger, *job);
         }
         let ended: BTreeSet<_> = ledger.jobs_ended_at_last_command().collect();
         for job in ended {
-            self.job_ended(now, ledger, job);
+            self.job_ended(now, ledger, job, None);
         }
         let blocked_starts = self.blocked_starts(&batch.starts, ledger);
         for start in &batch.starts {
@@ -154,8 +158,15 @@
         fits && !self.quotas.is_over(run.owner.as_ref())
     }
 
-    /// Handles the end of a job: removes its waiting state and stops its runs.
-    fn job_ended(&mut self, now: Timestamp, ledger: &Ledger, id: JobId) {
+    /// Handles the end of a job: removes its waiting state and stops its runs. A reason is given
+    /// where the ledger doesn't tell it.
+    fn job_ended(
+        &mut self,
+        now: Timestamp,
+        ledger: &Ledger,
+        id: JobId,
+        reason: Option<JobEndReason>,
+    ) {
         self.dirty_jobs.insert(id);
         let Some(job) = ledger.jobs.get(&id) else {
             return;
@@ -168,6 +179,7 @@
         self.emit(Event::JobEnded {
             job: id,
             state,
+            reason: reason.unwrap_or_else(|| end_reason(id, job)),
             age: ledger.clock.saturating_sub(job.accepted),
         });
         self.remove_step_advice(id);
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod gangs;
 mod health;
 mod holds;
+mod job_reasons;
 mod lasting_waits;
 mod late_starts;
 mod listings;
@@ -187,6 +188,8 @@
     observed: BTreeMap<StepId, objective::ObservedRunTime>,
     /// Total capacity of each service.
     capacities: objective::Capacities,
+    /// Set while a batch is applied to the ledger.
+    failures_before: job_reasons::FailuresBefore,
     out: Vec<Order>,
 }
 
@@ -248,6 +251,7 @@
             profiles: profile::Profiles::default(),
             observed: BTreeMap::new(),
             capacities: objective::Capacities::default(),
+            failures_before: Default::default(),
             out: Vec::new(),
         };
         let assumed = now + max_lease_on_local_clock(d.cfg.lease_max);
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -4,8 +4,9 @@
 
 use compact_str::CompactString;
 
+use super::job_end::{Attempts, JobEndReason};
 use super::ledger::Certainty;
-use super::model::{ConfigVersion, EndKind, JobId, RunNumber, StepId, TaskId};
+use super::model::{ConfigVersion, EndKind, Grouping, JobId, RunNumber, StepId, TaskId};
 use crate::ids::{MinionId, Term, Timestamp, WorkspaceName};
 use crate::resources::Resources;
 
@@ -57,9 +58,22 @@
         job: JobId,
         /// Final state.
         state: &'static str,
+        /// Why it ended.
+        reason: JobEndReason,
         /// Time since it was accepted.
         age: Duration,
     },
+    /// A failed run was counted as an attempt.
+    AttemptCounted {
+        /// Task that the run belongs to.
+        task: TaskId,
+        /// Number of the run.
+        run: RunNumber,
+        /// Whether the attempts are those of the task or of its gang.
+        grouping: Grouping,
+        /// Attempts with this run.
+        attempts: Attempts,
+    },
     /// A run was given to a minion.
     RunPlaced {
         /// Task that the run belongs to.
--- a/src/batch/event_output.rs
+++ b/src/batch/event_output.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use metrics::{counter, gauge, histogram};
-use slog::{Logger, info, warn};
+use slog::{Logger, info, o, warn};
 
 use super::event::Event;
+use super::job_end::JobEndReason;
+use super::model::{Grouping, JobId};
 
 /// Writes an event as one log line. Workspaces that are below their limit are not logged.
-pub(crate) fn write_event(log: &Logger, event: &Event) {
+pub fn write_event(log: &Logger, event: &Event) {
     let ms = |d: &Duration| d.as_millis() as u64;
     match event {
         Event::JobAccepted {
@@ -40,8 +42,20 @@
                     "useful" => useful);
             }
         }
-        Event::JobEnded { job, state, age } => info!(log, "job ended";
-            "job" => format!("{job:016x}"), "state" => state, "age_ms" => ms(age)),
+        Event::JobEnded {
+            job,
+            state,
+            reason,
+            age,
+        } => write_job_ended(log, *job, state, *reason, *age),
+        Event::AttemptCounted {
+            task,
+            run,
+            grouping,
+            attempts,
+        } => info!(log, "attempt counted"; "task" => %task, "run" => run,
+            "grouping" => grouping_value(*grouping), "used" => attempts.used,
+            "allowed" => attempts.allowed),
         Event::RunPlaced {
             task,
             run,
@@ -211,6 +225,34 @@
     }
 }
 
+fn write_job_ended(
+    log: &Logger,
+    job: JobId,
+    state: &'static str,
+    reason: JobEndReason,
+    age: Duration,
+) {
+    let log = log.new(o!("job" => format!("{job:016x}"), "state" => state,
+        "why" => reason.as_str(), "age_ms" => age.as_millis() as u64));
+    match reason {
+        JobEndReason::TaskFailed(task, attempts) => info!(log, "job ended"; "task" => %task,
+            "attempts_used" => attempts.used, "attempts_allowed" => attempts.allowed),
+        JobEndReason::GangFailed(step, attempts) => info!(log, "job ended"; "step" => %step,
+            "attempts_used" => attempts.used, "attempts_allowed" => attempts.allowed),
+        JobEndReason::Crashes { task, counts } => info!(log, "job ended";
+            "task" => task.map(|task| task.to_string()), "crashes_begun" => counts.confirmed,
+            "crashes_in_doubt" => counts.in_doubt, "crashes_possible" => counts.possible),
+        _ => info!(log, "job ended"),
+    }
+}
+
+fn grouping_value(grouping: Grouping) -> &'static str {
+    match grouping {
+        Grouping::Single => "single",
+        Grouping::Gang => "gang",
+    }
+}
+
 /// Updates the metrics for an event.
 pub(crate) fn count_event(event: &Event) {
     match event {
@@ -235,10 +277,19 @@
             histogram!("yuccahold_batch_retry_after_seconds").record(after.as_secs_f64());
             gauge!("yuccahold_batch_places_kept").set(*places as f64);
         }
-        Event::JobEnded { state, age, .. } => {
-            counter!("yuccahold_batch_jobs_ended_total", "state" => *state).increment(1);
+        Event::JobEnded {
+            state, reason, age, ..
+        } => {
+            counter!("yuccahold_batch_jobs_ended_total", "state" => *state,
+                "why" => reason.as_str())
+            .increment(1);
             histogram!("yuccahold_batch_job_seconds").record(age.as_secs_f64());
         }
+        Event::AttemptCounted { grouping, .. } => {
+            counter!("yuccahold_batch_attempts_counted_total",
+                "grouping" => grouping_value(*grouping))
+            .increment(1);
+        }
         Event::RunPlaced { run, age, .. } => {
             counter!("yuccahold_batch_runs_placed_total").increment(1);
             if *run == 1 {
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -180,7 +180,7 @@
     }
 
     /// Whether there are so many that the task must not start again.
-    pub(super) fn exceed_limit(&self) -> bool {
+    pub(crate) fn exceed_limit(&self) -> bool {
         let in_doubt = self.confirmed + self.in_doubt;
         self.confirmed >= MAX_CRASHES
             || in_doubt >= MAX_CRASHES_IN_DOUBT
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -280,6 +280,9 @@
             Err(_) => return Reply::Unknown,
         };
         let effective = self.dispatcher.is_some() && self.has_effect(&command);
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.before_apply(&self.ledger, &command);
+        }
         let reply = self.ledger.apply(at, &command);
         if let Command::Batch(batch) = &command {
             self.record_draining(monotonic_now(), batch);
--- a/tests/batch_copies.rs
+++ b/tests/batch_copies.rs
@@ -36,9 +36,9 @@
 fn ages(cell: &Cell, select: impl Fn(JobId) -> bool) -> Vec<u128> {
     let ages = cell.orders.iter().filter_map(|order| match order {
         Order::Event(event) => match **event {
-            Event::JobEnded { job, state, age } if state == "done" && select(job) => {
-                Some(age.as_millis())
-            }
+            Event::JobEnded {
+                job, state, age, ..
+            } if state == "done" && select(job) => Some(age.as_millis()),
             _ => None,
         },
         _ => None,
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -224,6 +224,7 @@
             _ => true,
         };
         let at = self.unix();
+        self.leader.before_apply(&self.ledger, command);
         self.ledger.apply(at, command);
         if let Command::Batch(batch) = command {
             let draining = batch.draining.iter().map(|number| (*number, self.now));
