Ledger: a gang's run counts once, however many members fail

Callers saw jobs of gangs shown as failed although they had attempts left.

Cause: each member of a gang reports its own end, and the ledger compared the sum of all members' failed ends with the attempts. With two attempts, two members that failed in one run ended the job.

Change: the leader puts one failed end of each gang's run into the log; the others go in as ends of members that lost another one, which are not attempts. Objectives allow for the failed runs of a gang, not for those of its worst member.

Why in the leader: replicas of earlier versions count each failed end that the log has, and replicas must not differ in whether a job has failed. So entries keep their meaning and their format. What earlier versions have counted stays: for a gang, the sum over its members, which is also what replicas of those versions go on with.

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -74,6 +74,7 @@
         if let Some(seen) = self.uncommitted_ends.pop_front() {
             self.acknowledge(seen);
         }
+        self.gang_failures_committed(batch);
         for end in &batch.ends {
             let key = self.run_key(end.task, end.run);
             let ending = |key: &TaskId| self.runs[key].state == RunState::Ending;
@@ -199,7 +200,7 @@
     state.is_some_and(|state| state.is_final())
 }
 
-fn is_gang(step: StepId, ledger: &Ledger) -> bool {
+pub(super) fn is_gang(step: StepId, ledger: &Ledger) -> bool {
     let job = ledger.jobs.get(&step.job);
     let spec = job.and_then(|job| job.spec.steps.get(usize::from(step.step)));
     spec.is_some_and(|spec| spec.grouping == Grouping::Gang)
--- a/src/batch/dispatch/job_reasons.rs
+++ b/src/batch/dispatch/job_reasons.rs
@@ -30,7 +30,7 @@
         if grouping(job, task.step)? == Grouping::Gang {
             let step = step_record(job, task.step)?;
             let gang = self.gangs.entry(task.step);
-            gang.or_insert_with(|| failures(step));
+            gang.or_insert_with(|| step.gang_failures());
         }
         Some(())
     }
@@ -97,7 +97,7 @@
     let allowed = job.queue.attempts;
     steps(id, job).find_map(|(step, record)| {
         if grouping(job, step)? == Grouping::Gang {
-            let used = failures(record);
+            let used = record.gang_failures();
             return (used >= allowed).then(|| JobEndReason::GangFailed(step, attempts(job, used)));
         }
         let mut tasks = record.tasks.iter().zip(0..);
@@ -141,10 +141,6 @@
     Some(spec.grouping)
 }
 
-fn failures(step: &StepRecord) -> u32 {
-    step.tasks.iter().map(|task| task.failures).sum()
-}
-
 fn attempts(job: &Job, used: u32) -> Attempts {
     Attempts {
         used,
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod excess;
 mod expected_losses;
 mod forecast;
+mod gang_failures;
 mod gangs;
 mod health;
 mod holds;
@@ -55,7 +56,7 @@
 
 use super::event::Event;
 use super::ledger::{Batch, Ledger, TaskRecord, TaskState};
-use super::model::{JobId, MinionNumber, StepId, TaskId};
+use super::model::{JobId, MinionNumber, RunNumber, StepId, TaskId};
 use crate::ids::{MinionId, ServiceName, Term, Timestamp};
 
 pub use admission::{Submission, Verdict};
@@ -164,6 +165,8 @@
     /// One entry for each uncommitted batch: the last end received from each minion. These are
     /// acknowledged on commit.
     uncommitted_ends: VecDeque<Vec<(MinionNumber, u64)>>,
+    /// Failed runs of gangs in uncommitted batches.
+    uncommitted_gang_failures: BTreeSet<(StepId, RunNumber)>,
     /// Time of the last log line about unreadable rows.
     unreadable_logged_at: Option<Timestamp>,
     /// Set when something that placement depends on has changed.
@@ -239,6 +242,7 @@
             first_holds: BTreeSet::new(),
             unacknowledged: BTreeSet::new(),
             uncommitted_ends: Default::default(),
+            uncommitted_gang_failures: BTreeSet::new(),
             unreadable_logged_at: None,
             placement_requested: true,
             place_not_before: now,
@@ -404,11 +408,16 @@
         }
         self.send_stops(now);
         self.report_cell_state(now, unix);
-        if may_propose { self.take_batch() } else { None }
+        if may_propose {
+            self.take_batch(ledger)
+        } else {
+            None
+        }
     }
 
-    fn take_batch(&mut self) -> Option<Batch> {
-        let batch = std::mem::take(&mut self.batch);
+    fn take_batch(&mut self, ledger: &Ledger) -> Option<Batch> {
+        let mut batch = std::mem::take(&mut self.batch);
+        self.count_gang_runs_once(&mut batch, ledger);
         let seen = self
             .unacknowledged
             .iter()
--- a/src/batch/dispatch/objective.rs
+++ b/src/batch/dispatch/objective.rs
@@ -117,9 +117,12 @@
         if !self.cfg.mechanisms.has(Mechanism::Allowances) {
             return takes;
         }
-        let tasks = job.occurrences.get(&id.occurrence);
-        let tasks = tasks.map(|o| o.steps[usize::from(id.step)].tasks.iter());
-        let failed = tasks.and_then(|tasks| tasks.map(|task| task.failures).max());
+        let record = job.occurrences.get(&id.occurrence);
+        let record = record.map(|o| &o.steps[usize::from(id.step)]);
+        let failed = record.and_then(|record| match step.grouping {
+            Grouping::Gang => Some(record.gang_failures()),
+            Grouping::Single => record.tasks.iter().map(|task| task.failures).max(),
+        });
         let questions = job.queue.advice.map_or(Duration::ZERO, |t| {
             t.base + t.per_minion * MIN_MINIONS_PER_QUESTION as u32
         });
--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -1,6 +1,7 @@
 //! Commands that change the ledger, and how they are applied.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,12 +11,11 @@
 use super::batch::{Batch, Crash, End, Start};
 use super::records::TaskState;
 use super::{
-    FORMAT_VERSION, Job, Ledger, MinionRecord, StoredConfig, format_2, format_3, format_4,
-    unknown_format,
+    Job, Ledger, MinionRecord, StoredConfig, format_2, format_3, format_4, format_5, unknown_format,
 };
 use crate::batch::model::{
     ConfigVersion, Configuration, EndKind, Grouping, JobId, JobSpec, JobState, Lifetime,
-    MinionNumber, Queue, QueueKey, RunNumber, TaskId,
+    MinionNumber, Queue, QueueKey, RunNumber, StepId, TaskId,
 };
 use crate::batch::workspaces::Workspace;
 use crate::error::{Error, Result, Step};
@@ -85,19 +85,19 @@
     /// Encodes the command for the log, prefixed with the version of the first format that has it.
     pub fn to_bytes(&self) -> Result<Vec<u8>> {
         let version = match self {
-            Self::CancelUnknown { .. } => FORMAT_VERSION,
+            Self::CancelUnknown { .. } => format_5::VERSION,
             _ => format_4::VERSION,
         };
         postcard::to_allocvec(&(version, self))
             .map_err(|e| Error::caused(Step::Codec, "encoding a command", e))
     }
 
-    /// Decodes a command of the current format or an earlier one.
+    /// Decodes a command of any format that is read.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
         let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
             .map_err(|e| Error::caused(Step::Codec, "decoding a command", e))?;
         let read = match version {
-            FORMAT_VERSION | format_4::VERSION => postcard::from_bytes(rest),
+            format_5::VERSION | format_4::VERSION => postcard::from_bytes(rest),
             format_3::VERSION => postcard::from_bytes::<format_3::Command>(rest).map(Into::into),
             format_2::VERSION => postcard::from_bytes::<format_2::Command>(rest).map(Into::into),
             _ => return Err(unknown_format("command", version)),
@@ -338,7 +338,10 @@
                 task.failures += 1;
                 let mut failures = task.failures;
                 if grouping == Grouping::Gang {
-                    failures = step.tasks.iter().map(|t| t.failures).sum();
+                    // Replicas of earlier versions count every end that the log has as failed, so
+                    // the leader adds only one of each run.
+                    failures = step.gang_failures();
+                    self.failed_gang_runs.insert(end.task.step, end.run);
                 }
                 if failures >= attempts {
                     self.finish_job(id, JobState::Failed);
@@ -388,6 +391,7 @@
                     step.open -= 1;
                 }
             }
+            self.failed_gang_runs.remove(&end.task.step);
         } else {
             step.tasks[end.task.index as usize].state = TaskState::Done;
             step.open -= 1;
@@ -405,10 +409,16 @@
         }
     }
 
+    fn remove_failed_gang_runs(&mut self, steps: RangeInclusive<StepId>) {
+        let over = self.failed_gang_runs.extract_if(steps, |_, _| true);
+        over.for_each(drop);
+    }
+
     fn finish_job(&mut self, id: JobId, state: JobState) {
         self.unstarted.remove(&id);
         self.ended.push_back((self.clock, id));
         self.remove_former_copies(id);
+        self.remove_failed_gang_runs(StepId::all_of(id));
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/src/batch/ledger/format_2.rs
+++ b/src/batch/ledger/format_2.rs
@@ -102,6 +102,7 @@
             removed_workspaces: BTreeMap::new(),
             copies: BTreeMap::new(),
             early_cancels: Default::default(),
+            failed_gang_runs: BTreeMap::new(),
         }
     }
 }
--- a/src/batch/ledger/format_3.rs
+++ b/src/batch/ledger/format_3.rs
@@ -82,6 +82,7 @@
             removed_workspaces: old.removed_workspaces,
             copies: BTreeMap::new(),
             early_cancels: Default::default(),
+            failed_gang_runs: BTreeMap::new(),
         }
     }
 }
--- a/src/batch/ledger/format_4.rs
+++ b/src/batch/ledger/format_4.rs
@@ -42,6 +42,7 @@
             removed_workspaces: old.removed_workspaces,
             copies: old.copies,
             early_cancels: Default::default(),
+            failed_gang_runs: BTreeMap::new(),
         }
     }
 }
--- a/src/batch/ledger/mod.rs
+++ b/src/batch/ledger/mod.rs
@@ -9,6 +9,7 @@
 mod format_2;
 mod format_3;
 mod format_4;
+mod format_5;
 mod queries;
 mod records;
 
@@ -18,7 +19,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::model::{ConfigVersion, Configuration, JobId, MinionNumber, TaskId};
+use super::model::{ConfigVersion, Configuration, JobId, MinionNumber, RunNumber, StepId, TaskId};
 use super::workspaces::Workspace;
 use crate::error::{Error, Result, Step};
 use crate::ids::{MinionId, Timestamp, WorkspaceName};
@@ -30,8 +31,8 @@
     CopyRecord, Crashes, Job, MinionRecord, Occurrence, StepRecord, TaskRecord, TaskState,
 };
 
-/// Version of the encoding of snapshots and commands. Formats 2 to 4 can be read too.
-pub const FORMAT_VERSION: u16 = 5;
+/// Version of the encoding of snapshots. Snapshots and commands of formats 2 to 5 can be read too.
+pub const FORMAT_VERSION: u16 = 6;
 
 /// The configuration in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,6 +67,8 @@
     pub(crate) copies: BTreeMap<TaskId, CopyRecord>,
     /// Cancellations of jobs that are not in `jobs`, for submissions that arrive late.
     pub(crate) early_cancels: EarlyCancels,
+    /// Latest failed run of each gang of an open job that has failed.
+    pub(crate) failed_gang_runs: BTreeMap<StepId, RunNumber>,
 }
 
 impl Ledger {
@@ -81,6 +84,7 @@
             .map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))?;
         let read = match version {
             FORMAT_VERSION => postcard::from_bytes(rest),
+            format_5::VERSION => postcard::from_bytes::<format_5::Ledger>(rest).map(Into::into),
             format_4::VERSION => postcard::from_bytes::<format_4::Ledger>(rest).map(Into::into),
             format_3::VERSION => postcard::from_bytes::<format_3::Ledger>(rest).map(Into::into),
             format_2::VERSION => postcard::from_bytes::<format_2::Ledger>(rest).map(Into::into),
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -3,7 +3,8 @@
 use super::records::{Occurrence, StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
 use crate::batch::model::{
-    ConfigVersion, JobId, JobState, MinionNumber, Queue, QueueKey, StepId, StepSpec, TaskId,
+    ConfigVersion, JobId, JobState, MinionNumber, Queue, QueueKey, RunNumber, StepId, StepSpec,
+    TaskId,
 };
 use crate::batch::workspaces::Workspace;
 use crate::ids::WorkspaceName;
@@ -118,6 +119,14 @@
         self.jobs.get_mut(&id.step.job)?.task_mut(id)
     }
 
+    /// Latest failed run of a gang; 0 before the first.
+    pub fn last_failed_run(&self, gang: StepId) -> RunNumber {
+        self.failed_gang_runs
+            .get(&gang)
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Unfinished steps of an open job whose dependencies are done.
     pub fn ready_steps(&self, id: JobId) -> Vec<StepId> {
         self.steps_where(id, |occurrence, s, spec| {
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -149,6 +149,11 @@
 }
 
 impl StepRecord {
+    /// Number of failed runs of a gang: each is recorded with one of its members.
+    pub fn gang_failures(&self) -> u32 {
+        self.tasks.iter().map(|task| task.failures).sum()
+    }
+
     fn new(spec: &StepSpec) -> Self {
         Self {
             tasks: vec![TaskRecord::default(); spec.count as usize],
--- a/tests/batch_ledger.rs
+++ b/tests/batch_ledger.rs
@@ -53,10 +53,12 @@
 }
 
 /// Guards against snapshots and commands of earlier formats becoming unreadable. Each format appended
-/// to the one before: 4 the copies, 5 the early cancellations.
+/// to the one before: 4 the copies, 5 the early cancellations, 6 the
+/// failed runs of gangs.
 #[rstest]
-#[case::format_3(3, 6, 1)]
-#[case::format_4(4, 5, 0)]
+#[case::format_3(3, 7, 1)]
+#[case::format_4(4, 6, 0)]
+#[case::format_5(5, 1, 0)]
 fn files_of_earlier_formats_are_read(
     #[case] format: u8,
     #[case] added_to_snapshot: usize,
