Dispatch: the end of a job is reported once

Operators saw more jobs end, by log lines and metrics, than had ended: while the log's time stands still, as after a step back of the clock, each batch reported all jobs that had ended at that time again, and a batch that put off the removal of an ended job with active runs reported that job once more. A job cancelled before its arrival came again as cancelled by its caller.

Cause: a batch took every job whose end has the ledger's time for one that it had ended.

Change: the leader notes which of the jobs that a batch may end are open before it is applied, and reports those that are not open after it.

Evidence: a_job_that_ends_is_reported_once.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -1,7 +1,7 @@
 //! Time of a leader's decisions in cells of several sizes with the same load per minion, a policy
 //! service that allows a step on every second minion, and minions that answer within 2 ms. Time in
-//! the cell is simulated. The measurement covers the dispatcher and the ledger, and separately the
-//! choice of agents with the encoding of their messages. It is wall time, so run it alone.
+//! the cell is simulated. Measured are the dispatcher and the ledger, and the choice of agents with the
+//! encoding of their messages, in wall time, so run it alone.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -274,6 +274,7 @@
 
     fn apply(&mut self, command: &Command) {
         let began = Instant::now();
+        self.leader.before_apply(&self.ledger, command);
         self.ledger.apply(UNIX + self.now, command);
         self.leader.applied(self.now, &self.ledger, command, true);
         self.busy_time += began.elapsed();
--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -89,8 +89,7 @@
             self.dirty_jobs.insert(*job);
             self.schedule_next(ledger, *job);
         }
-        let ended: BTreeSet<_> = ledger.jobs_ended_at_last_command().collect();
-        for job in ended {
+        for job in self.take_ended_jobs(ledger) {
             self.job_ended(now, ledger, job, None);
         }
         let blocked_starts = self.blocked_starts(&batch.starts, ledger);
@@ -195,7 +194,7 @@
     }
 }
 
-fn is_final(ledger: &Ledger, job: JobId) -> bool {
+pub(super) fn is_final(ledger: &Ledger, job: JobId) -> bool {
     let state = ledger.job_state(job);
     state.is_some_and(|state| state.is_final())
 }
--- a/src/batch/dispatch/job_reasons.rs
+++ b/src/batch/dispatch/job_reasons.rs
@@ -1,23 +1,33 @@
 //! Why jobs ended, and which failed runs counted as attempts, for logs and metrics.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use super::applied::is_final;
 use super::{Dispatcher, JobId, StepId, TaskId};
 use crate::batch::event::Event;
 use crate::batch::job_end::{Attempts, JobEndReason};
 use crate::batch::ledger::{Batch, Command, End, Job, Ledger, StepRecord};
 use crate::batch::model::{EndKind, Grouping, JobState};
 
-/// Failed runs that had counted before a batch, for the tasks whose failed ends it has.
+/// State of the ledger before a batch, of what the batch may change.
 #[derive(Debug, Default)]
-pub(super) struct FailuresBefore {
+pub(super) struct StateBefore {
+    /// Jobs that had not ended.
+    open_jobs: BTreeSet<JobId>,
+    /// Failed runs that had counted, for the tasks whose failed ends the batch has.
     tasks: BTreeMap<TaskId, u32>,
     gangs: BTreeMap<StepId, u32>,
 }
 
-impl FailuresBefore {
+impl StateBefore {
     fn new(ledger: &Ledger, batch: &Batch) -> Self {
-        let mut before = Self::default();
+        let ends = batch.ends.iter().map(|end| end.task.step.job);
+        let crashes = batch.crashes.iter().map(|crash| crash.task.step.job);
+        let jobs = ends.chain(crashes);
+        let mut before = Self {
+            open_jobs: jobs.filter(|id| !is_final(ledger, *id)).collect(),
+            ..Self::default()
+        };
         for end in failed_ends(batch) {
             before.record(ledger, end.task);
         }
@@ -64,22 +74,28 @@
 }
 
 impl Dispatcher {
-    /// Records which failed runs have counted before a command is applied to the ledger, so that
-    /// `applied` can report those that the command counts.
+    /// Records which jobs are open and which failed runs have counted before a command is applied to
+    /// the ledger, so that `applied` handles what the command ends and counts, and that once.
     pub fn before_apply(&mut self, ledger: &Ledger, command: &Command) {
         if let Command::Batch(batch) = command {
-            self.failures_before = FailuresBefore::new(ledger, batch);
+            self.before = StateBefore::new(ledger, batch);
         }
     }
 
     pub(super) fn emit_counted_attempts(&mut self, ledger: &Ledger, batch: &Batch) {
-        let mut before = std::mem::take(&mut self.failures_before);
         for end in failed_ends(batch) {
-            if let Some(event) = before.counted(ledger, end) {
+            if let Some(event) = self.before.counted(ledger, end) {
                 self.emit(event);
             }
         }
     }
+
+    /// Jobs that the batch applied last has ended.
+    pub(super) fn take_ended_jobs(&mut self, ledger: &Ledger) -> BTreeSet<JobId> {
+        let mut jobs = std::mem::take(&mut self.before).open_jobs;
+        jobs.retain(|id| is_final(ledger, *id));
+        jobs
+    }
 }
 
 /// Why an ended job ended, unless it was cancelled before it arrived.
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -192,7 +192,7 @@
     /// Total capacity of each service.
     capacities: objective::Capacities,
     /// Set while a batch is applied to the ledger.
-    failures_before: job_reasons::FailuresBefore,
+    before: job_reasons::StateBefore,
     out: Vec<Order>,
 }
 
@@ -255,7 +255,7 @@
             profiles: profile::Profiles::default(),
             observed: BTreeMap::new(),
             capacities: objective::Capacities::default(),
-            failures_before: Default::default(),
+            before: Default::default(),
             out: Vec::new(),
         };
         let assumed = now + max_lease_on_local_clock(d.cfg.lease_max);
--- a/tests/batch_job_reasons.rs
+++ b/tests/batch_job_reasons.rs
@@ -157,6 +157,17 @@
     }
 }
 
+/// Guards against a job that is reported as ended by each batch while the log's time stands still.
+#[test]
+fn a_job_that_ends_is_reported_once() {
+    let mut world = World::new();
+    world.submit_to(JOB, two_attempts(), vec![step(1, 1_000)]);
+    world.apply(&Command::Cancel { job: JOB });
+    world.apply(&Command::Batch(Batch::default()));
+    world.decide();
+    assert_eq!(ends(&world.orders, JOB).len(), 1);
+}
+
 /// Guards against a job that ends without its cause, or with that of another end.
 #[rstest]
 #[case::done("done", "done", JobEndReason::Done, vec![
