Ledger: counted runs of gangs are known after an upgrade, too

With two attempts the job was then failed after one run. Found in review.

Cause: former formats have no counted runs, so none was known.

Change: reading them adds the runs that are certainly counted: some members are active, and one that has ended failed in each of its runs. In other cases a run may still be counted once more.

The tests of gangs that fail together gain leaders that are lost with their batches, and a member listed late whose run has not counted; batches that are proposed together are committed in the order of the log, without proposals in between. The comments on counts say what earlier versions counted.

--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -1,7 +1,6 @@
 //! Commands that change the ledger, and how they are applied.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -338,8 +337,8 @@
                 task.failures += 1;
                 let mut failures = task.failures;
                 if grouping == Grouping::Gang {
-                    // Replicas of earlier versions count every end that the log has as failed, so
-                    // the leader adds only one of each run.
+                    // Leaders of this version add one failed end of each run. All failed ends
+                    // count, so that replicas agree on the entries of earlier ones.
                     failures = step.gang_failures();
                     self.failed_gang_runs.insert(end.task.step, end.run);
                 }
@@ -384,7 +383,7 @@
             return;
         };
         if grouping == Grouping::Gang {
-            // The members of a gang finish_job together, so the end of one applies to all.
+            // The members of a gang end together, so the end of one applies to all.
             for member in &mut step.tasks {
                 if member.state != TaskState::Done && member.run == end.run {
                     member.state = TaskState::Done;
@@ -409,11 +408,6 @@
         }
     }
 
-    fn remove_failed_gang_runs(&mut self, steps: RangeInclusive<StepId>) {
-        let over = self.failed_gang_runs.extract_if(steps, |_, _| true);
-        over.for_each(drop);
-    }
-
     fn finish_job(&mut self, id: JobId, state: JobState) {
         self.unstarted.remove(&id);
         self.ended.push_back((self.clock, id));
--- a/src/batch/ledger/mod.rs
+++ b/src/batch/ledger/mod.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod copies;
 mod early_cancels;
+mod failed_gang_runs;
 mod format_2;
 mod format_3;
 mod format_4;
@@ -67,7 +68,8 @@
     pub(crate) copies: BTreeMap<TaskId, CopyRecord>,
     /// Cancellations of jobs that are not in `jobs`, for submissions that arrive late.
     pub(crate) early_cancels: EarlyCancels,
-    /// Latest failed run of each gang of an open job that has failed.
+    /// Latest counted failed run of each gang that is not done, of open jobs. The other counts decide
+    /// whether a job has failed, so replicas may differ here after a snapshot of an earlier format.
     pub(crate) failed_gang_runs: BTreeMap<StepId, RunNumber>,
 }
 
@@ -82,7 +84,7 @@
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
         let (version, rest): (u16, &[u8]) = postcard::take_from_bytes(bytes)
             .map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))?;
-        let read = match version {
+        let read: postcard::Result<Self> = match version {
             FORMAT_VERSION => postcard::from_bytes(rest),
             format_5::VERSION => postcard::from_bytes::<format_5::Ledger>(rest).map(Into::into),
             format_4::VERSION => postcard::from_bytes::<format_4::Ledger>(rest).map(Into::into),
@@ -90,7 +92,11 @@
             format_2::VERSION => postcard::from_bytes::<format_2::Ledger>(rest).map(Into::into),
             _ => return Err(unknown_format("snapshot", version)),
         };
-        read.map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))
+        let mut ledger = read.map_err(|e| Error::caused(Step::Codec, "reading a snapshot", e))?;
+        if version < FORMAT_VERSION {
+            ledger.restore_failed_gang_runs();
+        }
+        Ok(ledger)
     }
 
     /// Lowest number of an incarnation with this name; `None` if there is none.
--- a/src/batch/ledger/queries.rs
+++ b/src/batch/ledger/queries.rs
@@ -3,8 +3,7 @@
 use super::records::{Occurrence, StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
 use crate::batch::model::{
-    ConfigVersion, JobId, JobState, MinionNumber, Queue, QueueKey, RunNumber, StepId, StepSpec,
-    TaskId,
+    ConfigVersion, JobId, JobState, MinionNumber, Queue, QueueKey, StepId, StepSpec, TaskId,
 };
 use crate::batch::workspaces::Workspace;
 use crate::ids::WorkspaceName;
@@ -103,13 +102,6 @@
         self.unstarted.iter().filter(of_queue).count()
     }
 
-    /// Jobs whose recorded end time equals that of the latest command.
-    pub(crate) fn jobs_ended_at_last_command(&self) -> impl Iterator<Item = JobId> + '_ {
-        let latest = self.ended.iter().rev();
-        let latest = latest.take_while(|(at, _)| *at == self.clock);
-        latest.map(|(_, id)| *id)
-    }
-
     /// Record of a task; `None` if its job or its occurrence is not in the ledger.
     pub fn task(&self, id: TaskId) -> Option<&TaskRecord> {
         self.jobs.get(&id.step.job)?.task(id)
@@ -119,14 +111,6 @@
         self.jobs.get_mut(&id.step.job)?.task_mut(id)
     }
 
-    /// Latest failed run of a gang; 0 before the first.
-    pub fn last_failed_run(&self, gang: StepId) -> RunNumber {
-        self.failed_gang_runs
-            .get(&gang)
-            .copied()
-            .unwrap_or_default()
-    }
-
     /// Unfinished steps of an open job whose dependencies are done.
     pub fn ready_steps(&self, id: JobId) -> Vec<StepId> {
         self.steps_where(id, |occurrence, s, spec| {
--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -72,7 +72,8 @@
     pub state: TaskState,
     /// Number of its latest run; 0 before the first.
     pub run: RunNumber,
-    /// Number of runs that ended as failed.
+    /// Number of runs that ended as failed; for a member of a gang, of those that were counted with
+    /// its end.
     pub failures: u32,
     /// Crashes of minions that it may have caused.
     pub crashes: Crashes,
@@ -149,7 +150,8 @@
 }
 
 impl StepRecord {
-    /// Number of failed runs of a gang: each is recorded with one of its members.
+    /// Number of attempts that a gang has used: each failed run is counted with one of its members.
+    /// Earlier versions counted each failed member.
     pub fn gang_failures(&self) -> u32 {
         self.tasks.iter().map(|task| task.failures).sum()
     }
--- a/src/batch/model.rs
+++ b/src/batch/model.rs
@@ -380,13 +380,14 @@
 pub enum EndKind {
     /// The task completed.
     Done,
-    /// The task or its minion failed; counts as an attempt.
+    /// The task or its minion failed; counts as an attempt, once for each run of a gang.
     Failed,
     /// Stopped by an order.
     Stopped,
     /// The lease expired, or the minion is gone.
     Lapsed,
-    /// Another member of its gang ended.
+    /// Another member of its gang ended. In the log, also a failed end of a run that another member's
+    /// end has counted.
     GangMemberLost,
     /// The other members of its gang did not start in time.
     GangIncomplete,
--- a/tests/batch_gang_failures.rs
+++ b/tests/batch_gang_failures.rs
@@ -2,7 +2,7 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, gang, ms, queue};
+use batch_world::{JOB, World, first_step, gang, ms, queue};
 use rstest::rstest;
 use yuccahold::batch::dispatch::{HoldAnswer, ListedEnd, ListedRun, Listing, StartOrder};
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
@@ -94,6 +94,14 @@
 
 fn nothing(_: &mut World) {}
 
+/// Lets each minion show a new leader that nothing runs there.
+fn answer_first_holds(world: &mut World) {
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
+        world.answer_first_hold_of(id);
+    }
+    world.advance(ms(9_000));
+}
+
 fn restore(world: &mut World) {
     let snapshot = world.ledger.to_bytes().expect("writes");
     world.ledger = Ledger::from_bytes(&snapshot).expect("reads");
@@ -139,58 +147,88 @@
     end(&mut world, &members, &[Failed; 3], between);
     assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
     // The last leader starts the gang once each minion has shown that nothing runs there.
-    for id in ["i-1", "i-2", "i-3", "i-4"] {
-        world.answer_first_hold_of(id);
-    }
+    answer_first_holds(&mut world);
     world.advance(ms(9_000));
     let members = start(&mut world);
     end(&mut world, &members, &[Failed; 3], between);
     assert_eq!(world.ledger.job_state(JOB), Some(JobState::Failed));
 }
 
-/// Guards against counting a run twice when its failures are in two batches that are both proposed
-/// before the first is committed.
-#[test]
-fn members_that_fail_in_uncommitted_batches_are_one_attempt() {
-    let mut world = cell(1);
-    let members = start(&mut world);
-    let mut batches: Vec<Batch> = Vec::new();
-    for minion in minions_of(&members) {
+/// Lets each minion list its failed members; returns the batches that the leader proposes.
+fn propose_failures(world: &mut World, members: &[Member]) -> Vec<Batch> {
+    let mut batches = Vec::new();
+    for minion in minions_of(members) {
         let (sent, now) = (world.now, world.now + ms(2));
-        let listing = listing(&world, &members, minion, &[Failed; 3]);
+        let listing = listing(world, members, minion, &[Failed; 3]);
         let answer = HoldAnswer::Listing(listing);
+        let ledger = &world.ledger;
         world
             .leader
-            .hold_answered(now, minion, sent, answer, &world.ledger);
+            .hold_answered(now, minion, sent, answer, ledger);
         world.now = now;
         batches.extend(world.propose_only());
     }
     assert_eq!(batches.len(), 2, "two batches may be uncommitted");
+    batches
+}
+
+/// Guards against counting a run twice when its failures are in two batches that are both proposed
+/// before the first is committed.
+#[test]
+fn members_that_fail_in_uncommitted_batches_are_one_attempt() {
+    let mut world = cell(1);
+    let members = start(&mut world);
+    let batches = propose_failures(&mut world, &members);
     // Replicas of earlier versions count each end that the log has as failed.
     let failed = batches.iter().flat_map(|batch| &batch.ends);
     let failed = failed.filter(|end| end.kind == Failed).count();
     assert_eq!(failed, 1);
     for batch in batches {
-        world.commit(batch);
+        world.apply(&Command::Batch(batch));
     }
-    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
     world.advance(ms(9_000));
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
     let members = start(&mut world);
     end(&mut world, &members, &[Failed; 3], nothing);
     assert_eq!(world.ledger.job_state(JOB), Some(JobState::Failed));
 }
 
+/// Guards against a run that counts twice or never when its batches commit only in part before a new
+/// leader: minions list again what was not acknowledged.
+#[rstest]
+#[case::none(0)]
+#[case::the_first(1)]
+#[case::both(2)]
+fn members_that_fail_around_lost_batches_are_one_attempt(#[case] committed: usize) {
+    let mut world = cell(1);
+    let members = start(&mut world);
+    let batches = propose_failures(&mut world, &members);
+    for batch in batches.into_iter().take(committed) {
+        world.apply(&Command::Batch(batch));
+    }
+    change_leader(&mut world);
+    end(&mut world, &members, &[Failed; 3], nothing);
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
+    answer_first_holds(&mut world);
+    let members = start(&mut world);
+    end(&mut world, &members, &[Failed; 3], nothing);
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Failed));
+    assert_eq!(world.ledger.last_failed_run(first_step(JOB)), 0);
+}
+
 /// Guards against an end that a minion lists only after the next run of the gang has begun being
-/// counted for that run.
-#[test]
-fn a_failed_member_that_is_listed_late_adds_no_attempt() {
+/// counted for that run. Its lease lapsed before the end was acknowledged, so the end is void.
+#[rstest]
+#[case::of_a_run_that_has_counted([Failed, Failed, Failed])]
+#[case::of_a_run_that_has_not([GangMemberLost, GangMemberLost, Failed])]
+fn a_failed_member_that_is_listed_late_adds_no_attempt(#[case] prompt: [EndKind; 3]) {
     let mut world = cell(1);
     let members = start(&mut world);
     let late = members[2].0;
     for minion in minions_of(&members) {
         if minion != late {
             world.take_holds();
-            let listing = listing(&world, &members, minion, &[Failed; 3]);
+            let listing = listing(&world, &members, minion, &prompt);
             world.listing(minion, listing);
         }
     }
@@ -207,7 +245,15 @@
     let listing = listing(&world, &members, late, &[Failed; 3]);
     world.listing(late, listing);
     assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
-    end(&mut world, &next, &[Failed; 3], nothing);
+    let attempts = u32::from(prompt[0] == Failed);
+    for used in attempts..ATTEMPTS {
+        let members = match used == attempts {
+            true => next.clone(),
+            false => start(&mut world),
+        };
+        assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
+        end(&mut world, &members, &[Failed; 3], nothing);
+    }
     assert_eq!(world.ledger.job_state(JOB), Some(JobState::Failed));
 }
 
@@ -232,9 +278,7 @@
     assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
     // It has three attempts, and two of them are counted.
     change_leader(&mut world);
-    for id in ["i-1", "i-2", "i-3", "i-4"] {
-        world.answer_first_hold_of(id);
-    }
+    answer_first_holds(&mut world);
     let members = start(&mut world);
     end(
         &mut world,
@@ -244,3 +288,29 @@
     );
     assert_eq!(world.ledger.job_state(JOB), Some(JobState::Failed));
 }
+
+/// Guards against a run that an earlier version has counted being counted again after an upgrade:
+/// its snapshots don't have the counted runs.
+#[test]
+fn members_that_fail_around_an_upgrade_are_one_attempt() {
+    let mut world = cell(1);
+    let members = start(&mut world);
+    let first = minions_of(&members)[0];
+    world.take_holds();
+    let failed = listing(&world, &members, first, &[Failed; 3]);
+    world.listing(first, failed);
+    let mut snapshot = world.ledger.to_bytes().expect("writes");
+    // Format 6 added the counted runs: here their number, and the gang and run of one.
+    snapshot.truncate(snapshot.len() - 13);
+    snapshot[0] = 5;
+    let restored = Ledger::from_bytes(&snapshot).expect("reads");
+    assert_eq!(restored, world.ledger);
+    world.ledger = restored;
+    change_leader(&mut world);
+    end(&mut world, &members, &[Failed; 3], nothing);
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Running));
+    answer_first_holds(&mut world);
+    let members = start(&mut world);
+    end(&mut world, &members, &[Failed; 3], nothing);
+    assert_eq!(world.ledger.job_state(JOB), Some(JobState::Failed));
+}
--- a/tests/batch_ledger.rs
+++ b/tests/batch_ledger.rs
@@ -53,8 +53,8 @@
 }
 
 /// Guards against snapshots and commands of earlier formats becoming unreadable. Each format appended
-/// to the one before: 4 the copies, 5 the early cancellations, 6 the
-/// failed runs of gangs.
+/// to the one before: 4 the copies, 5 the early cancellations, 6 the failed
+/// runs of gangs.
 #[rstest]
 #[case::format_3(3, 7, 1)]
 #[case::format_4(4, 6, 0)]
