Batch: ends count in whatever order a minion lists them

Callers would have seen (found by reading): a job whose only attempt had failed was shown as running and its task was started again; likewise a finished task could run twice. No minion is known to list its ends out of order.

Cause: an end with a lower number than one taken before counts as a repetition. In a listing that isn't in ascending order, such an end was passed over, acknowledged with the later one, and its run counted as lapsed. PROTOCOL.md numbers the ends and doesn't say in which order they are listed.

Change: the ends of a listing are taken in the order of their numbers.

Evidence: `ends_count_in_whatever_order_they_are_listed` failed before ("running" in place of "failed"). The other four cases of `tests/batch_late_ends.rs` passed before: a failed end that is listed after the lease is no attempt, whether it arrives before or after the lapse is committed, and with or without a new leader.

--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -32,7 +32,7 @@
         now: Timestamp,
         number: MinionNumber,
         sent: Timestamp,
-        listing: Listing,
+        mut listing: Listing,
         ledger: &Ledger,
     ) {
         let Some(minion) = self.minions.get_mut(&number) else {
@@ -53,6 +53,8 @@
         if listing.unreadable > 0 {
             self.report_unreadable(now, number, listing.unreadable);
         }
+        // An end that follows a later one in the listing would be acknowledged without being counted.
+        listing.ended.sort_unstable_by_key(|end| end.number);
         for end in &listing.ended {
             self.take_end(now, number, end);
         }
