Batch: a minion gets full leases again only once its return is committed

Callers would have seen: a task that ran twice at the same time, and a failed run that was no attempt, or a finished one that was run again, after a leader died just when a minion that had counted as draining came back into service (as after a late announcement of a former incarnation).

Cause: the leader granted full leases as soon as the minion had been ready for 3 s. A leader that takes over before the return is committed takes the minion for draining and assumes short leases. With leases of 10 s it gave up a run 5.4 s before the lease of its minion ended; the end of such a run counts on the users' pages and was acknowledged without being counted.

Change: leases and the waits of holds stay short until the batch with the return is committed. A new leader either knows of the return or may rely on the short leases.

Evidence: `a_minion_gets_full_leases_only_once_its_return_is_committed` failed before ("given up at 3619.808s, the lease ends at 3625.224s").

--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -71,6 +71,11 @@
         if let Some(seen) = self.uncommitted_ends.pop_front() {
             self.acknowledge(seen);
         }
+        for (number, _) in &batch.joined {
+            if let Some(minion) = self.minions.get_mut(number) {
+                minion.return_uncommitted = false;
+            }
+        }
         for end in &batch.ends {
             let key = self.run_key(end.task, end.run);
             let ending = |key: &TaskId| self.runs[key].state == RunState::Ending;
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -112,7 +112,7 @@
         let Some(minion) = self.minions.get_mut(&number) else {
             return;
         };
-        let lease = if minion.draining {
+        let lease = if minion.has_short_leases() {
             longest.min(DRAINING_LEASE)
         } else if minion.lasting > 0 {
             longest.min(LASTING_LEASE)
@@ -184,7 +184,7 @@
             } else {
                 Duration::ZERO
             }
-        } else if minion.draining {
+        } else if minion.has_short_leases() {
             HOLD_WAIT_DRAINING
         } else if self.wants_short_wait(minion) {
             HOLD_WAIT_SHORT
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -117,6 +117,8 @@
     pub(super) rack: usize,
     /// It gets no new work, as it has reported or announced that it drains.
     pub(super) draining: bool,
+    /// Its return to service is not committed, so a new leader would take it for draining.
+    pub(super) return_uncommitted: bool,
     /// When it first reported itself ready while it counted as draining.
     pub(super) ready_since: Option<Timestamp>,
     /// Earliest time at which it ends, as it reported; `None` if it did not say.
@@ -185,6 +187,7 @@
         Self {
             number,
             draining: report.readiness != Readiness::Ready,
+            return_uncommitted: false,
             ready_since: None,
             ends_after: ends_after(&report, now),
             report,
@@ -267,12 +270,18 @@
     /// Puts it into service again.
     pub(super) fn mark_back(&mut self) {
         self.draining = false;
+        self.return_uncommitted = true;
         self.ready_since = None;
         if matches!(self.presence, Presence::Leaving(_)) {
             self.presence = Presence::Present;
         }
     }
 
+    /// Whether its leases must stay short, as a new leader may assume that they are.
+    pub(super) fn has_short_leases(&self) -> bool {
+        self.draining || self.return_uncommitted
+    }
+
     /// Whether it announced its end and has answered no call since.
     pub(super) fn may_have_ended(&self) -> bool {
         matches!(self.presence, Presence::Leaving(at) if self.heard <= at)
--- a/tests/batch_late_ends.rs
+++ b/tests/batch_late_ends.rs
@@ -6,10 +6,14 @@
 
 mod batch_world;
 
-use batch_world::{JOB, World, listed as running, ms, queue, step};
+use std::time::Duration;
+
+use batch_world::{JOB, World, config, draining, listed as running, ms, queue, report, step};
 use rstest::rstest;
-use yuccahold::batch::dispatch::{HoldAnswer, ListedEnd, ListedRun, Listing, StartOrder};
-use yuccahold::batch::model::{EndKind, JobState, MinionNumber, Queue};
+use yuccahold::batch::dispatch::{
+    DispatchConfig, HoldAnswer, ListedEnd, ListedRun, Listing, StartOrder,
+};
+use yuccahold::batch::model::{EndKind, JobState, MinionNumber, MinionReport, Queue};
 
 fn two_attempts() -> Queue {
     Queue {
@@ -144,3 +148,65 @@
     let states = [JOB, JOB + 1].map(|job| world.ledger.job_state(job));
     assert_eq!(states, [Some(JobState::Failed), Some(JobState::Done)]);
 }
+
+/// A minion that counted as draining has been ready for long enough to get full leases again, and
+/// the leader dies before that is committed. A new leader knows only that the minion drains and
+/// assumes short leases: with a full one granted, it gave up a run that was still under way, so that
+/// the task ran twice and a failed end counted as void.
+#[test]
+fn a_minion_gets_full_leases_only_once_its_return_is_committed() {
+    let mut world = World::with(DispatchConfig {
+        lease_max: ms(10_000),
+        ..config()
+    });
+    let minion = world.join("i-1", 1);
+    world.submit(JOB, vec![step(1, 1000)]);
+    let (_, start) = world.start_all().remove(0);
+    let works = || vec![running(&start)];
+    world.leader.report(world.now, draining("i-1", 1));
+    world.advance(ms(20));
+    // The leases granted before it drained are over.
+    let mut sequence = 3;
+    for _ in 0..120 {
+        world.advance(ms(100));
+        world.list(minion, works(), vec![]);
+    }
+    let mut uncommitted = None;
+    for _ in 0..40 {
+        world.now += ms(100);
+        let ready = MinionReport {
+            sequence,
+            ..report("i-1", 1)
+        };
+        sequence += 1;
+        world.leader.report(world.now, ready);
+        uncommitted = world.propose_only();
+        if uncommitted.is_some() {
+            break;
+        }
+        world.list(minion, works(), vec![]);
+    }
+    assert_eq!(uncommitted.expect("its return").joined.len(), 1);
+    answer_hold(&mut world, minion, works(), vec![]);
+    world.propose_only();
+    world.orders.extend(world.leader.take_orders());
+    let lease = lease_of(&mut world, minion);
+    world.new_leader(2);
+    world.join("i-2", 2);
+    wait_for_restart(&mut world, minion);
+    assert!(
+        world.now > lease,
+        "given up at {:?}, the lease ends at {lease:?}",
+        world.now
+    );
+}
+
+/// Highest deadline of the holds sent to a minion so far. Its clock shows the time of the world.
+fn lease_of(world: &mut World, minion: MinionNumber) -> Duration {
+    let holds = world.take_holds().into_iter();
+    let holds = holds.filter(|(number, _)| *number == minion);
+    holds
+        .filter_map(|(_, hold)| hold.deadline)
+        .max()
+        .expect("a lease")
+}
