--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -52,6 +52,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::drain_times::DrainTimes;
 use super::event::Event;
 use super::ledger::{Batch, Ledger, TaskRecord, TaskState};
 use super::model::{JobId, MinionNumber, StepId, TaskId};
@@ -274,19 +275,15 @@
         d
     }
 
-    /// Shortens the leases assumed for leaving minions. `since` has the time, by this replica's
+    /// Shortens the leases assumed for leaving minions. `drains` has the time, by this replica's
     /// clock, from which each is known to leave.
     ///
     /// An earlier leader granted them only short leases from that time on; only a lease granted
     /// before can last longer. Without this a new leader assumes the longest lease for each silent
     /// minion, and the tasks of a minion whose last message was lost with the old leader are down
     /// for all of it.
-    pub fn shorten_earlier_leases(
-        &mut self,
-        now: Timestamp,
-        since: &BTreeMap<MinionNumber, Timestamp>,
-    ) {
-        for (number, reported) in since {
+    pub fn shorten_earlier_leases(&mut self, now: Timestamp, drains: &DrainTimes) {
+        for (number, reported) in drains.since() {
             if let Some(minion) = self.minions.get_mut(number) {
                 let before = *reported + max_lease_on_local_clock(self.cfg.lease_max);
                 let after = now + max_lease_on_local_clock(holds::MAX_DRAINING_LEASE);
--- a/src/batch/machine.rs
+++ b/src/batch/machine.rs
@@ -1,7 +1,6 @@
 //! The state machine of the replicated log: the ledger and, while this replica leads, the
 //! dispatcher.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use tokio::sync::mpsc::UnboundedSender;
@@ -12,7 +11,8 @@
     Advice, DispatchConfig, Dispatcher, MinionAnswer, Order, OrderKind, QuestionId, Submission,
     Verdict,
 };
-use super::ledger::{Batch, Command, Ledger, Reply};
+use super::drain_times::DrainTimes;
+use super::ledger::{Command, Ledger, Reply};
 use super::model::{ConfigVersion, JobId, MinionNumber, MinionReport};
 use crate::error::Result;
 use crate::ids::{LogIndex, MinionId, Term, Timestamp};
@@ -29,9 +29,7 @@
     /// were dropped, the ends in them would never be committed, and since they still count as in
     /// flight, no further batches would be proposed.
     rejected_batches: Vec<Vec<u8>>,
-    /// When this replica learned that a minion is draining, by its monotonic clock. Not replicated:
-    /// a replica without an entry assumes the longest lease.
-    draining_since: BTreeMap<MinionNumber, Timestamp>,
+    drain_times: DrainTimes,
     /// Number of processes that can send orders and ask questions on the leader's behalf.
     agents: usize,
     /// Orders to the driver. The channel needs no bound: the dispatcher limits the orders in
@@ -69,7 +67,7 @@
             term: 0,
             dispatcher: None,
             rejected_batches: Vec::new(),
-            draining_since: BTreeMap::new(),
+            drain_times: DrainTimes::default(),
             agents: 0,
             orders,
         }
@@ -211,18 +209,6 @@
         }
     }
 
-    fn record_draining(&mut self, now: Timestamp, batch: &Batch) {
-        for (number, _) in &batch.joined {
-            self.draining_since.remove(number);
-        }
-        for number in &batch.draining {
-            self.draining_since.entry(*number).or_insert(now);
-        }
-        for number in &batch.gone {
-            self.draining_since.remove(number);
-        }
-    }
-
     /// Whether applying a command changes the ledger; passed to the dispatcher afterwards.
     fn has_effect(&self, command: &Command) -> bool {
         match command {
@@ -282,7 +268,7 @@
         let effective = self.dispatcher.is_some() && self.has_effect(&command);
         let reply = self.ledger.apply(at, &command);
         if let Command::Batch(batch) = &command {
-            self.record_draining(monotonic_now(), batch);
+            self.drain_times.record(monotonic_now(), batch);
         }
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.applied(monotonic_now(), &self.ledger, &command, effective);
@@ -298,7 +284,7 @@
         self.rejected_batches.clear();
         self.dispatcher = leading.then(|| {
             let mut dispatcher = Dispatcher::new(self.cfg.clone(), self.term, &self.ledger, now);
-            dispatcher.shorten_earlier_leases(now, &self.draining_since);
+            dispatcher.shorten_earlier_leases(now, &self.drain_times);
             dispatcher.set_agents(self.agents);
             dispatcher
         });
@@ -330,10 +316,7 @@
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<()> {
         self.ledger = Ledger::from_bytes(snapshot)?;
-        // The snapshot may replace log entries that removed minions.
-        let known = &self.ledger.minions;
-        self.draining_since
-            .retain(|number, _| known.contains_key(number));
+        self.drain_times.restored(monotonic_now(), &self.ledger);
         Ok(())
     }
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -7,6 +7,7 @@
 pub mod calls;
 mod client_calls;
 pub mod dispatch;
+pub mod drain_times;
 pub mod driver;
 mod election_watch;
 pub mod event;
--- a/tests/batch_late_ends.rs
+++ b/tests/batch_late_ends.rs
@@ -13,6 +13,7 @@
 use yuccahold::batch::dispatch::{
     DispatchConfig, HoldAnswer, ListedEnd, ListedRun, Listing, StartOrder,
 };
+use yuccahold::batch::ledger::Batch;
 use yuccahold::batch::model::{EndKind, JobState, MinionNumber, MinionReport, Queue};
 
 fn two_attempts() -> Queue {
@@ -149,12 +150,21 @@
     assert_eq!(states, [Some(JobState::Failed), Some(JobState::Done)]);
 }
 
-/// A minion that counted as draining has been ready for long enough to get full leases again, and
-/// the leader dies before that is committed. A new leader knows only that the minion drains and
-/// assumes short leases: with a full one granted, it gave up a run that was still under way, so that
-/// the task ran twice and a failed end counted as void.
-#[test]
-fn a_minion_gets_full_leases_only_once_its_return_is_committed() {
+/// How the next leader comes to miss that a minion is back in service.
+#[derive(Clone, Copy, PartialEq)]
+enum Missed {
+    NotCommitted,
+    CoveredBySnapshot,
+}
+
+/// A minion that counted as draining has been ready for long enough to be in service again, and its
+/// leader dies. A new leader that doesn't know of its return assumes short leases: where a full one
+/// had been granted, it gave up a run that was still under way, so that the task ran twice and a
+/// failed end counted as void.
+#[rstest]
+fn a_lease_is_over_before_its_runs_are_given_up(
+    #[values(Missed::NotCommitted, Missed::CoveredBySnapshot)] missed: Missed,
+) {
     let mut world = World::with(DispatchConfig {
         lease_max: ms(10_000),
         ..config()
@@ -165,28 +175,18 @@
     let works = || vec![running(&start)];
     world.leader.report(world.now, draining("i-1", 1));
     world.advance(ms(20));
-    // The leases granted before it drained are over.
-    let mut sequence = 3;
+    // The leases granted before it drained end meanwhile.
     for _ in 0..120 {
         world.advance(ms(100));
         world.list(minion, works(), vec![]);
     }
-    let mut uncommitted = None;
-    for _ in 0..40 {
-        world.now += ms(100);
-        let ready = MinionReport {
-            sequence,
-            ..report("i-1", 1)
-        };
-        sequence += 1;
-        world.leader.report(world.now, ready);
-        uncommitted = world.propose_only();
-        if uncommitted.is_some() {
-            break;
-        }
-        world.list(minion, works(), vec![]);
+    let drain_times = world.drain_times.clone();
+    let returned = report_ready_until_back(&mut world, minion, &start);
+    if missed == Missed::CoveredBySnapshot {
+        world.commit(returned);
+        world.drain_times = drain_times;
+        world.drain_times.restored(world.now, &world.ledger);
     }
-    assert_eq!(uncommitted.expect("its return").joined.len(), 1);
     answer_hold(&mut world, minion, works(), vec![]);
     world.propose_only();
     world.orders.extend(world.leader.take_orders());
@@ -194,11 +194,26 @@
     world.new_leader(2);
     world.join("i-2", 2);
     wait_for_restart(&mut world, minion);
-    assert!(
-        world.now > lease,
-        "given up at {:?}, the lease ends at {lease:?}",
-        world.now
-    );
+    let now = world.now;
+    assert!(now > lease, "at {now:?}, the lease ends at {lease:?}");
+}
+
+/// Lets a draining minion with a run report itself ready until the leader proposes its return.
+fn report_ready_until_back(world: &mut World, minion: MinionNumber, start: &StartOrder) -> Batch {
+    for sequence in 3..50 {
+        world.now += ms(100);
+        let ready = MinionReport {
+            sequence,
+            ..report("i-1", 1)
+        };
+        world.leader.report(world.now, ready);
+        if let Some(batch) = world.propose_only() {
+            assert_eq!(batch.joined.len(), 1);
+            return batch;
+        }
+        world.list(minion, vec![running(start)], vec![]);
+    }
+    panic!("it stays out of service");
 }
 
 /// Highest deadline of the holds sent to a minion so far. Its clock shows the time of the world.
--- a/tests/batch_world/mod.rs
+++ b/tests/batch_world/mod.rs
@@ -21,6 +21,7 @@
     AdviceQuestion, Answer, CallFailure, DispatchConfig, Dispatcher, HoldAnswer, HoldOrder,
     ListedEnd, ListedRun, Listing, Mechanisms, MinionOrder, Order, StartOrder,
 };
+use yuccahold::batch::drain_times::DrainTimes;
 use yuccahold::batch::ledger::{Batch, Command, Ledger};
 use yuccahold::batch::model::{
     Configuration, EndKind, Grouping, JobId, JobSpec, Lifetime, MinionNumber, MinionReport, Queue,
@@ -168,7 +169,7 @@
 /// One leader, whose commands are committed immediately.
 pub struct World {
     cfg: DispatchConfig,
-    draining_since: BTreeMap<MinionNumber, Duration>,
+    pub drain_times: DrainTimes,
     pub now: Duration,
     pub ledger: Ledger,
     pub leader: Dispatcher,
@@ -186,7 +187,7 @@
         let leader = Dispatcher::new(cfg.clone(), 1, &ledger, now);
         Self {
             cfg,
-            draining_since: BTreeMap::new(),
+            drain_times: DrainTimes::default(),
             now,
             ledger,
             leader,
@@ -198,7 +199,7 @@
     pub fn new_leader(&mut self, term: u64) {
         self.leader = Dispatcher::new(self.cfg.clone(), term, &self.ledger, self.now);
         self.leader
-            .shorten_earlier_leases(self.now, &self.draining_since);
+            .shorten_earlier_leases(self.now, &self.drain_times);
         self.orders.clear();
         self.decide();
     }
@@ -226,8 +227,7 @@
         let at = self.unix();
         self.ledger.apply(at, command);
         if let Command::Batch(batch) = command {
-            let draining = batch.draining.iter().map(|number| (*number, self.now));
-            self.draining_since.extend(draining);
+            self.drain_times.record(self.now, batch);
         }
         self.leader
             .applied(self.now, &self.ledger, command, effective);
