Placement: a failed run of a gang is one attempt, whichever member fails

Callers saw: a gang that restarts as a whole and whose members failed in turn ran more often than `max_attempts` allows: each task was started a third time with two attempts.

Cause: failures were counted for each member, and each was compared with the attempts by itself. Members that failed together in one run were counted right, but each blamed its worker: the second such worker put the blame on the job.

Change: a job whose gang restarts as a whole counts its failed runs. Members that fail in a run that is counted add nothing, neither to the attempts nor to what is held against job, kind and worker. The next start of the gang begins a new run. Members that are replaced one by one keep attempts of their own. Quarantine gives one attempt back. The placer's counts are not stored, so no stored form changes; as before, a new leader starts counting anew.

--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -5,7 +5,9 @@
 
 use super::classes::{ClassIndex, IndexPosition};
 use super::interface::{RestoredTask, TaskState};
-use super::records::{BANDS, Ending, Job, JobIx, Phase, Run, RunRef, Task, Worker, WorkerIx};
+use super::records::{
+    BANDS, Ending, GangFailures, Job, JobIx, Phase, Run, RunRef, Task, Worker, WorkerIx,
+};
 use super::rules;
 use crate::ids::{JobName, RackName, TaskIndex, Timestamp, WorkerId, ZoneName};
 use crate::resources::Resources;
@@ -212,6 +214,7 @@
             seq: self.next_seq,
             version: 0,
             tasks: vec![Task::NEW; n as usize],
+            gang_failures: GangFailures::default(),
             waiting: (0..n).rev().collect(),
             backing_off: 0,
             running: 0,
--- a/src/placement/failures.rs
+++ b/src/placement/failures.rs
@@ -32,7 +32,7 @@
     /// Delays a task's next start after a failure. The delay has jitter, so that tasks that failed
     /// together do not restart together.
     pub(crate) fn back_off(&mut self, now: Timestamp, r: RunRef) {
-        let failures = self.cell.job(r.job).tasks[r.index as usize].failures;
+        let failures = self.cell.job(r.job).failures_of(r.index);
         let doublings = failures.saturating_sub(1).min(6);
         let wait = (MIN_BACKOFF * 2u32.pow(doublings)).min(MAX_BACKOFF);
         let jitter = self.rng.random_range(0.5..1.5);
@@ -66,7 +66,12 @@
         self.wake_fitting(ix);
     }
 
+    /// Counts a failed run against its task, its job and its worker. A member of a gang whose run is
+    /// counted already adds nothing: it may have failed only because another did.
     pub(crate) fn run_failed(&mut self, now: Timestamp, r: RunRef, run: &Run) {
+        if self.cell.job(r.job).gang_run_has_failed() {
+            return;
+        }
         let trial = self.record_trial_failure(now, r, run.worker);
         let job = self.cell.job_mut(r.job);
         let kind = job.spec.kind.clone();
@@ -77,7 +82,7 @@
         if trial {
             return;
         }
-        job.tasks[r.index as usize].failures += 1;
+        job.count_failure(r.index);
         let job_at_fault = job.failed_on.len() >= FAULTY_JOB_WORKERS;
         let kind_at_fault = self.estimates.record_failure(&kind, run.worker, now);
         if !job_at_fault && !kind_at_fault {
@@ -88,16 +93,20 @@
 
     fn fail_job_if_exhausted(&mut self, r: RunRef) {
         let job = self.cell.job(r.job);
-        let failures = job.tasks[r.index as usize].failures;
+        let failures = job.failures_of(r.index);
         if job.closed || job.long_running() || failures < job.spec.max_attempts.max(1) {
             return;
         }
         if !job.spec.idempotent && job.spec.class == WorkClass::Batch && job.spec.tasks > 1 {
             return;
         }
+        let what = if job.restarts_as_a_whole() {
+            "the gang".to_owned()
+        } else {
+            format!("task {}", r.index)
+        };
         let reason = format!(
-            "task {} failed {failures} times on {} workers; {} attempts are allowed",
-            r.index,
+            "{what} failed {failures} times on {} workers; {} attempts are allowed",
             job.failed_on.len(),
             job.spec.max_attempts.max(1),
         );
@@ -143,8 +152,7 @@
         for failed in self.cell.worker(ix).recent_failures.clone() {
             let found = self.cell.jobs[failed.run.job as usize].as_mut();
             if let Some(job) = found.filter(|j| j.seq == failed.seq) {
-                let task = &mut job.tasks[failed.run.index as usize];
-                task.failures = task.failures.saturating_sub(1);
+                job.uncount_failure(failed.run.index);
             }
         }
     }
--- a/src/placement/records.rs
+++ b/src/placement/records.rs
@@ -7,7 +7,7 @@
 use super::rules;
 use crate::ids::{Attempt, TaskIndex, Timestamp};
 use crate::resources::Resources;
-use crate::workload::{Band, JobSpec, Spread, WorkerSpec};
+use crate::workload::{Band, JobSpec, MemberLoss, Spread, WorkClass, WorkerSpec};
 
 /// Index of a worker in the cell's table; used again after the worker is removed.
 pub(crate) type WorkerIx = u32;
@@ -144,7 +144,8 @@
     Ended,
 }
 
-/// A task of a job. `failures` counts failed runs since the last success.
+/// A task of a job. `failures` counts failed runs since the last success, except in a gang that
+/// restarts as a whole.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Task {
     pub(crate) attempt: Attempt,
@@ -170,6 +171,22 @@
     }
 }
 
+/// Failed runs of a gang that restarts as a whole, each of which is one attempt of all its members.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct GangFailures {
+    count: u32,
+    /// Whether the latest run is counted; further members that fail in it add nothing.
+    latest: LatestRun,
+}
+
+/// Whether the latest run of a gang has failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum LatestRun {
+    #[default]
+    NotFailed,
+    Failed,
+}
+
 /// A job and its tasks.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -179,6 +196,7 @@
     pub(crate) seq: u64,
     pub(crate) version: u32,
     pub(crate) tasks: Vec<Task>,
+    pub(crate) gang_failures: GangFailures,
     /// Indices of the waiting tasks; the last one starts next.
     pub(crate) waiting: Vec<TaskIndex>,
     pub(crate) backing_off: u32,
@@ -213,6 +231,49 @@
         self.spec.tasks - (self.tasks.iter().filter(stays).count() as u32).min(self.spec.tasks)
     }
 
+    /// Whether all its tasks restart when one of them ends early.
+    pub(crate) fn restarts_as_a_whole(&self) -> bool {
+        self.spec.class == WorkClass::Gang && self.spec.on_member_loss != MemberLoss::Replace
+    }
+
+    /// Failed attempts of a task.
+    pub(crate) fn failures_of(&self, index: TaskIndex) -> u32 {
+        if self.restarts_as_a_whole() {
+            self.gang_failures.count
+        } else {
+            self.tasks[index as usize].failures
+        }
+    }
+
+    /// Whether the present run of the gang is counted as failed.
+    pub(crate) fn gang_run_has_failed(&self) -> bool {
+        self.restarts_as_a_whole() && self.gang_failures.latest == LatestRun::Failed
+    }
+
+    /// Records that all waiting members of the gang start.
+    pub(crate) fn gang_started(&mut self) {
+        self.gang_failures.latest = LatestRun::NotFailed;
+    }
+
+    pub(crate) fn count_failure(&mut self, index: TaskIndex) {
+        if self.restarts_as_a_whole() {
+            self.gang_failures.count += 1;
+            self.gang_failures.latest = LatestRun::Failed;
+        } else {
+            self.tasks[index as usize].failures += 1;
+        }
+    }
+
+    /// Takes a counted failure back.
+    pub(crate) fn uncount_failure(&mut self, index: TaskIndex) {
+        let failures = if self.restarts_as_a_whole() {
+            &mut self.gang_failures.count
+        } else {
+            &mut self.tasks[index as usize].failures
+        };
+        *failures = failures.saturating_sub(1);
+    }
+
     /// Whether its tasks are kept running rather than run once.
     pub(crate) fn long_running(&self) -> bool {
         rules::long_running(&self.spec)
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -353,6 +353,7 @@
         let Some(workers) = search::find_gang(&self.cell, &req, n, &self.held) else {
             return ServeResult::Blocked;
         };
+        self.cell.job_mut(ix).gang_started();
         for worker in workers {
             self.start_one(now, ix, worker, grant, out);
         }
