--- a/src/batch/dispatch/applied.rs
+++ b/src/batch/dispatch/applied.rs
@@ -75,6 +75,11 @@
             self.acknowledge(seen);
         }
         self.gang_failures_committed(batch);
+        for (number, _) in &batch.joined {
+            if let Some(minion) = self.minions.get_mut(number) {
+                minion.return_uncommitted = false;
+            }
+        }
         for end in &batch.ends {
             let key = self.run_key(end.task, end.run);
             let ending = |key: &TaskId| self.runs[key].state == RunState::Ending;
