Health: members of a gang that fail in one run are one failure of their minion

Callers saw work wait beside a sound minion for a second or more, and gangs that never started again, after several members of one run had failed on one minion. A gang whose only suitable minion was on probation waited for ever.

Cause: each member's end, or refused start, counted as a failure of its own, so one run brought the two failures in a row that put a minion on probation. There a gang had room for one member only.

Change: the first failure of a gang's run on a minion is counted and marks the other members there, so ends in later listings add nothing. On probation a gang is placed as a whole; its members together are the one run that probes the minion, until the last of them is over. It ends the probation when all members, on whichever minions, have run together for a second.

A gang starts on such a minion at the latest after the pause of up to 8 s and one placement round of 100 ms, given room and no work before it in order. With more minions on probation it waits for the longest of their pauses. A minion that fails everything gets runs at the same pauses as before: 1, 2, 4, 8 s.

--- a/src/batch/dispatch/answers.rs
+++ b/src/batch/dispatch/answers.rs
@@ -5,6 +5,7 @@
 
 use super::Dispatcher;
 use super::crashes::GoneEvidence;
+use super::health::Failure;
 use super::minion::UnansweredStart;
 use super::order::{Answer, MinionAnswer, MinionOrder, Order, OrderKind, StartOrder, StartRefusal};
 use super::run::{RunState, StopState};
@@ -168,9 +169,7 @@
                 }
             }
             StartRefusal::Unhealthy => {
-                if let Some(minion) = self.minions.get_mut(&number) {
-                    minion.health.failed(now, None);
-                }
+                self.count_failure(now, number, id, Failure::RefusedStart);
             }
             _ => {}
         }
--- a/src/batch/dispatch/gangs.rs
+++ b/src/batch/dispatch/gangs.rs
@@ -51,7 +51,9 @@
     }
 
     /// Minions that can run members of a gang, by rack, the best score first. A minion with
-    /// reservations, or on probation after failures, counts for one member only.
+    /// reservations counts for one member only. On one that is on probation after failures, all
+    /// members together are one run: with room for one member only, a gang that suits no other
+    /// minion never started again.
     fn gang_places(
         &self,
         now: Timestamp,
@@ -66,8 +68,7 @@
                 continue;
             }
             let most = spec.max_per_minion.unwrap_or(u32::MAX);
-            let single = minion.health.is_on_probation();
-            let slots = if self.reservations.is_open(minion.number) && !single {
+            let slots = if self.reservations.is_open(minion.number) {
                 max_tasks_in(&minion.free(), &need).min(most)
             } else {
                 1
--- a/src/batch/dispatch/listings.rs
+++ b/src/batch/dispatch/listings.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::health::Failure;
 use super::mechanisms::Mechanism;
 use super::minion::OrphanedRun;
 use super::order::{ListedEnd, ListedRun, Listing, MinionOrder, Order};
@@ -19,9 +20,6 @@
 const MAX_ENDS_LISTED: usize = 500;
 /// Least time between two log lines about unreadable rows: such a row stays listed.
 const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Run time of a lasting run that proves its minion healthy: a minion that fails every run does so
-/// much sooner.
-const PROVEN_HEALTHY_AFTER: Duration = Duration::from_secs(5);
 /// Least time between two orders to stop the same orphaned run.
 const ORPHAN_STOP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -92,7 +90,7 @@
         if let Some(key) = key.filter(|key| self.runs[key].minion == number) {
             match end.kind {
                 EndKind::Done => self.record_done(now, number, key),
-                EndKind::Failed => self.record_failed(now, number, key),
+                EndKind::Failed => self.count_failure(now, number, key, Failure::Run),
                 _ => {}
             }
             self.run_over(now, key, end.kind, end.checkpoint.clone());
@@ -121,21 +119,6 @@
         }
     }
 
-    /// Counts a failed run against its minion. A lasting run never ends as done, so one that ran
-    /// for at least `PROVEN_HEALTHY_AFTER` counts as a success; counted as a failure, each such run
-    /// kept its minion without new work for 8 s.
-    fn record_failed(&mut self, now: Timestamp, number: MinionNumber, task: TaskId) {
-        let (Some(minion), Some(run)) = (self.minions.get_mut(&number), self.runs.get(&task))
-        else {
-            return;
-        };
-        if !run.ends && run.elapsed(now) >= PROVEN_HEALTHY_AFTER {
-            minion.health.succeeded(run);
-        } else {
-            minion.health.failed(now, run.began());
-        }
-    }
-
     /// Ends the run of a task: frees its room and adds its end to the next batch. The logged age of
     /// the run is its age at `as_of`.
     pub(super) fn run_over(
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -102,6 +102,10 @@
     pub(super) copyable: bool,
     /// Whether it was started as a copy; also true once it is the only run of its task.
     pub(super) is_copy: bool,
+    /// Number of tasks that run only together with it, itself included; 1 for a single task.
+    pub(super) members: u32,
+    /// Whether a failure of its gang's run is already counted for the health of its minion.
+    pub(super) judged: bool,
     /// How it ended; `None` while it may run.
     pub(super) end: Option<EndKind>,
 }
@@ -158,6 +162,11 @@
                 && spec.lifetime == Lifetime::Finite
                 && spec.grouping == Grouping::Single,
             is_copy: false,
+            members: match spec.grouping {
+                Grouping::Single => 1,
+                Grouping::Gang => spec.count,
+            },
+            judged: false,
             end: None,
         }
     }
