Gangs: members start beside a reservation where there is room for both

Callers saw a gang wait for the end of a long run on a minion with free room, while single tasks of the same size started there at once.

Cause: a minion with any reservation had room for one member of a gang, whatever was left beside the reserved room. The reservation lasts as long as the run that its task waits for, which may be much longer than the gang.

Change: as many members count as may start there together without delaying the tasks with reservations, by the rule that holds for single tasks.

--- a/src/batch/dispatch/gangs.rs
+++ b/src/batch/dispatch/gangs.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 
 use super::advice::max_tasks_in;
+use super::minion::Minion;
 use super::place::Score;
 use super::{Dispatcher, ReadyStep, demand};
 use crate::batch::ledger::Ledger;
 use crate::batch::model::{MinionNumber, StepId, StepSpec};
 use crate::ids::Timestamp;
+use crate::resources::Resources;
 
 impl Dispatcher {
     /// Places all members of a gang, or leaves the step unchanged.
@@ -50,10 +52,9 @@
         }
     }
 
-    /// Minions that can run members of a gang, by rack, the best score first. A minion with
-    /// reservations counts for one member only. On one that is on probation after failures, all
-    /// members together are one run: with room for one member only, a gang that suits no other
-    /// minion never started again.
+    /// Minions that can run members of a gang, by rack, the best score first. On a minion
+    /// that is on probation after failures, all members together are one run: with room for one
+    /// member only, a gang that suits no other minion never started again.
     fn gang_places(
         &self,
         now: Timestamp,
@@ -68,11 +69,8 @@
                 continue;
             }
             let most = spec.max_per_minion.unwrap_or(u32::MAX);
-            let slots = if self.reservations.is_open(minion.number) {
-                max_tasks_in(&minion.free(), &need).min(most)
-            } else {
-                1
-            };
+            let most = max_tasks_in(&minion.free(), &need).min(most);
+            let slots = self.members_beside_reservations(now, minion, step, spec, most);
             let rack = places.entry(minion.rack).or_default();
             rack.push(MinionSlots {
                 score: self.score(minion, step, spec, &need),
@@ -85,6 +83,30 @@
         }
         places
     }
+
+    /// How many members of a gang, at most `most`, may start on a minion without delaying the tasks
+    /// with reservations there.
+    fn members_beside_reservations(
+        &self,
+        now: Timestamp,
+        minion: &Minion,
+        step: &ReadyStep,
+        spec: &StepSpec,
+        most: u32,
+    ) -> u32 {
+        if self.reservations.is_open(minion.number) {
+            return most;
+        }
+        let need = demand(spec);
+        let most = most.min(step.waiting.len() as u32);
+        let sums = (0..most).scan(Resources::ZERO, |sum, _| {
+            *sum = sum.saturating_add(&need);
+            Some(*sum)
+        });
+        let fitting =
+            sums.take_while(|sum| self.respects_reservations(now, minion, step, spec, sum));
+        fitting.count() as u32
+    }
 }
 
 /// Minions that can run members, by rack, best first.
--- a/tests/batch_gang_health.rs
+++ b/tests/batch_gang_health.rs
@@ -4,11 +4,12 @@
 
 use std::time::Duration;
 
-use batch_world::hosts::Cell;
+use batch_world::hosts::{Cell, Restart};
 use batch_world::{JOB, World, first_step, gang, listed, ms, queue, report, step};
 use rstest::rstest;
 use yuccahold::batch::dispatch::{Answer, ListedEnd, StartOrder, StartRefusal};
 use yuccahold::batch::model::{EndKind, JobId, JobState, Lifetime, MinionNumber, Queue, StepSpec};
+use yuccahold::resources::Resources;
 
 /// Job of the work beside the gang.
 const OTHER: JobId = JOB + 1;
@@ -337,3 +338,49 @@
     world.list(minion, at_work, vec![]);
     assert_eq!(world.take_starts().len(), 3, "after all have worked");
 }
+
+/// Guards against a gang that waits for work with a reservation although there is room for both: a
+/// minion with a reservation had room for one member only.
+#[test]
+fn a_gang_starts_beside_a_reservation_that_it_does_not_delay() {
+    let mut cell = Cell::new(1..2);
+    let large = |estimate| StepSpec {
+        need: Resources::new(4, 40_000, 0),
+        estimate,
+        ..step(1, 1_000)
+    };
+    cell.submit(OTHER, vec![large(ms(50_000))]);
+    cell.run(ms(100));
+    cell.submit(OTHER + 1, vec![large(ms(50_000))]);
+    cell.run(ms(100));
+    let late = Queue {
+        priority: 2,
+        ..attempts(60)
+    };
+    cell.submit_to(JOB, late, vec![gang(3, 1_000)]);
+    let took = cell.run_until("the gang", |cell| members_at_work(cell, 3) == 3);
+    assert!(took <= ROUND, "started after {took:?}");
+    assert_eq!(cell.violations, [""; 0]);
+}
+
+/// Guards against a gang that waits for ever when each of its members is on trial after a crash of
+/// the only minion that suits it.
+#[rstest]
+fn a_gang_on_trial_starts_on_the_only_minion_that_suits_it(
+    #[values(Lifetime::Finite, Lifetime::Lasting)] lifetime: Lifetime,
+    #[values(Restart::NewName, Restart::SameName)] restart: Restart,
+) {
+    let mut cell = Cell::new(1..2);
+    cell.restart = restart;
+    cell.submit_to(JOB, attempts(60), vec![gang_of(lifetime, 3)]);
+    cell.run_until("the gang", |cell| members_at_work(cell, 3) == 3);
+    cell.run(ms(20));
+    cell.crash(1);
+    let took = cell.run_until("the next run", |cell| members_at_work(cell, 3) == 3);
+    let crashes = (0..3).map(|index| cell.world.ledger.task(first_step(JOB).task(index)));
+    assert!(crashes.flatten().all(|task| task.crashes.any()));
+    assert!(took <= ms(10_000), "started after {took:?}");
+    cell.submit(OTHER, vec![step(1, 1_000)]);
+    cell.run_until("other work", |cell| cell.runs_on(1) == 4);
+    assert_eq!(cell.violations, [""; 0]);
+}
