Health: time for which a run is listed counts where its start got no answer

Callers saw work wait for ever beside a sound minion: a lasting task or gang was its probe after failures, and the start of the probe had got no answer. Lasting runs taken over from an earlier leader counted as failures of their minion however long they had run; two of them kept it from work.

Cause: the time that a run has worked was taken from the answer to its start order only, and was zero without one, although the minion listed the run.

Change: without an answer the time counts from the first listing. Probation then ends at the latest a second after a listing has shown all members of the probe, and the next listing has arrived.

--- a/src/batch/dispatch/health.rs
+++ b/src/batch/dispatch/health.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::run::{Run, RunState};
+use super::run::Run;
 use crate::batch::model::{MinionNumber, TaskId};
 use crate::ids::Timestamp;
 
@@ -120,7 +120,7 @@
         if run.judged {
             return;
         }
-        if !run.ends && run.elapsed(now) >= PROVEN_HEALTHY_AFTER {
+        if !run.ends && run.ran_for(now) >= PROVEN_HEALTHY_AFTER {
             minion.health.succeeded(run);
         } else {
             let began = match failure {
@@ -146,15 +146,14 @@
     /// present.
     fn worked(&self, now: Timestamp, task: TaskId, run: &Run) -> Duration {
         if run.members == 1 {
-            return run.elapsed(now);
+            return run.ran_for(now);
         }
-        let members = self.runs.range(task.step.tasks()).map(|(_, run)| run);
-        let running = members.filter(|run| matches!(run.state, RunState::Running(_)));
-        let times: Vec<_> = running.map(|run| run.elapsed(now)).collect();
-        if times.len() < run.members as usize {
+        let members = self.runs.range(task.step.tasks());
+        if members.clone().count() < run.members as usize {
             return Duration::ZERO;
         }
-        times.into_iter().min().unwrap_or_default()
+        let times = members.map(|(_, run)| run.ran_for(now));
+        times.min().unwrap_or_default()
     }
 
     /// Counts an active run that has worked for a while as a success of its minion. A lasting run
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -191,6 +191,15 @@
         begun.map_or(Duration::ZERO, |at| now.saturating_sub(at))
     }
 
+    /// Time for which it is known to be running: since the confirmed start order was sent, or else
+    /// since it was first listed.
+    pub(super) fn ran_for(&self, now: Timestamp) -> Duration {
+        match self.state {
+            RunState::Running(since) => now.saturating_sub(self.begun.unwrap_or(since)),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Its charge to the limit of its workspace; `None` without a workspace. Tasks that use idle
     /// CPU are charged with all CPU that they declare.
     pub(super) fn charge(&self, task: TaskId) -> Option<Charge<'_>> {
--- a/tests/batch_gang_health.rs
+++ b/tests/batch_gang_health.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use batch_world::hosts::{Cell, Restart};
-use batch_world::{JOB, World, first_step, gang, listed, ms, queue, report, step};
+use batch_world::{JOB, World, first_step, gang, lasting, listed, ms, queue, report, step};
 use rstest::rstest;
 use yuccahold::batch::dispatch::{Answer, ListedEnd, StartOrder, StartRefusal};
 use yuccahold::batch::model::{EndKind, JobId, JobState, Lifetime, MinionNumber, Queue, StepSpec};
@@ -384,3 +384,51 @@
     cell.run_until("other work", |cell| cell.runs_on(1) == 4);
     assert_eq!(cell.violations, [""; 0]);
 }
+
+/// A probe whose start got no answer never counted as working, however long it was listed: with one
+/// that does not end, its minion was given no other work for ever.
+#[rstest]
+#[case::a_task(lasting(1, 1_000))]
+#[case::a_gang(gang_of(Lifetime::Lasting, 3))]
+fn a_probe_that_is_listed_ends_the_probation_though_its_start_got_no_answer(
+    #[case] probe: StepSpec,
+) {
+    let mut cell = on_probation(1..2, &[1], 2);
+    cell.start_delay = ms(20);
+    let members = probe.count;
+    cell.submit_to(JOB, attempts(60), vec![probe]);
+    cell.run_until("the probe", |cell| cell.runs_on(1) > 0);
+    cell.run(ms(1_500));
+    cell.start_delay = Duration::ZERO;
+    cell.submit(
+        OTHER,
+        vec![StepSpec {
+            estimate: ms(60_000),
+            ..step(8, 1_000)
+        }],
+    );
+    let all = members as usize + 8;
+    let took = cell.run_until("other work", |cell| cell.runs_on(1) == all);
+    assert!(took <= ms(4_000), "started after {took:?}");
+    assert_eq!(cell.violations, [""; 0]);
+}
+
+/// Lasting runs that were taken over from an earlier leader counted as failures however long they
+/// had run, so two of them kept a sound minion from work.
+#[test]
+fn lasting_runs_of_an_earlier_leader_that_ran_for_long_are_no_failures_of_their_minion() {
+    let mut world = World::new();
+    let minion = world.join("i-1", 1);
+    world.submit_to(JOB, attempts(60), vec![lasting(2, 1_000)]);
+    let runs: Vec<_> = world.start_all().into_iter().map(|(_, run)| run).collect();
+    world.new_leader(2);
+    for _ in 0..12 {
+        world.list(minion, runs.iter().map(listed).collect(), vec![]);
+        world.advance(ms(500));
+    }
+    let ends = [1, 2].into_iter().zip(&runs);
+    let ends = ends.map(|(number, run)| end(number, run, EndKind::Failed));
+    let ends = ends.collect();
+    world.list(minion, vec![], ends);
+    assert_eq!(singles_started(&mut world), 3);
+}
