--- a/src/batch/ledger/commands.rs
+++ b/src/batch/ledger/commands.rs
@@ -14,7 +14,7 @@
 };
 use crate::batch::model::{
     ConfigVersion, Configuration, EndKind, Grouping, JobId, JobSpec, JobState, Lifetime,
-    MinionNumber, Queue, QueueKey, RunNumber, StepId, TaskId,
+    MinionNumber, Queue, QueueKey, RunNumber, TaskId,
 };
 use crate::batch::workspaces::Workspace;
 use crate::error::{Error, Result, Step};
@@ -412,7 +412,7 @@
         self.unstarted.remove(&id);
         self.ended.push_back((self.clock, id));
         self.remove_former_copies(id);
-        self.remove_failed_gang_runs(StepId::all_of(id));
+        self.remove_failed_gang_runs(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/src/batch/ledger/failed_gang_runs.rs
+++ b/src/batch/ledger/failed_gang_runs.rs
@@ -1,7 +1,5 @@
 //! Failed runs of gangs that were counted as attempts.
 
-use std::ops::RangeInclusive;
-
 use super::records::{StepRecord, TaskRecord, TaskState};
 use super::{Job, Ledger};
 use crate::batch::model::{Grouping, JobId, RunNumber, StepId};
@@ -14,9 +12,11 @@
         run.copied().unwrap_or_default()
     }
 
-    pub(super) fn remove_failed_gang_runs(&mut self, steps: RangeInclusive<StepId>) {
-        let over = self.failed_gang_runs.extract_if(steps, |_, _| true);
-        over.for_each(drop);
+    pub(super) fn remove_failed_gang_runs(&mut self, job: JobId) {
+        let of_job = self.failed_gang_runs.range(StepId::all_of(job));
+        for step in of_job.map(|(step, _)| *step).collect::<Vec<_>>() {
+            self.failed_gang_runs.remove(&step);
+        }
     }
 
     /// Adds the runs that are certainly counted, and of which ends may follow, to a ledger of a
