Tests: gangs whose members fail together, in simulated hosts

The simulated hosts ended the other members of a gang as broken as soon as one failed, so that two members of one run never failed. A run that was counted once for each failed member went unseen by all random tests.

Members of finite gangs now wait for each other, end as done together, and fail each by itself: some or all of a run, at the same moment or within 2.5 s, on one minion or several, beside members that end as broken. The hosts count attempts by themselves: a job must not fail after fewer runs with a failed end than it has attempts, no task or gang may start after its last attempt, and a gang that has room twice over must not wait for 20 s while no other starts on its minions.

--- a/tests/batch_world/hosts/checks.rs
+++ b/tests/batch_world/hosts/checks.rs
@@ -29,6 +29,7 @@
     ) {
         let (task, run) = (start.task, start.run);
         *self.starts.entry(task).or_default() += 1;
+        self.check_attempts(port, task, run);
         let leader_settled = now >= self.leader_since + LEADER_SETTLE_TIME;
         if leader_settled && self.crashes.get(&task).is_some_and(|n| *n >= 3) {
             *self.excess_starts.entry(task).or_default() += 1;
--- a/tests/batch_world/hosts/crashes.rs
+++ b/tests/batch_world/hosts/crashes.rs
@@ -1,7 +1,6 @@
 //! Crashes of minions.
 
 use yuccahold::batch::dispatch::{CallFailure, HoldAnswer, MinionAnswer, OrderKind};
-use yuccahold::batch::model::{EndKind, Grouping, TaskId};
 
 use super::{Cell, NET_DELAY};
 
@@ -21,7 +20,6 @@
         self.crashed += 1;
         for task in inc.tasks() {
             *self.crashes.entry(task).or_default() += 1;
-            self.break_gang(task);
         }
         let broken = MinionAnswer::Hold(HoldAnswer::Silent(CallFailure::Broken));
         if let Some(hold) = inc.pending {
@@ -36,18 +34,4 @@
             }
         }
     }
-
-    /// Ends the other members of the gang of a lost task.
-    fn break_gang(&mut self, lost: TaskId) {
-        let spec = &self.specs[&lost.step.job][usize::from(lost.step.step)];
-        if spec.grouping != Grouping::Gang {
-            return;
-        }
-        for inc in self.hosts.values_mut().filter_map(|h| h.inc.as_mut()) {
-            let members: Vec<_> = inc.tasks().filter(|t| t.step == lost.step).collect();
-            for member in members {
-                inc.end(member, EndKind::GangMemberLost);
-            }
-        }
-    }
 }
--- a/tests/batch_world/hosts/mod.rs
+++ b/tests/batch_world/hosts/mod.rs
@@ -1,9 +1,10 @@
 //! Simulated hosts whose minions run tasks, crash and restart on their own.
 
+mod attempts;
 mod checks;
 mod crashes;
 mod cuts;
-mod gangs;
+pub mod gangs;
 mod rooms;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -15,7 +16,7 @@
     OrderKind, StartOrder, StartRefusal, Target,
 };
 use yuccahold::batch::model::{
-    EndKind, JobId, JobState, Lifetime, MinionNumber, MinionReport, Queue, Readiness, StepId,
+    EndKind, Grouping, JobId, JobState, Lifetime, MinionNumber, MinionReport, Queue, Readiness,
     StepSpec, TaskId,
 };
 use yuccahold::resources::Resources;
@@ -25,7 +26,7 @@
 use super::limits::Limits;
 use super::options::FAILURE_DELAY;
 pub use super::options::{Restart, StartAnswer};
-use super::{World, config, ms, report};
+use super::{World, config, ms, queue, report};
 pub use cuts::Cut;
 use cuts::Departure;
 
@@ -95,8 +96,7 @@
     pub limits: Limits,
     /// Ports of the hosts that are cut off from the leader.
     cut: BTreeMap<u16, Cut>,
-    /// Lasting gangs at work.
-    gangs: BTreeMap<StepId, gangs::GangSight>,
+    pub gangs: gangs::Gangs,
     /// Labels of the hosts that have others than the usual ones.
     pub labels: BTreeMap<u16, Vec<CompactString>>,
     /// All orders and events of the leaders, in their order.
@@ -138,7 +138,7 @@
             specs: BTreeMap::new(),
             limits: Limits::default(),
             cut: BTreeMap::new(),
-            gangs: BTreeMap::new(),
+            gangs: gangs::Gangs::default(),
             labels: BTreeMap::new(),
             orders: Vec::new(),
         };
@@ -181,13 +181,12 @@
 
     /// Submits a job to the default queue, without an owner.
     pub fn submit(&mut self, job: JobId, steps: Vec<StepSpec>) {
-        self.specs.insert(job, steps.clone());
-        self.world.submit(job, steps);
+        self.submit_to(job, queue(), steps);
     }
 
     /// Submits a job to a queue, without an owner.
     pub fn submit_to(&mut self, job: JobId, queue: Queue, steps: Vec<StepSpec>) {
-        self.specs.insert(job, steps.clone());
+        self.record_submission(job, &queue, &steps);
         self.world.submit_to(job, queue, steps);
     }
 
@@ -199,7 +198,7 @@
         queue: Queue,
         steps: Vec<StepSpec>,
     ) {
-        self.specs.insert(job, steps.clone());
+        self.record_submission(job, &queue, &steps);
         self.limits.owners.insert(job, owner);
         self.world.submit_for(owner, job, queue, steps);
     }
@@ -275,7 +274,8 @@
         for port in self.hosts.keys().copied().collect::<Vec<_>>() {
             self.advance_host(port, now);
         }
-        self.advance_lasting_gangs(now);
+        self.advance_gangs(now);
+        self.record_failed();
         let (due, later) = std::mem::take(&mut self.late_orders)
             .into_iter()
             .partition(|late| late.at <= now);
@@ -286,6 +286,7 @@
         }
         self.deliver(now);
         self.world.decide();
+        self.check_failed_jobs();
         for order in std::mem::take(&mut self.world.orders) {
             self.orders.push(order.clone());
             if let Order::Minion(target, order) = order {
@@ -434,7 +435,8 @@
         let task = start.task;
         let spec = &self.specs[&task.step.job][usize::from(task.step.step)];
         let crasher = self.crashers.contains(&task);
-        let ends = spec.lifetime == Lifetime::Finite && !crasher;
+        let ends =
+            spec.lifetime == Lifetime::Finite && spec.grouping == Grouping::Single && !crasher;
         let fails = self.failing.contains(&port);
         let end = match fails {
             true => Some((now + FAILURE_DELAY, EndKind::Failed)),
@@ -462,20 +464,24 @@
     fn hold(&mut self, now: Duration, port: u16, to: MinionNumber, hold: &HoldOrder) {
         let inc = self.hosts.get_mut(&port).and_then(|h| h.inc.as_mut());
         let inc = inc.expect("it is up");
-        self.done.extend(inc.hold(now, hold.acked, hold.deadline));
+        let acknowledged = inc.hold(now, hold.acked, hold.deadline);
+        for end in acknowledged {
+            self.record_acknowledged(end.task, end.run, end.kind);
+        }
         let pending = PendingHold {
             sent: now,
             until: now + hold.wait,
             to,
         };
-        if !inc.has_ends() && !hold.wait.is_zero() {
-            inc.pending = Some(pending);
-        } else {
-            self.answer_hold(port, now, &pending);
+        let inc = self.hosts.get_mut(&port).and_then(|h| h.inc.as_mut());
+        match inc.filter(|inc| !inc.has_ends() && !hold.wait.is_zero()) {
+            Some(inc) => inc.pending = Some(pending),
+            None => self.answer_hold(port, now, &pending),
         }
     }
 
     fn answer_hold(&mut self, port: u16, now: Duration, hold: &PendingHold) {
+        self.record_listed(port);
         let Some(inc) = &self.hosts[&port].inc else {
             return;
         };
--- a/tests/batch_world/incarnation.rs
+++ b/tests/batch_world/incarnation.rs
@@ -75,6 +75,15 @@
         self.running.keys().copied()
     }
 
+    pub fn run_numbers(&self) -> impl Iterator<Item = (TaskId, RunNumber)> + '_ {
+        self.running.iter().map(|(task, r)| (*task, r.run))
+    }
+
+    /// Ends that are not acknowledged, while the lease has not expired since.
+    pub fn valid_ends(&self) -> impl Iterator<Item = &ListedEnd> {
+        self.ended.iter().filter(|e| e.number > self.voided_ends)
+    }
+
     pub fn runs(&self, task: TaskId) -> bool {
         self.running.contains_key(&task)
     }
@@ -188,16 +197,19 @@
         }
     }
 
-    /// Handles a hold; returns the tasks whose completion it acknowledges.
-    pub fn hold(&mut self, now: Duration, acked: u64, deadline: Option<Duration>) -> Vec<TaskId> {
+    /// Handles a hold; returns the ends that it acknowledges, without those that are void.
+    pub fn hold(
+        &mut self,
+        now: Duration,
+        acked: u64,
+        deadline: Option<Duration>,
+    ) -> Vec<ListedEnd> {
         self.extend(now, deadline.unwrap_or_default());
-        let ended = std::mem::take(&mut self.ended);
-        let (acknowledged, remaining) = ended.into_iter().partition(|end| end.number <= acked);
+        let ended = std::mem::take(&mut self.ended).into_iter();
+        let (mut acknowledged, remaining): (Vec<_>, _) = ended.partition(|end| end.number <= acked);
         self.ended = remaining;
-        let acknowledged: Vec<ListedEnd> = acknowledged;
-        let counts = |end: &&ListedEnd| end.kind == EndKind::Done && end.number > self.voided_ends;
-        let done = acknowledged.iter().filter(counts);
-        done.map(|end| end.task).collect()
+        acknowledged.retain(|end| end.number > self.voided_ends);
+        acknowledged
     }
 
     pub fn listing(&self, now: Duration) -> Listing {
