--- a/src/batch/ledger/records.rs
+++ b/src/batch/ledger/records.rs
@@ -149,6 +149,11 @@
 }
 
 impl StepRecord {
+    /// Number of failed runs of a gang: each is recorded with one of its members.
+    pub fn gang_failures(&self) -> u32 {
+        self.tasks.iter().map(|task| task.failures).sum()
+    }
+
     fn new(spec: &StepSpec) -> Self {
         Self {
             tasks: vec![TaskRecord::default(); spec.count as usize],
@@ -180,7 +185,7 @@
     }
 
     /// Whether there are so many that the task must not start again.
-    pub(super) fn exceed_limit(&self) -> bool {
+    pub(crate) fn exceed_limit(&self) -> bool {
         let in_doubt = self.confirmed + self.in_doubt;
         self.confirmed >= MAX_CRASHES
             || in_doubt >= MAX_CRASHES_IN_DOUBT
