Tests: a soak of gangs whose members fail together

The simulated minions that take orders over HTTP ran the members of a gang as single tasks. Now members wait for all others, end as done together, and fail each by itself: several in one run, at the same moment or within 2.5 s, while the others end as broken, or sometimes as failed too.

The profile Gangs of platform_soak has many gangs of 2 to 5 members with two attempts, beside leaders that are killed in series and paused, and all other faults. Callers read their last jobs again and again: none may be shown as failed before two runs of its gang, or of another of its tasks, have failed. Minions check that no gang starts after two runs whose failed ends were acknowledged. Violations are also checked before the wait for all jobs to end, as a job that never ends would hide them.

--- a/tests/platform_cell/caller.rs
+++ b/tests/platform_cell/caller.rs
@@ -39,6 +39,10 @@
     recorder: Recorder,
     /// Fraction of jobs whose tasks crash the minions that start them.
     pub crash_share: f64,
+    /// Whether most of its jobs are gangs.
+    pub gangs: bool,
+    /// Its last accepted jobs, if most are gangs.
+    recent: Vec<String>,
     /// Whether it submits long jobs, and jobs that last, of which it keeps one at a time.
     pub lasting: bool,
     /// Its job that lasts, if there is one.
@@ -55,6 +59,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             recorder,
             crash_share: 0.0,
+            gangs: false,
+            recent: Vec::new(),
             lasting: false,
             kept: None,
             workspace: 0,
@@ -69,6 +75,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             recorder: self.recorder.clone(),
             kept: None,
+            recent: Vec::new(),
             ..*self
         }
     }
@@ -90,12 +97,18 @@
                     self.cancel(&job).await;
                 } else {
                     self.check_known(&job).await;
+                    if self.gangs {
+                        self.check_recent(&job).await;
+                    }
                 }
             } else if job.as_str() < "8" {
                 // It may be on its way in a process that stands still.
                 self.cancel(&job).await;
             }
-            let pause = self.rng.random_range(400..1_200);
+            let pause = match self.gangs {
+                true => self.rng.random_range(100..300),
+                false => self.rng.random_range(400..1_200),
+            };
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
@@ -119,6 +132,7 @@
             fail_percent: 100,
             crashes: false,
             copies: false,
+            members: 0,
         };
         let body = json!({"spec": payload.text(), "steps": [{
             "count": tasks, "cpu": payload.need.millicores, "mem_mb": payload.need.memory_mb,
@@ -133,7 +147,38 @@
         }
     }
 
+    /// A job with a gang, of which more than half of the runs fail.
+    fn gang(&mut self) -> Value {
+        let payload = Payload {
+            need: Resources {
+                millicores: self.rng.random_range(200..1_500),
+                memory_mb: self.rng.random_range(100..500),
+            },
+            duration_ms: self.rng.random_range(50..900),
+            fail_percent: 60,
+            crashes: false,
+            copies: false,
+            members: self.rng.random_range(2..=5),
+        };
+        json!({"spec": payload.text(), "steps": [{
+            "count": payload.members, "cpu": payload.need.millicores,
+            "mem_mb": payload.need.memory_mb, "est_ms": payload.duration_ms, "gang": true,
+        }]})
+    }
+
+    /// Reads one of its last jobs.
+    async fn check_recent(&mut self, job: &str) {
+        self.recent.push(job.to_owned());
+        let kept = self.recent.len().saturating_sub(12);
+        self.recent.drain(..kept);
+        let job = self.recent[self.rng.random_range(0..self.recent.len())].clone();
+        self.check_known(&job).await;
+    }
+
     fn job(&mut self) -> Value {
+        if self.gangs && self.rng.random_bool(0.8) {
+            return self.gang();
+        }
         let need = Resources {
             millicores: self.rng.random_range(200..3_000),
             memory_mb: self.rng.random_range(100..2_000),
@@ -148,6 +193,7 @@
             fail_percent: 8,
             crashes: self.crash_share > 0.0 && self.rng.random_bool(self.crash_share),
             copies: need.millicores.is_multiple_of(2),
+            members: 0,
         };
         let steps: Vec<_> = (0..self.rng.random_range(1..=2_u32))
             .map(|step| {
@@ -220,6 +266,11 @@
 
     async fn check_known(&mut self, job: &str) {
         let outcome = self.ask(reqwest::Method::GET, job, None).await;
+        let failed = matches!(&outcome, Outcome::Status(200, Some(state)) if state == "failed");
+        if failed && !self.recorder.may_have_failed(job) {
+            let text = format!("LOST {job}: failed without cause");
+            self.recorder.record_violation(text);
+        }
         if let Outcome::Status(status @ (410 | 404), _) = outcome {
             self.recorder.record_violation(format!(
                 "LOST {job}: {status} after its submission was accepted"
--- a/tests/platform_cell/minion.rs
+++ b/tests/platform_cell/minion.rs
@@ -34,6 +34,8 @@
     need: Resources,
     ends_at: u64,
     how: &'static str,
+    /// What a member of a gang does; `None` for other tasks.
+    gang: Option<Payload>,
 }
 
 struct EndedRun {
@@ -41,6 +43,7 @@
     task: String,
     run: u32,
     how: &'static str,
+    is_gang: bool,
     /// The lease expired before the end was acknowledged. By the platform's contract the end is then
     /// void, even if it is acknowledged later: the system had to treat the run as lost.
     void: bool,
@@ -97,7 +100,11 @@
         let Some(run) = self.runs.remove(task) else {
             return;
         };
-        recorder.run_ended(task, &self.id, run.need, how == "failed");
+        let is_gang = run.gang.is_some();
+        recorder.run_ended(task, &self.id, run.need, how == "failed" && !is_gang);
+        if is_gang {
+            recorder.gangs.leave(task, run.run);
+        }
         let highest_ended = self.highest_ended.entry(task.to_owned()).or_default();
         *highest_ended = run.run.max(*highest_ended);
         self.last_end += 1;
@@ -106,6 +113,7 @@
             task: task.to_owned(),
             run: run.run,
             how,
+            is_gang,
             void: false,
         });
     }
@@ -218,6 +226,9 @@
         let mut state = self.lock();
         for (task, run) in std::mem::take(&mut state.runs) {
             self.recorder.run_ended(&task, &state.id, run.need, false);
+            if run.gang.is_some() {
+                self.recorder.gangs.leave(&task, run.run);
+            }
         }
         *state = State::new(format!("{}-{incarnation}", self.name));
         drop(state);
@@ -272,13 +283,15 @@
             if lapsed {
                 state.ended.iter_mut().for_each(|end| end.void = true);
             }
-            let over = state
-                .runs
-                .iter()
-                .filter(|(_, r)| lapsed || r.ends_at <= now);
-            let over: Vec<_> = over.map(|(t, r)| (t.clone(), r.how)).collect();
+            let how = |(task, run): (&String, &Run)| {
+                let order = run.gang.as_ref();
+                let gang = order.and_then(|o| self.recorder.gangs.due(o, task, run.run));
+                let how = gang.or((run.ends_at <= now).then_some(run.how));
+                let how = if lapsed { Some("lapsed") } else { how };
+                how.map(|how| (task.clone(), how))
+            };
+            let over: Vec<_> = state.runs.iter().filter_map(how).collect();
             for (task, how) in &over {
-                let how = if lapsed { "lapsed" } else { how };
                 state.end(task, how, &self.recorder);
             }
             drop(state);
@@ -331,12 +344,20 @@
             return ok;
         }
         let order = Payload::parse(&body.spec);
+        let is_gang = order.members > 0;
         let run = Run {
             run: body.run,
             need: order.need,
-            ends_at: clock + order.duration_ms,
+            ends_at: match is_gang {
+                true => u64::MAX,
+                false => clock + order.duration_ms,
+            },
             how: order.outcome(&body.task, body.run),
+            gang: is_gang.then(|| order.clone()),
         };
+        if is_gang {
+            self.recorder.gangs.join(&order, &body.task, body.run);
+        }
         let capacity = self.capacity().granted(Instant::now());
         self.recorder
             .run_started(&body.task, body.run, &state.id, &order, capacity);
@@ -385,8 +406,13 @@
                 return refused;
             }
             for end in &state.ended {
-                if end.number <= body.acked_upto && end.how == "done" && !end.void {
-                    self.recorder.done_acknowledged(&end.task);
+                let counts = end.number <= body.acked_upto && !end.void;
+                match end.how {
+                    "done" if counts => self.recorder.done_acknowledged(&end.task),
+                    "failed" if counts && end.is_gang => {
+                        self.recorder.gang_acknowledged(&end.task, end.run);
+                    }
+                    _ => {}
                 }
             }
             state.ended.retain(|end| end.number > body.acked_upto);
@@ -402,6 +428,10 @@
                     return refused;
                 }
                 if !state.ended.is_empty() || Instant::now() >= until {
+                    let failed = state.ended.iter().filter(|e| e.how == "failed");
+                    for end in failed.filter(|end| end.is_gang && !end.void) {
+                        self.recorder.gang_failed(&end.task, end.run);
+                    }
                     return (StatusCode::OK, listing(&state));
                 }
             }
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 mod capacity;
+mod gangs;
 pub mod losses;
 pub mod minion;
 pub mod operator;
--- a/tests/platform_cell/operator.rs
+++ b/tests/platform_cell/operator.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::caller::{HOST, PREFIX};
-use super::recorder::{ATTEMPTS, Recorder};
+use super::recorder::Recorder;
 use super::{DEADLINE, wait_for};
 
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -86,7 +86,7 @@
             json!({
                 "name": name, "host": HOST, "path_prefix": prefix, "kind": "unsafe",
                 "timeout_ms": self.timeout_ms, "slo_ms": 300, "priority": 0, "service": "desk",
-                "attempts": ATTEMPTS, "stretch": 2.0,
+                "attempts": self.recorder.attempts(), "stretch": 2.0,
                 "advice": {"decide_ms": 20.0, "each_ms": 0.1, "validity_ms": 2000},
             })
         };
--- a/tests/platform_cell/recorder.rs
+++ b/tests/platform_cell/recorder.rs
@@ -1,9 +1,11 @@
 //! Records what callers and minions observe, and the violations of the system's guarantees.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use super::gangs::{Gangs, step_of};
 use super::payload::Payload;
 use super::workspaces::Workspaces;
 
@@ -19,8 +21,8 @@
     millicores: 8_000,
     memory_mb: 8_000,
 };
-/// Failed runs after which a task has failed; the configuration sets it.
-pub const ATTEMPTS: u32 = 6;
+/// Failed runs after which a task has failed, unless a test sets others.
+const ATTEMPTS: u32 = 6;
 
 /// Time after the acknowledged cancellation of a job in which its tasks may still start: the contract's
 /// for a host that is in touch, and the time until a host counts as that.
@@ -41,6 +43,10 @@
     done: BTreeSet<String>,
     /// Number of failed runs, by task.
     failures: BTreeMap<String, u32>,
+    /// Runs of gangs with an end as failed that was listed while the lease lasted, by step.
+    gang_failures: BTreeMap<String, BTreeSet<u32>>,
+    /// Those with such an end that was acknowledged while it lasted.
+    gang_acknowledged: BTreeMap<String, BTreeSet<u32>>,
     /// Number of minion crashes during a run, by task.
     crashes: BTreeMap<String, u32>,
     /// Number of starts after `MAX_CRASHES` crashes, by task.
@@ -62,10 +68,24 @@
 }
 
 /// Recorder shared by all callers and minions of one test.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Recorder {
     records: Arc<Mutex<Records>>,
+    /// Failed runs after which a task or gang has failed; the configuration sets it.
+    attempts: Arc<AtomicU32>,
     pub workspaces: Workspaces,
+    pub gangs: Gangs,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Self {
+            records: Arc::default(),
+            attempts: Arc::new(ATTEMPTS.into()),
+            workspaces: Workspaces::default(),
+            gangs: Gangs::default(),
+        }
+    }
 }
 
 fn job_of(task: &str) -> &str {
@@ -77,6 +97,29 @@
         self.records.lock().expect("no holder panics")
     }
 
+    pub fn attempts(&self) -> u32 {
+        self.attempts.load(Ordering::Relaxed)
+    }
+
+    /// Sets the attempts of the next configuration.
+    pub fn set_attempts(&self, attempts: u32) {
+        self.attempts.store(attempts, Ordering::Relaxed);
+    }
+
+    /// Records that a minion has listed the failed end of a member of a gang.
+    pub fn gang_failed(&self, task: &str, run: u32) {
+        let mut records = self.lock();
+        let step = step_of(task).to_owned();
+        records.gang_failures.entry(step).or_default().insert(run);
+    }
+
+    /// Records that such an end was acknowledged.
+    pub fn gang_acknowledged(&self, task: &str, run: u32) {
+        let mut records = self.lock();
+        let runs = records.gang_acknowledged.entry(step_of(task).to_owned());
+        runs.or_default().insert(run);
+    }
+
     /// Records that a minion with this capacity has started a run.
     pub fn run_started(
         &self,
@@ -102,6 +145,12 @@
             let text = format!("TWICE {task}: run {run} on {minion} after it was done");
             records.violations.push(text);
         }
+        let failed = records.gang_acknowledged.get(step_of(task));
+        let failed = failed.map_or(0, |runs| runs.iter().filter(|r| **r != run).count());
+        if failed >= self.attempts() as usize {
+            let text = format!("BUDGET {task}: run {run} after {failed} runs of its gang failed");
+            records.violations.push(text);
+        }
         if records.refused.contains(job_of(task)) {
             let text = format!("REFUSED {task}: run {run} though its job was refused");
             records.violations.push(text);
@@ -262,7 +311,11 @@
             let mut counts = counts.iter();
             counts.any(|(task, n)| job_of(task) == job && *n >= most)
         };
-        reached(&records.failures, ATTEMPTS) || reached(&records.crashes, CRASHES_TO_GIVE_UP)
+        let attempts = self.attempts();
+        let mut gangs = records.gang_failures.iter();
+        let gang = gangs.any(|(s, runs)| job_of(s) == job && runs.len() >= attempts as usize);
+        gang || reached(&records.failures, attempts)
+            || reached(&records.crashes, CRASHES_TO_GIVE_UP)
     }
 
     /// Number of tasks that have runs now.
--- a/tests/platform_refusals.rs
+++ b/tests/platform_refusals.rs
@@ -73,6 +73,7 @@
         fail_percent: 0,
         crashes: false,
         copies: false,
+        members: 0,
     };
     let mut spec = payload.text();
     if profile == Profile::Snapshots {
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -3,8 +3,8 @@
 //! Callers submit jobs while processes are paused, killed, stopped and restarted, disks are lost,
 //! and connections to minions are cut, silenced, delayed and reset, several at a time. The checks
 //! use only what callers and minions observe: no task runs twice at once or again after it is done,
-//! no minion or workspace exceeds its limit, no refused job runs, no accepted job is lost, and no
-//! older configuration is returned after a newer one was acknowledged.
+//! no minion or workspace exceeds its limit, no refused job runs, no accepted job is lost or fails
+//! before its attempts, and no older configuration is returned after a newer one was acknowledged.
 //!
 //! `SOAK_SEEDS=1..50 cargo test --test platform_soak -- --ignored` runs those seeds for longer.
 
@@ -39,6 +39,8 @@
     Kill(usize),
     Terminate(usize),
     KillAllControl,
+    /// Kills one leader after the other; each starts again once the next one is killed.
+    KillLeaders,
     Wipe(usize),
     Reload,
     MinionCrash(usize),
@@ -115,6 +117,25 @@
                 process.start();
             }
         }
+        FaultEvent::KillLeaders => {
+            let mut killed: Option<usize> = None;
+            for _ in 0..3 {
+                let is_leader = |i: &usize| {
+                    let process = &system.processes[*i];
+                    process.is_started() && process.is_leader()
+                };
+                if let Some(i) = (0..CONTROLS).find(is_leader) {
+                    system.processes[i].kill();
+                    if let Some(before) = killed.replace(i) {
+                        system.processes[before].start();
+                    }
+                }
+                sleep(span / 2).await;
+            }
+            if let Some(i) = killed {
+                system.processes[i].start();
+            }
+        }
         FaultEvent::Wipe(i) => {
             // Only one disk of three may be lost at a time, and the new replica has to catch up
             // before the next loss: the others must have committed a change since then. If a disk
@@ -176,8 +197,13 @@
     Minions,
     /// Keys that are revoked and limits that change, together with all other faults.
     Workspaces,
+    /// Many gangs whose members fail together, with leaders that are killed and paused in series.
+    Gangs,
 }
 
+/// Attempts in the `Gangs` profile.
+const GANG_ATTEMPTS: u32 = 2;
+
 /// Fraction of jobs with crashing tasks in the `Minions` profile.
 const CRASH_SHARE: f64 = 0.06;
 
@@ -194,6 +220,15 @@
     }
 }
 
+fn random_event_for_gangs(rng: &mut ChaCha8Rng) -> FaultEvent {
+    match rng.random_range(0..8) {
+        0..=2 => FaultEvent::KillLeaders,
+        3 | 4 => FaultEvent::Pause(rng.random_range(0..CONTROLS)),
+        5 => random_event_for_minions(rng),
+        _ => random_event(rng),
+    }
+}
+
 /// Initial limits of the workspaces, in millicores.
 const LIMITS: [u32; 2] = [4_000, 12_000];
 
@@ -217,6 +252,10 @@
         system.recorder.workspaces.create(&LIMITS);
         system.put_config().await;
     }
+    if profile == Profile::Gangs {
+        system.recorder.set_attempts(GANG_ATTEMPTS);
+        system.put_config().await;
+    }
     sleep(CATCH_UP_TIME).await;
     let end = Instant::now() + length;
     let callers = (0..CALLERS).map(|i| {
@@ -228,6 +267,7 @@
         if profile == Profile::Minions {
             caller.crash_share = CRASH_SHARE;
         }
+        caller.gangs = profile == Profile::Gangs;
         caller.workspace = i as usize % LIMITS.len();
         tokio::spawn(caller.run(end))
     });
@@ -239,6 +279,7 @@
             Profile::Mixed => random_event(&mut rng),
             Profile::Minions => random_event_for_minions(&mut rng),
             Profile::Workspaces => random_event_for_workspaces(&mut rng),
+            Profile::Gangs => random_event_for_gangs(&mut rng),
         };
         let span = Duration::from_millis(rng.random_range(200..3_500));
         injected.push(event);
@@ -251,7 +292,13 @@
     for minion in &system.minions {
         minion.proxy.apply(Fault::Reopen);
     }
+    // A job that doesn't end would hide what was seen before.
+    check_violations(&system, seed, &injected);
     settle(&system, seed).await;
+    check_violations(&system, seed, &injected);
+}
+
+fn check_violations(system: &System, seed: u64, injected: &[FaultEvent]) {
     let violations = system.recorder.violations();
     assert!(
         violations.is_empty(),
@@ -398,6 +445,14 @@
     soak(seed, Duration::from_secs(10), Profile::Workspaces).await;
 }
 
+/// Short soak test with gangs whose members fail together.
+#[rstest]
+#[case::any(5)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn guarantees_hold_while_members_of_gangs_fail_together(#[case] seed: u64) {
+    soak(seed, Duration::from_secs(10), Profile::Gangs).await;
+}
+
 /// Short soak tests with lost disks in series.
 #[rstest]
 #[case::an_empty_replica_that_no_seed_admits(1)]
@@ -424,6 +479,15 @@
     }
 }
 
+/// Runs the seeds given in `SOAK_SEEDS` one after the other, with gangs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+#[ignore = "takes half a minute for each seed"]
+async fn gangs_keep_their_attempts_under_the_given_seeds() {
+    for seed in given_seeds() {
+        soak(seed, Duration::from_secs(20), Profile::Gangs).await;
+    }
+}
+
 /// Runs the seeds given in `SOAK_SEEDS` one after the other; every tenth plays in a large cell.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 #[ignore = "takes a minute and a half for each seed"]
