--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod answers;
 mod applied;
+mod batches;
 mod cell_report;
 mod copies;
 mod copy_runs;
@@ -54,6 +55,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::drain_times::DrainTimes;
 use super::event::Event;
 use super::ledger::{Batch, Ledger, TaskRecord, TaskState};
 use super::model::{JobId, MinionNumber, RunNumber, StepId, TaskId};
@@ -192,7 +194,7 @@
     /// Total capacity of each service.
     capacities: objective::Capacities,
     /// Set while a batch is applied to the ledger.
-    failures_before: job_reasons::FailuresBefore,
+    before: job_reasons::StateBefore,
     out: Vec<Order>,
 }
 
@@ -255,7 +257,7 @@
             profiles: profile::Profiles::default(),
             observed: BTreeMap::new(),
             capacities: objective::Capacities::default(),
-            failures_before: Default::default(),
+            before: Default::default(),
             out: Vec::new(),
         };
         let assumed = now + max_lease_on_local_clock(d.cfg.lease_max);
@@ -282,19 +284,15 @@
         d
     }
 
-    /// Shortens the leases assumed for leaving minions. `since` has the time, by this replica's
+    /// Shortens the leases assumed for leaving minions. `drains` has the time, by this replica's
     /// clock, from which each is known to leave.
     ///
     /// An earlier leader granted them only short leases from that time on; only a lease granted
     /// before can last longer. Without this a new leader assumes the longest lease for each silent
     /// minion, and the tasks of a minion whose last message was lost with the old leader are down
     /// for all of it.
-    pub fn shorten_earlier_leases(
-        &mut self,
-        now: Timestamp,
-        since: &BTreeMap<MinionNumber, Timestamp>,
-    ) {
-        for (number, reported) in since {
+    pub fn shorten_earlier_leases(&mut self, now: Timestamp, drains: &DrainTimes) {
+        for (number, reported) in drains.since() {
             if let Some(minion) = self.minions.get_mut(number) {
                 let before = *reported + max_lease_on_local_clock(self.cfg.lease_max);
                 let after = now + max_lease_on_local_clock(holds::MAX_DRAINING_LEASE);
@@ -415,39 +413,6 @@
         }
     }
 
-    fn take_batch(&mut self, ledger: &Ledger) -> Option<Batch> {
-        let mut batch = std::mem::take(&mut self.batch);
-        self.count_gang_runs_once(&mut batch, ledger);
-        let seen = self
-            .unacknowledged
-            .iter()
-            .filter_map(|number| self.minions.get(number))
-            .map(|m| (m.number, m.seen_end))
-            .collect();
-        if batch.is_empty() {
-            if self.uncommitted_ends.is_empty() {
-                self.acknowledge(seen);
-            }
-            return None;
-        }
-        self.uncommitted_ends.push_back(seen);
-        Some(batch)
-    }
-
-    /// Acknowledges ends whose batch is committed. A minion drops acknowledged ends, so an end that
-    /// only this process had would be lost with it, and its task would run again.
-    fn acknowledge(&mut self, seen: Vec<(MinionNumber, u64)>) {
-        for (number, end) in seen {
-            if let Some(minion) = self.minions.get_mut(&number) {
-                minion.acked_end = minion.acked_end.max(end);
-                if minion.acked_end < minion.seen_end {
-                    continue;
-                }
-            }
-            self.unacknowledged.remove(&number);
-        }
-    }
-
     fn begin_due_occurrences(&mut self, unix: Timestamp) {
         while let Some((due, job, occurrence)) = self.timetable.first().copied()
             && due <= unix
--- a/src/batch/dispatch/run.rs
+++ b/src/batch/dispatch/run.rs
@@ -102,6 +102,10 @@
     pub(super) copyable: bool,
     /// Whether it was started as a copy; also true once it is the only run of its task.
     pub(super) is_copy: bool,
+    /// Number of tasks that run only together with it, itself included; 1 for a single task.
+    pub(super) members: u32,
+    /// Whether a failure of its gang's run is already counted for the health of its minion.
+    pub(super) judged: bool,
     /// How it ended; `None` while it may run.
     pub(super) end: Option<EndKind>,
 }
@@ -158,6 +162,11 @@
                 && spec.lifetime == Lifetime::Finite
                 && spec.grouping == Grouping::Single,
             is_copy: false,
+            members: match spec.grouping {
+                Grouping::Single => 1,
+                Grouping::Gang => spec.count,
+            },
+            judged: false,
             end: None,
         }
     }
@@ -182,6 +191,15 @@
         begun.map_or(Duration::ZERO, |at| now.saturating_sub(at))
     }
 
+    /// Time for which it is known to be running: since the confirmed start order was sent, or else
+    /// since it was first listed.
+    pub(super) fn ran_for(&self, now: Timestamp) -> Duration {
+        match self.state {
+            RunState::Running(since) => now.saturating_sub(self.begun.unwrap_or(since)),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Its charge to the limit of its workspace; `None` without a workspace. Tasks that use idle
     /// CPU are charged with all CPU that they declare.
     pub(super) fn charge(&self, task: TaskId) -> Option<Charge<'_>> {
