Tests: a paused process stands still when the pause returns

a_process_that_was_stopped_passes_on_nothing_old failed in 1 of 6 runs beside load: the job was submitted. The signal that stops a process is delivered while the sender goes on, so a request that is sent at once may be served before all threads stand still; then it isn't late. The pause now waits until the kernel reports the process as stopped. The check is as strict as before.

--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -24,7 +24,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use tokio::time::Instant;
 
 use minion::{LEASE_MAX_MS, Minion};
@@ -79,8 +79,18 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Stops it, and waits until all of its threads stand still: until then it may serve a request.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
+        let Some(child) = &self.child else { return };
+        let pid = Pid::from_raw(child.id() as i32).expect("a process id");
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOWAIT | WaitIdOptions::NOHANG;
+        let end = Instant::now() + Duration::from_secs(1);
+        while let Ok(None) = waitid(WaitId::Pid(pid), options)
+            && Instant::now() < end
+        {
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     pub fn resume(&self) {
