Explorer: disks lost while all other hosts lose power

Callers would lose accepted jobs and configurations if an acknowledgement rested on unsynced writes, or on fewer synced voters than survive. The explorer crashed single hosts and wiped single disks, but never ended all hosts in the same instant.

Half of the schedules now have one power loss, at a random time, right after the next acknowledged write, or at the end of the faults. Up to two disks are lost with it, as far as every membership keeps a majority, in most cases those with the newest committed entry. Unsynced writes are gone on 70 % of the hosts and partly kept on the others; nothing in flight arrives. It is checked at once that the voters left without the newest committed entry are no majority. Its random numbers are a stream of their own, so a schedule is as before up to its power loss.

--- a/src/cli/tools.rs
+++ b/src/cli/tools.rs
@@ -111,7 +111,8 @@
     let json = json!({
         "schedules": coverage.schedules, "events": coverage.events,
         "elections": coverage.elections, "writes": coverage.writes, "reads": coverage.reads,
-        "crashes": coverage.crashes, "pauses": coverage.pauses, "wipes": coverage.wipes,
+        "crashes": coverage.crashes, "power_losses": coverage.power_losses,
+        "pauses": coverage.pauses, "wipes": coverage.wipes,
         "moves": coverage.moves, "retired": coverage.retired,
         "peer_changes": coverage.peer_changes, "peers_corrected": coverage.peers_corrected,
         "leased_reads": coverage.leased_reads,
--- a/src/replication/core/config.rs
+++ b/src/replication/core/config.rs
@@ -25,6 +25,8 @@
     pub(crate) commit_own_term: bool,
     /// A commit needs a majority of all voters.
     pub(crate) commit_majority: bool,
+    /// A leader counts its own entries for a commit only once they are synced.
+    pub(crate) sync_before_commit: bool,
     /// A follower compares the term of the entry before the ones it appends.
     pub(crate) check_previous: bool,
     /// A read waits for a heartbeat round that started after it.
@@ -59,6 +61,7 @@
             no_vote_after_restart: true,
             commit_own_term: true,
             commit_majority: true,
+            sync_before_commit: true,
             check_previous: true,
             read_after_round: true,
             check_quorum: true,
--- a/src/replication/core/leader.rs
+++ b/src/replication/core/leader.rs
@@ -340,7 +340,10 @@
         if self.leading.is_none() {
             return;
         }
-        let stable = self.stable;
+        let stable = match self.cfg.safeguards.sync_before_commit {
+            true => self.stable,
+            false => self.log.last_index(),
+        };
         let reached = if self.cfg.safeguards.commit_majority {
             self.members
                 .quorum_value(|id| self.progress(id).map_or(stable, |p| p.matched))
--- a/src/replication/explore/checks.rs
+++ b/src/replication/explore/checks.rs
@@ -128,6 +128,11 @@
         Ok(())
     }
 
+    pub(super) fn committed_term(&self, index: LogIndex) -> Option<Term> {
+        let at = index.checked_sub(1)? as usize;
+        self.committed.get(at).map(|((term, _), _)| *term)
+    }
+
     pub(super) fn committed(&self) -> LogIndex {
         self.committed.len() as LogIndex
     }
--- a/src/replication/explore/host.rs
+++ b/src/replication/explore/host.rs
@@ -44,6 +44,18 @@
         }
     }
 
+    pub(super) fn last_index(&self) -> LogIndex {
+        let state = &self.state;
+        state.entries.last().map_or(state.base.0, |e| e.index)
+    }
+
+    /// Whether the disk holds this committed entry, or a snapshot that includes it.
+    pub(super) fn holds(&self, index: LogIndex, term: Term) -> bool {
+        let state = &self.state;
+        let entry = state.entries.iter().find(|e| e.index == index);
+        state.snapshot.index >= index || entry.is_some_and(|e| e.term == term)
+    }
+
     /// An empty disk for the given replica id.
     pub(super) fn empty(id: ReplicaId) -> Self {
         Self {
--- a/src/replication/explore/mod.rs
+++ b/src/replication/explore/mod.rs
@@ -62,6 +62,8 @@
     CommitOwnTerm,
     /// A commit needs a majority of all voters.
     CommitMajority,
+    /// A leader counts its own entries for a commit only once they are synced.
+    SyncBeforeCommit,
     /// A follower compares the term of the entry before the ones it appends.
     CheckPrevious,
     /// A leader steps down when a quorum has not replied for too long.
@@ -86,7 +88,7 @@
 
 impl Safeguard {
     /// All safeguards.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::SyncBeforeAnswer,
         Self::SingleVote,
         Self::LogUpToDate,
@@ -94,6 +96,7 @@
         Self::NoVoteAfterRestart,
         Self::CommitOwnTerm,
         Self::CommitMajority,
+        Self::SyncBeforeCommit,
         Self::CheckPrevious,
         Self::CheckQuorum,
         Self::ConfirmReads,
@@ -116,6 +119,7 @@
             Self::NoVoteAfterRestart => s.no_vote_after_restart = false,
             Self::CommitOwnTerm => s.commit_own_term = false,
             Self::CommitMajority => s.commit_majority = false,
+            Self::SyncBeforeCommit => s.sync_before_commit = false,
             Self::CheckPrevious => s.check_previous = false,
             Self::CheckQuorum => s.check_quorum = false,
             Self::ConfirmReads => {
@@ -178,6 +182,8 @@
     pub refused: u64,
     /// Replicas that crashed.
     pub crashes: u64,
+    /// Power losses of all hosts at once.
+    pub power_losses: u64,
     /// Replicas that were paused.
     pub pauses: u64,
     /// Disks replaced by empty ones.
@@ -210,6 +216,7 @@
         self.leased_reads += other.leased_reads;
         self.refused += other.refused;
         self.crashes += other.crashes;
+        self.power_losses += other.power_losses;
         self.pauses += other.pauses;
         self.wipes += other.wipes;
         self.moves += other.moves;
--- a/src/replication/explore/simulation/fault_injection.rs
+++ b/src/replication/explore/simulation/fault_injection.rs
@@ -68,7 +68,7 @@
             }
             Fault::Heal => self.blocked_links.clear(),
             Fault::Wipe { host } => {
-                if self.keeps_majorities(Some(host)) {
+                if self.keeps_majorities(&[host]) {
                     self.wipe(host);
                 }
             }
@@ -87,12 +87,12 @@
                 self.move_host(host, all);
             }
             Fault::Replace { host, down } => {
-                if self.keeps_majorities(Some(host)) {
+                if self.keeps_majorities(&[host]) {
                     self.replace(host, down);
                 }
             }
             Fault::Retire { host } => {
-                if self.keeps_majorities(Some(host)) && self.unretired().count() > MIN_HOSTS {
+                if self.keeps_majorities(&[host]) && self.unretired().count() > MIN_HOSTS {
                     self.retire(host);
                 }
             }
@@ -144,9 +144,9 @@
     }
 
     /// Whether every membership that is or can still come into force keeps a majority of its disks
-    /// without the disk of one host. No consensus protocol survives a larger loss.
-    pub(super) fn keeps_majorities(&self, without: Option<usize>) -> bool {
-        let others = self.unretired().filter(|i| Some(*i) != without);
+    /// without the disks of these hosts. No consensus protocol survives a larger loss.
+    pub(super) fn keeps_majorities(&self, without: &[usize]) -> bool {
+        let others = self.unretired().filter(|i| !without.contains(i));
         let alive: HashSet<_> = others.map(|i| self.hosts[i].disk.id).collect();
         let keeps_majority = |members: &Membership| {
             let left = members.voters.keys().filter(|id| alive.contains(id));
@@ -189,7 +189,7 @@
     /// Wipes a leader or another host, and lets a replica lead that is not among its peers.
     pub(super) fn wipe_of_series(&mut self) {
         let host = self.pick_host(0.4);
-        if self.faults_ended || !self.keeps_majorities(Some(host)) {
+        if self.faults_ended || !self.keeps_majorities(&[host]) {
             return;
         }
         self.wipe(host);
--- a/src/replication/explore/simulation/mod.rs
+++ b/src/replication/explore/simulation/mod.rs
@@ -2,6 +2,7 @@
 
 mod effects;
 mod fault_injection;
+mod power_loss;
 mod recovery;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,6 +21,7 @@
 use crate::replication::explore::history::History;
 use crate::replication::explore::host::{Clock, Disk, Host, Input};
 use crate::replication::explore::{Check, Coverage, Violation};
+use power_loss::PowerLoss;
 
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
 const HEARTBEAT: Duration = Duration::from_millis(25);
@@ -61,6 +63,8 @@
     /// The process with this incarnation executes the effects of its batch.
     EndOfBatch(usize, u64),
     Fault,
+    /// All hosts lose power, now or after the next acknowledged write.
+    PowerLoss,
     /// One disk of a `WipeSeries` is lost.
     WipeOfSeries,
     /// Leadership leaves the configured peers of a host.
@@ -86,6 +90,7 @@
     /// Pairs (from, to) of hosts between which messages are dropped.
     blocked_links: BTreeSet<(usize, usize)>,
     profile: FaultProfile,
+    power: PowerLoss,
     crash_leaders_until: Timestamp,
     loss: f64,
     repeat: f64,
@@ -144,6 +149,7 @@
             quiet_until: Timestamp::ZERO,
             blocked_links: BTreeSet::new(),
             profile,
+            power: PowerLoss::new(seed),
             crash_leaders_until: Timestamp::ZERO,
             loss: 0.0,
             repeat: 0.0,
@@ -204,6 +210,7 @@
         self.schedule(Duration::from_millis(150), Event::Fault);
         self.schedule(Duration::from_millis(100), Event::Call);
         self.schedule(FAULT_PERIOD, Event::EndOfFaults);
+        self.schedule_power_loss();
     }
 
     /// Usually all hosts have the same configured peers, which are not all hosts of the group.
@@ -282,6 +289,7 @@
                 return Err(self.violation((Check::Progress, detail)));
             }
             self.handle_event(event)
+                .and_then(|()| self.check_power())
                 .map_err(|failure| self.violation(failure))?;
         }
         self.finish().map_err(|failure| self.violation(failure))?;
@@ -348,6 +356,7 @@
                 }
                 self.execute_and_check(host)
             }
+            Event::PowerLoss => self.power_loss_due(),
             Event::WipeOfSeries => {
                 self.wipe_of_series();
                 Ok(())
--- a/src/replication/explore/simulation/recovery.rs
+++ b/src/replication/explore/simulation/recovery.rs
@@ -14,6 +14,7 @@
 
 impl Simulation {
     pub(super) fn end_faults(&mut self) -> Result<(), CheckFailure> {
+        self.end_power_loss()?;
         self.faults_ended = true;
         self.profile = FaultProfile::without_faults();
         self.blocked_links.clear();
@@ -59,7 +60,7 @@
     /// just as the leader removes another voter; a majority of the new membership is then lost
     /// permanently, and only an operator can recover the group.
     pub(super) fn check_stall(&mut self) -> Result<(), CheckFailure> {
-        if !self.keeps_majorities(None) {
+        if !self.keeps_majorities(&[]) {
             self.coverage.quorums_lost += 1;
             return Ok(());
         }
--- a/tests/replication_explorer.rs
+++ b/tests/replication_explorer.rs
@@ -13,7 +13,8 @@
 fn every_schedule_keeps_every_property() {
     // Faults: message loss, reordering and duplication, one-way partitions, pauses, crashes that
     // lose unsynced data, wiped, full and slow disks, clock jumps, hosts that move, are replaced or
-    // end for good, other configured peers, and membership changes. After all faults have ended, the
+    // end for good, other configured peers, membership changes, and power losses of all hosts, of
+    // which as many lose their disks as the group tolerates. After all faults have ended, the
     // group must make progress again, and admit every running replica.
     let coverage = explore(0..2000, None, THREADS).unwrap_or_else(|v| panic!("{v}"));
     assert_eq!(coverage.schedules, 2000);
@@ -24,6 +25,7 @@
         coverage.leased_reads,
         coverage.refused,
         coverage.crashes,
+        coverage.power_losses,
         coverage.pauses,
         coverage.wipes,
         coverage.moves,
@@ -47,6 +49,7 @@
 #[case(Safeguard::LeaderStickiness, &[Check::OneActingLeader])]
 #[case(Safeguard::NoVoteAfterRestart, &[Check::OneActingLeader])]
 #[case(Safeguard::CommitMajority, &[Check::CommittedKept])]
+#[case(Safeguard::SyncBeforeCommit, &[Check::CommittedKept])]
 #[case(Safeguard::CheckPrevious, &[Check::LogMatching, Check::CommittedKept])]
 #[case(Safeguard::CheckQuorum, &[Check::OneActingLeader])]
 #[case(Safeguard::ConfirmReads, &[Check::Linearizable])]
@@ -60,6 +63,7 @@
 fn a_broken_safeguard_is_seen(#[case] disabled: Safeguard, #[case] detected_by: &[Check]) {
     let violation =
         explore(0..MAX_SCHEDULES, Some(disabled), THREADS).expect_err("no violation found");
+    println!("{disabled:?}: {violation}");
     assert!(detected_by.contains(&violation.check), "{violation}");
 }
 
