Tests: real daemons lose disks and all others end at the same moment

Nothing played this with real processes: the soak killed all processes with one disk lost, after its operator had stopped, and never right after an acknowledgement.

`platform_power` kills all control and entry daemons at once while callers submit and cancel, right after an acknowledged configuration, job or cancellation or at any time: after the first configuration, while the group forms, with five voters, just after the seeds changed, while or just after a replica is replaced, and with a newcomer that doesn't vote. Two of five control daemons lose their disks; one where the group forms or has lost one already. Then configuration, accepted jobs, cancellations and early cancellations are checked: a job that is submitted after its acknowledged early cancellation has to be shown as cancelled.

SIGKILL keeps written pages, so writes that were not synced are lost in `replication_explorer` and `storage_crashes` only.

--- a/tests/platform_cell/losses.rs
+++ b/tests/platform_cell/losses.rs
@@ -192,7 +192,7 @@
     }
 
     /// Names three other control daemons as seeds, the leader not among them.
-    fn change_seeds(&mut self, system: &mut System) {
+    pub fn change_seeds(&mut self, system: &mut System) {
         let processes = system.processes.iter().enumerate();
         let fit = processes.filter(|(_, p)| {
             p.role == Role::Control && p.deployed && p.is_started() && !p.is_leader()
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -10,6 +10,7 @@
 pub mod operator;
 pub mod payload;
 mod policy;
+pub mod power;
 pub mod recorder;
 mod reports;
 pub mod settle;
--- a/tests/platform_cell/recorder.rs
+++ b/tests/platform_cell/recorder.rs
@@ -209,6 +209,11 @@
             .insert(job.to_owned(), Instant::now());
     }
 
+    /// Jobs whose cancellation was acknowledged.
+    pub fn cancel_acks(&self) -> Vec<String> {
+        self.lock().cancel_acked.keys().cloned().collect()
+    }
+
     pub fn record_violation(&self, what: String) {
         self.lock().violations.push(what);
     }
