Replication: a learner with the newest log stands for election

A group of four voters stood still for good after one of its disks was lost, though no other machine failed: no leader, no answer to anything accepted before.

The leader of four had appended the promotion of a learner, not committed. The next leader, elected by the three voters before that, sent newer entries to that learner alone and lost its disk. The voter left with the promotion in its log needs three votes of four; the learner refuses, as its own log is newer, and a learner never stood itself. The other voter takes itself for a learner still. No power loss is needed.

A learner that hears no leader and refuses a candidate's pre-vote because its own log is newer now starts a pre-vote itself. The voters of its log decide, with one vote a term, and its own vote does not count, so elections are as safe as before. Once its first entry is committed it hands over to a voter, as no membership change would promote the leader.

--- a/src/replication/core/config.rs
+++ b/src/replication/core/config.rs
@@ -47,6 +47,8 @@
     pub(crate) time_forward: bool,
     /// A follower passes announcements on to its leader.
     pub(crate) pass_on_announcements: bool,
+    /// A learner with a newer log than a candidate stands for election itself.
+    pub(crate) newest_learner_stands: bool,
     /// A leader whose own addresses have changed puts them into the membership.
     pub(crate) own_addresses: bool,
 }
@@ -71,6 +73,7 @@
             apply_before_acting: true,
             time_forward: true,
             pass_on_announcements: true,
+            newest_learner_stands: true,
             own_addresses: true,
         }
     }
--- a/src/replication/core/election.rs
+++ b/src/replication/core/election.rs
@@ -117,6 +117,24 @@
         let granted =
             term >= self.hard.term && !self.in_leader_lease(now) && self.is_up_to_date(last);
         self.send(from, Body::PreVoteReply { granted });
+        if !self.in_leader_lease(now) && !self.is_up_to_date(last) {
+            self.stand_as_learner(now);
+        }
+    }
+
+    /// Starts a pre-vote on a learner that has just refused a candidate whose log is behind.
+    ///
+    /// A candidate may hold the promotion of this learner, not committed, and need its vote, while a
+    /// later leader that is lost has replicated newer entries to this learner alone. None of the voters
+    /// that are left could then be elected. The voters of this log still decide; the learner's own vote
+    /// does not count.
+    fn stand_as_learner(&mut self, now: Timestamp) {
+        let is_learner = self.members.learners.contains_key(&self.cfg.id);
+        let awaits_votes = self.role == Role::Candidate && now < self.election_at;
+        let stands = self.cfg.safeguards.newest_learner_stands;
+        if stands && is_learner && self.leading.is_none() && !awaits_votes && !self.disk_full {
+            self.start_pre_vote(now);
+        }
     }
 
     pub(super) fn on_pre_vote_reply(
--- a/src/replication/core/leader.rs
+++ b/src/replication/core/leader.rs
@@ -124,6 +124,7 @@
             self.start_heartbeat_round(now);
         }
         self.change_membership(now);
+        self.hand_over_as_learner(now);
         self.continue_transfer(now);
     }
 
@@ -363,6 +364,15 @@
         }
     }
 
+    /// Lets a voter lead in place of a learner, which no membership change would promote.
+    fn hand_over_as_learner(&mut self, now: Timestamp) {
+        let leading = self.leading.as_ref();
+        let ready = leading.is_some_and(|l| l.first_entry_committed && l.transfer.is_none());
+        if ready && !self.is_voter() {
+            self.transfer_leadership(now);
+        }
+    }
+
     /// Starts a transfer of leadership to the active voter with the most entries. No proposal or
     /// read is accepted until the transfer succeeds or one election timeout has passed.
     pub(crate) fn transfer_leadership(&mut self, now: Timestamp) {
--- a/src/replication/core/mod.rs
+++ b/src/replication/core/mod.rs
@@ -448,7 +448,7 @@
         self.announced_at = Some(now);
         let message = self.message(0, Body::Announce(self.cfg.member.clone()));
         self.effects.push(Effect::Announce(message));
-        if !self.is_voter() {
+        if !self.is_voter() && self.role == Role::Learner {
             self.postpone_election(now);
         }
     }
--- a/src/replication/explore/mod.rs
+++ b/src/replication/explore/mod.rs
@@ -82,13 +82,15 @@
     TimeForward,
     /// A follower passes announcements on to its leader.
     PassOnAnnouncements,
+    /// A learner with a newer log than a candidate stands for election itself.
+    NewestLearnerStands,
     /// A leader whose own addresses have changed puts them into the membership.
     OwnAddresses,
 }
 
 impl Safeguard {
     /// All safeguards.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::SyncBeforeAnswer,
         Self::SingleVote,
         Self::LogUpToDate,
@@ -106,6 +108,7 @@
         Self::ApplyBeforeActing,
         Self::TimeForward,
         Self::PassOnAnnouncements,
+        Self::NewestLearnerStands,
         Self::OwnAddresses,
     ];
 
@@ -132,6 +135,7 @@
             Self::ApplyBeforeActing => s.apply_before_acting = false,
             Self::TimeForward => s.time_forward = false,
             Self::PassOnAnnouncements => s.pass_on_announcements = false,
+            Self::NewestLearnerStands => s.newest_learner_stands = false,
             Self::OwnAddresses => s.own_addresses = false,
         }
         s
--- a/tests/replication_explorer.rs
+++ b/tests/replication_explorer.rs
@@ -67,6 +67,18 @@
     assert!(detected_by.contains(&violation.check), "{violation}");
 }
 
+/// Guards against a group that stands still: its leader's disk is lost, a voter holds the promotion of a
+/// learner that was not committed, and only that learner holds the newest entries.
+#[test]
+fn a_learner_with_the_newest_log_is_elected() {
+    const SEED: u64 = 1_014_977;
+    let seeds = || SEED..SEED + 1;
+    explore(seeds(), None, 1).unwrap_or_else(|v| panic!("{v}"));
+    let disabled = Some(Safeguard::NewestLearnerStands);
+    let violation = explore(seeds(), disabled, 1).expect_err("no violation found");
+    assert_eq!(violation.check, Check::Progress, "{violation}");
+}
+
 #[test]
 fn a_seed_repeats_its_schedule() {
     let disabled = Some(Safeguard::SingleVote);
