--- a/src/replication/core/config.rs
+++ b/src/replication/core/config.rs
@@ -25,6 +25,8 @@
     pub(crate) commit_own_term: bool,
     /// A commit needs a majority of all voters.
     pub(crate) commit_majority: bool,
+    /// A leader counts its own entries for a commit only once they are synced.
+    pub(crate) sync_before_commit: bool,
     /// A follower compares the term of the entry before the ones it appends.
     pub(crate) check_previous: bool,
     /// A read waits for a heartbeat round that started after it.
@@ -45,6 +47,8 @@
     pub(crate) time_forward: bool,
     /// A follower passes announcements on to its leader.
     pub(crate) pass_on_announcements: bool,
+    /// A learner with a newer log than a candidate stands for election itself.
+    pub(crate) newest_learner_stands: bool,
     /// A leader whose own addresses have changed puts them into the membership.
     pub(crate) own_addresses: bool,
 }
@@ -59,6 +63,7 @@
             no_vote_after_restart: true,
             commit_own_term: true,
             commit_majority: true,
+            sync_before_commit: true,
             check_previous: true,
             read_after_round: true,
             check_quorum: true,
@@ -68,6 +73,7 @@
             apply_before_acting: true,
             time_forward: true,
             pass_on_announcements: true,
+            newest_learner_stands: true,
             own_addresses: true,
         }
     }
--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -11,6 +11,7 @@
 pub mod operator;
 pub mod payload;
 mod policy;
+pub mod power;
 pub mod recorder;
 mod reports;
 pub mod settle;
