Tests: the first configuration's case always loses a disk

The case took the disk of a daemon that had logged that it votes.

The scene now takes the disk of the daemon that forms the group, and each scene asserts the number of lost disks.

--- a/tests/platform_cell/power.rs
+++ b/tests/platform_cell/power.rs
@@ -150,10 +150,16 @@
 /// Ends all processes with SIGKILL at the same moment, some without their disks, and starts them
 /// again. Writes that were not synced survive that; `replication_explorer` loses them as well.
 pub async fn lose_power(system: &mut System, scene: Scene, rng: &mut ChaCha8Rng) {
-    // A newcomer's disk is none of those that count.
     let mut lost = controls(system, rng);
-    lost.retain(|i| scene == Scene::Replaced || system.processes[*i].is_voter());
+    match scene {
+        // The first process forms the group, and others may not have logged yet that they vote.
+        Scene::FirstConfiguration => lost.sort_unstable(),
+        // A newcomer's disk is none of those that count.
+        Scene::Newcomer => lost.retain(|i| system.processes[*i].is_voter()),
+        _ => {}
+    }
     lost.truncate(scene.disks());
+    assert_eq!(lost.len(), scene.disks(), "disks to lose in {scene:?}");
     for process in &system.processes {
         process.signal(Signal::KILL);
     }
