--- a/tests/platform_cell/mod.rs
+++ b/tests/platform_cell/mod.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod gangs;
 pub mod losses;
+pub mod memory;
 pub mod minion;
 pub mod operator;
 pub mod payload;
--- a/tests/platform_cell/power.rs
+++ b/tests/platform_cell/power.rs
@@ -189,6 +189,7 @@
         fail_percent: 0,
         crashes: false,
         copies: false,
+        members: 0,
     };
     json!({"spec": payload.text(), "steps": [{
         "count": 1, "cpu": payload.need.millicores, "mem_mb": payload.need.memory_mb, "est_ms": 50,
