Dispatch: crashes with another cause fail fewer sound jobs

Cause: a crash within 0.5 s of a start counted against the task, only 5 s of listed work reset the count, and two confirmed crashes failed the job although nothing singled the task out.

Change, all of it in what the leader writes; the ledger counts each entry as before, so that replicas of two versions agree on which jobs have failed: - After a broken connection, which dates the crash to a few milliseconds, runs of over 150 ms are not suspected. 500 ms stay the bound where only an answer shows that the minion was up, as answers can be late by 300 ms. - A run of 0.5 s and more that ends with its minion resets the crashes of its task. - A crash is confirmed only for a run on trial that is the only suspect; for others it is in doubt. The suspects of minions that stay away for longer than a lease are judged as before. - For 5 s after a crash without any suspect, crashes are possible causes only, so that four end a job.

--- a/src/batch/dispatch/crashes.rs
+++ b/src/batch/dispatch/crashes.rs
@@ -16,8 +16,15 @@
 use crate::batch::model::{MinionNumber, TaskId};
 use crate::ids::{MinionId, Timestamp};
 
-/// Run time after which a crash of the minion is not blamed on the start of a run.
+/// Run time after which a crash of the minion is not blamed on the start of a run, and resets earlier
+/// crashes of its task. Longer than answers are on their way.
 const HARMLESS_AFTER: Duration = Duration::from_millis(500);
+/// The same where a connection broke. Tasks that crash their minions do so within 10 ms. With 500 ms,
+/// jobs failed whose tasks had crashed nothing: where each minion crashed every few seconds by
+/// another cause, four crashes in a row came so soon.
+const HARMLESS_AFTER_IF_BROKEN: Duration = Duration::from_millis(150);
+/// Time after a crash without suspects during which others are taken to have the same cause.
+const OTHER_CAUSES_FOR: Duration = Duration::from_secs(5);
 /// Time from a start order within which a crash is likely caused by the start: a task that crashes
 /// its minions does so within milliseconds, and a broken connection shows it soon after.
 const LIKELY_CAUSE_WINDOW: Duration = Duration::from_millis(100);
@@ -78,8 +85,40 @@
 }
 
 impl Dispatcher {
-    /// Runs that may have crashed their minion. A call sent at `sent` showed the crash.
-    pub(super) fn suspects(&self, minion: &Minion, sent: Timestamp) -> Vec<Crash> {
+    /// Runs that may have crashed their minion, which is known to have crashed. A call sent at `sent`
+    /// showed the crash.
+    ///
+    /// A crash is confirmed for a run on trial with no other suspect only, and while all crashes of
+    /// late had suspects: as sure evidence, two crashes with another cause failed jobs.
+    pub(super) fn suspects(&self, now: Timestamp, minion: &Minion, sent: Timestamp) -> Vec<Crash> {
+        let mut suspects = self.all_suspects(minion, sent);
+        let is_one = suspects.iter().all(|s| self.is_one_run(s, &suspects[0]));
+        let crashed = self.crashed_without_suspects;
+        let has_other_causes = crashed.is_some_and(|at| now < at + OTHER_CAUSES_FOR);
+        for crash in &mut suspects {
+            if has_other_causes {
+                crash.certainty = Certainty::Possible;
+                continue;
+            }
+            let run = self.run_key(crash.task, crash.run);
+            let run = run.and_then(|key| self.runs.get(&key));
+            let on_trial = run.is_some_and(|run| run.suspicion == Suspicion::Trial);
+            if crash.certainty == Certainty::Confirmed && !(is_one && on_trial) {
+                crash.certainty = Certainty::InDoubt;
+            }
+        }
+        suspects
+    }
+
+    /// Whether two suspects are the same run, or members of a gang.
+    fn is_one_run(&self, a: &Crash, b: &Crash) -> bool {
+        let members = || self.runs.get(&a.task).map_or(1, |run| run.members);
+        a.task == b.task || (a.task.step == b.task.step && members() > 1)
+    }
+
+    /// Runs that may have crashed their minion if it crashed. For a minion that stays away, they are
+    /// confirmed by their own start alone: its crash is proved when the next run has begun.
+    pub(super) fn all_suspects(&self, minion: &Minion, sent: Timestamp) -> Vec<Crash> {
         let runs = minion.runs.iter().filter_map(|id| {
             let run = self.runs.get(id)?;
             crash_certainty(run, minion, sent).map(|certainty| crash_of(*id, run, certainty))
@@ -87,6 +126,19 @@
         runs.collect()
     }
 
+    /// Suspected tasks whose runs on a crashed minion had worked for a while.
+    pub(super) fn suspects_that_worked(&self, minion: &Minion) -> Vec<TaskId> {
+        let runs = minion.runs.iter().filter_map(|id| {
+            let run = self.runs.get(id)?;
+            let RunState::Running(since) = run.state else {
+                return None;
+            };
+            let suspected = run.suspicion != Suspicion::None;
+            (suspected && minion.was_up_after(since + HARMLESS_AFTER)).then_some(id.original())
+        });
+        runs.collect()
+    }
+
     /// Adds crashes to the next batch, to be counted for the tasks that may have caused them.
     pub(super) fn count_crashes(&mut self, minion: MinionId, crashes: Vec<Crash>) {
         for crash in &crashes {
@@ -167,6 +219,9 @@
         (RunState::Proposed | RunState::Ending, _) => None,
         (RunState::Transferred | RunState::TransferredInDoubt, _) => run.suspected,
         (RunState::Running(since), _) if minion.was_up_after(since + HARMLESS_AFTER) => None,
+        (RunState::Running(since), _) if minion.broke_after(since + HARMLESS_AFTER_IF_BROKEN) => {
+            None
+        }
         (RunState::Running(_), _) if likely_start.is_some() => Some(Certainty::Confirmed),
         // The start was lost, or it reached the next incarnation.
         (RunState::Starting | RunState::InDoubt, Some(ordered))
--- a/src/batch/dispatch/holds.rs
+++ b/src/batch/dispatch/holds.rs
@@ -292,7 +292,7 @@
             runs: tasks.len(),
         };
         self.emit(event);
-        let suspects = self.suspects(&self.minions[&number], now);
+        let suspects = self.all_suspects(&self.minions[&number], now);
         for task in tasks {
             if self.runs.get(&task).is_some_and(|run| !run.ends) {
                 self.lapsing.insert(task);
@@ -329,7 +329,8 @@
             runs: tasks.len(),
         };
         let crashed = evidence.shows_crash(minion);
-        let mut suspects = self.suspects(minion, sent);
+        let mut suspects = self.suspects(now, minion, sent);
+        let worked = self.suspects_that_worked(minion);
         self.emit(event);
         let kind = if crashed {
             EndKind::Crashed
@@ -343,7 +344,11 @@
         if let Some(minion) = self.minions.remove(&number) {
             if crashed {
                 suspects.extend(&minion.lapsed);
+                if suspects.is_empty() {
+                    self.crashed_without_suspects = Some(now);
+                }
                 self.count_crashes(minion.report.id.clone(), suspects);
+                self.batch.crashes_reset.extend(worked);
             }
             self.drop_minion_state(&minion);
         }
--- a/src/batch/dispatch/minion.rs
+++ b/src/batch/dispatch/minion.rs
@@ -140,6 +140,8 @@
     pub(super) reported: Timestamp,
     /// Latest time at which it is known to have been up.
     last_sign_of_life: Timestamp,
+    /// When a connection that it had accepted broke; reset by an answer.
+    broke: Option<Timestamp>,
     /// Earliest time by which it is known to have been down; reset by an answer.
     down_by: Option<Timestamp>,
     /// Holds in a row that were refused or got no answer; reset by any answer with its clock.
@@ -201,6 +203,7 @@
             heard: now,
             reported: now,
             last_sign_of_life: Timestamp::ZERO,
+            broke: None,
             down_by: None,
             failed_holds: 0,
             hold: HoldState::Due(now),
@@ -302,6 +305,7 @@
             received: now,
         });
         self.heard = now;
+        self.broke = None;
         self.down_by = None;
         self.failed_holds = 0;
         if self.unanswered.is_some_and(|since| sent >= since) {
@@ -352,9 +356,16 @@
         // now.
         if failure == CallFailure::Broken && now >= sent + ACCEPTED_AFTER {
             self.record_up(now);
+            self.broke.get_or_insert(now);
         }
     }
 
+    /// Whether an accepted connection to it broke at `at` or later: unlike a late answer, this shows
+    /// to within a few milliseconds how long it was up.
+    pub(super) fn broke_after(&self, at: Timestamp) -> bool {
+        self.broke.is_some_and(|broke| broke >= at)
+    }
+
     /// Records an order sent at `sent` that got no answer. Until a later one is answered, the
     /// minion gets no new work: a hold takes 0.5 s and more to show that a minion is cut off, and
     /// hundreds of tasks were placed on such minions meanwhile, each waiting for its four start
--- a/src/batch/dispatch/mod.rs
+++ b/src/batch/dispatch/mod.rs
@@ -167,6 +167,8 @@
     /// One entry for each uncommitted batch: the last end received from each minion. These are
     /// acknowledged on commit.
     uncommitted_ends: VecDeque<Vec<(MinionNumber, u64)>>,
+    /// When a minion was last found to have crashed by no run that had just started.
+    crashed_without_suspects: Option<Timestamp>,
     /// Failed runs of gangs in uncommitted batches.
     uncommitted_gang_failures: BTreeSet<(StepId, RunNumber)>,
     /// Time of the last log line about unreadable rows.
@@ -244,6 +246,7 @@
             first_holds: BTreeSet::new(),
             unacknowledged: BTreeSet::new(),
             uncommitted_ends: Default::default(),
+            crashed_without_suspects: None,
             uncommitted_gang_failures: BTreeSet::new(),
             unreadable_logged_at: None,
             placement_requested: true,
--- a/src/batch/dispatch/restarts.rs
+++ b/src/batch/dispatch/restarts.rs
@@ -65,7 +65,9 @@
             Vec::new()
         } else {
             self.count_crashes(former.report.id.clone(), former.lapsed.clone());
-            self.suspects(&former, sent)
+            let worked = self.suspects_that_worked(&former);
+            self.batch.crashes_reset.extend(worked);
+            self.suspects(now, &former, sent)
         };
         self.drop_minion_state(&former);
         let unanswered = self.unanswered_starts(&former, now);
