--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -1,7 +1,6 @@
-//! Time of a leader's decisions in cells of several sizes with the same load per minion, a policy
-//! service that allows a step on every second minion, and minions that answer within 2 ms. Time in
-//! the cell is simulated. Measured are the dispatcher and the ledger, and the choice of agents with the
-//! encoding of their messages, in wall time, so run it alone.
+//! Time of a leader's decisions in simulated cells of several sizes with the same load per minion, a
+//! policy service that allows a step on every second minion, and minions that answer within 2 ms:
+//! wall time of dispatcher and ledger, and of choosing agents and encoding. Run it alone.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
